--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -15,7 +15,7 @@
  */
 
 #include "base/rand.h"
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 #include "shard/journal.h"
 #include "shard/owner.h"
 
--- a/bench/job_fake.h
+++ b/bench/job_fake.h
@@ -1,11 +1,11 @@
 #ifndef KQ_BENCH_JOB_FAKE_H
 #define KQ_BENCH_JOB_FAKE_H
 
-/* job_fake: a worker as platform/worker.h describes it, in memory, for tests of the job
+/* job_fake: a worker as port/worker.h describes it, in memory, for tests of the job
  * slice and for bench-place. It has its own clock (now + skew) and no network: the
  * caller decides which calls and answers arrive, and when. */
 
-#include "platform/worker.h"
+#include "port/worker.h"
 
 #include <glib.h>
 
--- a/bench/platform_main.c
+++ b/bench/platform_main.c
@@ -3,11 +3,11 @@
  * peer runs in a second thread, so that only the node's side is measured. */
 
 #include "http/server.h"
-#include "platform/mail.h"
-#include "platform/store_http.h"
-#include "platform/worker_fake.h"
-#include "platform/worker_http.h"
-#include "platform/worker_json.h"
+#include "port/mail.h"
+#include "port/store_http.h"
+#include "port/worker_fake.h"
+#include "port/worker_http.h"
+#include "port/worker_json.h"
 
 #include <ev.h>
 
--- a/bench/shard_main.c
+++ b/bench/shard_main.c
@@ -6,7 +6,7 @@
  * time for each record includes the fake store and this bench. */
 
 #include "base/rand.h"
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 #include "shard/journal.h"
 
 #include <assert.h>
--- a/bench/table_sim.h
+++ b/bench/table_sim.h
@@ -5,7 +5,7 @@
  * them, in simulated time. For tests and benches of src/member and src/table. */
 
 #include "member/member.h"
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 #include "table/dist.h"
 
 #define KQ_TABLE_SIM_MAX 128
--- a/bench/whole_state.h
+++ b/bench/whole_state.h
@@ -11,7 +11,7 @@
 #include "job_fake.h"
 #include "matrix.h"
 #include "node/core.h"
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 
 #define FIRST_REGION 3 /* nodes of it; the store stands there */
 #define NODES 5        /* three in the first region, two in the second */
--- a/fuzz/fuzz_hosts.c
+++ b/fuzz/fuzz_hosts.c
@@ -1,6 +1,6 @@
 #include "fuzz.h"
 
-#include "platform/hosts.h"
+#include "port/hosts.h"
 
 void
 kq_fuzz_hosts (KqStr data)
--- a/fuzz/fuzz_worker.c
+++ b/fuzz/fuzz_worker.c
@@ -1,6 +1,6 @@
 #include "fuzz.h"
 
-#include "platform/worker_json.h"
+#include "port/worker_json.h"
 
 #include <stdlib.h>
 
--- a/src/api/calls.c
+++ b/src/api/calls.c
@@ -1,6 +1,6 @@
 #include "api/calls.h"
 
-#include "platform/mail.h"
+#include "port/mail.h"
 #include "request/problem.h"
 
 #include <stdlib.h>
--- a/src/api/operator.c
+++ b/src/api/operator.c
@@ -2,7 +2,7 @@
 
 #include "api/calls.h"
 #include "api/jobs_http.h"
-#include "platform/mail.h"
+#include "port/mail.h"
 #include "request/problem.h"
 
 #include <ev.h>
--- a/src/base/task.h
+++ b/src/base/task.h
@@ -5,14 +5,14 @@
  *
  * A task never calls into another one: it sends a KqMail, which the loop delivers later,
  * in order of sending per receiver. Thus no task is ever entered while it runs. The
- * contents of mails are declared in platform/mail.h. */
+ * contents of mails are declared in port/mail.h. */
 
 #include "base/time.h"
 
 #include <stdbool.h>
 
 struct ev_loop;
-typedef struct KqMail KqMail; /* platform/mail.h */
+typedef struct KqMail KqMail; /* port/mail.h */
 typedef struct KqLoop KqLoop;
 
 typedef struct KqTask
--- a/src/base/task_test.c
+++ b/src/base/task_test.c
@@ -1,6 +1,6 @@
 #include "../../bench/guard.h"
 #include "base/task.h"
-#include "platform/mail.h"
+#include "port/mail.h"
 
 #include <ev.h>
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -4,8 +4,8 @@
 #include "base/log.h"
 #include "base/rand.h"
 #include "node/node_task.h"
-#include "platform/store_http.h"
-#include "platform/worker_http.h"
+#include "port/store_http.h"
+#include "port/worker_http.h"
 #include "request/gateway.h"
 #include "request/runner_task.h"
 
--- a/src/job/jobs.h
+++ b/src/job/jobs.h
@@ -9,7 +9,7 @@
  * (shard/hold.h). The host asks "am I still owner" before each call. */
 
 #include "base/counter.h"
-#include "platform/hosts.h"
+#include "port/hosts.h"
 #include "shard/log_port.h"
 #include "table/table.h"
 #include "wire/msg.h"
--- a/src/job/learn_size.h
+++ b/src/job/learn_size.h
@@ -14,7 +14,7 @@
  * packed closer still. Old reports fade (half after HALF_LIFE reports). */
 
 #include "job/classes.h"
-#include "platform/worker.h"
+#include "port/worker.h"
 
 /* Buckets grow by a quarter: 50 to 1.8 million, in milli-cores as in MB. */
 #define KQ_SIZE_BUCKETS 48
--- a/src/job/lease.h
+++ b/src/job/lease.h
@@ -11,7 +11,7 @@
  * worker's tasks stopped. After a takeover the predecessor's renewals count too: until
  * the lease, the blind time and the margin have passed, silence proves nothing. */
 
-#include "platform/worker.h"
+#include "port/worker.h"
 
 /* Clocks that run apart by 1 in 1,000 differ by 9 ms over a lease; the rest is for a
  * worker that is slow to stop its tasks. */
--- a/src/job/workers.h
+++ b/src/job/workers.h
@@ -12,7 +12,7 @@
 #include "job/health.h"
 #include "job/history.h"
 #include "job/lease.h"
-#include "platform/hosts.h"
+#include "port/hosts.h"
 #include "table/table.h"
 
 /* An ended task whose end is recorded by `seq`; acknowledged once that is committed. */
--- a/src/member/lease.h
+++ b/src/member/lease.h
@@ -8,7 +8,7 @@
  * inside this slice only. */
 
 #include "base/rand.h"
-#include "platform/outbox.h"
+#include "port/outbox.h"
 
 typedef enum
 {
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -12,7 +12,7 @@
  * its heartbeats stop, and gone when its store key goes (or, while the store is away,
  * after the lease time without a heartbeat). */
 
-#include "platform/outbox.h"
+#include "port/outbox.h"
 
 #define KQ_NODES_MAX 256
 
--- a/src/node/core_test.c
+++ b/src/node/core_test.c
@@ -1,7 +1,7 @@
 #include "node/core.h"
 
 #include "base/log.h"
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/src/node/node_task.c
+++ b/src/node/node_task.c
@@ -4,7 +4,7 @@
 #include "base/log.h"
 #include "node/queries.h"
 #include "node/shard_map.h"
-#include "platform/mail.h"
+#include "port/mail.h"
 
 #include <ev.h>
 
--- a/src/node/shard_host_test.c
+++ b/src/node/shard_host_test.c
@@ -1,7 +1,7 @@
 #include "node/shard_host.h"
 
 #include "base/log.h"
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/src/node/shard_map.h
+++ b/src/node/shard_map.h
@@ -6,7 +6,7 @@
  * Workers map by rack, so that a shard lies in one depot where the region has at least
  * as many shards as depots. Every node computes the same from its settings. */
 
-#include "platform/hosts.h"
+#include "port/hosts.h"
 #include "settings/settings.h"
 #include "wire/msg.h"
 
--- a/src/platform/budget.c
+++ b/src/port/budget.c
@@ -1,4 +1,4 @@
-#include "platform/budget.h"
+#include "port/budget.h"
 
 #include <assert.h>
 
--- a/src/platform/budget.h
+++ b/src/port/budget.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_BUDGET_H
-#define KQ_PLATFORM_BUDGET_H
+#ifndef KQ_PORT_BUDGET_H
+#define KQ_PORT_BUDGET_H
 
 /* budget: a node's share of the store's call rate, as a token bucket with a reserve.
  *
--- a/src/platform/hosts.c
+++ b/src/port/hosts.c
@@ -1,6 +1,6 @@
-#include "platform/hosts.h"
+#include "port/hosts.h"
 
-#include "platform/text.h"
+#include "port/text.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/platform/hosts.h
+++ b/src/port/hosts.h
@@ -1,11 +1,11 @@
-#ifndef KQ_PLATFORM_HOSTS_H
-#define KQ_PLATFORM_HOSTS_H
+#ifndef KQ_PORT_HOSTS_H
+#define KQ_PORT_HOSTS_H
 
 /* hosts: the platform's lagging list of live and leaving hosts, read into structs.
  * The text's form is stated in docs/PLATFORM.md. */
 
 #include "base/result.h"
-#include "platform/worker.h"
+#include "port/worker.h"
 
 typedef struct
 {
--- a/src/platform/hosts_test.c
+++ b/src/port/hosts_test.c
@@ -1,5 +1,5 @@
-#include "platform/hosts.h"
-#include "platform/text.h"
+#include "port/hosts.h"
+#include "port/text.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/src/platform/kept.c
+++ b/src/port/kept.c
@@ -1,4 +1,4 @@
-#include "platform/kept.h"
+#include "port/kept.h"
 
 #include <glib.h>
 
--- a/src/platform/kept.h
+++ b/src/port/kept.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_KEPT_H
-#define KQ_PLATFORM_KEPT_H
+#ifndef KQ_PORT_KEPT_H
+#define KQ_PORT_KEPT_H
 
 /* kept: the last answer by key with its entity tag, for conditional HTTP reads.
  *
--- a/src/platform/mail.c
+++ b/src/port/mail.c
@@ -1,4 +1,4 @@
-#include "platform/mail.h"
+#include "port/mail.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/platform/mail.h
+++ b/src/port/mail.h
@@ -1,11 +1,11 @@
-#ifndef KQ_PLATFORM_MAIL_H
-#define KQ_PLATFORM_MAIL_H
+#ifndef KQ_PORT_MAIL_H
+#define KQ_PORT_MAIL_H
 
 /* mail: what tasks of one process send each other (see base/task.h). */
 
 #include "base/task.h"
-#include "platform/hosts.h"
-#include "platform/outbox.h"
+#include "port/hosts.h"
+#include "port/outbox.h"
 #include "table/table.h"
 
 typedef enum
--- a/src/platform/meter.c
+++ b/src/port/meter.c
@@ -1,4 +1,4 @@
-#include "platform/meter.h"
+#include "port/meter.h"
 
 #include <stdio.h>
 
--- a/src/platform/meter.h
+++ b/src/port/meter.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_METER_H
-#define KQ_PLATFORM_METER_H
+#ifndef KQ_PORT_METER_H
+#define KQ_PORT_METER_H
 
 /* meter: what one kind of platform call costs: answers by result, a latency histogram
  * and the bytes of bodies, as counters:
--- a/src/platform/outbox.c
+++ b/src/port/outbox.c
@@ -1,4 +1,4 @@
-#include "platform/outbox.h"
+#include "port/outbox.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/platform/outbox.h
+++ b/src/port/outbox.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_OUTBOX_H
-#define KQ_PLATFORM_OUTBOX_H
+#ifndef KQ_PORT_OUTBOX_H
+#define KQ_PORT_OUTBOX_H
 
 /* outbox: what a decision module wants done, in order.
  *
@@ -7,8 +7,8 @@
  * their own node) and worker calls here, and the driver (the daemon's tasks, or a test
  * with fakes) carries them out and brings the replies back as arguments. */
 
-#include "platform/store.h"
-#include "platform/worker.h"
+#include "port/store.h"
+#include "port/worker.h"
 #include "wire/msg.h"
 
 typedef enum
--- a/src/platform/store.h
+++ b/src/port/store.h
@@ -1,11 +1,11 @@
-#ifndef KQ_PLATFORM_STORE_H
-#define KQ_PLATFORM_STORE_H
+#ifndef KQ_PORT_STORE_H
+#define KQ_PORT_STORE_H
 
 /* store: the port to the platform's key-value service.
  *
  * Decision modules put a KqStoreOp into their outbox and later receive the KqStoreReply
- * that carries the same part and token. Only src/platform/store_http.c knows HTTP;
- * src/platform/store_fake.c answers from memory for tests, with faults.
+ * that carries the same part and token. Only src/port/store_http.c knows HTTP;
+ * src/port/store_fake.c answers from memory for tests, with faults.
  *
  * A revision is the store's own number of the last write of a key; it grows with every
  * write of any key. Revision 0 means "the key must not exist". */
--- a/src/platform/store_fake.c
+++ b/src/port/store_fake.c
@@ -1,7 +1,7 @@
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 
 #include "base/rand.h"
-#include "platform/store_fake_keys.h"
+#include "port/store_fake_keys.h"
 
 #include <assert.h>
 #include <stdlib.h>
--- a/src/platform/store_fake.h
+++ b/src/port/store_fake.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_STORE_FAKE_H
-#define KQ_PLATFORM_STORE_FAKE_H
+#ifndef KQ_PORT_STORE_FAKE_H
+#define KQ_PORT_STORE_FAKE_H
 
 /* store_fake: the platform's store in memory, in simulated time, with seeded faults.
  *
@@ -13,7 +13,7 @@
  * carried out in the order of sending. Leases lapse in simulated time, also during an
  * outage (the worst that a real store may do to their holders). */
 
-#include "platform/store.h"
+#include "port/store.h"
 
 #include <stdbool.h>
 
--- a/src/platform/store_fake_keys.c
+++ b/src/port/store_fake_keys.c
@@ -1,4 +1,4 @@
-#include "platform/store_fake_keys.h"
+#include "port/store_fake_keys.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/platform/store_fake_keys.h
+++ b/src/port/store_fake_keys.h
@@ -1,9 +1,9 @@
-#ifndef KQ_PLATFORM_STORE_FAKE_KEYS_H
-#define KQ_PLATFORM_STORE_FAKE_KEYS_H
+#ifndef KQ_PORT_STORE_FAKE_KEYS_H
+#define KQ_PORT_STORE_FAKE_KEYS_H
 
 /* store_fake_keys: the keys of the fake store, sorted. Internal to store_fake.c. */
 
-#include "platform/store.h"
+#include "port/store.h"
 
 #include <stdbool.h>
 
--- a/src/platform/store_fake_test.c
+++ b/src/port/store_fake_test.c
@@ -1,4 +1,4 @@
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/src/platform/store_http.c
+++ b/src/port/store_http.c
@@ -1,13 +1,13 @@
-#include "platform/store_http.h"
+#include "port/store_http.h"
 
 #include "base/log.h"
 #include "http/client.h"
-#include "platform/budget.h"
-#include "platform/kept.h"
-#include "platform/mail.h"
-#include "platform/meter.h"
-#include "platform/store_target.h"
-#include "platform/text.h"
+#include "port/budget.h"
+#include "port/kept.h"
+#include "port/mail.h"
+#include "port/meter.h"
+#include "port/store_target.h"
+#include "port/text.h"
 
 #include <ev.h>
 #include <glib.h>
--- a/src/platform/store_http.h
+++ b/src/port/store_http.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_STORE_HTTP_H
-#define KQ_PLATFORM_STORE_HTTP_H
+#ifndef KQ_PORT_STORE_HTTP_H
+#define KQ_PORT_STORE_HTTP_H
 
 /* store_http: the task that carries out store calls over HTTP (docs/PLATFORM.md).
  *
@@ -22,7 +22,7 @@
 
 #include "base/counter.h"
 #include "base/task.h"
-#include "platform/store.h"
+#include "port/store.h"
 
 typedef struct
 {
--- a/src/platform/store_http_test.c
+++ b/src/port/store_http_test.c
@@ -1,7 +1,7 @@
 #include "../../bench/guard.h"
 #include "http/server.h"
-#include "platform/mail.h"
-#include "platform/store_http.h"
+#include "port/mail.h"
+#include "port/store_http.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/src/platform/store_target.c
+++ b/src/port/store_target.c
@@ -1,6 +1,6 @@
-#include "platform/store_target.h"
+#include "port/store_target.h"
 
-#include "platform/text.h"
+#include "port/text.h"
 
 const char *
 kq_store_target (const char *base, const KqStoreOp *op, KqBuf *url)
--- a/src/platform/text.c
+++ b/src/port/text.c
@@ -1,4 +1,4 @@
-#include "platform/text.h"
+#include "port/text.h"
 
 #include <ctype.h>
 #include <stdlib.h>
--- a/src/platform/text.h
+++ b/src/port/text.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_TEXT_H
-#define KQ_PLATFORM_TEXT_H
+#ifndef KQ_PORT_TEXT_H
+#define KQ_PORT_TEXT_H
 
 /* text: reading the platform's JSON, and writing keys into URLs.
  *
--- a/src/platform/worker.h
+++ b/src/port/worker.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_WORKER_H
-#define KQ_PLATFORM_WORKER_H
+#ifndef KQ_PORT_WORKER_H
+#define KQ_PORT_WORKER_H
 
 /* worker: the port to the platform's workers (machines that run tasks under leases).
  *
--- a/src/platform/worker_fake.c
+++ b/src/port/worker_fake.c
@@ -1,6 +1,6 @@
-#include "platform/worker_fake.h"
+#include "port/worker_fake.h"
 
-#include "platform/worker_list.h"
+#include "port/worker_list.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/platform/worker_fake.h
+++ b/src/port/worker_fake.h
@@ -1,11 +1,11 @@
-#ifndef KQ_PLATFORM_WORKER_FAKE_H
-#define KQ_PLATFORM_WORKER_FAKE_H
+#ifndef KQ_PORT_WORKER_FAKE_H
+#define KQ_PORT_WORKER_FAKE_H
 
 /* worker_fake: one worker in memory: its lease, its tasks and what it has seen; the
  * rules of docs/PLATFORM.md, "Worker". No socket and no clock. The stand-in program puts
  * HTTP before it; tests call it directly. */
 
-#include "platform/worker.h"
+#include "port/worker.h"
 
 #include <glib.h>
 
--- a/src/platform/worker_fake_test.c
+++ b/src/port/worker_fake_test.c
@@ -1,7 +1,7 @@
 #include "base/rand.h"
-#include "platform/worker_fake.h"
-#include "platform/worker_json.h"
-#include "platform/worker_list.h"
+#include "port/worker_fake.h"
+#include "port/worker_json.h"
+#include "port/worker_list.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/src/platform/worker_http.c
+++ b/src/port/worker_http.c
@@ -1,11 +1,11 @@
-#include "platform/worker_http.h"
+#include "port/worker_http.h"
 
 #include "base/log.h"
 #include "http/client.h"
-#include "platform/mail.h"
-#include "platform/meter.h"
-#include "platform/worker_json.h"
-#include "platform/worker_list.h"
+#include "port/mail.h"
+#include "port/meter.h"
+#include "port/worker_json.h"
+#include "port/worker_list.h"
 
 #include <ev.h>
 #include <glib.h>
--- a/src/platform/worker_http.h
+++ b/src/port/worker_http.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_WORKER_HTTP_H
-#define KQ_PLATFORM_WORKER_HTTP_H
+#ifndef KQ_PORT_WORKER_HTTP_H
+#define KQ_PORT_WORKER_HTTP_H
 
 /* worker_http: the task that carries out worker calls over HTTP (docs/PLATFORM.md).
  *
@@ -21,7 +21,7 @@
 
 #include "base/counter.h"
 #include "base/task.h"
-#include "platform/worker.h"
+#include "port/worker.h"
 
 typedef struct
 {
--- a/src/platform/worker_http_test.c
+++ b/src/port/worker_http_test.c
@@ -1,8 +1,8 @@
 #include "../../bench/guard.h"
 #include "http/server.h"
-#include "platform/mail.h"
-#include "platform/text.h"
-#include "platform/worker_http.h"
+#include "port/mail.h"
+#include "port/text.h"
+#include "port/worker_http.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/src/platform/worker_json.c
+++ b/src/port/worker_json.c
@@ -1,6 +1,6 @@
-#include "platform/worker_json.h"
+#include "port/worker_json.h"
 
-#include "platform/text.h"
+#include "port/text.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/platform/worker_json.h
+++ b/src/port/worker_json.h
@@ -1,10 +1,10 @@
-#ifndef KQ_PLATFORM_WORKER_JSON_H
-#define KQ_PLATFORM_WORKER_JSON_H
+#ifndef KQ_PORT_WORKER_JSON_H
+#define KQ_PORT_WORKER_JSON_H
 
 /* worker_json: worker calls and their answers as the JSON of docs/PLATFORM.md, both ways:
  * the port writes calls and reads answers, the stand-in the other way round. */
 
-#include "platform/worker.h"
+#include "port/worker.h"
 
 /* The last part of the call's path, and back; false when there is no such call. */
 const char *kq_worker_call_name (KqWorkerCallKind kind);
--- a/src/platform/worker_list.c
+++ b/src/port/worker_list.c
@@ -1,4 +1,4 @@
-#include "platform/worker_list.h"
+#include "port/worker_list.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/platform/worker_list.h
+++ b/src/port/worker_list.h
@@ -1,5 +1,5 @@
-#ifndef KQ_PLATFORM_WORKER_LIST_H
-#define KQ_PLATFORM_WORKER_LIST_H
+#ifndef KQ_PORT_WORKER_LIST_H
+#define KQ_PORT_WORKER_LIST_H
 
 /* worker_list: a worker's tasks, kept from answer to answer, so that a renewal carries
  * only what changed since.
@@ -15,7 +15,7 @@
  * missing would run twice. A tag that doesn't fit drops the kept list, so that the next
  * answer is whole. */
 
-#include "platform/worker.h"
+#include "port/worker.h"
 
 typedef struct
 {
--- a/src/request/dispatch.h
+++ b/src/request/dispatch.h
@@ -7,7 +7,7 @@
  * between nodes. Admission, fairness, short slots, target choice, adaptive limits and
  * outliers are modules of their own, put together here. No socket, no clock. */
 
-#include "platform/hosts.h"
+#include "port/hosts.h"
 #include "request/dispatch_class.h"
 #include "table/table.h"
 #include "wire/msg.h"
--- a/src/request/entry.h
+++ b/src/request/entry.h
@@ -5,7 +5,7 @@
  * the struct stands here because the two files are one task. */
 
 #include "api/calls.h"
-#include "platform/mail.h"
+#include "port/mail.h"
 #include "request/account.h"
 #include "request/claim_ends.h"
 #include "request/flight.h"
--- a/src/request/runner_flight.h
+++ b/src/request/runner_flight.h
@@ -6,7 +6,7 @@
  * one task. */
 
 #include "http/client.h"
-#include "platform/mail.h"
+#include "port/mail.h"
 #include "request/dispatch.h"
 #include "request/flight.h"
 #include "request/runner_task.h"
--- a/src/shard/hold.h
+++ b/src/shard/hold.h
@@ -7,7 +7,7 @@
  * proves it: the process dies, the successor has never heard of the start, and the task
  * runs twice. Items leave in order, each once its record is committed. */
 
-#include "platform/outbox.h"
+#include "port/outbox.h"
 #include "shard/journal.h"
 
 typedef struct
--- a/src/shard/journal.h
+++ b/src/shard/journal.h
@@ -14,7 +14,7 @@
  * that all of that memory is dropped. */
 
 #include "base/result.h"
-#include "platform/outbox.h"
+#include "port/outbox.h"
 
 typedef uint64_t KqSeq; /* counts the shard's records over its whole life; 0: none */
 
--- a/src/shard/journal_test.c
+++ b/src/shard/journal_test.c
@@ -1,5 +1,5 @@
 #include "base/rand.h"
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 #include "shard/journal.h"
 
 #include <setjmp.h>
--- a/src/shard/owner.h
+++ b/src/shard/owner.h
@@ -10,7 +10,7 @@
  * process finds its lease gone in kq_owner_is_mine before it does anything else. */
 
 #include "member/member.h"
-#include "platform/outbox.h"
+#include "port/outbox.h"
 
 typedef enum
 {
--- a/src/shard/owner_test.c
+++ b/src/shard/owner_test.c
@@ -1,4 +1,4 @@
-#include "platform/store_fake.h"
+#include "port/store_fake.h"
 #include "shard/owner.h"
 
 #include <setjmp.h>
--- a/src/table/dist.h
+++ b/src/table/dist.h
@@ -9,7 +9,7 @@
  * lacks, so that a node with a silent watch learns within a heartbeat. Only a whole,
  * checked table of a higher revision is applied. */
 
-#include "platform/outbox.h"
+#include "port/outbox.h"
 #include "table/table.h"
 
 typedef struct KqTableDist KqTableDist;
--- a/src/table/table.h
+++ b/src/table/table.h
@@ -9,7 +9,7 @@
 
 #include "base/result.h"
 #include "base/str.h"
-#include "platform/worker.h"
+#include "port/worker.h"
 
 #include <jansson.h>
 
--- a/src/wire/mesh.c
+++ b/src/wire/mesh.c
@@ -3,7 +3,7 @@
 #include "base/listen.h"
 #include "base/log.h"
 #include "base/rand.h"
-#include "platform/mail.h"
+#include "port/mail.h"
 #include "wire/conn.h"
 #include "wire/hello.h"
 #include "wire/mesh_counters.h"
--- a/src/wire/mesh_test.c
+++ b/src/wire/mesh_test.c
@@ -1,5 +1,5 @@
 #include "../../bench/guard.h"
-#include "platform/mail.h"
+#include "port/mail.h"
 #include "wire/hello.h"
 #include "wire/mesh.h"
 
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -12,7 +12,7 @@
 #include "base/result.h"
 #include "base/str.h"
 #include "base/time.h"
-#include "platform/worker.h"
+#include "port/worker.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/standin/store_main.c
+++ b/standin/store_main.c
@@ -1,8 +1,8 @@
 /* standin-store: the platform's key-value service and host list for tests: HTTP in front
- * of platform/store_fake. Its calls and switches are stated in docs/PLATFORM.md. */
+ * of port/store_fake. Its calls and switches are stated in docs/PLATFORM.md. */
 
-#include "platform/budget.h"
-#include "platform/store_fake.h"
+#include "port/budget.h"
+#include "port/store_fake.h"
 #include "web.h"
 
 #include <glib.h>
--- a/standin/worker_main.c
+++ b/standin/worker_main.c
@@ -3,8 +3,8 @@
 
 #include "base/rand.h"
 #include "http/client.h"
-#include "platform/worker_fake.h"
-#include "platform/worker_json.h"
+#include "port/worker_fake.h"
+#include "port/worker_json.h"
 #include "web.h"
 
 #include <xxhash.h>
--- a/tests/platform_live_test.c
+++ b/tests/platform_live_test.c
@@ -1,8 +1,8 @@
 #include "../bench/guard.h"
 #include "http/client.h"
-#include "platform/mail.h"
-#include "platform/store_http.h"
-#include "platform/worker_http.h"
+#include "port/mail.h"
+#include "port/store_http.h"
+#include "port/worker_http.h"
 
 #include <glib.h>
 #include <jansson.h>
@@ -19,7 +19,7 @@
 
 #include <cmocka.h>
 
-/* The ports of src/platform against the stand-ins as processes: the store, two workers
+/* The ports of src/port against the stand-ins as processes: the store, two workers
  * in one process, and a relay in front of the store, on ports of the kernel. Waits end
  * by events, bounded by one guard for each. */
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -288,10 +288,10 @@
          "%.0f us a change" % (s("cpu_table_change.each_row") * ROWS),
          "%.0f B a row" % s("memory_table_row.each"), "src/table/dist.c, commit.c"],
         ["store", "%d journals, table, %d leases" % (SHARDS, BENCH_NODES),
-         "see the store's table", "not ours", "not ours", "src/platform/store_http.c"],
+         "see the store's table", "not ours", "not ours", "src/port/store_http.c"],
         ["worker", "its tasks, %.0f on average" % (TASKS / WORKERS),
          "%.0f B/s of renewals" % s("live_workers.worker"), "not ours", "not ours",
-         "src/platform/worker_http.c, worker_list.c"],
+         "src/port/worker_http.c, worker_list.c"],
     ]
     return table(["role", "state", "messages", "processor time", "memory", "carried by"],
                  rows)
--- a/tools/metrics.sh
+++ b/tools/metrics.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # metrics.sh: prints docs/METRICS.md. The table comes from the calls of kq_counter in src,
-# the meters' names from src/platform/meter.c, the reasons from docs/RESULTS.md.
+# the meters' names from src/port/meter.c, the reasons from docs/RESULTS.md.
 set -eu
 export LC_ALL=C
 cd "$(dirname "$0")/.."
@@ -8,7 +8,7 @@
 # One line for each kq_counter call whose name is a literal: name|labels|help|file. Labels
 # that aren't a literal are shown as "`peers`". A call of another form stops the script.
 own () {
-  for f in $(ls src/*/*.c | grep -v -e _test.c -e base/counter.c -e platform/meter.c); do
+  for f in $(ls src/*/*.c | grep -v -e _test.c -e base/counter.c -e port/meter.c); do
     tr '\n' ' ' <"$f" | sed 's/  */ /g' | grep -o 'kq_counter ([^;]*;' \
       | sed -E "s|^kq_counter \([^,]*, \"([a-z_]+)\", (\"([^\"]*)\"\|[a-z_]+), \"([^\"]*)\"\);|\1\|\2\|\4\|$f|" || true
   done | sort
@@ -20,7 +20,7 @@
 
 # The meters: one set for each port, with the labels that meter.c writes.
 meters () {
-  tr '\n' ' ' <src/platform/meter.c | sed 's/  */ /g' | grep -o 'find (m, "[^;]*;' \
+  tr '\n' ' ' <src/port/meter.c | sed 's/  */ /g' | grep -o 'find (m, "[^;]*;' \
     | sed -nE 's|^find \(m, "([a-z_]+)", ("([a-z]+)"\|NULL), [^"]*("[^"]*", )?"([^"]*)"\);|\1\|\3\|\5|p' \
     | sort -u
 }
@@ -39,7 +39,7 @@
 | --- | --- | --- | --- |
 TEXT
 own | awk -F'|' '{l = $2 == "\"\"" ? "" : $2 ~ /^"/ ? "`" $2 "`" : "`peers`"; printf "| `%s` | %s | %s | %s |\n", $1, l, $3, $4}'
-meters | awk -F'|' '{for (i = 0; i < 2; i++) printf "| `kq_%s_%s` | `kind`%s | %s | src/platform/meter.c |\n", i ? "worker" : "store", $1, $2 == "" ? "" : ", `" $2 "`", $3}' | sort
+meters | awk -F'|' '{for (i = 0; i < 2; i++) printf "| `kq_%s_%s` | `kind`%s | %s | src/port/meter.c |\n", i ? "worker" : "store", $1, $2 == "" ? "" : ", `" $2 "`", $3}' | sort
 cat <<'TEXT'
 | `kq_results_total` | `code`, `name` | Refusals, retries and faults by result | src/base/counter.c |
 
