--- a/Makefile
+++ b/Makefile
@@ -11,17 +11,17 @@
 JOBS ?= 12
 
 PKGS = libmicrohttpd libcurl glib-2.0 jansson libxxhash
-CFLAGS = -std=c11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror -Isrc -Istandin -Ifuzz \
+CFLAGS = -std=c11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror -Isrc -I. -Istandin -Ifuzz \
          $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CXXFLAGS = -std=c++17 -O2 -g -Wall -Wextra -Werror -Isrc
 LIBS = -lev -lmsgpackc $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lstdc++ -lm -lpthread
 SAN = -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer
 
-LIB_C = $(filter-out %_test.c src/daemon/main.c src/ctl/main.c, $(wildcard src/*/*.c))
+LIB_C = $(filter-out %_test.c src/daemon/main.c src/ctl/main.c, $(wildcard src/*/*.c platform/*.c))
 LIB_CC = $(wildcard src/*/*.cc)
 LIB_O = $(LIB_C:%.c=%.o) $(LIB_CC:%.cc=%.o)
 STANDIN_C = $(filter-out standin/store_main.c standin/worker_main.c standin/relay_main.c, $(wildcard standin/*.c))
-TEST_C = $(wildcard src/*/*_test.c tests/*_test.c)
+TEST_C = $(wildcard src/*/*_test.c platform/*_test.c tests/*_test.c)
 TESTS = $(patsubst %.c,%,$(notdir $(TEST_C)))
 BENCH_MAIN = $(wildcard bench/*_main.c)
 BENCH_C = $(filter-out $(BENCH_MAIN), $(wildcard bench/*.c))
@@ -29,8 +29,8 @@
 FUZZ_LIB_C = $(filter-out fuzz/driver.c, $(FUZZ_C))
 FUZZERS = $(patsubst fuzz/fuzz_%.c,%,$(wildcard fuzz/fuzz_*.c))
 BENCHES = $(patsubst bench/%_main.c,%,$(BENCH_MAIN))
-ALL_C = $(wildcard src/*/*.c standin/*.c bench/*.c tests/*.c fuzz/*.c)
-ALL_H = $(wildcard src/*/*.h standin/*.h bench/*.h tests/*.h fuzz/*.h)
+ALL_C = $(wildcard platform/*.c src/*/*.c standin/*.c bench/*.c tests/*.c fuzz/*.c)
+ALL_H = $(wildcard platform/*.h src/*/*.h standin/*.h bench/*.h tests/*.h fuzz/*.h)
 
 PROGRAMS = kumquatd kumquatctl $(patsubst standin/%_main.c,standin-%,$(wildcard standin/*_main.c))
 
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,10 @@
 #include "base/log.h"
 
+#include "base/time.h"
+
+#include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -11,6 +15,29 @@
 static const char *const names[] = { "error", "warn", "info", "debug" };
 static KqLogLevel threshold = KQ_LOG_INFO;
 
+/* What waits for the reader of standard output. A reader that stands still costs this
+ * much memory and then lines, never time. */
+#define HELD_MAX (256 * 1024)
+/* A pipe that polls as writable takes this much at once without blocking (POSIX: PIPE_BUF
+ * bytes are atomic). */
+#define WRITE_MAX 4096
+/* Collected lines are written once there are so many bytes, or by kq_log_flush. */
+#define WRITE_AT 3500
+
+typedef struct
+{
+  bool on;
+  int rate; /* lines a second */
+  double tokens;
+  KqTime filled_at;
+  uint64_t dropped;
+  uint64_t dropped_told;
+  size_t len;
+  char held[HELD_MAX];
+} Out;
+
+static Out out;
+
 void
 kq_log_set_level (KqLogLevel level)
 {
@@ -28,6 +55,79 @@
   return -1;
 }
 
+void
+kq_log_to_stdout (int lines_per_second)
+{
+  out.on = true;
+  out.rate = lines_per_second;
+  out.tokens = lines_per_second;
+  out.filled_at = kq_time_now ();
+}
+
+uint64_t
+kq_log_dropped (void)
+{
+  return out.dropped;
+}
+
+void
+kq_log_flush (void)
+{
+  size_t at = 0;
+  struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
+  while (at < out.len)
+    {
+      size_t n = out.len - at < WRITE_MAX ? out.len - at : WRITE_MAX;
+      ssize_t wrote;
+      if (poll (&p, 1, 0) != 1 || (p.revents & POLLOUT) == 0)
+        break;
+      wrote = write (STDOUT_FILENO, out.held + at, n);
+      if (wrote <= 0)
+        break;
+      at += (size_t)wrote;
+    }
+  memmove (out.held, out.held + at, out.len - at);
+  out.len -= at;
+}
+
+/* Whether one more line is within the rate; errors and warnings always are. */
+static bool
+take_token (KqLogLevel level)
+{
+  KqTime now = kq_time_now ();
+  out.tokens += (double)(now - out.filled_at) * out.rate / KQ_SEC;
+  if (out.tokens > out.rate)
+    out.tokens = out.rate;
+  out.filled_at = now;
+  if (out.tokens < 1 && level > KQ_LOG_WARN)
+    return false;
+  out.tokens -= out.tokens < 1 ? 0 : 1;
+  return true;
+}
+
+static void
+hold (const char *line, size_t n)
+{
+  char note[96];
+  size_t m = 0;
+  if (out.dropped > out.dropped_told)
+    m = (size_t)snprintf (note, sizeof note, "log: Lines left out. total=%llu\n",
+                          (unsigned long long)out.dropped);
+  if (out.len + n + m > HELD_MAX)
+    {
+      out.dropped++;
+      return;
+    }
+  memcpy (out.held + out.len, note, m);
+  out.len += m;
+  if (m > 0)
+    out.dropped_told = out.dropped;
+  memcpy (out.held + out.len, line, n);
+  out.len += n;
+  if (out.len >= WRITE_AT)
+    kq_log_flush ();
+}
+
 /* One write per line, so that lines of several processes on one terminal don't mix. */
 void
 kq_log (KqLogLevel level, const char *part, const char *fmt, ...)
@@ -41,6 +141,11 @@
 
   if (level > threshold)
     return;
+  if (out.on && !take_token (level))
+    {
+      out.dropped++;
+      return;
+    }
   clock_gettime (CLOCK_REALTIME, &ts);
   gmtime_r (&ts.tv_sec, &tm);
   n = strftime (line, sizeof line, "%Y-%m-%dT%H:%M:%S", &tm);
@@ -52,6 +157,11 @@
   va_end (ap);
   n += (size_t)m < sizeof line - n - 1 ? (size_t)m : sizeof line - n - 2;
   line[n++] = '\n';
+  if (out.on)
+    {
+      hold (line, n);
+      return;
+    }
   if (write (STDERR_FILENO, line, n) < 0)
     return; /* nowhere to report it */
 }
--- /dev/null
+++ b/src/crew/agent.c
@@ -0,0 +1,432 @@
+#include "crew/agent.h"
+
+#include "base/log.h"
+
+#include <ev.h>
+#include <glib.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PART "agent"
+/* Without a word of a leader leases are renewed for so long; a new leader counts on it
+ * (sched/runners.c) before it takes a silent runner's tasks for ended. Longer than an
+ * election takes. */
+#define BLIND (4 * KQ_SEC)
+/* A question for the list waits this long for an end: an answer sooner than needed costs
+ * a call, a later one delays what depends on the lease. */
+#define WAIT_MS 1500
+/* Where filling tasks run beside serving ones, reports drive the pace. */
+#define WATCHED_WAIT_MS 500
+/* Ends that come close together are fetched with one call. */
+#define GATHER (30 * KQ_MS)
+#define RETRY (150 * KQ_MS)
+/* Over one call's way there and back between regions, with a queue on the link. */
+#define CALL_TIMEOUT_MS 900
+/* So many questions without an answer make a runner silent. */
+#define SILENT_AFTER 2
+#define TELL_AGAIN KQ_SEC
+/* Runners' clocks may be this much slow. */
+#define CLOCK_SLOW 0.98
+
+typedef struct
+{
+  KqCrewAgent *agent;
+  char *id;
+  char *address;
+  uint64_t epoch;
+  uint64_t serial; /* of this taking: answers to calls of an earlier one are dropped */
+  ev_timer next;
+  bool asking;
+  bool watched;
+  uint64_t ends_seen;
+  uint64_t results;     /* outcomes told */
+  int64_t clock_ms;     /* the runner's clock, as last told; -1: never */
+  KqTime clock_at;      /* when that was received */
+  int64_t lease_end_ms; /* the latest granted, on the runner's clock */
+  int failures;         /* questions without an answer, in a row */
+  KqTime told_at;       /* last told to be silent */
+  bool quiet;           /* nothing runs there */
+} Held;
+
+struct KqCrewAgent
+{
+  KqCrewAgentConfig config;
+  GHashTable *held; /* id -> Held */
+  uint64_t epoch;
+  uint64_t serial;
+  KqTime heard_at;
+  uint64_t *renewals;
+  uint64_t *renewals_failed;
+};
+
+typedef struct
+{
+  KqCrewAgent *agent;
+  uint64_t serial;
+  uint64_t order; /* renewals: results told when the question left */
+  KqOrderKind kind;
+  uint32_t run;
+  char *runner;
+  char *task;
+} Call;
+
+static void ask (Held *h, KqTime now);
+
+static void
+on_next (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void)ev;
+  (void)events;
+  ask (w->data, kq_time_now ());
+}
+
+static void
+ask_in (Held *h, KqTime wait)
+{
+  struct ev_loop *ev = kq_loop_ev (h->agent->config.loop);
+  ev_timer_stop (ev, &h->next);
+  ev_timer_set (&h->next, (double)wait / KQ_SEC, 0);
+  ev_timer_start (ev, &h->next);
+}
+
+static void
+free_held (gpointer p)
+{
+  Held *h = p;
+  ev_timer_stop (kq_loop_ev (h->agent->config.loop), &h->next);
+  free (h->id);
+  free (h->address);
+  free (h);
+}
+
+static Call *
+new_call (Held *h, KqOrderKind kind, KqStr task, uint32_t run)
+{
+  Call *c = kq_alloc (sizeof *c);
+  c->agent = h->agent;
+  c->serial = h->serial;
+  c->order = h->results;
+  c->kind = kind;
+  c->runner = kq_str_dup (kq_str (h->id));
+  c->task = kq_str_dup (task);
+  c->run = run;
+  return c;
+}
+
+static void
+free_call (Call *c)
+{
+  free (c->runner);
+  free (c->task);
+  free (c);
+}
+
+/* The taking that a call belongs to; NULL: it is over. */
+static Held *
+held_of (const Call *c)
+{
+  Held *h = g_hash_table_lookup (c->agent->held, c->runner);
+  return h != NULL && h->serial == c->serial ? h : NULL;
+}
+
+static void
+tell (Held *h, KqCrewItem *i)
+{
+  i->runner = kq_str (h->id);
+  h->agent->config.notice (h->agent->config.arg, h->epoch, i);
+}
+
+/* The runner's clock has at least reached this. */
+static int64_t
+clock_now (const Held *h, KqTime now)
+{
+  return h->clock_ms + (int64_t)((double)(now - h->clock_at) / KQ_MS * CLOCK_SLOW);
+}
+
+static int64_t
+lease_left (const Held *h, KqTime now)
+{
+  int64_t left;
+  if (h->clock_ms < 0)
+    return -1;
+  left = h->lease_end_ms - clock_now (h, now);
+  return left < 0 ? 0 : (int64_t)((double)left / CLOCK_SLOW) + 1;
+}
+
+static void
+note_clock (Held *h, const KqRunnerReply *r, KqTime now)
+{
+  bool first = h->clock_ms < 0;
+  if (r->clock_ms < 0)
+    return;
+  if (!first && r->clock_ms < clock_now (h, now) - h->agent->config.lease_ms)
+    first = true; /* a new life: its clock has started anew */
+  if (!first && r->clock_ms < h->clock_ms)
+    return; /* overtaken by a newer answer */
+  h->clock_ms = r->clock_ms;
+  h->clock_at = now;
+  /* An agent before us may have granted as much. */
+  if (first)
+    h->lease_end_ms = r->clock_ms + h->agent->config.lease_ms;
+}
+
+static KqRunnerAim
+aim (const Held *h, int timeout_ms)
+{
+  return (KqRunnerAim){ .address = kq_str (h->address),
+                        .id = kq_str (h->id),
+                        .epoch = h->epoch,
+                        .timeout_ms = timeout_ms };
+}
+
+/* What is granted now; a later grant never ends sooner. */
+static int64_t
+grant (Held *h, KqTime now)
+{
+  int64_t end;
+  if (h->clock_ms < 0)
+    return -1;
+  end = clock_now (h, now) + h->agent->config.lease_ms;
+  if (end > h->lease_end_ms)
+    h->lease_end_ms = end;
+  return h->lease_end_ms;
+}
+
+static void
+tell_unreached (Held *h, bool gone, KqTime now)
+{
+  KqCrewItem i = { .kind = KQ_CREW_UNREACHED };
+  if (now - h->told_at < TELL_AGAIN)
+    return;
+  h->told_at = now;
+  i.u.unreached.lease_left_ms = lease_left (h, now);
+  i.u.unreached.gone = gone;
+  tell (h, &i);
+}
+
+static void
+tell_list (Held *h, const KqRunnerReply *r, uint64_t order, KqTime now)
+{
+  KqCrewItem i = { .kind = KQ_CREW_LIST };
+  i.u.list = (KqRunnerList){ .born_ms = r->born_ms,
+                             .lease_left_ms = lease_left (h, now),
+                             .order = order,
+                             .running = r->running,
+                             .n_running = r->n_running,
+                             .ended = r->ended,
+                             .n_ended = r->n_ended,
+                             .ended_cut = r->ended_cut };
+  tell (h, &i);
+}
+
+static void
+on_list (void *arg, const KqRunnerReply *r, KqTime now)
+{
+  Call *c = arg;
+  Held *h = held_of (c);
+  KqCrewItem fenced = { .kind = KQ_CREW_FENCED };
+  if (h == NULL)
+    goto out;
+  h->asking = false;
+  switch (r->result)
+    {
+    case KQ_ORDER_OK:
+      h->failures = 0;
+      h->told_at = 0;
+      h->quiet = r->n_running == 0;
+      note_clock (h, r, now);
+      tell_list (h, r, c->order, now);
+      h = held_of (c);
+      if (h != NULL)
+        ask_in (h, r->n_ended > 0 || c->run == 0 ? GATHER : 0);
+      break;
+    case KQ_ORDER_FENCED:
+      kq_log (KQ_LOG_WARN, PART, "Runner has seen a higher epoch. runner=%s epoch=%llu",
+              h->id, (unsigned long long)h->epoch);
+      tell (h, &fenced);
+      g_hash_table_remove (c->agent->held, c->runner);
+      break;
+    default:
+      ++*c->agent->renewals_failed;
+      h->failures++;
+      if (h->failures == SILENT_AFTER)
+        kq_log (KQ_LOG_WARN, PART,
+                "Runner doesn't answer. runner=%s result=%d lease_left_ms=%lld", h->id,
+                r->result, (long long)lease_left (h, now));
+      if (h->failures >= SILENT_AFTER || r->result == KQ_ORDER_OTHER_LIFE)
+        tell_unreached (h, r->result == KQ_ORDER_OTHER_LIFE, now);
+      h = held_of (c);
+      if (h != NULL)
+        ask_in (h, RETRY);
+    }
+out:
+  free_call (c);
+}
+
+static void
+ask (Held *h, KqTime now)
+{
+  KqCrewAgent *a = h->agent;
+  KqRunnerAim to;
+  Call *c;
+  int wait = h->watched ? WATCHED_WAIT_MS : WAIT_MS;
+  if (h->asking)
+    return;
+  if (now - a->heard_at > BLIND)
+    {
+      kq_log (KQ_LOG_WARN, PART, "No leader for too long; not renewing. runner=%s",
+              h->id);
+      g_hash_table_remove (a->held, h->id);
+      return;
+    }
+  /* The first question, and one after a silence, is answered at once. */
+  if (h->clock_ms < 0 || h->failures > 0)
+    wait = 0;
+  h->asking = true;
+  ++*a->renewals;
+  to = aim (h, wait + CALL_TIMEOUT_MS);
+  c = new_call (h, KQ_ORDER_TAKE, KQ_STR (""), (uint32_t)wait);
+  kq_runner_renew (a->config.calls, &to, grant (h, now), h->ends_seen, wait,
+                   (KqRunnerCallback){ on_list, c });
+}
+
+static void
+on_outcome (void *arg, const KqRunnerReply *r, KqTime now)
+{
+  Call *c = arg;
+  Held *h = held_of (c);
+  KqCrewItem i = { .kind = KQ_CREW_OUTCOME };
+  if (h != NULL)
+    {
+      note_clock (h, r, now);
+      i.u.outcome = (KqOrderOutcome){ .kind = c->kind,
+                                      .task = kq_str (c->task),
+                                      .run = c->run,
+                                      .result = r->result,
+                                      .order = ++h->results };
+      tell (h, &i);
+    }
+  free_call (c);
+}
+
+static void
+take (KqCrewAgent *a, uint64_t epoch, const KqOrder *o)
+{
+  Held *h = kq_alloc (sizeof *h);
+  Held *old;
+  h->agent = a;
+  h->id = kq_str_dup (o->runner);
+  h->address = kq_str_dup (o->u.take.address);
+  h->epoch = epoch;
+  h->serial = ++a->serial;
+  h->clock_ms = -1;
+  ev_timer_init (&h->next, on_next, 0, 0);
+  h->next.data = h;
+  old = g_hash_table_lookup (a->held, h->id);
+  if (old != NULL && strcmp (old->address, h->address) == 0 && old->clock_ms >= 0)
+    {
+      h->clock_ms = old->clock_ms;
+      h->clock_at = old->clock_at;
+      h->lease_end_ms = old->lease_end_ms;
+    }
+  g_hash_table_replace (a->held, h->id, h);
+  ask_in (h, 0);
+}
+
+static void
+start (Held *h, const KqOrder *o, KqTime now)
+{
+  KqRunnerAim to = aim (h, CALL_TIMEOUT_MS);
+  Call *c = new_call (h, KQ_ORDER_START, o->u.start.task, o->u.start.run);
+  kq_runner_start (h->agent->config.calls, &to, o->u.start.task, o->u.start.run,
+                   o->u.start.text, o->u.start.checkpoint, o->u.start.ticket,
+                   grant (h, now), (KqRunnerCallback){ on_outcome, c });
+}
+
+void
+kq_crew_agent_order (KqCrewAgent *a, uint64_t epoch, const KqOrder *o, KqTime now)
+{
+  char id[KQ_NAME_MAX + 1];
+  KqRunnerAim to;
+  Held *h;
+  if (epoch < a->epoch || o->runner.len > KQ_NAME_MAX)
+    return;
+  kq_crew_agent_heard (a, epoch, now);
+  memcpy (id, o->runner.ptr, o->runner.len);
+  id[o->runner.len] = '\0';
+  h = g_hash_table_lookup (a->held, id);
+  if (o->kind == KQ_ORDER_TAKE)
+    {
+      take (a, epoch, o);
+      return;
+    }
+  if (h == NULL || h->epoch != epoch)
+    return; /* the leader hears of it by the next TAKE, or by our silence */
+  to = aim (h, CALL_TIMEOUT_MS);
+  switch (o->kind)
+    {
+    case KQ_ORDER_TAKE:
+      break;
+    case KQ_ORDER_DROP:
+      g_hash_table_remove (a->held, id);
+      break;
+    case KQ_ORDER_START:
+      start (h, o, now);
+      break;
+    case KQ_ORDER_STOP:
+      kq_runner_stop (
+          a->config.calls, &to, o->u.stop.task, o->u.stop.run,
+          (KqRunnerCallback){ on_outcome,
+                              new_call (h, o->kind, o->u.stop.task, o->u.stop.run) });
+      break;
+    case KQ_ORDER_PACE:
+      kq_runner_pace (
+          a->config.calls, &to, o->u.pace.task, o->u.pace.run, o->u.pace.percent,
+          (KqRunnerCallback){ on_outcome,
+                              new_call (h, o->kind, o->u.pace.task, o->u.pace.run) });
+      break;
+    case KQ_ORDER_SEEN:
+      if (o->u.seen.ends > h->ends_seen)
+        h->ends_seen = o->u.seen.ends;
+      h->watched = o->u.seen.watched;
+      break;
+    }
+}
+
+void
+kq_crew_agent_heard (KqCrewAgent *a, uint64_t epoch, KqTime now)
+{
+  if (epoch < a->epoch)
+    return;
+  a->epoch = epoch;
+  a->heard_at = now;
+}
+
+KqCrewAgent *
+kq_crew_agent_new (const KqCrewAgentConfig *c)
+{
+  KqCrewAgent *a = kq_alloc (sizeof *a);
+  a->config = *c;
+  a->held = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_held);
+  a->renewals = kq_counter (c->counters, "kq_runner_renewals_total", "",
+                            "Renewals of runners' leases asked for.");
+  a->renewals_failed = kq_counter (c->counters, "kq_runner_renewals_failed_total", "",
+                                   "Renewals without a good answer.");
+  return a;
+}
+
+void
+kq_crew_agent_free (KqCrewAgent *a)
+{
+  if (a == NULL)
+    return;
+  g_hash_table_destroy (a->held);
+  free (a);
+}
+
+size_t
+kq_crew_agent_runners (const KqCrewAgent *a)
+{
+  return g_hash_table_size (a->held);
+}
--- /dev/null
+++ b/src/crew/agent.h
@@ -0,0 +1,32 @@
+#ifndef KQ_CREW_AGENT_H
+#define KQ_CREW_AGENT_H
+
+/* agent: carries out a leader's orders at the runners given to this node.
+ *
+ * It decides nothing about tasks. It renews the leases of its runners, passes on what
+ * they list, makes each call once and tells how it ended. When its leader falls silent it
+ * goes on renewing for a while, so that work lives through a change of leader. */
+
+#include "crew/frame.h"
+
+typedef struct KqCrewAgent KqCrewAgent;
+
+typedef struct
+{
+  KqLoop *loop;
+  KqRunnerCalls *calls;
+  int64_t lease_ms;
+  KqCounters *counters;
+  void (*notice) (void *arg, uint64_t epoch, const KqCrewItem *i);
+  void *arg;
+} KqCrewAgentConfig;
+
+KqCrewAgent *kq_crew_agent_new (const KqCrewAgentConfig *c);
+void kq_crew_agent_free (KqCrewAgent *a);
+/* Of a leader with an older epoch than one heard before: ignored. */
+void kq_crew_agent_order (KqCrewAgent *a, uint64_t epoch, const KqOrder *o, KqTime now);
+/* A sign of life of the leader of that epoch. */
+void kq_crew_agent_heard (KqCrewAgent *a, uint64_t epoch, KqTime now);
+size_t kq_crew_agent_runners (const KqCrewAgent *a);
+
+#endif
--- /dev/null
+++ b/src/crew/frame.h
@@ -0,0 +1,82 @@
+#ifndef KQ_CREW_FRAME_H
+#define KQ_CREW_FRAME_H
+
+/* frame: what a leader and the other nodes tell each other, many items to one message. */
+
+#include "sched/sched.h"
+
+typedef enum
+{
+  /* leader to node */
+  KQ_CREW_ORDER = 1,
+  KQ_CREW_ANSWER, /* to an ASK */
+  KQ_CREW_PING,   /* the leader is alive */
+  /* node to leader */
+  KQ_CREW_HELLO,
+  KQ_CREW_BEAT, /* the node is alive; when it last reached the store */
+  KQ_CREW_LIST,
+  KQ_CREW_OUTCOME,
+  KQ_CREW_UNREACHED,
+  KQ_CREW_FENCED, /* a runner has seen a higher epoch */
+  KQ_CREW_ASK,
+  KQ_CREW_JOB,   /* accepted: it is in the store */
+  KQ_CREW_CANCEL /* as well */
+} KqCrewKind;
+
+typedef enum
+{
+  KQ_ASK_STATE,
+  KQ_ASK_WAITING,
+  KQ_ASK_EXPLAIN
+} KqAskKind;
+
+typedef struct
+{
+  KqCrewKind kind;
+  KqStr runner; /* LIST, OUTCOME, UNREACHED, FENCED */
+  union
+  {
+    KqOrder order;
+    struct
+    {
+      uint64_t call;
+      int64_t value; /* KqJobState, or a number of jobs */
+      KqStr text;
+    } answer;
+    KqAgentInfo hello;
+    struct
+    {
+      int64_t store_age_ms; /* since the last answer of the store; -1: never */
+    } beat;
+    KqRunnerList list;
+    KqOrderOutcome outcome;
+    struct
+    {
+      int64_t lease_left_ms;
+      bool gone; /* another runner answers at that address */
+    } unreached;
+    struct
+    {
+      uint64_t call;
+      KqAskKind what;
+      KqStr about; /* job id or queue */
+    } ask;
+    struct
+    {
+      KqStr stored;
+      uint64_t revision;
+    } job;
+    struct
+    {
+      KqStr id;
+    } cancel;
+  } u;
+} KqCrewItem;
+
+void kq_crew_pack (const KqCrewItem *i, KqBuf *out);
+/* Takes the next item from the front of *rest. Strings point into it; rows are allocated
+ * and freed by kq_crew_clear. False: none left, or damaged (then *rest is not empty). */
+bool kq_crew_unpack (KqStr *rest, KqCrewItem *out);
+void kq_crew_clear (KqCrewItem *i);
+
+#endif
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -3,6 +3,7 @@
 #include "api/operator.h"
 #include "base/log.h"
 #include "base/rand.h"
+#include "fleet/fleet.h"
 #include "node/node_task.h"
 #include "port/store_http.h"
 #include "port/worker_http.h"
@@ -255,11 +256,38 @@
   return d->exit_code;
 }
 
+/* A node of a fleet (settings/fleet_settings.h). */
+
+/* Lines a second on standard output: a decision a line at the rate of a small host's
+ * usual work; more would cost it a tenth of its processor. */
+#define LOG_LINES_PER_S 150
+
+typedef struct
+{
+  KqLoop *loop;
+  KqFleet *fleet;
+  const char *path;
+  ev_signal on_term;
+  ev_signal on_int;
+  ev_signal on_hup;
+  int exit_code;
+} FleetDaemon;
+
 static bool
-load_settings (const char *path, KqSettings *out)
+read_file (const char *path, KqBuf *out)
+{
+  gchar *text = NULL;
+  gsize n = 0;
+  if (!g_file_get_contents (path, &text, &n, NULL))
+    return false;
+  kq_buf_add (out, text, n);
+  g_free (text);
+  return true;
+}
+
+static void
+print_faults (const KqSettingsFault *faults, int n)
 {
-  KqSettingsFault faults[KQ_SETTINGS_FAULTS_MAX];
-  int n = kq_settings_load (path, out, faults, KQ_SETTINGS_FAULTS_MAX);
   for (int i = 0; i < n && i < KQ_SETTINGS_FAULTS_MAX; i++)
     {
       KqBuf line = { 0 };
@@ -267,6 +295,118 @@
       fprintf (stderr, "%s\n", line.ptr);
       kq_buf_free (&line);
     }
+}
+
+static bool
+load_fleet_settings (const char *path, KqFleetSettings *out)
+{
+  KqSettingsFault faults[KQ_SETTINGS_FAULTS_MAX];
+  KqBuf text = { 0 };
+  int n = 1;
+  if (read_file (path, &text))
+    {
+      n = kq_fleet_settings_parse (kq_buf_str (&text), out, faults,
+                                   KQ_SETTINGS_FAULTS_MAX);
+      print_faults (faults, n);
+    }
+  else
+    fprintf (stderr, "kumquatd: %s can't be read\n", path);
+  kq_buf_free (&text);
+  return n == 0;
+}
+
+static bool
+is_fleet (const char *path)
+{
+  KqBuf text = { 0 };
+  bool yes = read_file (path, &text) && kq_fleet_settings_is (kq_buf_str (&text));
+  kq_buf_free (&text);
+  return yes;
+}
+
+static void
+fleet_stopped (void *arg, bool whole)
+{
+  FleetDaemon *d = arg;
+  kq_log (KQ_LOG_INFO, PART, "Stopped. whole=%d", whole);
+  d->exit_code = whole ? EXIT_WHOLE : EXIT_CUT;
+  kq_loop_stop (d->loop);
+}
+
+static void
+on_fleet_stop (struct ev_loop *ev, ev_signal *w, int events)
+{
+  FleetDaemon *d = w->data;
+  (void)ev;
+  (void)events;
+  kq_fleet_stop (d->fleet, kq_time_now ());
+}
+
+/* Addresses and bounds are fixed for a process's life; the log level may change. */
+static void
+on_fleet_reload (struct ev_loop *ev, ev_signal *w, int events)
+{
+  FleetDaemon *d = w->data;
+  KqFleetSettings s;
+  (void)ev;
+  (void)events;
+  if (!load_fleet_settings (d->path, &s))
+    {
+      kq_log (KQ_LOG_ERROR, PART, "Settings not reloaded: the file has faults.");
+      return;
+    }
+  kq_log_set_level ((KqLogLevel)s.log_level);
+  kq_log (KQ_LOG_INFO, PART, "Settings reloaded. log_level=%d", s.log_level);
+}
+
+static void
+start_fleet_signals (FleetDaemon *d)
+{
+  struct ev_loop *ev = kq_loop_ev (d->loop);
+  signal (SIGPIPE, SIG_IGN);
+  ev_signal_init (&d->on_term, on_fleet_stop, SIGTERM);
+  ev_signal_init (&d->on_int, on_fleet_stop, SIGINT);
+  ev_signal_init (&d->on_hup, on_fleet_reload, SIGHUP);
+  d->on_term.data = d->on_int.data = d->on_hup.data = d;
+  ev_signal_start (ev, &d->on_term);
+  ev_signal_start (ev, &d->on_int);
+  ev_signal_start (ev, &d->on_hup);
+}
+
+static int
+run_fleet (const char *path, const KqFleetSettings *s)
+{
+  FleetDaemon d = { .path = path, .exit_code = EXIT_BIND };
+  KqFleetConfig c = { .settings = s, .stopped = fleet_stopped, .arg = &d };
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  kq_log_set_level ((KqLogLevel)s->log_level);
+  kq_log_to_stdout (LOG_LINES_PER_S);
+  d.loop = c.loop = kq_loop_new ();
+  c.counters = kq_counters_new ();
+  start_fleet_signals (&d);
+  d.fleet = kq_fleet_new (&c);
+  if (d.fleet != NULL)
+    {
+      kq_log (KQ_LOG_INFO, PART, "Started. node=%.*s front=%s store=%s version=" VERSION,
+              KQ_STR_ARG (kq_name_str (&s->node)), s->front, s->store);
+      kq_loop_run (d.loop);
+    }
+  else
+    kq_log (KQ_LOG_ERROR, PART, "An address can't be bound; see the settings.");
+  kq_log_flush ();
+  kq_fleet_free (d.fleet);
+  kq_counters_free (c.counters);
+  kq_loop_free (d.loop);
+  curl_global_cleanup ();
+  return d.exit_code;
+}
+
+static bool
+load_settings (const char *path, KqSettings *out)
+{
+  KqSettingsFault faults[KQ_SETTINGS_FAULTS_MAX];
+  int n = kq_settings_load (path, out, faults, KQ_SETTINGS_FAULTS_MAX);
+  print_faults (faults, n);
   return n == 0;
 }
 
@@ -274,6 +414,7 @@
 main (int argc, char **argv)
 {
   static Daemon d;
+  static KqFleetSettings fleet;
   gchar *settings = NULL;
   gchar *check = NULL;
   gboolean version = FALSE;
@@ -296,6 +437,11 @@
       puts ("kumquatd " VERSION);
       code = EXIT_WHOLE;
     }
+  else if (check != NULL && is_fleet (check))
+    {
+      if (load_fleet_settings (check, &fleet))
+        code = EXIT_WHOLE;
+    }
   else if (check != NULL)
     {
       if (load_settings (check, &d.settings))
@@ -303,6 +449,11 @@
     }
   else if (settings == NULL)
     fprintf (stderr, "kumquatd: --settings FILE is needed; see --help\n");
+  else if (is_fleet (settings))
+    {
+      if (load_fleet_settings (settings, &fleet))
+        code = run_fleet (settings, &fleet);
+    }
   else if (load_settings (settings, &d.settings))
     code = run (&d);
   g_clear_error (&error);
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,518 @@
+#include "fleet/fleet.h"
+
+#include "base/log.h"
+#include "base/task.h"
+#include "crew/agent.h"
+#include "fleet/follow.h"
+#include "fleet/front.h"
+#include "fleet/leader.h"
+#include "fleet/link.h"
+#include "fleet/metrics.h"
+#include "lead/lead.h"
+#include "platform/platform.h"
+#include "port/source.h"
+
+#include <ev.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define PART "fleet"
+/* Length of the lead's lease: work stands still for about so long when a leader dies, and
+ * a host that is slow or a renewal that is lost must not end it. */
+#define LEAD_TTL_MS 1500
+/* Leases of runners: a gap of leadership and a slow host must not end them; a dead
+ * runner's tasks wait for their end. */
+#define RUNNER_LEASE_MS 5000
+#define CONFIG_WATCH_MS 1500
+/* Watches answer at least every WATCH_MS; without an answer for this long the store is
+ * taken for away. */
+#define STORE_AWAY (2600 * KQ_MS)
+/* A leader that can't renew goes on while no other node reaches the store either, but no
+ * longer than this: silent runners are waited for about as long by a new leader. */
+#define BLIND_MAX (9 * KQ_SEC)
+/* A node that answered the store more recently than this reaches it. */
+#define REACHES_MS 900
+#define LOOK_S 0.2
+/* A planned stop: the platform sends no new connections after two missed probes, a second
+ * apart. */
+#define STOP_LINGER (3200 * KQ_MS)
+/* The end comes so long before the platform would kill the process. */
+#define STOP_MARGIN (500 * KQ_MS)
+/* Nodes nearer to the store and with more processor try first to lead. */
+#define RANK_BY_SHARE_MS 200
+
+struct KqFleet
+{
+  KqFleetConfig config;
+  KqKv *kv;
+  KqRunnerCalls *calls;
+  KqCrewAgent *agent;
+  KqLink *link;
+  KqLead *lead;
+  KqLeader *leader; /* while this node leads */
+  KqFrontDesk *desk;
+  KqFront *front;
+  KqMetrics *metrics;
+  KqFollow *config_keys;
+  KqQueueTable *table;
+  KqAgentInfo self;
+  KqTime store_at;             /* the store's last answer; 0: never */
+  KqTime peers_reach_store_at; /* some node's, as told by it */
+  bool store_lost;
+  bool leaving;
+  bool stopped;
+  KqTime leaving_at;
+  ev_timer look;
+};
+
+static void
+on_answered (void *arg, KqTime sent_at, KqTime now)
+{
+  KqFleet *f = arg;
+  (void)sent_at;
+  if (f->store_lost)
+    kq_log (KQ_LOG_INFO, PART, "The store answers again. away_ms=%lld",
+            (long long)((now - f->store_at) / KQ_MS));
+  f->store_lost = false;
+  f->store_at = now;
+}
+
+static bool
+store_up (void *arg, KqTime now)
+{
+  const KqFleet *f = arg;
+  return f->store_at != 0 && now - f->store_at < STORE_AWAY;
+}
+
+/* Configuration. */
+
+static void
+on_config_item (void *arg, const KqKvItem *i, KqTime now)
+{
+  KqFleet *f = arg;
+  bool bad;
+  KqQueueTable *t = kq_source_config (i->key, i->value, &bad);
+  (void)now;
+  if (bad)
+    kq_log (KQ_LOG_ERROR, PART, "The configuration can't be read. revision=%llu",
+            (unsigned long long)i->revision);
+  if (t == NULL)
+    return;
+  if (f->table != NULL && t->version <= f->table->version)
+    {
+      kq_log (KQ_LOG_WARN, PART,
+              "An older configuration is passed over. version=%lld have=%lld",
+              (long long)t->version, (long long)f->table->version);
+      kq_queue_table_free (t);
+      return;
+    }
+  kq_log (KQ_LOG_INFO, PART, "Configuration. version=%lld queues=%zu revision=%llu",
+          (long long)t->version, t->n_queues, (unsigned long long)i->revision);
+  kq_queue_table_free (f->table);
+  f->table = t;
+}
+
+static void
+on_config_gone (void *arg, KqStr key, KqTime now)
+{
+  (void)arg;
+  (void)now;
+  kq_log (KQ_LOG_WARN, PART, "A configuration key is gone; what it said stays. key=%.*s",
+          KQ_STR_ARG (key));
+}
+
+static void
+on_config_synced (void *arg, KqTime now)
+{
+  (void)arg;
+  (void)now;
+}
+
+static const KqQueueTable *
+table (void *arg)
+{
+  const KqFleet *f = arg;
+  return f->table;
+}
+
+/* Leading. */
+
+static void
+on_deposed (void *arg, const char *why, KqTime now)
+{
+  KqFleet *f = arg;
+  kq_lead_resign (f->lead, why, !f->leaving, now);
+}
+
+static void
+on_elected (void *arg, uint64_t epoch, uint32_t term, KqTime now)
+{
+  KqFleet *f = arg;
+  const KqFleetSettings *s = f->config.settings;
+  KqLeaderConfig c
+      = { .loop = f->config.loop,
+          .kv = f->kv,
+          .epoch = epoch,
+          .term = term,
+          .lease_ms = s->runner_lease_max_ms < RUNNER_LEASE_MS ? s->runner_lease_max_ms
+                                                               : RUNNER_LEASE_MS,
+          .keep_ms = s->keep_ms,
+          .counters = f->config.counters,
+          .self = f->self,
+          .agent = f->agent,
+          .arg = f,
+          .deposed = on_deposed,
+          .answered = on_answered };
+  c.serving_harm_ms = s->serving_harm_ms;
+  kq_link_lead (f->link, epoch, now);
+  kq_crew_agent_heard (f->agent, epoch, now);
+  f->peers_reach_store_at = 0;
+  f->leader = kq_leader_new (&c, now);
+}
+
+static void
+on_lost (void *arg, const char *why, KqTime now)
+{
+  KqFleet *f = arg;
+  (void)why;
+  kq_link_lead (f->link, 0, now);
+  kq_leader_free (f->leader);
+  f->leader = NULL;
+}
+
+static void
+on_changed (void *arg, const KqLeadRecord *r, KqTime now)
+{
+  KqFleet *f = arg;
+  if (!f->leaving)
+    kq_link_leader (f->link, kq_name_str (&r->address), r->epoch, now);
+}
+
+/* Between nodes. */
+
+static void
+on_joined (void *arg, KqPeer *p, const KqAgentInfo *info, KqTime now)
+{
+  KqFleet *f = arg;
+  if (f->leader != NULL)
+    kq_leader_joined (f->leader, p, info, now);
+}
+
+static void
+on_left (void *arg, KqPeer *p, KqTime now)
+{
+  KqFleet *f = arg;
+  if (f->leader != NULL)
+    kq_leader_left (f->leader, p, now);
+}
+
+static void
+answer_peer (KqFleet *f, KqPeer *p, const KqCrewItem *question, KqTime now)
+{
+  KqCrewItem i = { .kind = KQ_CREW_ANSWER };
+  KqBuf text = { 0 };
+  i.u.answer.call = question->u.ask.call;
+  i.u.answer.value = kq_leader_ask (f->leader, question->u.ask.what,
+                                    question->u.ask.about, now, &text);
+  i.u.answer.text = kq_buf_str (&text);
+  kq_link_send_peer (p, &i);
+  kq_buf_free (&text);
+}
+
+static void
+on_from_node (void *arg, KqPeer *p, uint64_t epoch, const KqCrewItem *i, KqTime now)
+{
+  KqFleet *f = arg;
+  KqTime reached = now - i->u.beat.store_age_ms * KQ_MS;
+  if (f->leader == NULL)
+    return;
+  if (i->kind == KQ_CREW_BEAT)
+    {
+      if (i->u.beat.store_age_ms >= 0 && reached > f->peers_reach_store_at)
+        f->peers_reach_store_at = reached;
+    }
+  else if (i->kind == KQ_CREW_ASK)
+    answer_peer (f, p, i, now);
+  else if (i->kind == KQ_CREW_JOB || i->kind == KQ_CREW_CANCEL
+           || epoch == kq_lead_record (f->lead)->epoch)
+    kq_leader_item (f->leader, p, i, now);
+}
+
+static void
+on_connected (void *arg, KqTime now)
+{
+  (void)arg;
+  (void)now;
+}
+
+static void
+on_from_leader (void *arg, uint64_t epoch, const KqCrewItem *i, KqTime now)
+{
+  KqFleet *f = arg;
+  if (i->kind == KQ_CREW_PING)
+    kq_crew_agent_heard (f->agent, epoch, now);
+  else if (i->kind == KQ_CREW_ORDER)
+    kq_crew_agent_order (f->agent, epoch, &i->u.order, now);
+  else if (i->kind == KQ_CREW_ANSWER)
+    kq_front_desk_answer (f->desk, i->u.answer.call, i->u.answer.value, now);
+}
+
+static int64_t
+store_age_ms (void *arg, KqTime now)
+{
+  const KqFleet *f = arg;
+  return f->store_at == 0 ? -1 : (now - f->store_at) / KQ_MS;
+}
+
+static void
+on_notice (void *arg, uint64_t epoch, const KqCrewItem *i)
+{
+  KqFleet *f = arg;
+  if (f->leader == NULL)
+    kq_link_send (f->link, epoch, i);
+  else if (epoch == kq_lead_record (f->lead)->epoch)
+    kq_leader_item (f->leader, NULL, i, kq_loop_now (f->config.loop));
+}
+
+static bool
+ask (void *arg, const KqCrewItem *question, KqTime now)
+{
+  KqFleet *f = arg;
+  KqBuf text = { 0 };
+  int64_t value;
+  if (f->leader != NULL)
+    {
+      value = kq_leader_ask (f->leader, question->u.ask.what, question->u.ask.about, now,
+                             &text);
+      kq_buf_free (&text);
+      kq_front_desk_answer (f->desk, question->u.ask.call, value, now);
+      return true;
+    }
+  if (!kq_link_up (f->link))
+    return false;
+  kq_link_send (f->link, kq_lead_record (f->lead)->epoch, question);
+  return true;
+}
+
+static void
+tell (void *arg, const KqCrewItem *i, KqTime now)
+{
+  KqFleet *f = arg;
+  if (f->leader != NULL)
+    kq_leader_item (f->leader, NULL, i, now);
+  else
+    kq_link_send (f->link, kq_lead_record (f->lead)->epoch, i);
+}
+
+/* Client accounts. */
+
+static void
+on_request (void *arg, KqAsk *a, const KqFrontRequest *r, KqTime now)
+{
+  KqFleet *f = arg;
+  kq_front_desk_request (f->desk, a, r, now);
+}
+
+static bool
+ready (void *arg, KqTime now)
+{
+  const KqFleet *f = arg;
+  return !f->leaving && f->table != NULL && store_up (arg, now);
+}
+
+static bool
+leaving (void *arg)
+{
+  const KqFleet *f = arg;
+  return f->leaving;
+}
+
+static int64_t
+body_max (void *arg)
+{
+  const KqFleet *f = arg;
+  return f->table != NULL ? f->table->body_max : 262144;
+}
+
+/* Looking after it all. */
+
+/* Without the store nobody else can be elected, so work in hand goes on; once another
+ * node reaches the store, our lease may have lapsed there and that node may elect a
+ * leader. */
+static void
+look_at_lead (KqFleet *f, KqTime now)
+{
+  KqTime until = kq_lead_valid_until (f->lead);
+  if (f->leader == NULL || now < until)
+    return;
+  if (now - until > BLIND_MAX)
+    kq_lead_resign (f->lead, "not renewed for too long", !f->leaving, now);
+  else if (f->peers_reach_store_at > until - LEAD_TTL_MS / 2 * KQ_MS
+           && now - f->peers_reach_store_at < 3 * REACHES_MS * KQ_MS)
+    kq_lead_resign (f->lead, "not renewed while other nodes reach the store", !f->leaving,
+                    now);
+  else if (kq_link_peers (f->link) == 0)
+    kq_lead_resign (f->lead, "not renewed and no other node heard", !f->leaving, now);
+}
+
+static void
+look_at_stop (KqFleet *f, KqTime now)
+{
+  KqTime since = now - f->leaving_at;
+  KqTime most = f->config.settings->grace_ms * KQ_MS - STOP_MARGIN;
+  bool idle = kq_front_open (f->front) == 0;
+  if (f->stopped || (since < most && !(idle && since > STOP_LINGER)))
+    return;
+  f->stopped = true;
+  f->config.stopped (f->config.arg, idle);
+}
+
+static void
+on_look (struct ev_loop *ev, ev_timer *w, int events)
+{
+  KqFleet *f = w->data;
+  KqTime now = kq_loop_now (f->config.loop);
+  (void)ev;
+  (void)events;
+  if (!f->store_lost && f->store_at != 0 && !store_up (f, now))
+    {
+      f->store_lost = true;
+      kq_log (KQ_LOG_WARN, PART, "The store is away. since_ms=%lld",
+              (long long)((now - f->store_at) / KQ_MS));
+    }
+  look_at_lead (f, now);
+  if (f->leader != NULL)
+    kq_crew_agent_heard (f->agent, kq_lead_record (f->lead)->epoch, now);
+  if (f->leaving)
+    look_at_stop (f, now);
+  kq_log_flush ();
+}
+
+static void
+print_metrics (void *arg, KqBuf *out)
+{
+  KqFleet *f = arg;
+  *kq_counter (f->config.counters, "kq_leading", "", "1 while this node leads.")
+      = f->leader != NULL;
+  *kq_counter (f->config.counters, "kq_agent_runners", "",
+               "Runners that this node looks after.")
+      = kq_crew_agent_runners (f->agent);
+  if (f->leader != NULL)
+    kq_leader_gauges (f->leader);
+  kq_counters_print (f->config.counters, out);
+}
+
+static bool
+start_parts (KqFleet *f)
+{
+  const KqFleetSettings *s = f->config.settings;
+  KqLoop *loop = f->config.loop;
+  KqCrewAgentConfig agent
+      = { .loop = loop,
+          .calls = f->calls,
+          .lease_ms = s->runner_lease_max_ms < RUNNER_LEASE_MS ? s->runner_lease_max_ms
+                                                               : RUNNER_LEASE_MS,
+          .counters = f->config.counters,
+          .notice = on_notice,
+          .arg = f };
+  KqLinkConfig link = { .loop = loop,
+                        .ip = s->ip,
+                        .port = (int)s->peer_port,
+                        .self = f->self,
+                        .owner = { f, on_joined, on_left, on_from_node, on_connected,
+                                   on_from_leader, store_age_ms } };
+  KqFrontDeskConfig desk
+      = { loop, f->kv, f->config.counters, f, table, store_up, ask, tell, on_answered };
+  KqFrontOwner owner = { f, on_request, ready, leaving, body_max };
+  f->agent = kq_crew_agent_new (&agent);
+  f->link = kq_link_new (&link);
+  f->desk = kq_front_desk_new (&desk);
+  f->front = kq_front_new (loop, kq_str (s->front), kq_str (s->ready), &owner);
+  f->metrics = kq_metrics_new (loop, s->ip, (int)s->metrics_port, print_metrics, f);
+  return f->link != NULL && f->front != NULL && f->metrics != NULL;
+}
+
+static void
+start_lead (KqFleet *f)
+{
+  const KqFleetSettings *s = f->config.settings;
+  KqLeadConfig c
+      = { .loop = f->config.loop,
+          .kv = f->kv,
+          .node = s->node,
+          .ttl_ms = s->lease_min_ms > LEAD_TTL_MS ? s->lease_min_ms : LEAD_TTL_MS,
+          .counters = f->config.counters,
+          .arg = f,
+          .changed = on_changed,
+          .elected = on_elected,
+          .lost = on_lost,
+          .answered = on_answered };
+  char address[32];
+  snprintf (address, sizeof address, "%s:%d", s->ip, kq_link_port (f->link));
+  c.address = kq_name (kq_str (address));
+  c.rank_ms = (int)(RANK_BY_SHARE_MS * 100
+                    / (100 + (s->cpu_share_milli < 1000 ? s->cpu_share_milli : 1000)));
+  f->lead = kq_lead_new (&c);
+}
+
+KqFleet *
+kq_fleet_new (const KqFleetConfig *c)
+{
+  KqFleet *f = kq_alloc (sizeof *f);
+  KqFollowOwner config
+      = { f, on_config_item, on_config_gone, on_config_synced, on_answered };
+  f->config = *c;
+  f->self = (KqAgentInfo){ .name = c->settings->node,
+                           .failure_domain = c->settings->failure_domain,
+                           .share_milli = (int)c->settings->cpu_share_milli };
+  f->kv = kq_store_new (c->loop, kq_str (c->settings->store));
+  f->calls = kq_runners_new (c->loop);
+  ev_timer_init (&f->look, on_look, LOOK_S, LOOK_S);
+  f->look.data = f;
+  if (!start_parts (f))
+    {
+      kq_fleet_free (f);
+      return NULL;
+    }
+  start_lead (f);
+  f->config_keys = kq_follow_new (c->loop, f->kv, kq_source_config_prefix (),
+                                  CONFIG_WATCH_MS, 0, &config);
+  ev_timer_start (kq_loop_ev (c->loop), &f->look);
+  return f;
+}
+
+void
+kq_fleet_free (KqFleet *f)
+{
+  if (f == NULL)
+    return;
+  ev_timer_stop (kq_loop_ev (f->config.loop), &f->look);
+  kq_leader_free (f->leader);
+  f->leader = NULL;
+  kq_lead_free (f->lead);
+  kq_follow_free (f->config_keys);
+  kq_link_free (f->link);
+  kq_crew_agent_free (f->agent);
+  kq_front_free (f->front);
+  kq_front_desk_free (f->desk);
+  kq_metrics_free (f->metrics);
+  kq_runners_calls_free (f->calls);
+  kq_store_free (f->kv);
+  kq_queue_table_free (f->table);
+  free (f);
+}
+
+void
+kq_fleet_stop (KqFleet *f, KqTime now)
+{
+  if (f->leaving)
+    return;
+  kq_log (KQ_LOG_INFO, PART, "Stopping. leading=%d open=%zu runners=%zu",
+          f->leader != NULL, kq_front_open (f->front), kq_crew_agent_runners (f->agent));
+  f->leaving = true;
+  f->leaving_at = now;
+  kq_lead_resign (f->lead, "planned stop", false, now);
+  /* The leader gives our runners to others as soon as the connection closes. */
+  kq_link_leader (f->link, KQ_STR (""), 0, now);
+}
--- /dev/null
+++ b/src/fleet/follow.c
@@ -0,0 +1,241 @@
+#include "fleet/follow.h"
+
+#include "base/log.h"
+
+#include <ev.h>
+#include <glib.h>
+
+#include <stdlib.h>
+
+#define PART "follow"
+#define LIST_TIMEOUT_MS 1500
+/* After a failed call; doubled up to the bound, so that a store in trouble isn't pressed.
+ */
+#define RETRY_MS 100
+#define RETRY_MAX_MS 800
+
+struct KqFollow
+{
+  KqLoop *loop;
+  KqKv *kv;
+  KqFollowOwner owner;
+  char *prefix;
+  int wait_ms;
+  int pause_ms;
+  int retry_ms;
+  ev_timer timer;
+  GHashTable *revisions; /* key -> revision, in the pointer */
+  GHashTable *listed;    /* while listing: keys seen */
+  char *after;           /* page's last key; NULL: first page */
+  uint64_t from;         /* watch on from this revision */
+  bool listing;
+  bool calling;
+  bool dead; /* freed while a call was out */
+  bool busy; /* in a callback of the owner */
+};
+
+static void go (KqFollow *f);
+
+static void
+destroy (KqFollow *f)
+{
+  g_hash_table_destroy (f->revisions);
+  if (f->listed != NULL)
+    g_hash_table_destroy (f->listed);
+  free (f->after);
+  free (f->prefix);
+  free (f);
+}
+
+void
+kq_follow_free (KqFollow *f)
+{
+  if (f == NULL)
+    return;
+  f->dead = true;
+  ev_timer_stop (kq_loop_ev (f->loop), &f->timer);
+  if (!f->calling && !f->busy)
+    destroy (f);
+}
+
+static void
+go_in (KqFollow *f, int ms)
+{
+  struct ev_loop *ev = kq_loop_ev (f->loop);
+  ev_timer_stop (ev, &f->timer);
+  ev_timer_set (&f->timer, ms / 1000.0, 0);
+  ev_timer_start (ev, &f->timer);
+}
+
+static void
+on_timer (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void)ev;
+  (void)events;
+  go (w->data);
+}
+
+static void
+take_item (KqFollow *f, const KqKvItem *i, KqTime now)
+{
+  char *key = kq_str_dup (i->key);
+  uint64_t known = (uint64_t)(uintptr_t)g_hash_table_lookup (f->revisions, key);
+  if (f->listed != NULL && !i->deleted)
+    g_hash_table_add (f->listed, kq_str_dup (i->key));
+  if (i->revision <= known)
+    {
+      free (key);
+      return;
+    }
+  if (i->deleted)
+    {
+      bool had = g_hash_table_remove (f->revisions, key);
+      free (key);
+      if (had)
+        f->owner.gone (f->owner.arg, i->key, now);
+      return;
+    }
+  g_hash_table_insert (f->revisions, key, (gpointer)(uintptr_t)i->revision);
+  f->owner.item (f->owner.arg, i, now);
+}
+
+/* Keys that an earlier listing or watch had and this listing hasn't. */
+static void
+drop_unlisted (KqFollow *f, KqTime now)
+{
+  GPtrArray *gone = g_ptr_array_new_with_free_func (free);
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, f->revisions);
+  while (g_hash_table_iter_next (&it, &key, NULL))
+    if (!g_hash_table_contains (f->listed, key))
+      g_ptr_array_add (gone, kq_str_dup (kq_str (key)));
+  for (guint i = 0; i < gone->len && !f->dead; i++)
+    {
+      g_hash_table_remove (f->revisions, g_ptr_array_index (gone, i));
+      f->owner.gone (f->owner.arg, kq_str (g_ptr_array_index (gone, i)), now);
+    }
+  g_ptr_array_free (gone, TRUE);
+}
+
+static void
+take_page (KqFollow *f, const KqKvReply *r, KqTime now)
+{
+  if (f->after == NULL)
+    f->from = r->revision; /* what changes during later pages is watched again */
+  for (size_t i = 0; i < r->n_items && !f->dead; i++)
+    take_item (f, &r->items[i], now);
+  if (r->more && r->n_items > 0)
+    {
+      free (f->after);
+      f->after = kq_str_dup (r->items[r->n_items - 1].key);
+      return;
+    }
+  f->listing = false;
+  drop_unlisted (f, now);
+  g_hash_table_destroy (f->listed);
+  f->listed = NULL;
+  if (!f->dead)
+    f->owner.synced (f->owner.arg, now);
+}
+
+static void
+list_anew (KqFollow *f)
+{
+  f->listing = true;
+  free (f->after);
+  f->after = NULL;
+  if (f->listed != NULL)
+    g_hash_table_destroy (f->listed);
+  f->listed = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+}
+
+static void
+on_reply (void *arg, const KqKvReply *r, KqTime now)
+{
+  KqFollow *f = arg;
+  int pause = 0;
+  f->calling = false;
+  if (f->dead)
+    {
+      destroy (f);
+      return;
+    }
+  f->busy = true;
+  switch (r->result)
+    {
+    case KQ_KV_OK:
+      f->retry_ms = RETRY_MS;
+      f->owner.answered (f->owner.arg, r->sent_at, now);
+      if (f->listing)
+        take_page (f, r, now);
+      else
+        {
+          for (size_t i = 0; i < r->n_items && !f->dead; i++)
+            take_item (f, &r->items[i], now);
+          if (r->revision > f->from)
+            f->from = r->revision;
+          pause = r->n_items > 0 ? f->pause_ms : 0;
+        }
+      break;
+    case KQ_KV_COMPACTED:
+      kq_log (KQ_LOG_INFO, PART, "History is gone; listing anew. prefix=%s from=%llu",
+              f->prefix, (unsigned long long)f->from);
+      list_anew (f);
+      break;
+    default:
+      pause = f->retry_ms;
+      if (f->retry_ms == RETRY_MS)
+        kq_log (KQ_LOG_WARN, PART,
+                "The store doesn't answer. prefix=%s result=%d listing=%d", f->prefix,
+                r->result, f->listing);
+      f->retry_ms = f->retry_ms * 2 < RETRY_MAX_MS ? f->retry_ms * 2 : RETRY_MAX_MS;
+    }
+  f->busy = false;
+  if (f->dead)
+    destroy (f);
+  else if (pause > 0)
+    go_in (f, pause);
+  else
+    go (f);
+}
+
+static void
+go (KqFollow *f)
+{
+  KqKvCallback cb = { on_reply, f };
+  f->calling = true;
+  if (f->listing)
+    kq_kv_range (f->kv, kq_str (f->prefix), kq_str (f->after), LIST_TIMEOUT_MS, cb);
+  else
+    kq_kv_watch (f->kv, kq_str (f->prefix), f->from, f->wait_ms, cb);
+}
+
+KqFollow *
+kq_follow_new (KqLoop *loop, KqKv *kv, KqStr prefix, int wait_ms, int pause_ms,
+               const KqFollowOwner *owner)
+{
+  KqFollow *f = kq_alloc (sizeof *f);
+  f->loop = loop;
+  f->kv = kv;
+  f->owner = *owner;
+  f->prefix = kq_str_dup (prefix);
+  f->wait_ms = wait_ms;
+  f->pause_ms = pause_ms;
+  f->retry_ms = RETRY_MS;
+  f->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  ev_timer_init (&f->timer, on_timer, 0, 0);
+  f->timer.data = f;
+  list_anew (f);
+  go (f);
+  return f;
+}
+
+uint64_t
+kq_follow_revision (const KqFollow *f, KqStr key)
+{
+  char *k = kq_str_dup (key);
+  uint64_t n = (uint64_t)(uintptr_t)g_hash_table_lookup (f->revisions, k);
+  free (k);
+  return n;
+}
--- /dev/null
+++ b/src/fleet/follow.h
@@ -0,0 +1,31 @@
+#ifndef KQ_FLEET_FOLLOW_H
+#define KQ_FLEET_FOLLOW_H
+
+/* follow: a copy of the keys under a prefix, kept up by listing and then watching.
+ *
+ * After a gap in the store's history the keys are listed anew, and what has gone
+ * meanwhile is told as gone. A key is told once for each revision. */
+
+#include "port/kv.h"
+
+typedef struct KqFollow KqFollow;
+
+typedef struct
+{
+  void *arg;
+  void (*item) (void *arg, const KqKvItem *i, KqTime now);
+  void (*gone) (void *arg, KqStr key, KqTime now);
+  /* All keys have been told once; called after each listing. */
+  void (*synced) (void *arg, KqTime now);
+  /* The store has answered. */
+  void (*answered) (void *arg, KqTime sent_at, KqTime now);
+} KqFollowOwner;
+
+/* pause_ms: changes are collected for so long before the next call; 0: none. */
+KqFollow *kq_follow_new (KqLoop *loop, KqKv *kv, KqStr prefix, int wait_ms, int pause_ms,
+                         const KqFollowOwner *owner);
+/* May be called from within the owner's functions. */
+void kq_follow_free (KqFollow *f);
+uint64_t kq_follow_revision (const KqFollow *f, KqStr key); /* 0: not there */
+
+#endif
--- /dev/null
+++ b/src/fleet/leader.c
@@ -0,0 +1,502 @@
+#include "fleet/leader.h"
+
+#include "base/log.h"
+#include "fleet/batch.h"
+#include "fleet/follow.h"
+#include "fleet/keys.h"
+#include "lead/lead.h"
+#include "port/source.h"
+
+#include <ev.h>
+#include <glib.h>
+
+#include <stdlib.h>
+#include <time.h>
+
+#define PART "leader"
+#define TIMEOUT_MS 1500
+#define RETRY_MS 150
+/* Watches: wait for a change so long, and collect changes so long. New jobs come from the
+ * nodes that accepted them as well, so their watch is only the safety net. */
+#define WATCH_MS 2000
+#define JOBS_PAUSE_MS 250
+#define RUNNERS_PAUSE_MS 50
+
+typedef enum
+{
+  LOAD_RUNNERS, /* the list of runners ever in use */
+  LOAD_JOBS,    /* accepted jobs and cancellations */
+  LOAD_PROGRESS,
+  LOAD_ENTRIES, /* runners' own entries */
+  LOAD_DONE
+} LoadPhase;
+
+struct KqLeader
+{
+  KqLeaderConfig config;
+  KqSched *sched;
+  KqBatch *batch;
+  KqFollow *jobs;
+  KqFollow *entries;
+  GPtrArray *peers;  /* by agent number; NULL: gone */
+  GHashTable *early; /* cancelled ids whose job hasn't been seen yet */
+  int own_agent;
+  LoadPhase phase;
+  char *page_after; /* of the progress listing */
+  ev_timer timer;
+  ev_prepare before_poll;
+  KqTime next_at;
+  bool dirty; /* an input has come since the last run */
+  bool calling;
+  bool dead;
+  bool closing; /* within the owner's deposed */
+};
+
+static void load (KqLeader *l);
+
+static int64_t
+wall_ms (void)
+{
+  struct timespec ts;
+  clock_gettime (CLOCK_REALTIME, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void
+destroy (KqLeader *l)
+{
+  kq_sched_free (l->sched);
+  g_ptr_array_free (l->peers, TRUE);
+  g_hash_table_destroy (l->early);
+  free (l->page_after);
+  free (l);
+}
+
+static void
+on_order (void *arg, int agent, const KqOrder *o)
+{
+  KqLeader *l = arg;
+  KqCrewItem i = { .kind = KQ_CREW_ORDER };
+  KqPeer *p;
+  if (agent == l->own_agent)
+    {
+      kq_crew_agent_order (l->config.agent, l->config.epoch, o,
+                           kq_loop_now (l->config.loop));
+      return;
+    }
+  p = (guint)agent < l->peers->len ? g_ptr_array_index (l->peers, agent) : NULL;
+  if (p == NULL)
+    return;
+  i.u.order = *o;
+  kq_link_send_peer (p, &i);
+}
+
+static void
+on_batch_deposed (void *arg, const char *why, KqTime now)
+{
+  KqLeader *l = arg;
+  l->config.deposed (l->config.arg, why, now);
+}
+
+static void
+on_answered (void *arg, KqTime sent_at, KqTime now)
+{
+  KqLeader *l = arg;
+  l->config.answered (l->config.arg, sent_at, now);
+}
+
+static void
+run (KqLeader *l, KqTime now)
+{
+  l->dirty = false;
+  l->next_at = kq_sched_run (l->sched, now, wall_ms ());
+}
+
+static void
+arm (KqLeader *l, KqTime now)
+{
+  struct ev_loop *ev = kq_loop_ev (l->config.loop);
+  KqTime at = l->next_at;
+  KqTime batch = kq_batch_due (l->batch);
+  if (batch < at)
+    at = batch;
+  ev_timer_stop (ev, &l->timer);
+  ev_timer_set (&l->timer, at > now ? (double)(at - now) / KQ_SEC : 0, 0);
+  ev_timer_start (ev, &l->timer);
+}
+
+/* Once for all that a turn of the loop has brought. */
+static void
+on_before_poll (struct ev_loop *ev, ev_prepare *w, int events)
+{
+  KqLeader *l = w->data;
+  KqTime now;
+  (void)ev;
+  (void)events;
+  if (!l->dirty)
+    return;
+  now = kq_loop_now (l->config.loop);
+  run (l, now);
+  if (l->phase == LOAD_DONE && kq_batch_due (l->batch) <= now)
+    kq_batch_go (l->batch, now);
+  arm (l, now);
+}
+
+static void
+on_timer (struct ev_loop *ev, ev_timer *w, int events)
+{
+  KqLeader *l = w->data;
+  (void)ev;
+  (void)events;
+  l->dirty = true; /* on_before_poll does the rest */
+}
+
+static void
+on_job_item (void *arg, const KqKvItem *i, KqTime now)
+{
+  KqLeader *l = arg;
+  KqStr id = kq_key_id (i->key, KQ_KEY_JOB);
+  KqStr cancelled = kq_key_id (i->key, KQ_KEY_CANCEL);
+  KqCrewItem item = { 0 };
+  if (id.len > 0)
+    {
+      item.kind = KQ_CREW_JOB;
+      item.u.job.stored = i->value;
+      item.u.job.revision = i->revision;
+    }
+  else if (cancelled.len > 0)
+    {
+      item.kind = KQ_CREW_CANCEL;
+      item.u.cancel.id = cancelled;
+    }
+  else
+    return;
+  kq_leader_item (l, NULL, &item, now);
+}
+
+static void
+on_job_gone (void *arg, KqStr key, KqTime now)
+{
+  (void)arg;
+  (void)key;
+  (void)now;
+}
+
+static void
+on_jobs_synced (void *arg, KqTime now)
+{
+  KqLeader *l = arg;
+  (void)now;
+  if (l->phase != LOAD_JOBS)
+    return;
+  l->phase = LOAD_PROGRESS;
+  load (l);
+}
+
+static void
+take_entry (void *arg, const KqRunnerEntry *e)
+{
+  KqLeader *l = arg;
+  kq_sched_entry (l->sched, e, kq_loop_now (l->config.loop));
+}
+
+static void
+on_entry (void *arg, const KqKvItem *i, KqTime now)
+{
+  KqLeader *l = arg;
+  KqStr id;
+  if (!kq_source_runner (i->key, i->value, &id, take_entry, l))
+    {
+      kq_log (KQ_LOG_WARN, PART,
+              "An entry names no runner to use. runner=%.*s revision=%llu",
+              KQ_STR_ARG (id), (unsigned long long)i->revision);
+      kq_sched_entry_gone (l->sched, id, now);
+    }
+  l->dirty = true;
+}
+
+static void
+on_entry_gone (void *arg, KqStr key, KqTime now)
+{
+  KqLeader *l = arg;
+  KqStr id;
+  kq_source_runner (key, KQ_STR (""), &id, take_entry, l);
+  kq_sched_entry_gone (l->sched, id, now);
+  l->dirty = true;
+}
+
+static void
+on_entries_synced (void *arg, KqTime now)
+{
+  KqLeader *l = arg;
+  KqCrewItem cancel = { .kind = KQ_CREW_CANCEL };
+  GHashTableIter it;
+  gpointer id;
+  if (l->phase != LOAD_ENTRIES)
+    return;
+  l->phase = LOAD_DONE;
+  kq_sched_loaded (l->sched, now);
+  g_hash_table_iter_init (&it, l->early);
+  while (g_hash_table_iter_next (&it, &id, NULL))
+    {
+      cancel.u.cancel.id = kq_str (id);
+      kq_sched_cancel (l->sched, cancel.u.cancel.id, now);
+    }
+  l->dirty = true;
+}
+
+static void
+on_loaded (void *arg, const KqKvReply *r, KqTime now)
+{
+  KqLeader *l = arg;
+  l->calling = false;
+  if (l->dead)
+    {
+      destroy (l);
+      return;
+    }
+  if (r->result != KQ_KV_OK && r->result != KQ_KV_NOT_FOUND)
+    {
+      kq_log (KQ_LOG_WARN, PART, "Loading is held up by the store. phase=%d result=%d",
+              l->phase, r->result);
+      load (l);
+      return;
+    }
+  kq_loop_now (l->config.loop);
+  on_answered (l, r->sent_at, now);
+  if (l->phase == LOAD_RUNNERS)
+    {
+      if (r->n_items == 1 && !kq_sched_known (l->sched, r->items[0].value, now))
+        kq_log (KQ_LOG_ERROR, PART, "The stored list of runners can't be read.");
+      l->phase = LOAD_JOBS;
+    }
+  else
+    {
+      for (size_t i = 0; i < r->n_items; i++)
+        kq_sched_progress (l->sched, kq_key_id (r->items[i].key, KQ_KEY_PROGRESS),
+                           r->items[i].value, now);
+      if (r->more && r->n_items > 0)
+        {
+          free (l->page_after);
+          l->page_after = kq_str_dup (r->items[r->n_items - 1].key);
+        }
+      else
+        l->phase = LOAD_ENTRIES;
+    }
+  load (l);
+}
+
+/* What must be known before the first decision, one after the other: progress belongs to
+ * jobs, and runs that runners list belong to jobs with their progress. */
+static void
+load (KqLeader *l)
+{
+  KqFollowOwner jobs = { l, on_job_item, on_job_gone, on_jobs_synced, on_answered };
+  KqFollowOwner entries = { l, on_entry, on_entry_gone, on_entries_synced, on_answered };
+  KqKvCallback cb = { on_loaded, l };
+  switch (l->phase)
+    {
+    case LOAD_RUNNERS:
+      l->calling = true;
+      kq_kv_get (l->config.kv, KQ_STR (KQ_KEY_RUNNERS), TIMEOUT_MS, cb);
+      break;
+    case LOAD_JOBS:
+      l->jobs = kq_follow_new (l->config.loop, l->config.kv, KQ_STR (KQ_KEY_IN), WATCH_MS,
+                               JOBS_PAUSE_MS, &jobs);
+      break;
+    case LOAD_PROGRESS:
+      l->calling = true;
+      kq_kv_range (l->config.kv, KQ_STR (KQ_KEY_PROGRESS), kq_str (l->page_after),
+                   TIMEOUT_MS, cb);
+      break;
+    case LOAD_ENTRIES:
+      l->entries
+          = kq_follow_new (l->config.loop, l->config.kv, kq_source_runners_prefix (),
+                           WATCH_MS, RUNNERS_PAUSE_MS, &entries);
+      break;
+    case LOAD_DONE:
+      break;
+    }
+}
+
+KqLeader *
+kq_leader_new (const KqLeaderConfig *c, KqTime now)
+{
+  KqLeader *l = kq_alloc (sizeof *l);
+  struct ev_loop *ev = kq_loop_ev (c->loop);
+  KqSchedConfig sched = { .epoch = c->epoch,
+                          .term = c->term,
+                          .lease_ms = c->lease_ms,
+                          .keep_ms = c->keep_ms,
+                          .serving_harm_ms = c->serving_harm_ms,
+                          .counters = c->counters,
+                          .order = on_order,
+                          .arg = l };
+  KqBatchConfig batch = { .kv = c->kv,
+                          .epoch = c->epoch,
+                          .counters = c->counters,
+                          .arg = l,
+                          .deposed = on_batch_deposed,
+                          .answered = on_answered };
+  l->config = *c;
+  l->config.self.leader = true;
+  l->own_agent = -1;
+  l->peers = g_ptr_array_new ();
+  l->early = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  l->sched = kq_sched_new (&sched, now);
+  batch.sched = l->sched;
+  batch.loop = c->loop;
+  l->batch = kq_batch_new (&batch);
+  run (l, now);
+  l->own_agent = kq_sched_agent_up (l->sched, &l->config.self, now);
+  ev_timer_init (&l->timer, on_timer, 0, 0);
+  ev_prepare_init (&l->before_poll, on_before_poll);
+  l->timer.data = l->before_poll.data = l;
+  ev_prepare_start (ev, &l->before_poll);
+  l->dirty = true;
+  load (l);
+  return l;
+}
+
+void
+kq_leader_free (KqLeader *l)
+{
+  struct ev_loop *ev;
+  if (l == NULL)
+    return;
+  ev = kq_loop_ev (l->config.loop);
+  ev_timer_stop (ev, &l->timer);
+  ev_prepare_stop (ev, &l->before_poll);
+  kq_follow_free (l->jobs);
+  kq_follow_free (l->entries);
+  kq_batch_free (l->batch);
+  l->dead = true;
+  if (!l->calling)
+    destroy (l);
+}
+
+void
+kq_leader_joined (KqLeader *l, KqPeer *p, const KqAgentInfo *info, KqTime now)
+{
+  KqAgentInfo other = *info;
+  int agent;
+  other.leader = false;
+  agent = kq_sched_agent_up (l->sched, &other, now);
+  kq_peer_set_agent (p, agent);
+  if (agent < 0)
+    return;
+  while (l->peers->len <= (guint)agent)
+    g_ptr_array_add (l->peers, NULL);
+  g_ptr_array_index (l->peers, agent) = p;
+  kq_log (KQ_LOG_INFO, PART, "Node joined. node=%.*s agent=%d share_milli=%d",
+          KQ_STR_ARG (kq_name_str (&info->name)), agent, info->share_milli);
+  l->dirty = true;
+}
+
+void
+kq_leader_left (KqLeader *l, KqPeer *p, KqTime now)
+{
+  int agent = kq_peer_agent (p);
+  if (agent < 0)
+    return;
+  g_ptr_array_index (l->peers, agent) = NULL;
+  kq_sched_agent_down (l->sched, agent, now);
+  l->dirty = true;
+}
+
+static void
+take_cancel (KqLeader *l, KqStr id, KqTime now)
+{
+  if (l->phase == LOAD_DONE)
+    kq_sched_cancel (l->sched, id, now);
+  if (kq_sched_state (l->sched, id) == KQ_JOB_UNKNOWN || l->phase != LOAD_DONE)
+    g_hash_table_add (l->early, kq_str_dup (id));
+}
+
+static void
+take_job (KqLeader *l, const KqCrewItem *i, KqTime now)
+{
+  KqSpec spec;
+  char *id;
+  if (!kq_sched_job (l->sched, i->u.job.stored, i->u.job.revision, now)
+      || l->phase != LOAD_DONE || g_hash_table_size (l->early) == 0)
+    return;
+  if (!kq_spec_unpack (i->u.job.stored, &spec))
+    return;
+  id = kq_str_dup (spec.id);
+  if (g_hash_table_contains (l->early, id))
+    kq_sched_cancel (l->sched, spec.id, now);
+  kq_spec_clear (&spec);
+  free (id);
+}
+
+void
+kq_leader_item (KqLeader *l, KqPeer *p, const KqCrewItem *i, KqTime now)
+{
+  int agent = p == NULL ? l->own_agent : kq_peer_agent (p);
+  l->dirty = true;
+  switch (i->kind)
+    {
+    case KQ_CREW_LIST:
+      kq_sched_list (l->sched, agent, i->runner, &i->u.list, now);
+      break;
+    case KQ_CREW_OUTCOME:
+      kq_sched_outcome (l->sched, agent, i->runner, &i->u.outcome, now);
+      if (i->u.outcome.result == KQ_ORDER_FENCED)
+        l->config.deposed (l->config.arg, "a runner has seen a higher epoch", now);
+      break;
+    case KQ_CREW_UNREACHED:
+      if (i->u.unreached.gone)
+        kq_sched_runner_over (l->sched, agent, i->runner, now);
+      else
+        kq_sched_unreached (l->sched, agent, i->runner, i->u.unreached.lease_left_ms,
+                            now);
+      break;
+    case KQ_CREW_FENCED:
+      l->config.deposed (l->config.arg, "a runner has seen a higher epoch", now);
+      break;
+    case KQ_CREW_JOB:
+      take_job (l, i, now);
+      break;
+    case KQ_CREW_CANCEL:
+      take_cancel (l, i->u.cancel.id, now);
+      break;
+    case KQ_CREW_ORDER:
+    case KQ_CREW_ANSWER:
+    case KQ_CREW_PING:
+    case KQ_CREW_HELLO:
+    case KQ_CREW_BEAT:
+    case KQ_CREW_ASK:
+      break;
+    }
+}
+
+int64_t
+kq_leader_ask (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text)
+{
+  if (l->phase != LOAD_DONE)
+    return -1;
+  switch (what)
+    {
+    case KQ_ASK_STATE:
+      return kq_sched_state (l->sched, about);
+    case KQ_ASK_WAITING:
+      return kq_sched_waiting (l->sched, about);
+    case KQ_ASK_EXPLAIN:
+      kq_sched_explain (l->sched, about, now, text);
+      return 0;
+    }
+  return -1;
+}
+
+bool
+kq_leader_loaded (const KqLeader *l)
+{
+  return l->phase == LOAD_DONE;
+}
+
+void
+kq_leader_gauges (KqLeader *l)
+{
+  kq_sched_gauges (l->sched);
+}
--- /dev/null
+++ b/src/fleet/leader.h
@@ -0,0 +1,44 @@
+#ifndef KQ_FLEET_LEADER_H
+#define KQ_FLEET_LEADER_H
+
+/* leader: the scheduler of the node that leads, with what it needs: the store's jobs and
+ * progress, the runners' entries, and the nodes that carry out its orders. Lives from an
+ * election until the lead is lost; nothing of it is kept for the next one. */
+
+#include "crew/agent.h"
+#include "fleet/link.h"
+#include "port/kv.h"
+
+typedef struct KqLeader KqLeader;
+
+typedef struct
+{
+  KqLoop *loop;
+  KqKv *kv;
+  uint64_t epoch;
+  uint32_t term;
+  int64_t lease_ms; /* of runners */
+  int64_t keep_ms;
+  int64_t serving_harm_ms;
+  KqCounters *counters;
+  KqAgentInfo self;
+  KqCrewAgent *agent; /* of this node */
+  void *arg;
+  /* Somebody else leads: the store or a runner has refused our epoch. */
+  void (*deposed) (void *arg, const char *why, KqTime now);
+  void (*answered) (void *arg, KqTime sent_at, KqTime now);
+} KqLeaderConfig;
+
+KqLeader *kq_leader_new (const KqLeaderConfig *c, KqTime now);
+void kq_leader_free (KqLeader *l);
+
+void kq_leader_joined (KqLeader *l, KqPeer *p, const KqAgentInfo *info, KqTime now);
+void kq_leader_left (KqLeader *l, KqPeer *p, KqTime now);
+/* LIST, OUTCOME, UNREACHED, FENCED, JOB, CANCEL. p NULL: of this node's own agent. */
+void kq_leader_item (KqLeader *l, KqPeer *p, const KqCrewItem *i, KqTime now);
+/* An answer to a question, for this node's or another's client accounts. */
+int64_t kq_leader_ask (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text);
+bool kq_leader_loaded (const KqLeader *l);
+void kq_leader_gauges (KqLeader *l);
+
+#endif
--- /dev/null
+++ b/src/fleet/link.c
@@ -0,0 +1,377 @@
+#include "fleet/link.h"
+
+#include "base/listen.h"
+#include "base/log.h"
+#include "wire/conn.h"
+
+#include <ev.h>
+#include <glib.h>
+
+#include <fcntl.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define PART "link"
+/* Sign of life either way; a host that stands still for a second is soon without tasks.
+ */
+#define BEAT_S 0.3
+/* Several beats may be late: hosts are slow at times, and links between regions queue. */
+#define SILENT (1400 * KQ_MS)
+#define RECONNECT (150 * KQ_MS)
+
+struct KqPeer
+{
+  KqLink *link;
+  KqConn *conn;
+  int agent;
+  bool joined;
+  KqBuf out;
+};
+
+struct KqLink
+{
+  KqLinkConfig config;
+  int port;
+  int fd;
+  ev_io acceptable;
+  ev_timer beat;
+  ev_prepare before_poll;
+  GPtrArray *peers;
+  uint64_t lead_epoch; /* we lead with it; 0: we don't */
+  KqConn *up;          /* to the leader */
+  bool up_ready;
+  KqName leader;
+  uint64_t leader_epoch;
+  KqTime tried_at;
+  KqBuf out; /* to the leader */
+  uint64_t out_epoch;
+};
+
+static void
+drop_peer (KqPeer *p, const char *why, KqTime now)
+{
+  KqLink *l = p->link;
+  kq_log (KQ_LOG_INFO, PART, "Node disconnected. agent=%d why=%s heard_ms_ago=%lld",
+          p->agent, why, (long long)((now - kq_conn_heard_at (p->conn)) / KQ_MS));
+  g_ptr_array_remove_fast (l->peers, p);
+  if (p->joined)
+    l->config.owner.left (l->config.owner.arg, p, now);
+  kq_conn_free (p->conn);
+  kq_buf_free (&p->out);
+  free (p);
+}
+
+static void
+peer_item (KqPeer *p, uint64_t epoch, const KqCrewItem *i, KqTime now)
+{
+  KqLink *l = p->link;
+  if (i->kind == KQ_CREW_HELLO)
+    {
+      p->joined = true;
+      l->config.owner.joined (l->config.owner.arg, p, &i->u.hello, now);
+    }
+  else if (p->joined)
+    l->config.owner.from_node (l->config.owner.arg, p, epoch, i, now);
+}
+
+static void
+on_peer_message (void *arg, KqConn *c, const KqMsg *m)
+{
+  KqPeer *p = arg;
+  KqStr rest = m->u.crew.items;
+  KqCrewItem i;
+  KqTime now = kq_loop_now (p->link->config.loop);
+  (void)c;
+  if (m->kind != KQ_MSG_CREW)
+    return;
+  while (kq_crew_unpack (&rest, &i))
+    {
+      peer_item (p, m->u.crew.epoch, &i, now);
+      kq_crew_clear (&i);
+    }
+  if (rest.len > 0)
+    kq_log (KQ_LOG_ERROR, PART, "A node's message is damaged. left=%zu", rest.len);
+}
+
+static void
+on_peer_closed (void *arg, KqConn *c, KqResult why)
+{
+  KqPeer *p = arg;
+  (void)c;
+  drop_peer (p, kq_result_name (why), kq_loop_now (p->link->config.loop));
+}
+
+static void
+on_acceptable (struct ev_loop *ev, ev_io *w, int events)
+{
+  KqLink *l = w->data;
+  KqPeer *p;
+  KqConnCallback cb = { NULL, NULL, on_peer_message, on_peer_closed };
+  int fd = accept4 (l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  (void)ev;
+  (void)events;
+  if (fd < 0)
+    return;
+  if (l->lead_epoch == 0)
+    {
+      close (fd); /* the node tries again, at whoever leads then */
+      return;
+    }
+  p = kq_alloc (sizeof *p);
+  p->link = l;
+  p->agent = -1;
+  cb.arg = p;
+  p->conn = kq_conn_accept (l->config.loop, fd, &cb);
+  g_ptr_array_add (l->peers, p);
+}
+
+static void
+close_up (KqLink *l, const char *why)
+{
+  if (l->up == NULL)
+    return;
+  if (l->up_ready)
+    kq_log (KQ_LOG_INFO, PART, "Disconnected from the leader. epoch=%llu why=%s",
+            (unsigned long long)l->leader_epoch, why);
+  kq_conn_free (l->up);
+  l->up = NULL;
+  l->up_ready = false;
+  kq_buf_clear (&l->out);
+}
+
+static void
+on_up (void *arg, KqConn *c)
+{
+  KqLink *l = arg;
+  KqCrewItem i = { .kind = KQ_CREW_HELLO };
+  (void)c;
+  l->up_ready = true;
+  kq_log (KQ_LOG_INFO, PART, "Connected to the leader. epoch=%llu",
+          (unsigned long long)l->leader_epoch);
+  i.u.hello = l->config.self;
+  kq_link_send (l, l->leader_epoch, &i);
+  l->config.owner.connected (l->config.owner.arg, kq_loop_now (l->config.loop));
+}
+
+static void
+on_up_message (void *arg, KqConn *c, const KqMsg *m)
+{
+  KqLink *l = arg;
+  KqStr rest = m->u.crew.items;
+  KqCrewItem i;
+  KqTime now = kq_loop_now (l->config.loop);
+  if (m->kind != KQ_MSG_CREW)
+    return;
+  while (l->up == c && kq_crew_unpack (&rest, &i))
+    {
+      l->config.owner.from_leader (l->config.owner.arg, m->u.crew.epoch, &i, now);
+      kq_crew_clear (&i);
+    }
+}
+
+static void
+on_up_closed (void *arg, KqConn *c, KqResult why)
+{
+  KqLink *l = arg;
+  (void)c;
+  close_up (l, kq_result_name (why));
+}
+
+static void
+open_up (KqLink *l, KqTime now)
+{
+  KqConnCallback cb = { l, on_up, on_up_message, on_up_closed };
+  if (l->up != NULL || l->leader.len == 0 || l->lead_epoch != 0)
+    return;
+  l->tried_at = now;
+  l->up = kq_conn_open (l->config.loop, kq_name_str (&l->leader), &cb);
+}
+
+void
+kq_link_leader (KqLink *l, KqStr address, uint64_t epoch, KqTime now)
+{
+  close_up (l, "another leader");
+  l->leader = kq_name (address);
+  l->leader_epoch = epoch;
+  open_up (l, now);
+}
+
+bool
+kq_link_up (const KqLink *l)
+{
+  return l->up_ready;
+}
+
+static void
+flush (KqConn *c, uint64_t epoch, KqBuf *out)
+{
+  KqMsg m = { .kind = KQ_MSG_CREW };
+  if (out->len == 0)
+    return;
+  m.u.crew.epoch = epoch;
+  m.u.crew.items = kq_buf_str (out);
+  kq_conn_send (c, &m);
+  kq_buf_clear (out);
+}
+
+/* A frame has a bound; a part of it is kept for what is added by one more item. */
+#define FLUSH_AT (KQ_FRAME_MAX / 4)
+
+void
+kq_link_send (KqLink *l, uint64_t epoch, const KqCrewItem *i)
+{
+  if (!l->up_ready)
+    return;
+  if (epoch != l->out_epoch || l->out.len > FLUSH_AT)
+    flush (l->up, l->out_epoch, &l->out);
+  l->out_epoch = epoch;
+  kq_crew_pack (i, &l->out);
+}
+
+void
+kq_link_send_peer (KqPeer *p, const KqCrewItem *i)
+{
+  if (p->out.len > FLUSH_AT)
+    flush (p->conn, p->link->lead_epoch, &p->out);
+  kq_crew_pack (i, &p->out);
+}
+
+static void
+on_before_poll (struct ev_loop *ev, ev_prepare *w, int events)
+{
+  KqLink *l = w->data;
+  (void)ev;
+  (void)events;
+  if (l->up_ready)
+    flush (l->up, l->out_epoch, &l->out);
+  for (guint i = 0; i < l->peers->len; i++)
+    {
+      KqPeer *p = g_ptr_array_index (l->peers, i);
+      flush (p->conn, l->lead_epoch, &p->out);
+    }
+}
+
+static void
+beat_up (KqLink *l, KqTime now)
+{
+  KqCrewItem i = { .kind = KQ_CREW_BEAT };
+  if (l->up != NULL && now - kq_conn_heard_at (l->up) > SILENT)
+    close_up (l, "silent");
+  if (l->up == NULL && now - l->tried_at > RECONNECT)
+    open_up (l, now);
+  if (!l->up_ready)
+    return;
+  i.u.beat.store_age_ms = l->config.owner.store_age_ms (l->config.owner.arg, now);
+  kq_link_send (l, l->leader_epoch, &i);
+}
+
+static void
+beat_peers (KqLink *l, KqTime now)
+{
+  KqCrewItem i = { .kind = KQ_CREW_PING };
+  for (guint n = 0; n < l->peers->len; n++)
+    {
+      KqPeer *p = g_ptr_array_index (l->peers, n);
+      if (now - kq_conn_heard_at (p->conn) > SILENT)
+        {
+          drop_peer (p, "silent", now);
+          n--;
+        }
+      else
+        kq_link_send_peer (p, &i);
+    }
+}
+
+static void
+on_beat (struct ev_loop *ev, ev_timer *w, int events)
+{
+  KqLink *l = w->data;
+  KqTime now = kq_loop_now (l->config.loop);
+  (void)ev;
+  (void)events;
+  beat_up (l, now);
+  beat_peers (l, now);
+}
+
+void
+kq_link_lead (KqLink *l, uint64_t epoch, KqTime now)
+{
+  close_up (l, "we lead");
+  l->lead_epoch = epoch;
+  l->leader.len = 0;
+  while (l->peers->len > 0)
+    drop_peer (g_ptr_array_index (l->peers, 0), "no longer this leader", now);
+}
+
+void
+kq_peer_set_agent (KqPeer *p, int agent)
+{
+  p->agent = agent;
+}
+
+int
+kq_peer_agent (const KqPeer *p)
+{
+  return p->agent;
+}
+
+size_t
+kq_link_peers (const KqLink *l)
+{
+  return l->peers->len;
+}
+
+KqLink *
+kq_link_new (const KqLinkConfig *c)
+{
+  KqLink *l;
+  struct ev_loop *ev = kq_loop_ev (c->loop);
+  int port;
+  int fd = kq_listen (c->ip, c->port, &port);
+  if (fd < 0)
+    return NULL;
+  l = kq_alloc (sizeof *l);
+  l->config = *c;
+  l->fd = fd;
+  l->port = port;
+  l->peers = g_ptr_array_new ();
+  ev_io_init (&l->acceptable, on_acceptable, fd, EV_READ);
+  ev_timer_init (&l->beat, on_beat, BEAT_S, BEAT_S);
+  ev_prepare_init (&l->before_poll, on_before_poll);
+  l->acceptable.data = l->beat.data = l->before_poll.data = l;
+  ev_io_start (ev, &l->acceptable);
+  ev_timer_start (ev, &l->beat);
+  ev_prepare_start (ev, &l->before_poll);
+  return l;
+}
+
+void
+kq_link_free (KqLink *l)
+{
+  struct ev_loop *ev;
+  if (l == NULL)
+    return;
+  ev = kq_loop_ev (l->config.loop);
+  close_up (l, "stopping");
+  for (guint i = 0; i < l->peers->len; i++)
+    {
+      KqPeer *p = g_ptr_array_index (l->peers, i);
+      kq_conn_free (p->conn);
+      kq_buf_free (&p->out);
+      free (p);
+    }
+  g_ptr_array_free (l->peers, TRUE);
+  kq_buf_free (&l->out);
+  ev_io_stop (ev, &l->acceptable);
+  ev_timer_stop (ev, &l->beat);
+  ev_prepare_stop (ev, &l->before_poll);
+  close (l->fd);
+  free (l);
+}
+
+int
+kq_link_port (const KqLink *l)
+{
+  return l->port;
+}
--- /dev/null
+++ b/src/fleet/metrics.c
@@ -0,0 +1,75 @@
+#include "fleet/metrics.h"
+
+#include "http/server.h"
+
+#include <stdlib.h>
+
+struct KqMetrics
+{
+  KqHttpServer *server;
+  void (*print) (void *arg, KqBuf *out);
+  void *arg;
+};
+
+static void
+on_begin (void *arg, KqHttpExchange *x)
+{
+  KqMetrics *m = arg;
+  KqHeader type = { KQ_STR ("Content-Type"), KQ_STR ("text/plain; version=0.0.4") };
+  KqBuf text = { 0 };
+  if (!kq_str_eq (kq_http_path (x), KQ_STR ("/metrics")))
+    {
+      kq_http_reply (x, 404, NULL, 0, KQ_STR (""));
+      return;
+    }
+  m->print (m->arg, &text);
+  kq_http_reply (x, 200, &type, 1, kq_buf_str (&text));
+  kq_buf_free (&text);
+}
+
+static void
+on_body (void *arg, KqHttpExchange *x, KqStr chunk)
+{
+  (void)arg;
+  (void)x;
+  (void)chunk;
+}
+
+static void
+on_end (void *arg, KqHttpExchange *x)
+{
+  (void)arg;
+  (void)x;
+}
+
+static void
+on_gone (void *arg, KqHttpExchange *x, bool whole)
+{
+  (void)arg;
+  (void)x;
+  (void)whole;
+}
+
+KqMetrics *
+kq_metrics_new (KqLoop *loop, const char *ip, int port,
+                void (*print) (void *arg, KqBuf *out), void *arg)
+{
+  KqMetrics *m = kq_alloc (sizeof *m);
+  KqHttpHandler h = { m, on_begin, on_body, on_end, NULL, on_gone };
+  m->print = print;
+  m->arg = arg;
+  m->server = kq_http_server_new (loop, ip, port, &h);
+  if (m->server != NULL)
+    return m;
+  free (m);
+  return NULL;
+}
+
+void
+kq_metrics_free (KqMetrics *m)
+{
+  if (m == NULL)
+    return;
+  kq_http_server_free (m->server);
+  free (m);
+}
--- /dev/null
+++ b/src/fleet/metrics.h
@@ -0,0 +1,16 @@
+#ifndef KQ_FLEET_METRICS_H
+#define KQ_FLEET_METRICS_H
+
+/* metrics: counters as text over HTTP, at /metrics. */
+
+#include "base/str.h"
+#include "base/task.h"
+
+typedef struct KqMetrics KqMetrics;
+
+/* NULL: the address can't be bound. */
+KqMetrics *kq_metrics_new (KqLoop *loop, const char *ip, int port,
+                           void (*print) (void *arg, KqBuf *out), void *arg);
+void kq_metrics_free (KqMetrics *m);
+
+#endif
--- /dev/null
+++ b/src/lead/lead.c
@@ -0,0 +1,436 @@
+#include "lead/lead.h"
+
+#include "base/log.h"
+#include "base/rand.h"
+#include "fleet/follow.h"
+#include "wire/pack.h"
+
+#include <ev.h>
+#include <stdio.h>
+
+#include <stdlib.h>
+
+#define PART "lead"
+/* Renewals for each length of the lease: two may be lost. */
+#define RENEWALS 4
+/* A renewal that failed is tried again after so long. */
+#define RETRY_MS 120
+#define TIMEOUT_MS 700
+/* Nodes that see the lead vacant try within this time of each other; the first one wins,
+ * the others' attempts are refused by the store. */
+#define SPREAD_MS 60
+#define AGAIN_MS 300
+#define WATCH_MS 1500
+
+const KqStr kq_lead_key = { "kq/lead", 7 };
+static const KqStr term_key = { "kq/term", 7 };
+
+typedef enum
+{
+  FOLLOWING, /* somebody leads, or we wait before trying */
+  READING_TERM,
+  LEASING,
+  WRITING,
+  CHECKING, /* the write had no answer: look who leads */
+  LEADING
+} Phase;
+
+struct KqLead
+{
+  KqLeadConfig config;
+  KqFollow *follow;
+  KqLeadRecord record;
+  Phase phase;
+  ev_timer timer;
+  KqRand rand;
+  bool ask;
+  bool seen; /* the key has been listed once */
+  bool renewing;
+  uint64_t lease;
+  uint64_t term_revision;
+  uint32_t term;
+  KqTime leased_at; /* when the lease was asked for */
+  KqTime valid_until;
+  KqTime write_sent;
+  uint64_t serial; /* of the attempt: answers of earlier ones are dropped */
+  uint64_t *elections;
+  uint64_t *losses;
+};
+
+typedef struct
+{
+  KqLead *lead;
+  uint64_t serial;
+} Call;
+
+static void try_now (KqLead *l);
+static void renew (KqLead *l);
+
+static KqKvCallback
+callback (KqLead *l, void (*done) (void *, const KqKvReply *, KqTime))
+{
+  Call *c = kq_alloc (sizeof *c);
+  c->lead = l;
+  c->serial = l->serial;
+  return (KqKvCallback){ done, c };
+}
+
+/* The lead that an answer is for; NULL: the attempt is over. */
+static KqLead *
+take_call (void *arg, const KqKvReply *r, KqTime now)
+{
+  Call *c = arg;
+  KqLead *l = c->serial == c->lead->serial ? c->lead : NULL;
+  if (r->result != KQ_KV_UNKNOWN && r->result != KQ_KV_REFUSED)
+    c->lead->config.answered (c->lead->config.arg, r->sent_at, now);
+  free (c);
+  return l;
+}
+
+static void
+wake_in (KqLead *l, int ms)
+{
+  struct ev_loop *ev = kq_loop_ev (l->config.loop);
+  ev_timer_stop (ev, &l->timer);
+  ev_timer_set (&l->timer, ms / 1000.0, 0);
+  ev_timer_start (ev, &l->timer);
+}
+
+static void
+on_timer (struct ev_loop *ev, ev_timer *w, int events)
+{
+  KqLead *l = w->data;
+  (void)ev;
+  (void)events;
+  if (l->phase == LEADING)
+    renew (l);
+  else if (l->record.epoch == 0 && l->ask && l->seen)
+    try_now (l);
+}
+
+static void
+try_later (KqLead *l, int ms)
+{
+  l->phase = FOLLOWING;
+  l->serial++;
+  if (l->ask)
+    wake_in (l, ms + l->config.rank_ms + (int)kq_rand_below (&l->rand, SPREAD_MS));
+}
+
+static void
+nothing (void *arg, const KqKvReply *r, KqTime now)
+{
+  take_call (arg, r, now);
+}
+
+static void
+lose (KqLead *l, const char *why, KqTime now)
+{
+  bool was = l->phase == LEADING;
+  l->valid_until = 0;
+  l->phase = FOLLOWING;
+  l->serial++;
+  l->renewing = false;
+  if (!was)
+    return;
+  ++*l->losses;
+  kq_log (KQ_LOG_WARN, PART, "No longer leading. epoch=%llu why=%s",
+          (unsigned long long)l->record.epoch, why);
+  l->record = (KqLeadRecord){ 0 };
+  l->config.lost (l->config.arg, why, now);
+}
+
+static void
+on_renewed (void *arg, const KqKvReply *r, KqTime now)
+{
+  KqLead *l = take_call (arg, r, now);
+  if (l == NULL)
+    return;
+  l->renewing = false;
+  if (r->result == KQ_KV_OK)
+    {
+      if (r->sent_at + l->config.ttl_ms * KQ_MS > l->valid_until)
+        l->valid_until = r->sent_at + l->config.ttl_ms * KQ_MS;
+      wake_in (l, (int)(l->config.ttl_ms / RENEWALS));
+    }
+  else if (r->result == KQ_KV_NOT_FOUND)
+    {
+      lose (l, "the lease has ended", now);
+      try_later (l, AGAIN_MS);
+    }
+  else
+    wake_in (l, RETRY_MS);
+}
+
+static void
+renew (KqLead *l)
+{
+  if (l->renewing)
+    return;
+  l->renewing = true;
+  kq_kv_keep (l->config.kv, l->lease, TIMEOUT_MS, callback (l, on_renewed));
+}
+
+static void
+win (KqLead *l, uint64_t epoch, KqTime now)
+{
+  l->phase = LEADING;
+  l->record.node = l->config.node;
+  l->record.address = l->config.address;
+  l->record.epoch = epoch;
+  l->valid_until = l->leased_at + l->config.ttl_ms * KQ_MS;
+  ++*l->elections;
+  kq_log (KQ_LOG_INFO, PART, "Leading. epoch=%llu term=%u lease=%llu",
+          (unsigned long long)epoch, l->term, (unsigned long long)l->lease);
+  wake_in (l, (int)(l->config.ttl_ms / RENEWALS));
+  l->config.elected (l->config.arg, epoch, l->term, now);
+}
+
+static KqBuf
+pack_record (const KqLead *l)
+{
+  KqBuf b = { 0 };
+  KqPacker p;
+  kq_packer_init (&p, &b);
+  kq_pack_array (&p, 3);
+  kq_pack_name (&p, &l->config.node);
+  kq_pack_name (&p, &l->config.address);
+  kq_pack_u64 (&p, l->lease);
+  return b;
+}
+
+static bool
+read_record (KqStr value, KqLeadRecord *out, uint64_t *lease)
+{
+  KqUnpacked u;
+  KqReader r;
+  bool good;
+  if (!kq_unpacked_open (&u, value, &r))
+    return false;
+  out->node = kq_read_name (&r);
+  out->address = kq_read_name (&r);
+  *lease = kq_read_u64 (&r);
+  good = !r.bad;
+  kq_unpacked_close (&u);
+  return good;
+}
+
+/* After a write without an answer: the record tells by its lease whether it is ours. */
+static void
+on_checked (void *arg, const KqKvReply *r, KqTime now)
+{
+  KqLead *l = take_call (arg, r, now);
+  KqLeadRecord found = { 0 };
+  uint64_t lease = 0;
+  if (l == NULL)
+    return;
+  if (r->result == KQ_KV_OK && r->n_items == 1
+      && read_record (r->items[0].value, &found, &lease) && lease == l->lease)
+    win (l, r->items[0].revision, now);
+  else
+    try_later (l, AGAIN_MS);
+}
+
+static void
+on_written (void *arg, const KqKvReply *r, KqTime now)
+{
+  KqLead *l = take_call (arg, r, now);
+  if (l == NULL)
+    return;
+  if (r->result == KQ_KV_OK)
+    win (l, r->revision, now);
+  else if (r->result == KQ_KV_UNKNOWN)
+    {
+      l->phase = CHECKING;
+      kq_kv_get (l->config.kv, kq_lead_key, TIMEOUT_MS, callback (l, on_checked));
+    }
+  else
+    try_later (l, AGAIN_MS);
+}
+
+static void
+on_leased (void *arg, const KqKvReply *r, KqTime now)
+{
+  KqLead *l = take_call (arg, r, now);
+  KqBuf record;
+  char term[16];
+  KqKvCheck checks[2];
+  KqKvPut puts[2];
+  KqKvTxn t = { checks, 2, puts, 2, NULL, 0 };
+  if (l == NULL)
+    return;
+  if (r->result != KQ_KV_OK || r->lease == 0)
+    {
+      try_later (l, AGAIN_MS);
+      return;
+    }
+  l->lease = r->lease;
+  l->leased_at = r->sent_at;
+  if (r->ttl_ms > 0)
+    l->config.ttl_ms = r->ttl_ms;
+  l->term++;
+  record = pack_record (l);
+  snprintf (term, sizeof term, "%u", l->term);
+  checks[0] = (KqKvCheck){ kq_lead_key, 0 };
+  checks[1] = (KqKvCheck){ term_key, l->term_revision };
+  puts[0] = (KqKvPut){ kq_lead_key, kq_buf_str (&record), l->lease };
+  puts[1] = (KqKvPut){ term_key, kq_str (term), 0 };
+  l->phase = WRITING;
+  kq_kv_txn (l->config.kv, &t, TIMEOUT_MS, callback (l, on_written));
+  kq_buf_free (&record);
+}
+
+static void
+on_term (void *arg, const KqKvReply *r, KqTime now)
+{
+  KqLead *l = take_call (arg, r, now);
+  int64_t n = 0;
+  if (l == NULL)
+    return;
+  if (r->result == KQ_KV_OK && r->n_items == 1 && kq_str_to_i64 (r->items[0].value, &n))
+    l->term_revision = r->items[0].revision;
+  else if (r->result == KQ_KV_NOT_FOUND)
+    l->term_revision = 0;
+  else
+    {
+      try_later (l, AGAIN_MS);
+      return;
+    }
+  l->term = (uint32_t)n;
+  l->phase = LEASING;
+  kq_kv_lease (l->config.kv, l->config.ttl_ms, TIMEOUT_MS, callback (l, on_leased));
+}
+
+static void
+try_now (KqLead *l)
+{
+  l->serial++;
+  l->phase = READING_TERM;
+  kq_kv_get (l->config.kv, term_key, TIMEOUT_MS, callback (l, on_term));
+}
+
+static void
+on_item (void *arg, const KqKvItem *i, KqTime now)
+{
+  KqLead *l = arg;
+  KqLeadRecord found = { 0 };
+  uint64_t lease = 0;
+  if (!kq_str_eq (i->key, kq_lead_key))
+    return;
+  if (!read_record (i->value, &found, &lease))
+    {
+      kq_log (KQ_LOG_ERROR, PART, "The leader's record can't be read. revision=%llu",
+              (unsigned long long)i->revision);
+      return;
+    }
+  found.epoch = i->revision;
+  if (l->phase == WRITING && lease == l->lease)
+    return; /* the answer to our write is on its way */
+  if (l->phase == LEADING && i->revision <= l->record.epoch)
+    return;
+  lose (l, "another node leads", now);
+  l->record = found;
+  kq_log (KQ_LOG_INFO, PART, "Leader. node=%.*s address=%.*s epoch=%llu",
+          KQ_STR_ARG (kq_name_str (&found.node)),
+          KQ_STR_ARG (kq_name_str (&found.address)), (unsigned long long)found.epoch);
+  l->config.changed (l->config.arg, &l->record, now);
+}
+
+static void
+on_gone (void *arg, KqStr key, KqTime now)
+{
+  KqLead *l = arg;
+  if (!kq_str_eq (key, kq_lead_key))
+    return;
+  kq_log (KQ_LOG_INFO, PART, "The lead is vacant. last_epoch=%llu",
+          (unsigned long long)l->record.epoch);
+  /* The store may have taken our key away although our lease lives. */
+  if (l->phase == LEADING)
+    lose (l, "the key is gone", now);
+  l->record = (KqLeadRecord){ 0 };
+  l->config.changed (l->config.arg, &l->record, now);
+  if (l->phase == FOLLOWING)
+    try_later (l, 0);
+}
+
+static void
+on_synced (void *arg, KqTime now)
+{
+  KqLead *l = arg;
+  (void)now;
+  l->seen = true;
+  if (l->record.epoch == 0 && l->phase == FOLLOWING)
+    try_later (l, 0);
+}
+
+static void
+on_answered (void *arg, KqTime sent_at, KqTime now)
+{
+  KqLead *l = arg;
+  l->config.answered (l->config.arg, sent_at, now);
+}
+
+KqLead *
+kq_lead_new (const KqLeadConfig *c)
+{
+  KqLead *l = kq_alloc (sizeof *l);
+  KqFollowOwner owner = { l, on_item, on_gone, on_synced, on_answered };
+  l->config = *c;
+  l->ask = true;
+  l->rand = kq_rand (kq_rand_system ());
+  l->elections = kq_counter (c->counters, "kq_lead_elected_total", "",
+                             "Times that this node became leader.");
+  l->losses = kq_counter (c->counters, "kq_lead_lost_total", "",
+                          "Times that this node stopped leading.");
+  ev_timer_init (&l->timer, on_timer, 0, 0);
+  l->timer.data = l;
+  l->follow = kq_follow_new (c->loop, c->kv, kq_lead_key, WATCH_MS, 0, &owner);
+  return l;
+}
+
+void
+kq_lead_free (KqLead *l)
+{
+  if (l == NULL)
+    return;
+  ev_timer_stop (kq_loop_ev (l->config.loop), &l->timer);
+  kq_follow_free (l->follow);
+  free (l);
+}
+
+KqTime
+kq_lead_valid_until (const KqLead *l)
+{
+  return l->phase == LEADING ? l->valid_until : 0;
+}
+
+bool
+kq_lead_is_us (const KqLead *l)
+{
+  return l->phase == LEADING;
+}
+
+const KqLeadRecord *
+kq_lead_record (const KqLead *l)
+{
+  return &l->record;
+}
+
+void
+kq_lead_resign (KqLead *l, const char *why, bool ask, KqTime now)
+{
+  uint64_t lease = l->lease;
+  bool was = l->phase == LEADING;
+  l->ask = ask;
+  lose (l, why, now);
+  if (was)
+    kq_kv_lease_end (l->config.kv, lease, TIMEOUT_MS, callback (l, nothing));
+  if (was && ask)
+    try_later (l, AGAIN_MS);
+}
+
+void
+kq_lead_set_rank (KqLead *l, int rank_ms)
+{
+  l->config.rank_ms = rank_ms;
+}
--- a/src/node/node_task.c
+++ b/src/node/node_task.c
@@ -379,6 +379,8 @@
                                                                     : n->peers.gateway,
                from, m);
       break;
+    case KQ_MSG_CREW: /* travels on connections of its own (fleet/link.h) */
+      break;
     case KQ_MSG_QUERY:
       take_query (n, from, m, now);
       break;
--- /dev/null
+++ b/src/port/front.h
@@ -0,0 +1,69 @@
+#ifndef KQ_PORT_FRONT_H
+#define KQ_PORT_FRONT_H
+
+/* front: the port to client accounts: what they ask about jobs of steps, and the answers.
+ */
+
+#include "base/task.h"
+#include "steps/spec.h"
+
+typedef struct KqAsk KqAsk; /* one request that awaits its answer */
+
+typedef enum
+{
+  KQ_FRONT_SUBMIT,
+  KQ_FRONT_READ, /* a job's state, or with the queue's own path what waits in it */
+  KQ_FRONT_CANCEL
+} KqFrontKind;
+
+typedef struct
+{
+  KqFrontKind kind;
+  KqStr host;
+  KqStr path;
+  KqSpec *spec; /* SUBMIT: steps, text and times are filled in; NULL: not readable */
+  int64_t deadline_ms; /* how long the client waits for the answer */
+} KqFrontRequest;
+
+typedef enum
+{
+  KQ_REPLY_DONE, /* accepted, or cancelled */
+  KQ_REPLY_STATE,
+  KQ_REPLY_WAITING,
+  KQ_REPLY_NO_JOB,
+  KQ_REPLY_NO_QUEUE,
+  KQ_REPLY_REFUSED, /* not done and never will be: the client may come back later */
+  KQ_REPLY_BAD,
+  KQ_REPLY_TOO_LARGE,
+  KQ_REPLY_UNKNOWN /* it may have been done: the client should ask again at once */
+} KqReplyKind;
+
+typedef struct
+{
+  KqReplyKind kind;
+  int state;        /* KqJobState */
+  int64_t waiting;  /* jobs */
+  int64_t retry_ms; /* REFUSED: when to come back */
+  const char *why;  /* REFUSED, BAD: a few words; NULL: none */
+} KqFrontReply;
+
+/* Answers; the ask is gone afterwards. The client may have left: then nothing is sent. */
+void kq_ask_reply (KqAsk *a, const KqFrontReply *r);
+
+typedef struct
+{
+  void *arg;
+  /* Every request gets one kq_ask_reply, at once or later. */
+  void (*request) (void *arg, KqAsk *a, const KqFrontRequest *r, KqTime now);
+  bool (*ready) (void *arg, KqTime now);
+  bool (*leaving) (void *arg); /* connections are to be closed after their answers */
+  int64_t (*body_max) (void *arg);
+} KqFrontOwner;
+
+typedef struct KqFront KqFront;
+/* Listens at both "ip:port" addresses; NULL when one can't be bound. */
+KqFront *kq_front_new (KqLoop *loop, KqStr front, KqStr ready, const KqFrontOwner *owner);
+void kq_front_free (KqFront *f);
+size_t kq_front_open (const KqFront *f); /* requests without an answer */
+
+#endif
--- /dev/null
+++ b/src/sched/agents.c
@@ -0,0 +1,84 @@
+#include "sched/agents.h"
+
+#include <string.h>
+
+/* A runner of another failure domain counts so much more, in thousandths: a call crosses
+ * domains either way, from the leader or from the agent, so nearness is worth little. */
+#define FAR_MILLI 1150
+/* A host is relieved when it carries this much over its part, in percent; less would move
+ * runners back and forth when hosts come and go. */
+#define OVERFULL_PERCENT 150
+
+int
+kq_agents_up (KqAgents *a, const KqAgentInfo *info)
+{
+  int at = -1;
+  for (int i = 0; i < a->n; i++)
+    if (!a->list[i].up && a->list[i].runners == 0)
+      at = i;
+  if (at < 0 && a->n == KQ_AGENTS_MAX)
+    return -1;
+  if (at < 0)
+    at = a->n++;
+  memset (&a->list[at], 0, sizeof a->list[at]);
+  a->list[at].info = *info;
+  a->list[at].up = true;
+  return at;
+}
+
+void
+kq_agents_down (KqAgents *a, int agent)
+{
+  a->list[agent].up = false;
+}
+
+static int
+usable (const KqAgents *a, bool leader_too)
+{
+  int n = 0;
+  for (int i = 0; i < a->n; i++)
+    n += a->list[i].up && (leader_too || !a->list[i].info.leader);
+  return n;
+}
+
+int
+kq_agents_pick (const KqAgents *a, KqStr failure_domain)
+{
+  bool leader_too = usable (a, false) == 0;
+  int best = -1;
+  int64_t best_load = 0;
+  for (int i = 0; i < a->n; i++)
+    {
+      const KqAgentState *g = &a->list[i];
+      int64_t share = g->info.share_milli > 0 ? g->info.share_milli : 1;
+      int64_t load;
+      if (!g->up || (g->info.leader && !leader_too))
+        continue;
+      load = (int64_t)(g->runners + 1) * 1000 * 1000 / share;
+      if (!kq_str_eq (kq_name_str (&g->info.failure_domain), failure_domain))
+        load = load * FAR_MILLI / 1000;
+      if (best < 0 || load < best_load)
+        {
+          best = i;
+          best_load = load;
+        }
+    }
+  return best;
+}
+
+bool
+kq_agents_overfull (const KqAgents *a, int agent, int total)
+{
+  const KqAgentState *g = &a->list[agent];
+  bool leader_too = usable (a, false) == 0;
+  int64_t shares = 0;
+  if (g->info.leader && !leader_too)
+    return g->runners > 0;
+  for (int i = 0; i < a->n; i++)
+    if (a->list[i].up && (leader_too || !a->list[i].info.leader))
+      shares += a->list[i].info.share_milli;
+  if (shares == 0)
+    return false;
+  return (int64_t)g->runners * shares * 100
+         > ((int64_t)total * g->info.share_milli + shares) * OVERFULL_PERCENT;
+}
--- /dev/null
+++ b/src/sched/book.c
@@ -0,0 +1,299 @@
+/* book: jobs, their occurrences, steps and tasks, and what ends and failures change. */
+
+#include "sched/state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+KqJob *
+kq_book_find (const KqSched *s, KqStr id)
+{
+  char key[KQ_SPEC_ID_MAX + 1];
+  if (id.len > KQ_SPEC_ID_MAX)
+    return NULL;
+  memcpy (key, id.ptr, id.len);
+  key[id.len] = '\0';
+  return g_hash_table_lookup (s->jobs, key);
+}
+
+bool
+kq_book_task (const KqSched *s, KqStr name, KqTaskRef *out)
+{
+  KqStr rest = name;
+  KqStr id = kq_str_cut (&rest, '.');
+  int64_t n[3] = { -1, -1, -1 };
+  for (int i = 0; i < 3; i++)
+    if (!kq_str_to_i64 (kq_str_cut (&rest, '.'), &n[i]) || n[i] < 0)
+      return false;
+  *out = (KqTaskRef){ 0 };
+  out->job = kq_book_find (s, id);
+  if (out->job == NULL || n[1] >= out->job->spec.n_steps
+      || n[2] >= out->job->spec.steps[n[1]].width)
+    return false;
+  out->occurrence_number = (int32_t)n[0];
+  out->step = (int32_t)n[1];
+  out->index = (int32_t)n[2];
+  for (KqOccurrence *o = out->job->occurrences; o != NULL; o = o->next)
+    if (o->number == n[0])
+      out->occurrence = o;
+  return true;
+}
+
+void
+kq_book_task_name (const KqRun *r, char out[96])
+{
+  snprintf (out, 96, "%.*s.%d.%d.%d", KQ_STR_ARG (r->job->spec.id), r->occurrence_number,
+            r->step, r->index);
+}
+
+KqTaskState *
+kq_book_state (const KqRun *r)
+{
+  return r->occurrence == NULL ? NULL : &r->occurrence->steps[r->step].tasks[r->index];
+}
+
+/* The longest chain of what isn't done yet. */
+static int64_t
+chain_left (const KqOccurrence *o)
+{
+  const KqSpec *spec = &o->job->spec;
+  int64_t ends[KQ_SPEC_STEPS_MAX];
+  int64_t longest = 0;
+  for (int32_t i = 0; i < spec->n_steps; i++)
+    {
+      const KqStep *p = &spec->steps[i];
+      int64_t begin = 0;
+      for (int32_t k = 0; k < p->n_after; k++)
+        if (ends[p->after[k]] > begin)
+          begin = ends[p->after[k]];
+      ends[i] = o->steps[i].done == p->width ? 0 : begin + p->estimate_ms;
+      if (ends[i] > longest)
+        longest = ends[i];
+    }
+  return longest;
+}
+
+void
+kq_book_open_steps (KqOccurrence *o)
+{
+  const KqSpec *spec = &o->job->spec;
+  for (int32_t i = 0; i < spec->n_steps; i++)
+    {
+      const KqStep *p = &spec->steps[i];
+      bool open = true;
+      for (int32_t k = 0; k < p->n_after; k++)
+        open = open && o->steps[p->after[k]].done == spec->steps[p->after[k]].width;
+      o->steps[i].open = open;
+    }
+  o->chain_left_ms = chain_left (o);
+}
+
+KqOccurrence *
+kq_book_add_occurrence (KqJob *j, int32_t number, KqTime due_at)
+{
+  KqOccurrence *o = kq_alloc (sizeof *o);
+  o->job = j;
+  o->number = number;
+  o->due_at = due_at;
+  o->steps = kq_alloc ((size_t)j->spec.n_steps * sizeof *o->steps);
+  for (int32_t i = 0; i < j->spec.n_steps; i++)
+    o->steps[i].tasks
+        = kq_alloc ((size_t)j->spec.steps[i].width * sizeof *o->steps[i].tasks);
+  o->next = j->occurrences;
+  j->occurrences = o;
+  kq_book_open_steps (o);
+  return o;
+}
+
+static void
+free_occurrence (KqOccurrence *o)
+{
+  for (int32_t i = 0; i < o->job->spec.n_steps; i++)
+    {
+      for (int32_t k = 0; k < o->job->spec.steps[i].width; k++)
+        free (o->steps[i].tasks[k].checkpoint);
+      free (o->steps[i].tasks);
+    }
+  free (o->steps);
+  free (o);
+}
+
+/* Runs still alive at runners outlive the tasks they were started for. */
+static void
+detach_runs (KqSched *s, const KqOccurrence *o)
+{
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      for (KqRun *run = r->runs; run != NULL; run = run->next)
+        if (run->occurrence == o)
+          run->occurrence = NULL;
+    }
+}
+
+static void
+drop_occurrence (KqSched *s, KqOccurrence *o)
+{
+  KqOccurrence **at = &o->job->occurrences;
+  while (*at != o)
+    at = &(*at)->next;
+  *at = o->next;
+  if (o->job->runs > 0)
+    detach_runs (s, o);
+  free_occurrence (o);
+}
+
+void
+kq_book_job_free (KqJob *j)
+{
+  while (j->occurrences != NULL)
+    {
+      KqOccurrence *o = j->occurrences;
+      j->occurrences = o->next;
+      free_occurrence (o);
+    }
+  kq_spec_clear (&j->spec);
+  kq_buf_free (&j->stored);
+  kq_buf_free (&j->batch);
+  free (j);
+}
+
+/* Progress waits a little to be stored with that of others; the end of a job doesn't, as
+ * its client account is told only then. */
+#define STORE_GAP (250 * KQ_MS)
+#define STORE_GAP_URGENT (15 * KQ_MS)
+
+void
+kq_book_dirty (KqSched *s, KqJob *j, KqTime now, bool urgent)
+{
+  KqTime due = s->stored_at + (urgent ? STORE_GAP_URGENT : STORE_GAP);
+  j->dirty = true;
+  if (due < now)
+    due = now;
+  if (due < s->store_due)
+    s->store_due = due;
+}
+
+void
+kq_book_end_job (KqSched *s, KqJob *j, KqJobState state, KqTime now)
+{
+  if (j->state >= KQ_JOB_COMPLETED)
+    return;
+  j->state = state;
+  j->ended_at = now;
+  kq_log (KQ_LOG_INFO, PART, "Job ended. job=%.*s state=%s age_ms=%lld runs_left=%d",
+          KQ_STR_ARG (j->spec.id), kq_job_state_name (state),
+          (long long)((now - j->accepted_at) / KQ_MS), j->runs);
+  if (j->runs > 0)
+    kq_run_cancel_all (s, j, now);
+  while (j->occurrences != NULL)
+    drop_occurrence (s, j->occurrences);
+  kq_book_dirty (s, j, now, true);
+}
+
+static void
+occurrence_over (KqSched *s, KqOccurrence *o, KqTime now)
+{
+  KqJob *j = o->job;
+  drop_occurrence (s, o);
+  j->finished++;
+  kq_book_dirty (s, j, now, false);
+  if (j->finished == kq_spec_occurrences (&j->spec))
+    kq_book_end_job (s, j, KQ_JOB_COMPLETED, now);
+}
+
+void
+kq_book_task_done (KqSched *s, KqOccurrence *o, int32_t step, int32_t index, KqTime now)
+{
+  KqStepState *p = &o->steps[step];
+  KqTaskState *t = &p->tasks[index];
+  if (t->phase == KQ_TASK_DONE)
+    return;
+  if (t->phase == KQ_TASK_ACTIVE)
+    p->active--;
+  t->phase = KQ_TASK_DONE;
+  t->run = NULL;
+  free (t->checkpoint);
+  t->checkpoint = NULL;
+  p->done++;
+  kq_book_dirty (s, o->job, now, false);
+  if (p->done < o->job->spec.steps[step].width)
+    return;
+  o->steps_done++;
+  s->work = true;
+  if (o->steps_done == o->job->spec.n_steps)
+    occurrence_over (s, o, now);
+  else
+    kq_book_open_steps (o);
+}
+
+void
+kq_book_task_failed (KqSched *s, KqOccurrence *o, int32_t step, int32_t index,
+                     uint32_t run, KqRunnerState *where, KqTime now)
+{
+  KqTaskState *t = &o->steps[step].tasks[index];
+  const KqSpec *spec = &o->job->spec;
+  if (t->phase == KQ_TASK_DONE || run <= t->failed_run)
+    return;
+  t->failed_run = run;
+  t->avoid = where;
+  if (spec->steps[step].lasting)
+    return;
+  t->failures++;
+  kq_book_dirty (s, o->job, now, false);
+  kq_log (KQ_LOG_INFO, PART,
+          "Task failed. task=%.*s.%d.%d.%d run=%u runner=%s failures=%d attempts=%d",
+          KQ_STR_ARG (spec->id), o->number, step, index, run,
+          where != NULL ? where->id : "-", t->failures, spec->attempts);
+  if (t->failures >= (spec->attempts > 0 ? spec->attempts : 1))
+    kq_book_end_job (s, o->job, KQ_JOB_FAILED, now);
+}
+
+/* A host's clock may be ahead of the others'; a task that begins before its time is a
+ * fault, one that begins a tenth of a second after it isn't noticed. */
+#define OCCURRENCE_DELAY_MS 100
+
+void
+kq_book_due (KqSched *s, KqJob *j, KqTime now)
+{
+  int64_t wall = s->wall_minus_now_ms + now / KQ_MS;
+  while (j->created < kq_spec_occurrences (&j->spec) && j->state < KQ_JOB_COMPLETED)
+    {
+      int64_t due = j->spec.first_ms + j->created * j->spec.interval_ms;
+      KqTime at = j->accepted_at;
+      if (j->spec.times > 0)
+        {
+          if (wall < due + OCCURRENCE_DELAY_MS)
+            return;
+          at = now - (wall - due) * KQ_MS;
+        }
+      kq_book_add_occurrence (j, j->created, at);
+      j->created++;
+      s->work = true;
+    }
+}
+
+static void
+unlink_open (KqSched *s, KqJob *j)
+{
+  if (j->prev == NULL && s->open != j)
+    return;
+  if (j->prev != NULL)
+    j->prev->next = j->next;
+  else
+    s->open = j->next;
+  if (j->next != NULL)
+    j->next->prev = j->prev;
+  j->next = j->prev = NULL;
+}
+
+void
+kq_book_forget (KqSched *s, KqJob *j)
+{
+  char id[KQ_SPEC_ID_MAX + 1];
+  memcpy (id, j->spec.id.ptr, j->spec.id.len);
+  id[j->spec.id.len] = '\0';
+  unlink_open (s, j);
+  g_hash_table_remove (s->jobs, id);
+}
--- /dev/null
+++ b/src/sched/explain.c
@@ -0,0 +1,41 @@
+/* explain: what a job waits for, in lines for operators. */
+
+#include "sched/state.h"
+
+static void
+explain_step (const KqSched *s, const KqOccurrence *o, int32_t step, KqBuf *out)
+{
+  const KqStep *p = &o->job->spec.steps[step];
+  const KqStepState *st = &o->steps[step];
+  kq_buf_printf (out, "occurrence %d step %d: %d of %d done, %d running", o->number, step,
+                 st->done, p->width, st->active);
+  if (!st->open)
+    kq_buf_printf (out, ", waits for earlier steps");
+  else if (st->done + st->active < p->width && !s->settled
+           && o->job->revision < s->config.epoch)
+    kq_buf_printf (out, ", waits until all runners have told what runs");
+  else if (st->done + st->active < p->width && !kq_place_ever (s, &o->job->spec, step))
+    kq_buf_printf (out, ", no runner is large enough");
+  else if (st->done + st->active < p->width)
+    kq_buf_printf (out, ", waits for room: %d milli cpu, %d MB", p->cpu_milli, p->mem_mb);
+  kq_buf_printf (out, "\n");
+}
+
+void
+kq_sched_explain (const KqSched *s, KqStr id, KqTime now, KqBuf *out)
+{
+  const KqJob *j = kq_book_find (s, id);
+  if (j == NULL)
+    {
+      kq_buf_printf (out, "job %.*s: unknown\n", KQ_STR_ARG (id));
+      return;
+    }
+  kq_buf_printf (out,
+                 "job %.*s: %s, queue %.*s, age %lld ms, objective %lld ms, runs %d\n",
+                 KQ_STR_ARG (id), kq_job_state_name (j->state),
+                 KQ_STR_ARG (j->spec.queue), (long long)((now - j->accepted_at) / KQ_MS),
+                 (long long)kq_spec_objective_ms (&j->spec), j->runs);
+  for (const KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
+    for (int32_t i = 0; i < j->spec.n_steps; i++)
+      explain_step (s, o, i, out);
+}
--- /dev/null
+++ b/src/sched/lists.c
@@ -0,0 +1,316 @@
+/* lists: what a runner says about its runs and their ends, and how orders to it ended. */
+
+#include "sched/state.h"
+
+#include <string.h>
+
+static KqRun *
+find_run (KqRunnerState *r, const KqTaskRef *t, uint32_t number)
+{
+  for (KqRun *run = r->runs; run != NULL; run = run->next)
+    if (run->number == number && run->job == t->job && run->step == t->step
+        && run->index == t->index && run->occurrence_number == t->occurrence_number)
+      return run;
+  return NULL;
+}
+
+/* A run that we didn't know: of an earlier leader, or of a late order. The task takes it
+ * as its own if it has none; otherwise it is stopped. */
+static KqRun *
+adopt (KqSched *s, KqRunnerState *r, const KqTaskRef *t, uint32_t number, KqTime now)
+{
+  KqOccurrence *o = t->occurrence;
+  KqTaskState *state = o != NULL ? &o->steps[t->step].tasks[t->index] : NULL;
+  bool wanted = state != NULL && state->phase == KQ_TASK_WAITING && !t->job->cancelled
+                && number > state->failed_run;
+  KqRun *run
+      = kq_run_new (s, t->job, wanted ? o : NULL, t->step, t->index, r, number, now);
+  run->occurrence_number = t->occurrence_number;
+  run->phase = KQ_RUN_RUNNING;
+  run->running_at = now;
+  if (wanted)
+    t->job->begun = true;
+  if (state != NULL && number > state->last_run)
+    state->last_run = number;
+  if (!wanted)
+    kq_run_stop (s, run, "not wanted", now);
+  return run;
+}
+
+static void
+take_row (KqSched *s, KqRunnerState *r, const KqRunRow *row, uint64_t order, KqTime now)
+{
+  KqTaskRef t;
+  KqRun *run;
+  if (!kq_book_task (s, row->task, &t))
+    {
+      KqOrder o = { .kind = KQ_ORDER_STOP, .runner = kq_str (r->id) };
+      kq_log (KQ_LOG_WARN, PART,
+              "Stopping a run of an unknown job. task=%.*s run=%u runner=%s",
+              KQ_STR_ARG (row->task), row->run, r->id);
+      r->foreign = true;
+      o.u.stop.task = row->task;
+      o.u.stop.run = row->run;
+      s->config.order (s->config.arg, r->agent, &o);
+      return;
+    }
+  run = find_run (r, &t, row->run);
+  if (run == NULL)
+    run = adopt (s, r, &t, row->run, now);
+  run->marked = true;
+  run->unsure = false;
+  run->confirmed = order + 1;
+  if (run->phase == KQ_RUN_SENDING)
+    {
+      run->phase = KQ_RUN_RUNNING;
+      run->running_at = now;
+    }
+  if (row->percent != run->percent)
+    run->moved_at = now;
+  run->percent = row->percent;
+  run->load = row->load;
+  if (row->percent >= 100)
+    run->at_work = true;
+  kq_run_set_checkpoint (run, row->checkpoint);
+}
+
+static void
+learn_speed (KqSched *s, KqRunnerState *r, const KqRun *run, KqTime now)
+{
+  const KqStep *p = kq_run_step (run);
+  double took = (double)(now - run->running_at) / KQ_MS;
+  double ratio;
+  if (p->estimate_ms <= 0 || p->filling || run->running_at == 0)
+    return;
+  ratio = took / p->estimate_ms;
+  r->slowness += 0.3 * (ratio - r->slowness);
+  s->slowness_mean += 0.01 * (ratio - s->slowness_mean);
+}
+
+/* A gang ends as one. */
+static void
+gang_done (KqSched *s, KqOccurrence *o, int32_t step, KqTime now)
+{
+  int32_t width = o->job->spec.steps[step].width;
+  KqJob *j = o->job;
+  for (int32_t i = 0; i < width && j->state < KQ_JOB_COMPLETED; i++)
+    {
+      KqTaskState *t = &o->steps[step].tasks[i];
+      bool last = o->steps[step].done == width - 1;
+      if (t->phase == KQ_TASK_ACTIVE)
+        t->run->occurrence = NULL;
+      if (t->phase != KQ_TASK_DONE)
+        kq_book_task_done (s, o, step, i, now);
+      if (last)
+        return; /* the occurrence may be gone */
+    }
+}
+
+static void
+end_done (KqSched *s, KqRunnerState *r, const KqTaskRef *t, KqRun *run, KqTime now)
+{
+  KqOccurrence *o = t->occurrence;
+  KqTaskState *state;
+  kq_runners_score (r, true, now);
+  if (run != NULL)
+    learn_speed (s, r, run, now);
+  if (o == NULL)
+    return;
+  if (t->job->spec.steps[t->step].lasting)
+    return;
+  state = &o->steps[t->step].tasks[t->index];
+  if (state->phase == KQ_TASK_ACTIVE && state->run != run)
+    {
+      KqRun *other = state->run;
+      kq_run_stop (s, other, "done elsewhere", now);
+      other->occurrence = NULL;
+    }
+  else if (run != NULL)
+    run->occurrence = NULL;
+  if (t->job->spec.steps[t->step].gang)
+    gang_done (s, o, t->step, now);
+  else
+    kq_book_task_done (s, o, t->step, t->index, now);
+}
+
+static void
+take_end (KqSched *s, KqRunnerState *r, const KqEndRow *e, KqTime now)
+{
+  KqTaskRef t;
+  KqRun *run;
+  bool ours;
+  ++*s->ends[e->how];
+  if (!kq_book_task (s, e->task, &t))
+    return;
+  run = find_run (r, &t, e->run);
+  ours = run != NULL && run->occurrence != NULL;
+  kq_log (KQ_LOG_DEBUG, PART, "Run ended. task=%.*s run=%u runner=%s how=%d n=%llu",
+          KQ_STR_ARG (e->task), e->run, r->id, e->how, (unsigned long long)e->number);
+  if (run != NULL)
+    kq_run_set_checkpoint (run, e->checkpoint);
+  if (e->how == KQ_END_DONE)
+    end_done (s, r, &t, run, now);
+  /* The run goes first, so that a failure that ends the job doesn't stop it. */
+  if (run != NULL)
+    kq_run_over (s, run, now);
+  if (e->how != KQ_END_FAILED)
+    return;
+  if (ours || t.occurrence != NULL)
+    kq_runners_score (r, false, now);
+  if (t.occurrence != NULL)
+    kq_book_task_failed (s, t.occurrence, t.step, t.index, e->run, r, now);
+}
+
+/* What the runner has confirmed before, and now neither lists as running nor as ended, is
+ * over; so is a run whose stop it has answered and that it doesn't list. */
+static void
+drop_unlisted (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now)
+{
+  KqRun *next;
+  for (KqRun *run = r->runs; run != NULL; run = next)
+    {
+      next = run->next;
+      if (run->marked || run->confirmed == 0 || run->confirmed > order + 1 || run->unsure)
+        continue;
+      if (run->phase == KQ_RUN_RUNNING)
+        {
+          char name[96];
+          kq_book_task_name (run, name);
+          kq_log (KQ_LOG_WARN, PART,
+                  "Run has vanished from its runner's list. task=%s run=%u runner=%s",
+                  name, run->number, r->id);
+          ++*s->runs_lost;
+        }
+      kq_run_over (s, run, now);
+    }
+}
+
+void
+kq_sched_list (KqSched *s, int agent, KqStr runner, const KqRunnerList *l, KqTime now)
+{
+  KqRunnerState *r = kq_runners_find (s, runner);
+  KqTime lease = now + l->lease_left_ms * KQ_MS;
+  if (r == NULL || r->agent != agent)
+    return;
+  if (l->born_ms != 0 && r->born_ms != 0 && l->born_ms != r->born_ms)
+    {
+      kq_runners_lost (s, r, "runner started anew", now);
+      r->ends_seen = r->ends_stored = r->ends_batch = 0;
+      r->fails = r->dones = 0;
+      r->suspect_until = 0;
+    }
+  if (l->born_ms != 0)
+    r->born_ms = l->born_ms;
+  if (r->silent)
+    kq_log (KQ_LOG_INFO, PART, "Runner answers again. runner=%s", r->id);
+  r->listed = true;
+  r->silent = false;
+  r->heard_at = now;
+  if (lease > r->lease_ends)
+    r->lease_ends = lease;
+  for (size_t i = 0; i < l->n_ended; i++)
+    if (l->ended[i].number > r->ends_seen)
+      {
+        r->ends_seen = l->ended[i].number;
+        s->ends_dirty = true;
+        take_end (s, r, &l->ended[i], now);
+      }
+  r->foreign = false;
+  for (KqRun *run = r->runs; run != NULL; run = run->next)
+    run->marked = false;
+  for (size_t i = 0; i < l->n_running; i++)
+    take_row (s, r, &l->running[i], l->order, now);
+  if (!l->ended_cut)
+    drop_unlisted (s, r, l->order, now);
+  if (r->n_serving > 0)
+    kq_pace_runner (s, r, now);
+  s->work = true;
+}
+
+static void
+start_refused (KqSched *s, KqRun *run, KqOrderResult result, KqTime now)
+{
+  KqRunnerState *r = run->runner;
+  KqTaskState *t = kq_book_state (run);
+  if (t != NULL)
+    t->avoid = r;
+  if (result == KQ_ORDER_UNHEALTHY)
+    kq_runners_score (r, false, now);
+  if (result == KQ_ORDER_NO_ROOM)
+    ++*s->no_room;
+  /* An earlier sending of it may still be under way: only a stop rules that out. */
+  if (run->unsure)
+    kq_run_stop (s, run, "refused", now);
+  else
+    kq_run_over (s, run, now);
+}
+
+static void
+start_ended (KqSched *s, KqRun *run, const KqOrderOutcome *o, KqTime now)
+{
+  switch (o->result)
+    {
+    case KQ_ORDER_OK:
+      run->unsure = false;
+      run->confirmed = o->order + 1;
+      if (run->phase == KQ_RUN_SENDING)
+        {
+          run->phase = KQ_RUN_RUNNING;
+          run->running_at = run->moved_at = now;
+        }
+      break;
+    case KQ_ORDER_UNKNOWN:
+    case KQ_ORDER_LATE:
+      run->unsure = true;
+      break; /* sent again by kq_watch_progress */
+    case KQ_ORDER_OLD_RUN:
+      /* It has been there and has ended: the end is listed, or the run was stopped. */
+      run->unsure = false;
+      run->confirmed = o->order + 1;
+      break;
+    case KQ_ORDER_FENCED:
+    case KQ_ORDER_NO_ROOM:
+    case KQ_ORDER_NO_TICKET:
+    case KQ_ORDER_UNHEALTHY:
+    case KQ_ORDER_OTHER_LIFE:
+    case KQ_ORDER_BAD:
+      start_refused (s, run, o->result, now);
+      break;
+    }
+}
+
+static void
+stop_ended (KqRun *run, const KqOrderOutcome *o)
+{
+  if (o->result == KQ_ORDER_OK || o->result == KQ_ORDER_OLD_RUN)
+    {
+      run->unsure = false;
+      run->confirmed = o->order + 1;
+    }
+}
+
+void
+kq_sched_outcome (KqSched *s, int agent, KqStr runner, const KqOrderOutcome *o,
+                  KqTime now)
+{
+  KqRunnerState *r = kq_runners_find (s, runner);
+  KqTaskRef t;
+  KqRun *run;
+  if (r == NULL || r->agent != agent || !kq_book_task (s, o->task, &t))
+    return;
+  ++*s->results[o->result];
+  if (o->result != KQ_ORDER_OK)
+    kq_log (KQ_LOG_INFO, PART,
+            "Order not carried out. task=%.*s run=%u runner=%s order=%d "
+            "result=%d",
+            KQ_STR_ARG (o->task), o->run, r->id, o->kind, o->result);
+  run = find_run (r, &t, o->run);
+  if (run == NULL || o->kind == KQ_ORDER_PACE)
+    return;
+  run->waiting = false;
+  if (o->kind == KQ_ORDER_START)
+    start_ended (s, run, o, now);
+  else
+    stop_ended (run, o);
+  s->work = true;
+}
--- /dev/null
+++ b/src/sched/pass.c
@@ -0,0 +1,231 @@
+/* pass: one placing pass over all tasks whose turn has come, in the order of their worth.
+ *
+ * Load pattern: in a burst more work waits than the runners hold. First come tasks that
+ * last, then jobs that can still meet their objective, the earliest objective first, then
+ * late ones. A job that has become late steps behind those that aren't: with the
+ * objective alone as order every job of a long burst would end just too late. */
+
+#include "sched/state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Ranks, lowest first. */
+enum
+{
+  RANK_LASTING,
+  RANK_IN_TIME,
+  RANK_LATE,    /* some worth is left up to LATE_TIMES the objective */
+  RANK_HOPELESS /* still owed, behind all others */
+};
+#define LATE_TIMES 3
+/* Run numbers of a term start here; a task isn't started so often in one term. */
+#define RUNS_PER_TERM 1000
+
+typedef struct
+{
+  KqOccurrence *occurrence;
+  int32_t step;
+  int rank;
+  KqTime due; /* the objective's time */
+} Turn;
+
+/* What found no room in this pass: a larger one needn't look. */
+typedef struct
+{
+  KqStr service;
+  int32_t cpu_milli;
+  int32_t mem_mb;
+  bool filling;
+} Misfit;
+#define MISFITS_MAX 16
+
+typedef struct
+{
+  Misfit list[MISFITS_MAX];
+  int n;
+} Misfits;
+
+static bool
+known_misfit (const Misfits *m, KqStr service, const KqStep *p)
+{
+  for (int i = 0; i < m->n; i++)
+    if (m->list[i].filling == p->filling && p->cpu_milli >= m->list[i].cpu_milli
+        && p->mem_mb >= m->list[i].mem_mb && kq_str_eq (service, m->list[i].service))
+      return true;
+  return false;
+}
+
+static void
+note_misfit (Misfits *m, KqStr service, const KqStep *p)
+{
+  /* With limits of its own it says nothing about others. */
+  if (m->n == MISFITS_MAX || p->label.len > 0 || p->per_runner_max > 0 || p->gpus > 0)
+    return;
+  m->list[m->n++] = (Misfit){ service, p->cpu_milli, p->mem_mb, p->filling };
+}
+
+static Turn
+turn_of (KqOccurrence *o, int32_t step, KqTime now)
+{
+  const KqSpec *spec = &o->job->spec;
+  KqTime objective = kq_spec_objective_ms (spec) * KQ_MS;
+  KqTime end = now + o->chain_left_ms * KQ_MS;
+  Turn t = { o, step, RANK_IN_TIME, o->due_at + objective };
+  if (spec->steps[step].lasting)
+    t.rank = RANK_LASTING;
+  else if (end > o->due_at + LATE_TIMES * objective)
+    t.rank = RANK_HOPELESS;
+  else if (end > t.due)
+    t.rank = RANK_LATE;
+  return t;
+}
+
+static void
+collect (KqSched *s, GArray *turns, KqTime now)
+{
+  for (KqJob *j = s->open; j != NULL; j = j->next)
+    {
+      if (j->state >= KQ_JOB_COMPLETED || (!s->settled && j->revision < s->config.epoch))
+        continue;
+      for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
+        for (int32_t i = 0; i < j->spec.n_steps; i++)
+          {
+            const KqStepState *st = &o->steps[i];
+            Turn t;
+            if (!st->open || st->done + st->active >= j->spec.steps[i].width)
+              continue;
+            t = turn_of (o, i, now);
+            g_array_append_val (turns, t);
+          }
+    }
+}
+
+static int
+by_turn (const void *a, const void *b)
+{
+  const Turn *x = a;
+  const Turn *y = b;
+  if (x->rank != y->rank)
+    return x->rank < y->rank ? -1 : 1;
+  if (x->due != y->due)
+    return x->due < y->due ? -1 : 1;
+  if (x->occurrence->job->revision != y->occurrence->job->revision)
+    return x->occurrence->job->revision < y->occurrence->job->revision ? -1 : 1;
+  return x->step - y->step;
+}
+
+static uint32_t
+next_run (const KqSched *s, const KqTaskState *t)
+{
+  uint32_t base = (s->config.term > 0 ? s->config.term - 1 : 0) * RUNS_PER_TERM;
+  return (t->last_run > base ? t->last_run : base) + 1;
+}
+
+static void
+start_task (KqSched *s, KqOccurrence *o, int32_t step, int32_t index, uint32_t number,
+            KqRunnerState *r, KqTime now)
+{
+  KqStepState *st = &o->steps[step];
+  KqRun *run = kq_run_new (s, o->job, o, step, index, r, number, now);
+  if (o->job->spec.steps[step].one_rack && st->rack[0] == '\0')
+    g_strlcpy (st->rack, r->rack, sizeof st->rack);
+  kq_log (KQ_LOG_DEBUG, PART,
+          "Starting a run. task=%.*s.%d.%d.%d run=%u runner=%s free_milli=%lld "
+          "heard_ms_ago=%lld",
+          KQ_STR_ARG (o->job->spec.id), o->number, step, index, number, r->id,
+          (long long)(r->room.cpu_milli - r->used.cpu_milli),
+          (long long)((now - r->heard_at) / KQ_MS));
+  o->job->begun = true;
+  if (o->job->state == KQ_JOB_WAITING)
+    o->job->state = KQ_JOB_RUNNING;
+  kq_run_send_start (s, run, now);
+}
+
+/* Whether all waiting tasks of the step found room. */
+static bool
+place_tasks (KqSched *s, KqOccurrence *o, int32_t step, KqTime now)
+{
+  const KqStep *p = &o->job->spec.steps[step];
+  for (int32_t i = 0; i < p->width; i++)
+    {
+      KqTaskState *t = &o->steps[step].tasks[i];
+      KqRunnerState *r;
+      if (t->phase != KQ_TASK_WAITING)
+        continue;
+      r = kq_place (s, o, step, i, now);
+      if (r == NULL)
+        return false;
+      start_task (s, o, step, i, next_run (s, t), r, now);
+    }
+  return true;
+}
+
+/* A gang is placed whole or not at all: members that wait for others hold their room for
+ * nothing. Placed tentatively first, so that the room of one member counts for the next.
+ */
+static bool
+place_gang (KqSched *s, KqOccurrence *o, int32_t step, KqTime now)
+{
+  const KqStep *p = &o->job->spec.steps[step];
+  KqRun **made = kq_alloc ((size_t)p->width * sizeof *made);
+  uint32_t number = 0;
+  int32_t n = 0;
+  if (o->steps[step].active > 0)
+    goto out; /* the last run's members have yet to go */
+  for (int32_t i = 0; i < p->width; i++)
+    {
+      uint32_t next = next_run (s, &o->steps[step].tasks[i]);
+      number = next > number ? next : number;
+    }
+  for (; n < p->width; n++)
+    {
+      KqRunnerState *r = kq_place (s, o, step, n, now);
+      if (r == NULL)
+        break;
+      made[n] = kq_run_new (s, o->job, o, step, n, r, number, now);
+      if (p->one_rack && o->steps[step].rack[0] == '\0')
+        g_strlcpy (o->steps[step].rack, r->rack, sizeof o->steps[step].rack);
+    }
+  for (int32_t i = 0; i < n; i++)
+    {
+      if (n == p->width)
+        kq_run_send_start (s, made[i], now);
+      else
+        kq_run_over (s, made[i], now);
+    }
+  if (n == p->width)
+    {
+      o->job->begun = true;
+      o->job->state = KQ_JOB_RUNNING;
+    }
+  else
+    o->steps[step].rack[0] = '\0';
+out:
+  free (made);
+  return n == p->width;
+}
+
+void
+kq_pass (KqSched *s, KqTime now)
+{
+  GArray *turns = g_array_new (FALSE, FALSE, sizeof (Turn));
+  Misfits misfits = { 0 };
+  collect (s, turns, now);
+  qsort (turns->data, turns->len, sizeof (Turn), by_turn);
+  for (guint i = 0; i < turns->len; i++)
+    {
+      const Turn *t = &g_array_index (turns, Turn, i);
+      const KqSpec *spec = &t->occurrence->job->spec;
+      const KqStep *p = &spec->steps[t->step];
+      bool whole;
+      if (known_misfit (&misfits, spec->service, p))
+        continue;
+      whole = p->gang ? place_gang (s, t->occurrence, t->step, now)
+                      : place_tasks (s, t->occurrence, t->step, now);
+      if (!whole && !p->gang)
+        note_misfit (&misfits, spec->service, p);
+    }
+  g_array_free (turns, TRUE);
+  s->work = false;
+}
--- /dev/null
+++ b/src/sched/place.c
@@ -0,0 +1,137 @@
+/* place: which runner a task goes to.
+ *
+ * Load pattern: tasks that serve, tasks with room of their own and tasks that fill what
+ * is left share the runners; reserved room is never exceeded (it is counted from the
+ * start order to the runner's word that the run is over). Work is spread, as a filling
+ * task takes what its neighbours leave, and the loss of a runner then costs every job a
+ * little. */
+
+#include "sched/state.h"
+
+#include <string.h>
+
+/* A filling task goes only where this share of its cpu is unused, in percent: with less
+ * it would crawl beside others that crawl too, and hold memory. */
+#define FILL_NEEDS_PERCENT 60
+/* Weights of a runner's score, in parts of its whole cpu. */
+#define W_AVOID 2.0            /* the task failed there: almost anywhere else is better */
+#define W_FAR 1.0              /* the step's data lies on another rack */
+#define W_SLOW 0.6             /* for each doubling of the time that tasks take there */
+#define W_FAILS 0.25           /* for each recent failure */
+#define W_FILL_BY_SERVING 0.35 /* filling beside serving tasks risks their latency */
+#define W_SERVE_BY_FILL 0.5    /* and the other way round */
+#define W_TENSE 1.0            /* serving tasks there are near their target already */
+#define TENSE_FOR (3 * KQ_SEC)
+
+static bool
+room_for (const KqRunnerState *r, const KqStep *p)
+{
+  if (r->used.mem_mb + p->mem_mb > r->room.mem_mb
+      || r->used.gpus + p->gpus > r->room.gpus)
+    return false;
+  if (!p->filling)
+    return r->used.cpu_milli + p->cpu_milli <= r->room.cpu_milli;
+  return r->room.cpu_milli - r->used.cpu_milli - r->filling
+         >= (int64_t)p->cpu_milli * FILL_NEEDS_PERCENT / 100;
+}
+
+/* Whether the runner could hold the task if nothing else ran there. */
+static bool
+ever_fits (const KqRunnerState *r, const KqStep *p)
+{
+  return p->mem_mb <= r->room.mem_mb && p->gpus <= r->room.gpus
+         && (p->filling || p->cpu_milli <= r->room.cpu_milli);
+}
+
+static bool
+has_label (const KqRunnerState *r, KqStr label)
+{
+  return label.len == 0 || kq_str_eq (label, kq_str (r->kind))
+         || kq_str_eq (label, kq_str (r->rack));
+}
+
+static int
+of_step (const KqRunnerState *r, const KqOccurrence *o, int32_t step)
+{
+  int n = 0;
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    n += run->job == o->job && run->step == step && run->occurrence_number == o->number;
+  return n;
+}
+
+static bool
+usable (const KqRunnerState *r, KqTime now)
+{
+  return r->in_store && r->known_stored && r->listed && !r->silent && !r->foreign
+         && !r->draining && r->agent >= 0 && now >= r->suspect_until;
+}
+
+static double
+score (const KqSched *s, const KqRunnerState *r, const KqOccurrence *o, int32_t step,
+       const KqTaskState *t, KqTime now)
+{
+  const KqStep *p = &o->job->spec.steps[step];
+  const KqStepState *st = &o->steps[step];
+  double whole = r->room.cpu_milli > 0 ? (double)r->room.cpu_milli : 1;
+  double v = (double)(r->room.cpu_milli - r->used.cpu_milli) / whole;
+  double slow = r->slowness / (s->slowness_mean > 0.1 ? s->slowness_mean : 0.1);
+  bool tense = r->n_serving > 0 && now - r->calm_since < TENSE_FOR;
+  if (p->filling)
+    {
+      v -= (double)r->filling / whole;
+      v -= r->n_serving > 0 ? W_FILL_BY_SERVING : 0;
+      v -= tense ? W_TENSE : 0;
+    }
+  else if (p->target_ms > 0)
+    v -= W_SERVE_BY_FILL * (double)r->filling / whole;
+  if (slow > 1.3)
+    v -= W_SLOW * (slow - 1);
+  v -= W_FAILS * r->fails;
+  if (t->avoid == r)
+    v -= W_AVOID;
+  if (p->rack.len > 0 && !kq_str_eq (p->rack, kq_str (r->rack)))
+    v -= W_FAR;
+  if (st->rack[0] != '\0' && strcmp (st->rack, r->rack) != 0)
+    v -= W_FAR;
+  return v;
+}
+
+KqRunnerState *
+kq_place (KqSched *s, const KqOccurrence *o, int32_t step, int32_t index, KqTime now)
+{
+  const KqStep *p = &o->job->spec.steps[step];
+  const KqTaskState *t = &o->steps[step].tasks[index];
+  KqRunnerState *best = NULL;
+  double best_score = 0;
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      double v;
+      if (!usable (r, now) || !room_for (r, p) || !has_label (r, p->label)
+          || !kq_str_eq (kq_str (r->service), o->job->spec.service))
+        continue;
+      if (p->per_runner_max > 0 && of_step (r, o, step) >= p->per_runner_max)
+        continue;
+      v = score (s, r, o, step, t, now);
+      if (best == NULL || v > best_score)
+        {
+          best = r;
+          best_score = v;
+        }
+    }
+  return best;
+}
+
+bool
+kq_place_ever (const KqSched *s, const KqSpec *spec, int32_t step)
+{
+  const KqStep *p = &spec->steps[step];
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      if (kq_str_eq (kq_str (r->service), spec->service) && ever_fits (r, p)
+          && has_label (r, p->label))
+        return true;
+    }
+  return false;
+}
--- /dev/null
+++ b/src/sched/progress.c
@@ -0,0 +1,201 @@
+/* progress: the stored form of how far a job is. It holds what no runner can tell any
+ * more once its ends have been acknowledged: tasks done, failures counted, checkpoints of
+ * tasks that wait. Where tasks run is not in it; the runners know. */
+
+#include "sched/state.h"
+
+#include "wire/pack.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FORM 1
+
+static bool
+worth_a_row (const KqTaskState *t)
+{
+  return t->phase != KQ_TASK_DONE && (t->failures > 0 || t->checkpoint != NULL);
+}
+
+static void
+pack_step (KqPacker *p, const KqStepState *st, int32_t width)
+{
+  size_t n = ((size_t)width + 7) / 8;
+  char *bits = kq_alloc (n);
+  size_t rows = 0;
+  for (int32_t i = 0; i < width; i++)
+    {
+      if (st->tasks[i].phase == KQ_TASK_DONE)
+        bits[i / 8] |= (char)(1 << (i % 8));
+      rows += worth_a_row (&st->tasks[i]);
+    }
+  kq_pack_array (p, 2);
+  kq_pack_str (p, st->done > 0 ? kq_str_n (bits, n) : KQ_STR (""));
+  kq_pack_array (p, rows);
+  for (int32_t i = 0; i < width; i++)
+    if (worth_a_row (&st->tasks[i]))
+      {
+        const KqTaskState *t = &st->tasks[i];
+        kq_pack_array (p, 4);
+        kq_pack_i64 (p, i);
+        kq_pack_i64 (p, t->failures);
+        kq_pack_u64 (p, t->failed_run);
+        kq_pack_str (p, kq_str (t->checkpoint));
+      }
+  free (bits);
+}
+
+void
+kq_progress_pack (const KqJob *j, KqBuf *out)
+{
+  KqPacker p;
+  size_t n = 0;
+  for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
+    n++;
+  kq_packer_init (&p, out);
+  kq_pack_array (&p, 5);
+  kq_pack_i64 (&p, FORM);
+  kq_pack_i64 (&p, j->state >= KQ_JOB_COMPLETED ? (int64_t)j->state : KQ_JOB_RUNNING);
+  kq_pack_i64 (&p, j->created);
+  kq_pack_i64 (&p, j->finished);
+  kq_pack_array (&p, n);
+  for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
+    {
+      kq_pack_array (&p, 2);
+      kq_pack_i64 (&p, o->number);
+      kq_pack_array (&p, (size_t)j->spec.n_steps);
+      for (int32_t i = 0; i < j->spec.n_steps; i++)
+        pack_step (&p, &o->steps[i], j->spec.steps[i].width);
+    }
+}
+
+static void
+read_task_row (KqReader *r, KqStepState *st, int32_t width)
+{
+  int64_t i = kq_read_i64 (r);
+  int64_t failures = kq_read_i64 (r);
+  uint64_t run = kq_read_u64 (r);
+  KqStr checkpoint = kq_read_str (r);
+  if (r->bad || i < 0 || i >= width)
+    return;
+  st->tasks[i].failures = (uint8_t)failures;
+  st->tasks[i].failed_run = (uint32_t)run;
+  st->tasks[i].last_run = (uint32_t)run;
+  if (checkpoint.len > 0)
+    st->tasks[i].checkpoint = kq_str_dup (checkpoint);
+}
+
+static void
+read_step (KqReader *r, KqStepState *st, int32_t width)
+{
+  KqStr bits = kq_read_str (r);
+  KqReader rows;
+  for (int32_t i = 0; i < width; i++)
+    if ((size_t)(i / 8) < bits.len && (bits.ptr[i / 8] >> (i % 8) & 1) != 0)
+      {
+        st->tasks[i].phase = KQ_TASK_DONE;
+        st->done++;
+      }
+  kq_read_array (r, &rows);
+  while (!rows.bad && rows.left > 0)
+    {
+      KqReader row;
+      kq_read_array (&rows, &row);
+      read_task_row (&row, st, width);
+      kq_read_join (&rows, &row);
+    }
+  kq_read_join (r, &rows);
+}
+
+static void
+read_occurrence (KqReader *r, KqJob *j, KqTime now, int64_t wall_ms)
+{
+  int64_t number = kq_read_i64 (r);
+  KqReader steps;
+  KqOccurrence *o;
+  KqTime due = j->accepted_at;
+  kq_read_array (r, &steps);
+  if (r->bad || steps.left != (uint32_t)j->spec.n_steps)
+    {
+      r->bad = true;
+      return;
+    }
+  if (j->spec.times > 0)
+    due = now - (wall_ms - j->spec.first_ms - number * j->spec.interval_ms) * KQ_MS;
+  o = kq_book_add_occurrence (j, (int32_t)number, due);
+  for (int32_t i = 0; i < j->spec.n_steps; i++)
+    {
+      KqReader step;
+      kq_read_array (&steps, &step);
+      read_step (&step, &o->steps[i], j->spec.steps[i].width);
+      kq_read_join (&steps, &step);
+      if (o->steps[i].done == j->spec.steps[i].width)
+        o->steps_done++;
+    }
+  kq_read_join (r, &steps);
+  kq_book_open_steps (o);
+}
+
+static bool
+started_any (const KqJob *j)
+{
+  for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
+    for (int32_t i = 0; i < j->spec.n_steps; i++)
+      {
+        if (o->steps[i].done > 0)
+          return true;
+        for (int32_t k = 0; k < j->spec.steps[i].width; k++)
+          if (worth_a_row (&o->steps[i].tasks[k]))
+            return true;
+      }
+  return j->finished > 0;
+}
+
+bool
+kq_progress_apply (KqSched *s, KqJob *j, KqStr stored, KqTime now)
+{
+  KqUnpacked u;
+  KqReader r;
+  KqReader list;
+  int64_t state;
+  if (!kq_unpacked_open (&u, stored, &r))
+    return false;
+  r.bad = kq_read_i64 (&r) != FORM || r.bad;
+  state = kq_read_i64 (&r);
+  if (!r.bad && state >= KQ_JOB_COMPLETED && state <= KQ_JOB_CANCELLED)
+    {
+      kq_book_end_job (s, j, (KqJobState)state, now);
+      j->shown = j->state;
+      j->dirty = false;
+    }
+  j->created = (int32_t)kq_read_i64 (&r);
+  j->finished = (int32_t)kq_read_i64 (&r);
+  kq_read_array (&r, &list);
+  while (!list.bad && list.left > 0)
+    {
+      KqReader one;
+      kq_read_array (&list, &one);
+      read_occurrence (&one, j, now, s->wall_minus_now_ms + now / KQ_MS);
+      kq_read_join (&list, &one);
+    }
+  kq_read_join (&r, &list);
+  j->begun = j->begun || started_any (j);
+  kq_unpacked_close (&u);
+  return !r.bad;
+}
+
+KqJobState
+kq_sched_stored_state (KqStr stored)
+{
+  KqUnpacked u;
+  KqReader r;
+  int64_t state;
+  bool good;
+  if (!kq_unpacked_open (&u, stored, &r))
+    return KQ_JOB_UNKNOWN;
+  good = kq_read_i64 (&r) == FORM;
+  state = kq_read_i64 (&r);
+  good = good && !r.bad && state >= KQ_JOB_WAITING && state < KQ_JOB_UNKNOWN;
+  kq_unpacked_close (&u);
+  return good ? (KqJobState)state : KQ_JOB_UNKNOWN;
+}
--- /dev/null
+++ b/src/sched/runners.c
@@ -0,0 +1,366 @@
+/* runners: what is known of each runner, which agent talks to it, and when the silence of
+ * one proves that nothing runs there any more. */
+
+#include "sched/state.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Beyond the computed end of a lease: timers fire late and answers travel. */
+#define LEASE_MARGIN (300 * KQ_MS)
+/* An agent that has lost its leader goes on renewing for so long (crew/agent.c). */
+#define AGENT_BLIND (4 * KQ_SEC)
+/* Runners' clocks may be this much slow, in percent. */
+#define CLOCK_SLOW_PERCENT 2
+/* Counts of done and failed tasks halve in so long: a runner that was sick a moment ago
+ * and has been mended is used again within seconds. */
+#define SCORE_HALF_LIFE (3.0 * KQ_SEC)
+/* So many failures, most of what ended there, make a runner suspect. */
+#define SUSPECT_FAILS 1.6
+#define SUSPECT_SHARE 0.5
+/* First time out of use; doubled each time it comes back sick, up to the bound. */
+#define SUSPECT_FIRST (2 * KQ_SEC)
+#define SUSPECT_LONGEST (8 * KQ_SEC)
+
+KqRunnerState *
+kq_runners_find (const KqSched *s, KqStr id)
+{
+  char key[KQ_NAME_MAX + 1];
+  if (id.len > KQ_NAME_MAX)
+    return NULL;
+  memcpy (key, id.ptr, id.len);
+  key[id.len] = '\0';
+  return g_hash_table_lookup (s->runners, key);
+}
+
+static void
+set_text (char **at, KqStr value)
+{
+  if (*at != NULL && kq_str_eq (kq_str (*at), value))
+    return;
+  free (*at);
+  *at = kq_str_dup (value);
+}
+
+void
+kq_runners_free (KqRunnerState *r)
+{
+  while (r->runs != NULL)
+    {
+      KqRun *run = r->runs;
+      r->runs = run->next;
+      free (run->checkpoint);
+      free (run);
+    }
+  free (r->id);
+  free (r->service);
+  free (r->address);
+  free (r->domain);
+  free (r->rack);
+  free (r->kind);
+  free (r);
+}
+
+/* Latest end of a lease that an agent of an earlier leader, or one that we have lost, may
+ * still grant. */
+static KqTime
+blind_lease_end (const KqSched *s, KqTime now)
+{
+  return now + AGENT_BLIND
+         + s->config.lease_ms * KQ_MS * (100 + CLOCK_SLOW_PERCENT) / 100;
+}
+
+static KqRunnerState *
+add (KqSched *s, KqStr id, KqTime now)
+{
+  KqRunnerState *r = kq_alloc (sizeof *r);
+  r->id = kq_str_dup (id);
+  set_text (&r->service, KQ_STR (""));
+  set_text (&r->address, KQ_STR (""));
+  set_text (&r->domain, KQ_STR (""));
+  set_text (&r->rack, KQ_STR (""));
+  set_text (&r->kind, KQ_STR (""));
+  r->agent = -1;
+  r->slowness = 1;
+  r->score_at = r->heard_at = now;
+  r->lease_ends = s->loaded ? now : blind_lease_end (s, now);
+  g_hash_table_insert (s->runners, r->id, r);
+  g_ptr_array_add (s->runner_list, r);
+  return r;
+}
+
+void
+kq_sched_entry (KqSched *s, const KqRunnerEntry *e, KqTime now)
+{
+  KqRunnerState *r = kq_runners_find (s, e->id);
+  bool moved;
+  if (e->id.len == 0 || e->id.len > KQ_NAME_MAX)
+    return;
+  if (r == NULL)
+    r = add (s, e->id, now);
+  moved = !kq_str_eq (kq_str (r->address), e->address);
+  if (!r->in_store || r->draining != e->draining || moved)
+    kq_log (
+        KQ_LOG_INFO, PART,
+        "Runner's entry. runner=%s address=%.*s draining=%d born_ms=%lld left_ms=%lld",
+        r->id, KQ_STR_ARG (e->address), e->draining, (long long)e->born_ms,
+        (long long)e->left_ms);
+  set_text (&r->service, e->service);
+  set_text (&r->address, e->address);
+  set_text (&r->domain, e->failure_domain);
+  set_text (&r->rack, e->rack);
+  set_text (&r->kind, e->kind);
+  r->room = e->room;
+  r->in_store = true;
+  if (e->draining && !r->draining)
+    r->drain_ends = now + e->left_ms * KQ_MS;
+  r->draining = e->draining;
+  if (!r->known_stored)
+    s->known_dirty = true;
+  if (moved && r->agent >= 0)
+    {
+      s->agents.list[r->agent].runners--;
+      r->agent = -1;
+    }
+  s->work = true;
+}
+
+void
+kq_sched_entry_gone (KqSched *s, KqStr id, KqTime now)
+{
+  KqRunnerState *r = kq_runners_find (s, id);
+  (void)now;
+  if (r == NULL || !r->in_store)
+    return;
+  kq_log (KQ_LOG_INFO, PART, "Runner's entry is gone. runner=%s runs=%d silent=%d", r->id,
+          r->n_runs, r->silent);
+  r->in_store = false;
+}
+
+void
+kq_runners_lost (KqSched *s, KqRunnerState *r, const char *why, KqTime now)
+{
+  if (r->n_runs > 0)
+    kq_log (KQ_LOG_WARN, PART, "Runs are over without a word. runner=%s runs=%d why=%s",
+            r->id, r->n_runs, why);
+  while (r->runs != NULL)
+    {
+      ++*s->runs_lost;
+      kq_run_over (s, r->runs, now);
+    }
+  r->foreign = false;
+}
+
+static void
+give_agent (KqSched *s, KqRunnerState *r, int agent)
+{
+  KqOrder o = { .kind = KQ_ORDER_TAKE, .runner = kq_str (r->id) };
+  if (r->agent >= 0)
+    {
+      KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
+      s->agents.list[r->agent].runners--;
+      if (s->agents.list[r->agent].up)
+        s->config.order (s->config.arg, r->agent, &drop);
+    }
+  r->agent = agent;
+  r->watched = false;
+  s->agents.list[agent].runners++;
+  o.u.take.address = kq_str (r->address);
+  s->config.order (s->config.arg, agent, &o);
+  /* What the earlier agent was asked is not known to the new one. */
+  for (KqRun *run = r->runs; run != NULL; run = run->next)
+    {
+      if (run->waiting)
+        run->unsure = true;
+      run->waiting = false;
+      run->confirmed = 0;
+      if (run->phase == KQ_RUN_RUNNING)
+        run->confirmed = 1;
+    }
+}
+
+void
+kq_runners_assign (KqSched *s, KqTime now)
+{
+  int total = 0;
+  (void)now;
+  if (!s->loaded)
+    return;
+  for (guint i = 0; i < s->runner_list->len; i++)
+    total += ((KqRunnerState *)g_ptr_array_index (s->runner_list, i))->address[0] != '\0';
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      int agent;
+      if (r->address[0] == '\0' || !r->known_stored)
+        continue;
+      if (r->agent >= 0 && !kq_agents_overfull (&s->agents, r->agent, total))
+        continue;
+      agent = kq_agents_pick (&s->agents, kq_str (r->domain));
+      if (agent >= 0 && agent != r->agent)
+        give_agent (s, r, agent);
+    }
+}
+
+int
+kq_sched_agent_up (KqSched *s, const KqAgentInfo *info, KqTime now)
+{
+  int n = kq_agents_up (&s->agents, info);
+  (void)now;
+  s->work = true;
+  return n;
+}
+
+void
+kq_sched_agent_down (KqSched *s, int agent, KqTime now)
+{
+  KqTime ends = blind_lease_end (s, now);
+  kq_agents_down (&s->agents, agent);
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      if (r->agent != agent)
+        continue;
+      r->agent = -1;
+      if (ends > r->lease_ends)
+        r->lease_ends = ends;
+      for (KqRun *run = r->runs; run != NULL; run = run->next)
+        {
+          if (run->waiting)
+            run->unsure = true;
+          run->waiting = false;
+        }
+    }
+  s->agents.list[agent].runners = 0;
+  s->work = true;
+}
+
+void
+kq_sched_unreached (KqSched *s, int agent, KqStr runner, int64_t lease_left_ms,
+                    KqTime now)
+{
+  KqRunnerState *r = kq_runners_find (s, runner);
+  KqTime ends = now + lease_left_ms * KQ_MS;
+  if (r == NULL || r->agent != agent)
+    return;
+  if (!r->silent)
+    kq_log (KQ_LOG_WARN, PART, "Runner is silent. runner=%s runs=%d lease_left_ms=%lld",
+            r->id, r->n_runs, (long long)lease_left_ms);
+  r->silent = true;
+  if (lease_left_ms >= 0 && ends > r->lease_ends)
+    r->lease_ends = ends;
+}
+
+void
+kq_sched_runner_over (KqSched *s, int agent, KqStr runner, KqTime now)
+{
+  KqRunnerState *r = kq_runners_find (s, runner);
+  if (r == NULL || r->agent != agent)
+    return;
+  kq_runners_lost (s, r, "another runner at its address", now);
+  r->listed = false;
+  r->silent = true;
+  r->lease_ends = now;
+}
+
+static void
+remove_runner (KqSched *s, KqRunnerState *r)
+{
+  KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
+  if (r->agent >= 0)
+    {
+      s->agents.list[r->agent].runners--;
+      s->config.order (s->config.arg, r->agent, &drop);
+    }
+  kq_log (KQ_LOG_INFO, PART, "Runner is forgotten. runner=%s", r->id);
+  g_ptr_array_remove (s->runner_list, r);
+  g_hash_table_remove (s->runners, r->id);
+  s->known_dirty = true;
+}
+
+/* Tasks remember where they failed; a runner that is forgotten must not be looked up. */
+static void
+forget_avoid (KqSched *s, const KqRunnerState *r)
+{
+  for (KqJob *j = s->open; j != NULL; j = j->next)
+    for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
+      for (int32_t i = 0; i < j->spec.n_steps; i++)
+        for (int32_t k = 0; k < j->spec.steps[i].width; k++)
+          if (o->steps[i].tasks[k].avoid == r)
+            o->steps[i].tasks[k].avoid = NULL;
+}
+
+void
+kq_runners_look (KqSched *s, KqTime now)
+{
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      bool unheard = r->silent || !r->listed;
+      if (!unheard || now < r->lease_ends + LEASE_MARGIN)
+        continue;
+      if (r->n_runs > 0)
+        {
+          ++*s->lapses;
+          kq_runners_lost (s, r, "lease over", now);
+        }
+      if (!r->in_store && r->n_runs == 0)
+        {
+          forget_avoid (s, r);
+          remove_runner (s, r);
+          i--;
+        }
+    }
+}
+
+/* Until every runner that an earlier leader used has listed its runs, or has been silent
+ * beyond its lease, a task of an earlier job may be running unseen: starting it again
+ * would run it twice. Jobs stored after we became leader can't be anywhere. */
+void
+kq_runners_settle (KqSched *s, KqTime now)
+{
+  if (s->settled || !s->loaded)
+    return;
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      if (!r->listed && r->known_stored && now < r->lease_ends + LEASE_MARGIN)
+        return;
+    }
+  s->settled = true;
+  s->work = true;
+  kq_log (KQ_LOG_INFO, PART, "All earlier runs are known. after_ms=%lld",
+          (long long)((now - s->started_at) / KQ_MS));
+}
+
+static void
+decay (KqRunnerState *r, KqTime now)
+{
+  double f = exp2 (-(double)(now - r->score_at) / SCORE_HALF_LIFE);
+  r->fails *= f;
+  r->dones *= f;
+  r->score_at = now;
+}
+
+void
+kq_runners_score (KqRunnerState *r, bool done, KqTime now)
+{
+  KqTime pause;
+  decay (r, now);
+  if (done)
+    {
+      r->dones += 1;
+      r->suspect_times = 0;
+      return;
+    }
+  r->fails += 1;
+  if (r->fails < SUSPECT_FAILS || r->fails < SUSPECT_SHARE * (r->fails + r->dones))
+    return;
+  pause = SUSPECT_FIRST << (r->suspect_times < 4 ? r->suspect_times : 4);
+  r->suspect_until = now + (pause < SUSPECT_LONGEST ? pause : SUSPECT_LONGEST);
+  r->suspect_times++;
+  r->fails = SUSPECT_FAILS / 2;
+  kq_log (KQ_LOG_WARN, PART, "Runner is suspect. runner=%s dones=%.1f for_ms=%lld", r->id,
+          r->dones, (long long)((r->suspect_until - now) / KQ_MS));
+}
--- /dev/null
+++ b/src/sched/runs.c
@@ -0,0 +1,196 @@
+/* runs: one run of a task on a runner, from its start order until the runner's word, or
+ * the end of its lease, says that it is over. Its room is reserved all that time. */
+
+#include "sched/state.h"
+
+#include <stdlib.h>
+
+/* An order without an answer is repeated after so long; the runner takes repeats of a
+ * start for one. */
+#define RETRY_GAP (150 * KQ_MS)
+
+const KqStep *
+kq_run_step (const KqRun *run)
+{
+  return &run->job->spec.steps[run->step];
+}
+
+static void
+reserve (KqRunnerState *r, const KqStep *p, int sign)
+{
+  if (p->filling)
+    r->filling += sign * (int64_t)p->cpu_milli;
+  else
+    r->used.cpu_milli += sign * (int64_t)p->cpu_milli;
+  r->used.mem_mb += sign * (int64_t)p->mem_mb;
+  r->used.gpus += sign * (int64_t)p->gpus;
+  r->n_runs += sign;
+  if (p->target_ms > 0)
+    r->n_serving += sign;
+}
+
+KqRun *
+kq_run_new (KqSched *s, KqJob *j, KqOccurrence *o, int32_t step, int32_t index,
+            KqRunnerState *r, uint32_t number, KqTime now)
+{
+  KqRun *run = kq_alloc (sizeof *run);
+  (void)s;
+  run->job = j;
+  run->occurrence = o;
+  run->occurrence_number = o != NULL ? o->number : 0;
+  run->step = step;
+  run->index = index;
+  run->number = number;
+  run->runner = r;
+  run->pace = 100;
+  run->load = -1;
+  run->placed_at = run->moved_at = now;
+  run->next = r->runs;
+  if (r->runs != NULL)
+    r->runs->prev = run;
+  r->runs = run;
+  reserve (r, kq_run_step (run), 1);
+  j->runs++;
+  if (o != NULL)
+    {
+      KqTaskState *t = kq_book_state (run);
+      t->phase = KQ_TASK_ACTIVE;
+      t->run = run;
+      if (number > t->last_run)
+        t->last_run = number;
+      o->steps[step].active++;
+    }
+  return run;
+}
+
+void
+kq_run_over (KqSched *s, KqRun *run, KqTime now)
+{
+  KqRunnerState *r = run->runner;
+  KqTaskState *t = kq_book_state (run);
+  KqJob *j = run->job;
+  if (t != NULL && t->run == run)
+    {
+      t->run = NULL;
+      t->phase = KQ_TASK_WAITING;
+      run->occurrence->steps[run->step].active--;
+      if (run->checkpoint != NULL && kq_run_step (run)->checkpoints)
+        {
+          free (t->checkpoint);
+          t->checkpoint = run->checkpoint;
+          run->checkpoint = NULL;
+        }
+    }
+  reserve (r, kq_run_step (run), -1);
+  if (run->prev != NULL)
+    run->prev->next = run->next;
+  else
+    r->runs = run->next;
+  if (run->next != NULL)
+    run->next->prev = run->prev;
+  j->runs--;
+  free (run->checkpoint);
+  free (run);
+  s->work = true;
+  (void)now;
+}
+
+static void
+emit (KqSched *s, KqRun *run, KqOrder *o, KqTime now)
+{
+  o->runner = kq_str (run->runner->id);
+  run->waiting = true;
+  run->retry_at = now + RETRY_GAP;
+  s->config.order (s->config.arg, run->runner->agent, o);
+}
+
+/* Sends the start again as long as nobody knows what became of it: leaving it alone would
+ * keep its room and its task for the length of a lease. */
+void
+kq_run_send_start (KqSched *s, KqRun *run, KqTime now)
+{
+  char name[96];
+  const KqTaskState *t = kq_book_state (run);
+  KqOrder o = { .kind = KQ_ORDER_START };
+  if (run->runner->agent < 0)
+    return;
+  kq_book_task_name (run, name);
+  o.u.start.task = kq_str (name);
+  o.u.start.run = run->number;
+  o.u.start.text = run->job->spec.text;
+  if (t != NULL && t->checkpoint != NULL)
+    o.u.start.checkpoint = kq_str (t->checkpoint);
+  ++*s->starts;
+  emit (s, run, &o, now);
+}
+
+void
+kq_run_send_stop (KqSched *s, KqRun *run, KqTime now)
+{
+  char name[96];
+  KqOrder o = { .kind = KQ_ORDER_STOP };
+  if (run->runner->agent < 0)
+    return;
+  kq_book_task_name (run, name);
+  o.u.stop.task = kq_str (name);
+  o.u.stop.run = run->number;
+  emit (s, run, &o, now);
+}
+
+void
+kq_run_stop (KqSched *s, KqRun *run, const char *why, KqTime now)
+{
+  char name[96];
+  if (run->phase == KQ_RUN_STOPPING)
+    return;
+  kq_book_task_name (run, name);
+  kq_log (KQ_LOG_INFO, PART,
+          "Stopping a run. task=%s run=%u runner=%s why=%s percent=%d age_ms=%lld "
+          "moved_ms_ago=%lld",
+          name, run->number, run->runner->id, why, run->percent,
+          (long long)((now - run->placed_at) / KQ_MS),
+          (long long)((now - run->moved_at) / KQ_MS));
+  run->phase = KQ_RUN_STOPPING;
+  kq_run_send_stop (s, run, now);
+}
+
+void
+kq_run_pace (KqSched *s, KqRun *run, int percent, KqTime now)
+{
+  char name[96];
+  KqOrder o = { .kind = KQ_ORDER_PACE };
+  if (run->pace == percent || run->phase != KQ_RUN_RUNNING || run->runner->agent < 0)
+    return;
+  kq_book_task_name (run, name);
+  run->pace = percent;
+  run->moved_at = now;
+  o.runner = kq_str (run->runner->id);
+  o.u.pace.task = kq_str (name);
+  o.u.pace.run = run->number;
+  o.u.pace.percent = percent;
+  ++*s->paces;
+  s->config.order (s->config.arg, run->runner->agent, &o);
+}
+
+void
+kq_run_set_checkpoint (KqRun *run, KqStr checkpoint)
+{
+  if (checkpoint.len == 0)
+    return;
+  if (run->checkpoint != NULL && kq_str_eq (kq_str (run->checkpoint), checkpoint))
+    return;
+  free (run->checkpoint);
+  run->checkpoint = kq_str_dup (checkpoint);
+}
+
+void
+kq_run_cancel_all (KqSched *s, KqJob *j, KqTime now)
+{
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      for (KqRun *run = r->runs; run != NULL; run = run->next)
+        if (run->job == j)
+          kq_run_stop (s, run, "job ended", now);
+    }
+}
--- /dev/null
+++ b/src/sched/sched.c
@@ -0,0 +1,285 @@
+#include "sched/state.h"
+
+#include "wire/pack.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* How often runs, leases and agents are looked over. */
+#define LOOK_GAP (250 * KQ_MS)
+
+const char *
+kq_job_state_name (KqJobState s)
+{
+  static const char *const names[]
+      = { "waiting", "running", "completed", "failed", "cancelled", "unknown" };
+  return names[s];
+}
+
+static void
+make_counters (KqSched *s)
+{
+  static const char *const hows[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  static const char *const results[]
+      = { "ok",        "fenced",    "old_run",    "late", "no_room",
+          "no_ticket", "unhealthy", "other_life", "bad",  "unknown" };
+  KqCounters *c = s->config.counters;
+  char labels[64];
+  for (int i = 0; i < 6; i++)
+    {
+      snprintf (labels, sizeof labels, "how=\"%s\"", hows[i]);
+      s->ends[i]
+          = kq_counter (c, "kq_run_ends_total", labels, "Ends of runs, as listed.");
+    }
+  for (int i = 0; i < 10; i++)
+    {
+      snprintf (labels, sizeof labels, "result=\"%s\"", results[i]);
+      s->results[i] = kq_counter (c, "kq_run_orders_total", labels,
+                                  "Orders to runners, by how they ended.");
+    }
+  s->starts = kq_counter (c, "kq_run_starts_total", "", "Start orders given.");
+  s->runs_lost
+      = kq_counter (c, "kq_runs_lost_total", "", "Runs that ended without a word.");
+  s->stops_hang = kq_counter (c, "kq_run_stops_total", "why=\"stands_still\"",
+                              "Runs stopped, by reason.");
+  s->stops_drain = kq_counter (c, "kq_run_stops_total", "why=\"runner_leaves\"",
+                               "Runs stopped, by reason.");
+  s->lapses = kq_counter (c, "kq_runner_lapses_total", "",
+                          "Runners whose lease ended while they were silent.");
+  s->no_room
+      = kq_counter (c, "kq_run_no_room_total", "", "Starts refused for want of room.");
+  s->paces = kq_counter (c, "kq_run_paces_total", "", "Changes of a task's pace.");
+}
+
+static void
+free_job (gpointer j)
+{
+  kq_book_job_free (j);
+}
+
+static void
+free_runner (gpointer r)
+{
+  kq_runners_free (r);
+}
+
+KqSched *
+kq_sched_new (const KqSchedConfig *c, KqTime now)
+{
+  KqSched *s = kq_alloc (sizeof *s);
+  s->config = *c;
+  s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_job);
+  s->runners = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_runner);
+  s->runner_list = g_ptr_array_new ();
+  s->batch = g_ptr_array_new ();
+  s->started_at = s->look_at = s->stored_at = now;
+  s->store_due = KQ_TIME_NEVER;
+  s->slowness_mean = 1;
+  make_counters (s);
+  return s;
+}
+
+void
+kq_sched_free (KqSched *s)
+{
+  if (s == NULL)
+    return;
+  g_hash_table_destroy (s->runners);
+  g_hash_table_destroy (s->jobs);
+  g_ptr_array_free (s->runner_list, TRUE);
+  g_ptr_array_free (s->batch, TRUE);
+  free (s);
+}
+
+bool
+kq_sched_job (KqSched *s, KqStr stored, uint64_t revision, KqTime now)
+{
+  KqJob *j = kq_alloc (sizeof *j);
+  int64_t wall = s->wall_minus_now_ms + now / KQ_MS;
+  int64_t age;
+  kq_buf_add_str (&j->stored, stored);
+  if (!kq_spec_unpack (kq_buf_str (&j->stored), &j->spec))
+    {
+      kq_log (KQ_LOG_ERROR, PART, "A stored job can't be read. bytes=%zu revision=%llu",
+              stored.len, (unsigned long long)revision);
+      kq_book_job_free (j);
+      return false;
+    }
+  if (kq_book_find (s, j->spec.id) != NULL)
+    {
+      kq_book_job_free (j);
+      return true;
+    }
+  j->revision = revision;
+  age = wall - j->spec.accepted_ms;
+  j->accepted_at = now - (age > 0 && s->wall_minus_now_ms != 0 ? age : 0) * KQ_MS;
+  j->next = s->open;
+  if (s->open != NULL)
+    s->open->prev = j;
+  s->open = j;
+  g_hash_table_insert (s->jobs, kq_str_dup (j->spec.id), j);
+  if (s->loaded)
+    {
+      kq_log (KQ_LOG_INFO, PART,
+              "Job taken in. job=%.*s queue=%.*s steps=%d revision=%llu",
+              KQ_STR_ARG (j->spec.id), KQ_STR_ARG (j->spec.queue), j->spec.n_steps,
+              (unsigned long long)revision);
+      kq_book_due (s, j, now);
+    }
+  return true;
+}
+
+void
+kq_sched_cancel (KqSched *s, KqStr id, KqTime now)
+{
+  KqJob *j = kq_book_find (s, id);
+  if (j == NULL || j->cancelled)
+    return;
+  j->cancelled = true;
+  kq_book_end_job (s, j, KQ_JOB_CANCELLED, now);
+  if (j->state == KQ_JOB_CANCELLED)
+    j->shown = j->state; /* the cancellation itself is in the store */
+}
+
+bool
+kq_sched_progress (KqSched *s, KqStr id, KqStr stored, KqTime now)
+{
+  KqJob *j = kq_book_find (s, id);
+  if (j == NULL)
+    return false;
+  if (kq_progress_apply (s, j, stored, now))
+    return true;
+  kq_log (KQ_LOG_ERROR, PART, "Stored progress can't be read. job=%.*s bytes=%zu",
+          KQ_STR_ARG (id), stored.len);
+  return false;
+}
+
+bool
+kq_sched_known (KqSched *s, KqStr stored, KqTime now)
+{
+  KqUnpacked u;
+  KqReader r;
+  bool good;
+  if (!kq_unpacked_open (&u, stored, &r))
+    return false;
+  while (!r.bad && r.left > 0)
+    {
+      KqReader one;
+      KqRunnerEntry e = { 0 };
+      kq_read_array (&r, &one);
+      e.id = kq_read_str (&one);
+      e.service = kq_read_str (&one);
+      e.address = kq_read_str (&one);
+      e.failure_domain = kq_read_str (&one);
+      kq_read_join (&r, &one);
+      if (!r.bad)
+        {
+          KqRunnerState *known;
+          kq_sched_entry (s, &e, now);
+          known = kq_runners_find (s, e.id);
+          known->in_store = false; /* until its entry is seen */
+          known->known_stored = known->known_sent = true;
+        }
+    }
+  good = !r.bad;
+  s->known_dirty = false;
+  kq_unpacked_close (&u);
+  return good;
+}
+
+void
+kq_sched_loaded (KqSched *s, KqTime now)
+{
+  s->loaded = true;
+  s->work = true;
+  for (KqJob *j = s->open; j != NULL; j = j->next)
+    if (j->created == 0 || j->spec.times > 0)
+      kq_book_due (s, j, now);
+  for (KqJob *j = s->open; j != NULL; j = j->next)
+    if (j->state < KQ_JOB_COMPLETED && j->finished == kq_spec_occurrences (&j->spec))
+      kq_book_end_job (s, j, KQ_JOB_COMPLETED, now);
+  kq_log (KQ_LOG_INFO, PART, "Loaded. jobs=%u runners=%u after_ms=%lld",
+          g_hash_table_size (s->jobs), s->runner_list->len,
+          (long long)((now - s->started_at) / KQ_MS));
+}
+
+static void
+look_at_jobs (KqSched *s, KqTime now)
+{
+  KqJob *next;
+  for (KqJob *j = s->open; j != NULL; j = next)
+    {
+      next = j->next;
+      if (j->spec.times > 0)
+        kq_book_due (s, j, now);
+      if (j->state < KQ_JOB_COMPLETED || j->runs > 0)
+        continue;
+      if (j->prev != NULL)
+        j->prev->next = j->next;
+      else
+        s->open = j->next;
+      if (j->next != NULL)
+        j->next->prev = j->prev;
+      j->next = j->prev = NULL;
+    }
+}
+
+KqTime
+kq_sched_run (KqSched *s, KqTime now, int64_t wall_ms)
+{
+  s->wall_minus_now_ms = wall_ms - now / KQ_MS;
+  if (!s->loaded)
+    return now + LOOK_GAP;
+  if (now >= s->look_at)
+    {
+      s->look_at = now + LOOK_GAP;
+      kq_runners_assign (s, now);
+      kq_runners_look (s, now);
+      kq_watch_progress (s, now);
+      look_at_jobs (s, now);
+    }
+  kq_runners_settle (s, now);
+  if (s->work)
+    kq_pass (s, now);
+  return s->look_at;
+}
+
+KqJobState
+kq_sched_state (const KqSched *s, KqStr id)
+{
+  const KqJob *j = kq_book_find (s, id);
+  if (j == NULL)
+    return KQ_JOB_UNKNOWN;
+  /* An end is told once it is in the store: a new leader would take it back. */
+  if (j->shown >= KQ_JOB_COMPLETED)
+    return j->shown;
+  return j->begun ? KQ_JOB_RUNNING : KQ_JOB_WAITING;
+}
+
+int64_t
+kq_sched_waiting (const KqSched *s, KqStr queue)
+{
+  int64_t n = 0;
+  for (const KqJob *j = s->open; j != NULL; j = j->next)
+    n += j->state < KQ_JOB_COMPLETED && !j->begun && kq_str_eq (j->spec.queue, queue);
+  return n;
+}
+
+void
+kq_sched_gauges (KqSched *s)
+{
+  KqCounters *c = s->config.counters;
+  uint64_t open = 0;
+  uint64_t runs = 0;
+  for (const KqJob *j = s->open; j != NULL; j = j->next)
+    {
+      open++;
+      runs += (uint64_t)j->runs;
+    }
+  *kq_counter (c, "kq_jobs_open", "", "Jobs that aren't ended.") = open;
+  *kq_counter (c, "kq_runs_alive", "", "Runs on runners.") = runs;
+  *kq_counter (c, "kq_runners_known", "", "Runners known to the leader.")
+      = s->runner_list->len;
+}
--- /dev/null
+++ b/src/sched/state.h
@@ -0,0 +1,260 @@
+#ifndef KQ_SCHED_STATE_H
+#define KQ_SCHED_STATE_H
+
+/* state: what the scheduler's files share. Nobody else includes this. */
+
+#include "base/log.h"
+#include "sched/sched.h"
+
+#include <glib.h>
+
+#define PART "sched"
+
+typedef struct KqJob KqJob;
+typedef struct KqRun KqRun;
+typedef struct KqRunnerState KqRunnerState;
+
+typedef enum
+{
+  KQ_TASK_WAITING,
+  KQ_TASK_ACTIVE, /* has a run */
+  KQ_TASK_DONE
+} KqTaskPhase;
+
+/* Tens of thousands of these live at a time: kept small. */
+typedef struct
+{
+  uint8_t phase; /* KqTaskPhase */
+  uint8_t failures;
+  uint32_t last_run;    /* highest run number given out or seen */
+  uint32_t failed_run;  /* of the last failure counted: each counts once */
+  KqRun *run;           /* while ACTIVE */
+  char *checkpoint;     /* of an earlier run; NULL: none */
+  KqRunnerState *avoid; /* where it failed or stood still last */
+} KqTaskState;
+
+typedef struct
+{
+  int32_t done;
+  int32_t active;
+  bool open;     /* what it depends on is done */
+  char rack[24]; /* of a one-rack step, once its first task is placed; "" before */
+  KqTaskState *tasks;
+} KqStepState;
+
+typedef struct KqOccurrence
+{
+  KqJob *job;
+  int32_t number;
+  int32_t steps_done;
+  KqTime due_at; /* objectives count from here */
+  int64_t chain_left_ms;
+  KqStepState *steps;
+  struct KqOccurrence *next;
+} KqOccurrence;
+
+struct KqJob
+{
+  KqSpec spec;
+  KqBuf stored;      /* what spec's strings point into */
+  uint64_t revision; /* of its key in the store */
+  KqJobState state;
+  KqJobState shown; /* the last state that is in the store */
+  bool begun;       /* some task has been started */
+  bool cancelled;
+  bool dirty;    /* progress differs from the store's */
+  bool in_batch; /* of the batch that is on its way to the store */
+  bool stored_once;
+  KqTime accepted_at;
+  KqTime ended_at;
+  int32_t created; /* occurrences made so far */
+  int32_t finished;
+  KqOccurrence *occurrences; /* open ones */
+  int runs;                  /* alive on runners */
+  KqBuf batch;               /* packed progress while in_batch */
+  KqJob *next;               /* list of jobs that aren't ended */
+  KqJob *prev;
+};
+
+typedef enum
+{
+  KQ_RUN_SENDING, /* a start order is out */
+  KQ_RUN_RUNNING, /* the runner has said so */
+  KQ_RUN_STOPPING /* a stop order is out, or due */
+} KqRunPhase;
+
+struct KqRun
+{
+  KqJob *job;
+  KqOccurrence *occurrence; /* NULL: a run that no task wants any more */
+  int32_t occurrence_number;
+  int32_t step;
+  int32_t index;
+  uint32_t number;
+  KqRunPhase phase;
+  bool unsure;        /* an order got no answer: it may still be carried out */
+  bool waiting;       /* an order is at the agent */
+  uint64_t confirmed; /* count of results when the runner last spoke of it; 0: never */
+  KqTime placed_at;
+  KqTime running_at;
+  KqTime moved_at; /* last sign of progress */
+  KqTime retry_at;
+  int percent;
+  int load;
+  int pace;     /* ordered last */
+  bool at_work; /* lasting: has reached full service once */
+  KqTime paced_at;
+  KqTime over_since; /* serving: tail above the target; 0: isn't */
+  bool marked;       /* found in the list being read */
+  char *checkpoint;
+  KqRunnerState *runner;
+  KqRun *next; /* on the runner */
+  KqRun *prev;
+};
+
+struct KqRunnerState
+{
+  char *id;
+  char *service;
+  char *address;
+  char *domain;
+  char *rack;
+  char *kind;
+  KqRoom room;
+  KqRoom used;     /* reserved, by all runs that may be there */
+  int64_t filling; /* cpu that filling runs could use */
+  int64_t born_ms;
+  bool in_store;     /* has an entry now */
+  bool known_stored; /* stands in the stored list of runners */
+  bool known_sent;   /* and the list that is on its way to the store */
+  bool draining;
+  KqTime drain_ends; /* it stays at least until then */
+  bool listed;       /* has listed its runs to us in this life */
+  bool silent;       /* the agent gets no answer */
+  bool foreign;      /* lists a run of a job that nobody knows: its size is unknown */
+  KqTime lease_ends; /* latest time at which something may still run there */
+  KqTime heard_at;
+  int agent; /* -1: none */
+  uint64_t ends_seen;
+  uint64_t ends_batch;
+  uint64_t ends_stored;
+  bool watched; /* the agent has been told to report often */
+  /* What it has been like. */
+  double fails; /* decaying counts of failed and of done tasks */
+  double dones;
+  KqTime score_at;
+  double slowness; /* actual by estimated length of tasks; 1: as the others */
+  KqTime suspect_until;
+  int suspect_times;
+  int n_runs;
+  int n_serving;
+  KqTime calm_since; /* no serving task near its target since then */
+  KqRun *runs;
+};
+
+struct KqSched
+{
+  KqSchedConfig config;
+  GHashTable *jobs;    /* id -> KqJob */
+  GHashTable *runners; /* id -> KqRunnerState */
+  GPtrArray *runner_list;
+  KqAgents agents;
+  KqJob *open; /* jobs that aren't ended, and ended ones with runs alive */
+  bool loaded;
+  bool settled; /* no run of an earlier leader can be unknown to us */
+  bool work;    /* something changed that a placing pass could use */
+  bool known_dirty;
+  int64_t wall_minus_now_ms;
+  KqTime started_at;
+  KqTime look_at; /* next look at progress, leases, pace */
+  KqTime store_due;
+  KqTime stored_at;
+  bool batch_open;
+  bool ends_dirty;
+  double slowness_mean;
+  GPtrArray *batch; /* KqJob */
+  /* Counters. */
+  uint64_t *starts;
+  uint64_t *ends[6];
+  uint64_t *results[10];
+  uint64_t *runs_lost;
+  uint64_t *stops_hang;
+  uint64_t *stops_drain;
+  uint64_t *lapses;
+  uint64_t *no_room;
+  uint64_t *paces;
+  uint64_t *starts_late;
+};
+
+/* book.c */
+KqJob *kq_book_find (const KqSched *s, KqStr id);
+/* The task of that name; false: no such job, or the occurrence is over. */
+typedef struct
+{
+  KqJob *job;
+  KqOccurrence *occurrence; /* NULL: over, or not begun */
+  int32_t occurrence_number;
+  int32_t step;
+  int32_t index;
+} KqTaskRef;
+bool kq_book_task (const KqSched *s, KqStr name, KqTaskRef *out);
+void kq_book_task_name (const KqRun *r, char out[96]);
+KqTaskState *kq_book_state (const KqRun *r);
+KqOccurrence *kq_book_add_occurrence (KqJob *j, int32_t number, KqTime due_at);
+void kq_book_open_steps (KqOccurrence *o);
+void kq_book_task_done (KqSched *s, KqOccurrence *o, int32_t step, int32_t index,
+                        KqTime now);
+void kq_book_task_failed (KqSched *s, KqOccurrence *o, int32_t step, int32_t index,
+                          uint32_t run, KqRunnerState *where, KqTime now);
+void kq_book_end_job (KqSched *s, KqJob *j, KqJobState state, KqTime now);
+void kq_book_due (KqSched *s, KqJob *j, KqTime now);
+void kq_book_job_free (KqJob *j);
+void kq_book_forget (KqSched *s, KqJob *j);
+void kq_book_dirty (KqSched *s, KqJob *j, KqTime now, bool urgent);
+
+/* runs.c */
+KqRun *kq_run_new (KqSched *s, KqJob *j, KqOccurrence *o, int32_t step, int32_t index,
+                   KqRunnerState *r, uint32_t number, KqTime now);
+/* The run is over at the runner, however: its room is free, its task waits again if it
+ * was the task's run. */
+void kq_run_over (KqSched *s, KqRun *run, KqTime now);
+void kq_run_send_start (KqSched *s, KqRun *run, KqTime now);
+void kq_run_stop (KqSched *s, KqRun *run, const char *why, KqTime now);
+void kq_run_send_stop (KqSched *s, KqRun *run, KqTime now);
+void kq_run_pace (KqSched *s, KqRun *run, int percent, KqTime now);
+void kq_run_set_checkpoint (KqRun *run, KqStr checkpoint);
+const KqStep *kq_run_step (const KqRun *run);
+void kq_run_cancel_all (KqSched *s, KqJob *j, KqTime now);
+
+/* runners.c */
+KqRunnerState *kq_runners_find (const KqSched *s, KqStr id);
+/* All that ran there is over without a word. */
+void kq_runners_lost (KqSched *s, KqRunnerState *r, const char *why, KqTime now);
+void kq_runners_look (KqSched *s, KqTime now);
+void kq_runners_assign (KqSched *s, KqTime now);
+void kq_runners_settle (KqSched *s, KqTime now);
+void kq_runners_score (KqRunnerState *r, bool done, KqTime now);
+
+void kq_runners_free (KqRunnerState *r);
+
+/* place.c */
+/* The best runner for a task of the step now; NULL: none. */
+KqRunnerState *kq_place (KqSched *s, const KqOccurrence *o, int32_t step, int32_t index,
+                         KqTime now);
+
+/* Whether any runner could hold a task of the step if it were empty. */
+bool kq_place_ever (const KqSched *s, const KqSpec *spec, int32_t step);
+
+/* pass.c */
+void kq_pass (KqSched *s, KqTime now);
+
+/* watch.c */
+void kq_watch_progress (KqSched *s, KqTime now);
+/* pace.c */
+void kq_pace_runner (KqSched *s, KqRunnerState *r, KqTime now);
+
+/* progress.c */
+void kq_progress_pack (const KqJob *j, KqBuf *out);
+bool kq_progress_apply (KqSched *s, KqJob *j, KqStr stored, KqTime now);
+
+#endif
--- /dev/null
+++ b/src/sched/store.c
@@ -0,0 +1,170 @@
+/* store: batches of progress for the store, and what may be acknowledged after one.
+ *
+ * A runner forgets its ends once they are acknowledged, so they are acknowledged only
+ * when the progress that they made is in the store: whoever leads next would otherwise
+ * start a done task again. */
+
+#include "sched/state.h"
+
+#include "wire/pack.h"
+
+#include <stdlib.h>
+
+/* Ends are acknowledged at least so often, also when they changed no progress. */
+#define ENDS_GAP (400 * KQ_MS)
+/* A job that is removed has three keys: itself, its cancellation, its progress. */
+#define REMOVE_UNITS 3
+
+size_t
+kq_sched_store_begin (KqSched *s, KqProgress *rows, size_t max, KqTime now)
+{
+  GHashTableIter it;
+  gpointer value;
+  size_t n = 0;
+  size_t units = 0;
+  bool more = false;
+  g_hash_table_iter_init (&it, s->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      KqJob *j = value;
+      bool over = j->shown >= KQ_JOB_COMPLETED && !j->dirty && j->runs == 0
+                  && now - j->ended_at > s->config.keep_ms * KQ_MS;
+      if (!j->dirty && !over)
+        continue;
+      units += over ? REMOVE_UNITS : 1;
+      if (units > max)
+        {
+          more = true;
+          break;
+        }
+      kq_buf_clear (&j->batch);
+      if (!over)
+        kq_progress_pack (j, &j->batch);
+      rows[n].id = j->spec.id;
+      rows[n].value = kq_buf_str (&j->batch);
+      rows[n++].remove = over;
+      j->in_batch = true;
+      j->dirty = false;
+      g_ptr_array_add (s->batch, j);
+    }
+  if (!more)
+    {
+      /* All that the ends so far have changed is in this batch or stored already. */
+      for (guint i = 0; i < s->runner_list->len; i++)
+        {
+          KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+          r->ends_batch = r->ends_seen;
+        }
+      s->ends_dirty = false;
+    }
+  s->batch_open = true;
+  s->store_due = KQ_TIME_NEVER;
+  s->stored_at = now;
+  if (n == 0)
+    kq_sched_stored (s, true, now);
+  return n;
+}
+
+static void
+acknowledge (KqSched *s)
+{
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      KqOrder o = { .kind = KQ_ORDER_SEEN, .runner = kq_str (r->id) };
+      if (r->ends_batch <= r->ends_stored)
+        continue;
+      r->ends_stored = r->ends_batch;
+      o.u.seen.ends = r->ends_stored;
+      o.u.seen.watched = r->watched;
+      if (r->agent >= 0)
+        s->config.order (s->config.arg, r->agent, &o);
+    }
+}
+
+void
+kq_sched_stored (KqSched *s, bool whole, KqTime now)
+{
+  bool again = false;
+  for (guint i = 0; i < s->batch->len; i++)
+    {
+      KqJob *j = g_ptr_array_index (s->batch, i);
+      j->in_batch = false;
+      if (!whole)
+        j->dirty = true;
+      else if (j->batch.len == 0)
+        {
+          kq_book_forget (s, j);
+          continue;
+        }
+      else if (!j->dirty)
+        j->shown = j->state;
+      kq_buf_free (&j->batch);
+      kq_buf_init (&j->batch);
+      again = again || j->dirty;
+    }
+  g_ptr_array_set_size (s->batch, 0);
+  s->batch_open = false;
+  if (whole)
+    acknowledge (s);
+  else
+    for (guint i = 0; i < s->runner_list->len; i++)
+      {
+        KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+        r->ends_batch = r->ends_stored;
+        s->ends_dirty = true;
+      }
+  if (again && s->store_due > now + ENDS_GAP)
+    s->store_due = now + ENDS_GAP;
+}
+
+KqTime
+kq_sched_store_due (const KqSched *s)
+{
+  KqTime due = s->store_due;
+  if (s->batch_open || !s->loaded)
+    return KQ_TIME_NEVER;
+  if (s->ends_dirty && s->stored_at + ENDS_GAP < due)
+    due = s->stored_at + ENDS_GAP;
+  return due;
+}
+
+bool
+kq_sched_known_pending (const KqSched *s)
+{
+  return s->known_dirty && s->loaded;
+}
+
+bool
+kq_sched_known_pack (KqSched *s, KqBuf *out)
+{
+  KqPacker p;
+  if (!kq_sched_known_pending (s))
+    return false;
+  kq_packer_init (&p, out);
+  kq_pack_array (&p, s->runner_list->len);
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      kq_pack_array (&p, 4);
+      kq_pack_str (&p, kq_str (r->id));
+      kq_pack_str (&p, kq_str (r->service));
+      kq_pack_str (&p, kq_str (r->address));
+      kq_pack_str (&p, kq_str (r->domain));
+    }
+  s->known_dirty = false;
+  for (guint i = 0; i < s->runner_list->len; i++)
+    ((KqRunnerState *)g_ptr_array_index (s->runner_list, i))->known_sent = true;
+  return true;
+}
+
+void
+kq_sched_known_stored (KqSched *s)
+{
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      r->known_stored = r->known_sent;
+    }
+  s->work = true;
+}
--- /dev/null
+++ b/src/settings/fleet_settings.c
@@ -0,0 +1,239 @@
+#include "settings/fleet_settings.h"
+
+#include "base/log.h"
+#include "settings/toml_shim.h"
+
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef enum
+{
+  NAME,
+  TEXT,
+  NUMBER, /* whole */
+  MILLI,  /* kept in thousandths: "0.25" is 250, seconds become milliseconds */
+  LEVEL
+} Kind;
+
+typedef struct
+{
+  const char *section;
+  const char *key;
+  Kind kind;
+  size_t at;   /* offset in KqFleetSettings */
+  size_t size; /* of a TEXT */
+  int64_t low;
+  int64_t high;
+  int64_t otherwise; /* -1: the key must be there */
+} Key;
+
+#define AT(field) offsetof (KqFleetSettings, field)
+#define SIZE(field) sizeof (((KqFleetSettings *)0)->field)
+#define PORT_MAX 65535
+#define HOUR_MS 3600000
+
+static const Key keys[] = {
+  { "fleet", "node", NAME, AT (node), 0, 0, 0, -1 },
+  { "fleet", "failure_domain", NAME, AT (failure_domain), 0, 0, 0, -1 },
+  { "fleet", "region", NAME, AT (region), 0, 0, 0, -1 },
+  { "fleet", "cpu_share", MILLI, AT (cpu_share_milli), 0, 1, 1000000, 1000 },
+  { "fleet", "log_level", LEVEL, AT (log_level), 0, 0, 0, KQ_LOG_INFO },
+  { "listen", "ip", TEXT, AT (ip), SIZE (ip), 0, 0, -1 },
+  { "listen", "front", TEXT, AT (front), SIZE (front), 0, 0, -1 },
+  { "listen", "ready", TEXT, AT (ready), SIZE (ready), 0, 0, -1 },
+  { "listen", "peer_port", NUMBER, AT (peer_port), 0, 0, PORT_MAX, -1 },
+  { "listen", "metrics_port", NUMBER, AT (metrics_port), 0, 0, PORT_MAX, -1 },
+  { "store", "address", TEXT, AT (store), SIZE (store), 0, 0, -1 },
+  { "store", "lease_min_ms", NUMBER, AT (lease_min_ms), 0, 1, HOUR_MS, 1000 },
+  { "bounds", "runner_lease_max_ms", NUMBER, AT (runner_lease_max_ms), 0, 500, HOUR_MS,
+    6000 },
+  { "bounds", "grace_s", MILLI, AT (grace_ms), 0, 0, HOUR_MS, 6000 },
+  { "bounds", "drain_ms", NUMBER, AT (drain_ms), 0, 0, HOUR_MS, 2500 },
+  { "bounds", "keep_s", MILLI, AT (keep_ms), 0, 0, 24 * (int64_t)HOUR_MS, 120000 },
+  { "bounds", "serving_harm_ms", NUMBER, AT (serving_harm_ms), 0, 0, HOUR_MS, 0 },
+};
+#define N_KEYS ((int)(sizeof keys / sizeof keys[0]))
+
+typedef struct
+{
+  KqFleetSettings *out;
+  KqSettingsFault *faults;
+  int max;
+  int n;
+  int lines[N_KEYS]; /* 0: not given */
+} Parse;
+
+static void
+fault (Parse *p, KqResult code, int line, const char *section, const char *key,
+       const char *allowed)
+{
+  if (p->n < p->max)
+    {
+      KqSettingsFault *f = &p->faults[p->n];
+      f->code = code;
+      f->line = line;
+      snprintf (f->key, sizeof f->key, "%s.%s", section, key);
+      snprintf (f->allowed, sizeof f->allowed, "%s", allowed);
+    }
+  p->n++;
+}
+
+/* A decimal with up to three places, in thousandths. */
+static bool
+to_milli (KqStr s, int64_t *out)
+{
+  char text[32];
+  char *end;
+  double v;
+  if (s.len == 0 || s.len >= sizeof text)
+    return false;
+  memcpy (text, s.ptr, s.len);
+  text[s.len] = '\0';
+  v = strtod (text, &end);
+  if (*end != '\0' || !(v >= -1e12 && v <= 1e12))
+    return false;
+  *out = (int64_t)(v * 1000 + 0.5);
+  return true;
+}
+
+static bool
+read_number (const Key *k, const KqTomlValue *v, int64_t *out)
+{
+  KqStr text = v->text;
+  if (v->type == KQ_TOML_INTEGER)
+    {
+      *out = k->kind == MILLI ? v->number * 1000 : v->number;
+      return true;
+    }
+  if (v->type != KQ_TOML_STRING || !to_milli (text, out))
+    return false;
+  if (k->kind == NUMBER)
+    *out /= 1000;
+  return true;
+}
+
+static void
+set_number (Parse *p, const Key *k, const KqTomlValue *v)
+{
+  int64_t n;
+  if (!read_number (k, v, &n))
+    fault (p, KQ_ERR_SETTINGS_TYPE, v->line, k->section, k->key, "a number");
+  else if (n < k->low || n > k->high)
+    fault (p, KQ_ERR_SETTINGS_RANGE, v->line, k->section, k->key, "out of range");
+  else
+    memcpy ((char *)p->out + k->at, &n, sizeof n);
+}
+
+static void
+set_text (Parse *p, const Key *k, const KqTomlValue *v)
+{
+  KqName name;
+  int level;
+  char *to = (char *)p->out + k->at;
+  char word[16];
+  if (v->type != KQ_TOML_STRING)
+    {
+      fault (p, KQ_ERR_SETTINGS_TYPE, v->line, k->section, k->key, "a string");
+      return;
+    }
+  if (k->kind == NAME && kq_name_valid (v->text))
+    {
+      name = kq_name (v->text);
+      memcpy (to, &name, sizeof name);
+    }
+  else if (k->kind == TEXT && v->text.len > 0 && v->text.len < k->size)
+    {
+      memcpy (to, v->text.ptr, v->text.len);
+      to[v->text.len] = '\0';
+    }
+  else if (k->kind == LEVEL && v->text.len < sizeof word)
+    {
+      snprintf (word, sizeof word, "%.*s", KQ_STR_ARG (v->text));
+      level = kq_log_level_parse (word);
+      if (level < 0)
+        fault (p, KQ_ERR_SETTINGS_RANGE, v->line, k->section, k->key,
+               "error, warn, info or debug");
+      else
+        memcpy (to, &level, sizeof level);
+    }
+  else
+    fault (p, KQ_ERR_SETTINGS_RANGE, v->line, k->section, k->key,
+           "empty, too long or with other characters than a name has");
+}
+
+static void
+visit (void *data, const KqTomlValue *v)
+{
+  Parse *p = data;
+  if (v->type == KQ_TOML_SECTION)
+    return;
+  for (int i = 0; i < N_KEYS; i++)
+    {
+      const Key *k = &keys[i];
+      if (!kq_str_eq (v->section, kq_str (k->section))
+          || !kq_str_eq (v->key, kq_str (k->key)))
+        continue;
+      p->lines[i] = v->line;
+      if (k->kind == NUMBER || k->kind == MILLI)
+        set_number (p, k, v);
+      else
+        set_text (p, k, v);
+      return;
+    }
+  fault (p, KQ_ERR_SETTINGS_UNKNOWN_KEY, v->line, "", "", "not a key of a fleet's node");
+}
+
+static void
+fill_defaults (Parse *p)
+{
+  for (int i = 0; i < N_KEYS; i++)
+    {
+      const Key *k = &keys[i];
+      int level = (int)k->otherwise;
+      if (p->lines[i] != 0)
+        continue;
+      if (k->otherwise < 0)
+        fault (p, KQ_ERR_SETTINGS_MISSING, 0, k->section, k->key, "must be given");
+      else if (k->kind == LEVEL)
+        memcpy ((char *)p->out + k->at, &level, sizeof level);
+      else
+        memcpy ((char *)p->out + k->at, &k->otherwise, sizeof k->otherwise);
+    }
+}
+
+int
+kq_fleet_settings_parse (KqStr text, KqFleetSettings *out, KqSettingsFault *faults,
+                         int max)
+{
+  Parse p = { .out = out, .faults = faults, .max = max };
+  char why[120];
+  int line;
+  *out = (KqFleetSettings){ 0 };
+  line = kq_toml_read (text, visit, &p, why, sizeof why);
+  if (line > 0)
+    {
+      fault (&p, KQ_ERR_SETTINGS_SYNTAX, line, "", "", why);
+      return p.n;
+    }
+  fill_defaults (&p);
+  return p.n;
+}
+
+static void
+note_section (void *data, const KqTomlValue *v)
+{
+  bool *found = data;
+  if (kq_str_eq (v->section, KQ_STR ("fleet")))
+    *found = true;
+}
+
+bool
+kq_fleet_settings_is (KqStr text)
+{
+  bool found = false;
+  char why[120];
+  kq_toml_read (text, note_section, &found, why, sizeof why);
+  return found;
+}
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -52,6 +52,7 @@
     case KQ_MSG_JOB_MOVED:
     case KQ_MSG_QUERY:
     case KQ_MSG_ANSWER:
+    case KQ_MSG_CREW:
       return GROUP_JOB;
     }
   return GROUP_NONE;
@@ -191,6 +192,7 @@
     case KQ_MSG_JOB_MOVED:
     case KQ_MSG_QUERY:
     case KQ_MSG_ANSWER:
+    case KQ_MSG_CREW:
       break;
     }
   *m = (KqMsg){ 0 };
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -98,7 +98,8 @@
   KQ_MSG_JOB_MOVE,   /* a queued job goes to another shard of the region */
   KQ_MSG_JOB_MOVED,  /* it is in that shard's journal */
   KQ_MSG_QUERY = 80, /* operators' questions to one node */
-  KQ_MSG_ANSWER
+  KQ_MSG_ANSWER,
+  KQ_MSG_CREW = 90 /* a leader's orders, or an agent's notices (crew/frame.h) */
 } KqMsgKind;
 
 typedef struct
@@ -312,6 +313,13 @@
   KqStr argument;
 } KqMsgQuery;
 
+/* Orders to agents or their notices, packed by crew/frame.c. */
+typedef struct
+{
+  uint64_t epoch; /* of the leader that sends, or that is answered */
+  KqStr items;
+} KqMsgCrew;
+
 typedef struct
 {
   KqMsgKind kind;
@@ -336,6 +344,7 @@
     KqMsgJobMoved job_moved;
     KqMsgQuery query;
     KqMsgAnswer answer;
+    KqMsgCrew crew;
   } u;
 } KqMsg;
 
--- a/src/wire/msg_job.c
+++ b/src/wire/msg_job.c
@@ -108,6 +108,12 @@
       kq_pack_str (p, m->u.query.what);
       kq_pack_str (p, m->u.query.argument);
     }
+  else if (m->kind == KQ_MSG_CREW)
+    {
+      kq_pack_array (p, 2);
+      kq_pack_u64 (p, m->u.crew.epoch);
+      kq_pack_str (p, m->u.crew.items);
+    }
   else
     {
       /* JOB_REPLY and ANSWER have the same fields. */
@@ -133,6 +139,11 @@
       m->u.query.what = kq_read_str (r);
       m->u.query.argument = kq_read_str (r);
     }
+  else if (m->kind == KQ_MSG_CREW)
+    {
+      m->u.crew.epoch = kq_read_u64 (r);
+      m->u.crew.items = kq_read_str (r);
+    }
   else
     {
       m->u.answer.call = kq_read_u64 (r);
