Filling tasks are placed and paced by learned pairs of images

Cause: every filling task on a runner was slowed when any serving task there neared its target; regression on 17,000 reports without pacing shows that a third of the image pairs disturb each other (0.3 to 0.6 in the logarithm of the tail for each core) and the others not. Change: sched/disturb learns the pairs by recursive least squares, place and pace use them; serving tasks of one image go together.

--- /dev/null
+++ b/src/sched/disturb.c
@@ -0,0 +1,163 @@
+#include "sched/disturb.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The model's terms: one constant, one for each filling image. */
+#define TERMS (KQ_DISTURB_IMAGES + 1)
+/* What is believed before any report: tails at 45% of their target, no image harmful but
+ * each quite possibly so. */
+#define FIRST_BASE -0.8
+#define FIRST_BASE_VARIANCE 0.3
+#define FIRST_PRESS_VARIANCE 0.15
+/* Variance of a report around the model (residuals of the fit named in the header). */
+#define REPORT_VARIANCE 0.25
+/* Beliefs age by this much variance with each report that bears on them. Serving load
+ * swings within seconds, for all tasks of an image alike; what images do to each other
+ * stays for much longer. */
+#define BASE_DRIFT 0.003
+#define PRESS_DRIFT 0.000003
+/* An image counts as harmful by what exceeds so many standard deviations: a third of all
+ * pairs are, and the noise of the others would add up over the tasks of a runner. */
+#define SURE 0.8
+/* A report further off than this is taken for so far off: queues can explode for a moment
+ * without the images being to blame. */
+#define SURPRISE_MAX 1.5
+
+typedef struct
+{
+  double value[TERMS];
+  double variance[TERMS][TERMS];
+} Model;
+
+typedef struct
+{
+  char *names[KQ_DISTURB_IMAGES];
+  int n;
+} Names;
+
+struct KqDisturb
+{
+  Names serving;
+  Names filling;
+  Model *models[KQ_DISTURB_IMAGES]; /* by serving image */
+};
+
+KqDisturb *
+kq_disturb_new (void)
+{
+  return kq_alloc (sizeof (KqDisturb));
+}
+
+static void
+free_names (Names *n)
+{
+  for (int i = 0; i < n->n; i++)
+    free (n->names[i]);
+}
+
+void
+kq_disturb_free (KqDisturb *d)
+{
+  if (d == NULL)
+    return;
+  free_names (&d->serving);
+  free_names (&d->filling);
+  for (int i = 0; i < KQ_DISTURB_IMAGES; i++)
+    free (d->models[i]);
+  free (d);
+}
+
+static int
+place_of (Names *n, KqStr image)
+{
+  for (int i = 0; i < n->n; i++)
+    if (kq_str_eq (kq_str (n->names[i]), image))
+      return i;
+  if (n->n == KQ_DISTURB_IMAGES)
+    return KQ_DISTURB_IMAGES - 1;
+  n->names[n->n] = kq_str_dup (image);
+  return n->n++;
+}
+
+int
+kq_disturb_serving (KqDisturb *d, KqStr image)
+{
+  int at = place_of (&d->serving, image);
+  Model *m = d->models[at];
+  if (m != NULL)
+    return at;
+  m = d->models[at] = kq_alloc (sizeof *m);
+  m->value[0] = FIRST_BASE;
+  m->variance[0][0] = FIRST_BASE_VARIANCE;
+  for (int i = 1; i < TERMS; i++)
+    m->variance[i][i] = FIRST_PRESS_VARIANCE;
+  return at;
+}
+
+int
+kq_disturb_filling (KqDisturb *d, KqStr image)
+{
+  return place_of (&d->filling, image);
+}
+
+void
+kq_disturb_learn (KqDisturb *d, int serving, double log_tail,
+                  const double cores[KQ_DISTURB_IMAGES])
+{
+  Model *m = d->models[serving];
+  int n = d->filling.n + 1;
+  double x[TERMS] = { 1 };
+  double gain[TERMS];
+  double spread = REPORT_VARIANCE;
+  double surprise = log_tail;
+  memcpy (x + 1, cores, KQ_DISTURB_IMAGES * sizeof *cores);
+  for (int i = 0; i < n; i++)
+    {
+      if (x[i] > 0)
+        m->variance[i][i] += i == 0 ? BASE_DRIFT : PRESS_DRIFT;
+      surprise -= m->value[i] * x[i];
+    }
+  for (int i = 0; i < n; i++)
+    {
+      gain[i] = 0;
+      for (int k = 0; k < n; k++)
+        gain[i] += m->variance[i][k] * x[k];
+      spread += gain[i] * x[i];
+    }
+  surprise = fmax (-SURPRISE_MAX, fmin (SURPRISE_MAX, surprise));
+  for (int i = 0; i < n; i++)
+    m->value[i] += gain[i] / spread * surprise;
+  for (int i = 0; i < n; i++)
+    for (int k = 0; k < n; k++)
+      m->variance[i][k] -= gain[i] * gain[k] / spread;
+}
+
+double
+kq_disturb_press (const KqDisturb *d, int serving, int filling)
+{
+  const Model *m = d->models[serving];
+  double variance = m->variance[filling + 1][filling + 1];
+  double v = m->value[filling + 1] - SURE * sqrt (variance > 0 ? variance : 0);
+  return v > 0 ? v : 0;
+}
+
+double
+kq_disturb_base (const KqDisturb *d, int serving)
+{
+  return d->models[serving]->value[0];
+}
+
+void kq_disturb_print (const KqDisturb *d, KqBuf *b);
+void
+kq_disturb_print (const KqDisturb *d, KqBuf *b)
+{
+  for (int i = 0; i < d->serving.n; i++)
+    {
+      kq_buf_printf (b, " [%s %.2f", d->serving.names[i], d->models[i]->value[0]);
+      for (int k = 0; k < d->filling.n; k++)
+        kq_buf_printf (b, " %.3s:%.2f", d->filling.names[k], d->models[i]->value[k + 1]);
+      kq_buf_printf (b, "]");
+    }
+}
--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -1,80 +1,153 @@
-/* pace: filling tasks are slowed where a serving task nears its latency target.
+/* pace: filling tasks are slowed where they push a serving task over its latency target.
  *
- * Load pattern: how much a filling task disturbs a serving one differs by what the two
- * run and changes within seconds; it is seen only in reports half a second old. So the
- * pace falls fast (a target missed for some seconds is seen by users) and rises slowly.
- */
+ * Load pattern: most pairs of images don't disturb each other and some do, strongly, and
+ * the serving task's own load swings within seconds. So only those filling tasks are
+ * slowed that the learned pairs (sched/disturb.h) make responsible, just as far as
+ * needed. */
 
 #include "sched/state.h"
 
-/* Shares of the target at which filling tasks slow down a step, or two, or may speed up.
- */
-#define SLOW_AT 0.85
-#define SLOW_MORE_AT 1.0
-#define SPEED_UP_AT 0.6
-#define CALM_BELOW 0.75
-/* A report covers the last half second: earlier ones say nothing of a new pace. */
-#define CHANGE_GAP (650 * KQ_MS)
+#include <math.h>
+#include <stdlib.h>
 
-static const int levels[] = { 0, 10, 25, 50, 100 };
-#define LEVELS ((int)(sizeof levels / sizeof levels[0]))
+/* The tail is steered to this share of the target: reports lag by half a second, and the
+ * serving load rises by a tenth in that time. */
+#define AIM 0.85
+/* A pace rises by so much a report, and falls at once. */
+#define RISE_PERCENT 25
+/* Changes smaller than this aren't worth a call. */
+#define STEP_PERCENT 15
+/* Reports cover the last half second; lists that come sooner repeat most of it. */
+#define REPORT_GAP (450 * KQ_MS)
+/* Below this the task may as well stand. */
+#define LEAST_PERCENT 10
+/* Weight of a new report in the estimate of a task's own load. */
+#define LOAD_WEIGHT 0.4
+/* With a tail this far over the target nobody may be known to be at fault yet: then all
+ * filling tasks there are slowed to this. */
+#define BLIND_RATIO 1.3
+#define BLIND_PERCENT 30
 
-static int
-level_of (int pace)
+/* Cores in use by each filling image on the runner. */
+static void
+cores_in_use (KqSched *s, const KqRunnerState *r, double cores[KQ_DISTURB_IMAGES])
 {
-  int n = 0;
-  while (n < LEVELS - 1 && levels[n] < pace)
-    n++;
-  return n;
+  for (int i = 0; i < KQ_DISTURB_IMAGES; i++)
+    cores[i] = 0;
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    if (kq_run_step (run)->filling && run->load > 0)
+      cores[kq_disturb_filling (s->disturb, kq_run_step (run)->image)]
+          += run->load / 1000.0;
 }
 
-/* The worst tail by its target; 0 when nothing serves. */
-static double
-worst_tail (KqRunnerState *r, KqTime now)
+static bool
+serves (const KqRun *run)
+{
+  return kq_run_step (run)->target_ms > 0 && run->phase == KQ_RUN_RUNNING
+         && run->load > 0;
+}
+
+static void
+learn (KqSched *s, KqRunnerState *r, KqTime now)
 {
-  double worst = 0;
+  double cores[KQ_DISTURB_IMAGES];
+  cores_in_use (s, r, cores);
   for (KqRun *run = r->runs; run != NULL; run = run->next)
     {
       const KqStep *p = kq_run_step (run);
-      double ratio;
-      if (p->target_ms <= 0 || run->load < 0 || run->phase != KQ_RUN_RUNNING)
+      double y;
+      double pressed = 0;
+      int image;
+      if (!serves (run))
         continue;
-      ratio = (double)run->load / p->target_ms;
-      if (ratio < 1)
+      image = kq_disturb_serving (s->disturb, p->image);
+      y = log ((double)run->load / p->target_ms);
+      kq_disturb_learn (s->disturb, image, y, cores);
+      for (int i = 0; i < KQ_DISTURB_IMAGES; i++)
+        if (cores[i] > 0)
+          pressed += cores[i] * kq_disturb_press (s->disturb, image, i);
+      run->own_load
+          += LOAD_WEIGHT
+             * (y - pressed - kq_disturb_base (s->disturb, image) - run->own_load);
+      if (y < 0)
         run->over_since = 0;
       else if (run->over_since == 0)
         run->over_since = now;
-      worst = ratio > worst ? ratio : worst;
     }
-  return worst;
+}
+
+double
+kq_pace_headroom (KqSched *s, const KqRun *serving)
+{
+  const KqStep *p = kq_run_step (serving);
+  int image = kq_disturb_serving (s->disturb, p->image);
+  return log (AIM) - kq_disturb_base (s->disturb, image) - serving->own_load;
+}
+
+double
+kq_pace_press (KqSched *s, const KqRun *serving, const KqStep *filling)
+{
+  return kq_disturb_press (s->disturb,
+                           kq_disturb_serving (s->disturb, kq_run_step (serving)->image),
+                           kq_disturb_filling (s->disturb, filling->image))
+         * filling->cpu_milli / 1000.0;
+}
+
+/* The share of their speed at which the filling tasks beside it leave the serving task
+ * within its target; above 1: more would fit. */
+static double
+fair_share (KqSched *s, const KqRunnerState *r, const KqRun *serving)
+{
+  double pressed = 0;
+  double headroom = kq_pace_headroom (s, serving);
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    if (kq_run_step (run)->filling)
+      pressed += kq_pace_press (s, serving, kq_run_step (run));
+  if (pressed <= 0)
+    return 1;
+  return headroom > 0 ? headroom / pressed : 0;
+}
+
+/* What the filling task should work at; 100: nothing is in its way. */
+static int
+wanted_pace (KqSched *s, const KqRunnerState *r, const KqRun *filling)
+{
+  double least = 1;
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    {
+      double share;
+      bool over = serves (run) && run->load > BLIND_RATIO * kq_run_step (run)->target_ms;
+      if (!serves (run))
+        continue;
+      share = fair_share (s, r, run);
+      if (share < least && kq_pace_press (s, run, kq_run_step (filling)) > 0.02)
+        least = share;
+      else if (over && share >= 1 && least > BLIND_PERCENT / 100.0)
+        least = BLIND_PERCENT / 100.0;
+    }
+  return (int)(least * 100);
 }
 
 void
 kq_pace_runner (KqSched *s, KqRunnerState *r, KqTime now)
 {
-  double worst = worst_tail (r, now);
-  int step = 0;
-  if (worst >= CALM_BELOW)
-    r->calm_since = now;
-  if (worst >= SLOW_MORE_AT)
-    step = -2;
-  else if (worst >= SLOW_AT)
-    step = -1;
-  else if (worst < SPEED_UP_AT)
-    step = 1;
-  if (step == 0)
+  if (now - r->paced_at < REPORT_GAP)
     return;
+  r->paced_at = now;
+  learn (s, r, now);
   for (KqRun *run = r->runs; run != NULL; run = run->next)
     {
       int to;
-      if (!kq_run_step (run)->filling || run->phase != KQ_RUN_RUNNING
-          || now - run->paced_at < CHANGE_GAP)
-        continue;
-      to = level_of (run->pace) + step;
-      to = to < 0 ? 0 : to >= LEVELS ? LEVELS - 1 : to;
-      if (levels[to] == run->pace)
+      if (!kq_run_step (run)->filling || run->phase != KQ_RUN_RUNNING)
         continue;
-      run->paced_at = now;
-      kq_run_pace (s, run, levels[to], now);
+      to = wanted_pace (s, r, run);
+      if (to > run->pace + RISE_PERCENT)
+        to = run->pace + RISE_PERCENT;
+      if (to < LEAST_PERCENT)
+        to = 0;
+      if (to > 100 - STEP_PERCENT / 2)
+        to = 100;
+      if (abs (to - run->pace) >= STEP_PERCENT)
+        kq_run_pace (s, run, to, now);
     }
 }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -13,15 +13,30 @@
 /* A filling task goes only where this share of its cpu is unused, in percent: with less
  * it would crawl beside others that crawl too, and hold memory. */
 #define FILL_NEEDS_PERCENT 60
+/* Serving tasks use less than they reserve: 42% on the mean in reports, swinging by half.
+ */
+#define SERVING_USE_PERCENT 60
 /* Weights of a runner's score, in parts of its whole cpu. */
-#define W_AVOID 2.0            /* the task failed there: almost anywhere else is better */
-#define W_FAR 1.0              /* the step's data lies on another rack */
-#define W_SLOW 0.6             /* for each doubling of the time that tasks take there */
-#define W_FAILS 0.25           /* for each recent failure */
-#define W_FILL_BY_SERVING 0.35 /* filling beside serving tasks risks their latency */
-#define W_SERVE_BY_FILL 0.5    /* and the other way round */
-#define W_TENSE 1.0            /* serving tasks there are near their target already */
-#define TENSE_FOR (3 * KQ_SEC)
+#define W_AVOID 2.0  /* the task failed there: almost anywhere else is better */
+#define W_FAR 1.0    /* the step's data lies on another rack */
+#define W_SLOW 0.6   /* for each doubling of the time that tasks take there */
+#define W_FAILS 0.25 /* for each recent failure */
+#define W_PRESS                                                                          \
+  1.0 /* of the serving tasks' headroom, the share that a filling one takes */
+/* Serving tasks of one image go together: a filling image disturbs one or two serving
+ * images out of several, so a runner with few of them is open to more filling tasks. */
+#define W_IMAGE 0.6
+#define W_SERVE_FREE 0.4
+/* More of the headroom than this is not given away. */
+#define PRESS_MOST 0.9
+
+/* What is left of the runner's cpu when filling tasks have theirs. */
+static int64_t
+cpu_to_fill (const KqRunnerState *r)
+{
+  return r->room.cpu_milli - (r->used.cpu_milli - r->serving)
+         - r->serving * SERVING_USE_PERCENT / 100 - r->filling;
+}
 
 static bool
 room_for (const KqRunnerState *r, const KqStep *p)
@@ -31,8 +46,47 @@
     return false;
   if (!p->filling)
     return r->used.cpu_milli + p->cpu_milli <= r->room.cpu_milli;
-  return r->room.cpu_milli - r->used.cpu_milli - r->filling
-         >= (int64_t)p->cpu_milli * FILL_NEEDS_PERCENT / 100;
+  return cpu_to_fill (r) >= (int64_t)p->cpu_milli * FILL_NEEDS_PERCENT / 100;
+}
+
+/* The share of their headroom that serving tasks on the runner would lose: the worst
+ * one's, with what fills there already. Above 1: over the target. */
+static double
+press_on (KqSched *s, const KqRunnerState *r, const KqStep *p)
+{
+  double worst = 0;
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    {
+      double press;
+      double headroom;
+      if (kq_run_step (run)->target_ms <= 0)
+        continue;
+      press = kq_pace_press (s, run, p);
+      if (press < 0.02)
+        continue;
+      for (const KqRun *other = r->runs; other != NULL; other = other->next)
+        if (kq_run_step (other)->filling)
+          press += kq_pace_press (s, run, kq_run_step (other));
+      headroom = kq_pace_headroom (s, run);
+      press = headroom > 0.01 ? press / headroom : 100;
+      worst = press > worst ? press : worst;
+    }
+  return worst;
+}
+
+/* The same, for a serving task among the filling ones of a runner. */
+static double
+press_by (KqSched *s, const KqRunnerState *r, const KqStep *p)
+{
+  double press = 0;
+  int image = kq_disturb_serving (s->disturb, p->image);
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    if (kq_run_step (run)->filling)
+      press
+          += kq_disturb_press (s->disturb, image,
+                               kq_disturb_filling (s->disturb, kq_run_step (run)->image))
+             * kq_run_step (run)->cpu_milli / 1000.0;
+  return press;
 }
 
 /* Whether the runner could hold the task if nothing else ran there. */
@@ -66,24 +120,39 @@
          && !r->draining && r->agent >= 0 && now >= r->suspect_until;
 }
 
+/* Of the serving cpu on the runner, the part that other images have, less the part that
+ * the same image has. */
+static double
+strangers (const KqRunnerState *r, const KqStep *p)
+{
+  double other = 0;
+  double same = 0;
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    {
+      const KqStep *q = kq_run_step (run);
+      if (q->target_ms <= 0)
+        continue;
+      if (kq_str_eq (q->image, p->image))
+        same += q->cpu_milli;
+      else
+        other += q->cpu_milli;
+    }
+  return other + same > 0 ? (other - same) / (other + same) : 0;
+}
+
 static double
-score (const KqSched *s, const KqRunnerState *r, const KqOccurrence *o, int32_t step,
-       const KqTaskState *t, KqTime now)
+score (KqSched *s, const KqRunnerState *r, const KqOccurrence *o, int32_t step,
+       const KqTaskState *t)
 {
   const KqStep *p = &o->job->spec.steps[step];
   const KqStepState *st = &o->steps[step];
   double whole = r->room.cpu_milli > 0 ? (double)r->room.cpu_milli : 1;
   double v = (double)(r->room.cpu_milli - r->used.cpu_milli) / whole;
   double slow = r->slowness / (s->slowness_mean > 0.1 ? s->slowness_mean : 0.1);
-  bool tense = r->n_serving > 0 && now - r->calm_since < TENSE_FOR;
   if (p->filling)
-    {
-      v -= (double)r->filling / whole;
-      v -= r->n_serving > 0 ? W_FILL_BY_SERVING : 0;
-      v -= tense ? W_TENSE : 0;
-    }
+    v = (double)cpu_to_fill (r) / whole - W_PRESS * press_on (s, r, p);
   else if (p->target_ms > 0)
-    v -= W_SERVE_BY_FILL * (double)r->filling / whole;
+    v = W_SERVE_FREE * v - press_by (s, r, p) - W_IMAGE * strangers (r, p);
   if (slow > 1.3)
     v -= W_SLOW * (slow - 1);
   v -= W_FAILS * r->fails;
@@ -112,7 +181,9 @@
         continue;
       if (p->per_runner_max > 0 && of_step (r, o, step) >= p->per_runner_max)
         continue;
-      v = score (s, r, o, step, t, now);
+      if (p->filling && press_on (s, r, p) > PRESS_MOST)
+        continue;
+      v = score (s, r, o, step, t);
       if (best == NULL || v > best_score)
         {
           best = r;
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -26,7 +26,10 @@
   r->used.gpus += sign * (int64_t)p->gpus;
   r->n_runs += sign;
   if (p->target_ms > 0)
-    r->n_serving += sign;
+    {
+      r->n_serving += sign;
+      r->serving += sign * (int64_t)p->cpu_milli;
+    }
 }
 
 KqRun *
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -4,6 +4,7 @@
 /* state: what the scheduler's files share. Nobody else includes this. */
 
 #include "base/log.h"
+#include "sched/disturb.h"
 #include "sched/sched.h"
 
 #include <glib.h>
@@ -101,9 +102,10 @@
   KqTime retry_at;
   int percent;
   int load;
-  int pace;     /* ordered last */
-  bool at_work; /* lasting: has reached full service once */
-  KqTime paced_at;
+  int pace;          /* ordered last */
+  bool at_work;      /* lasting: has reached full service once */
+  double own_load;   /* serving: logarithm of the tail beyond what its image and its
+                        neighbours explain */
   KqTime over_since; /* serving: tail above the target; 0: isn't */
   bool marked;       /* found in the list being read */
   char *checkpoint;
@@ -148,7 +150,8 @@
   int suspect_times;
   int n_runs;
   int n_serving;
-  KqTime calm_since; /* no serving task near its target since then */
+  int64_t serving; /* cpu reserved by serving tasks, of used */
+  KqTime paced_at; /* last look at its serving tasks' tails */
   KqRun *runs;
 };
 
@@ -172,6 +175,7 @@
   bool batch_open;
   bool ends_dirty;
   double slowness_mean;
+  KqDisturb *disturb;
   GPtrArray *batch; /* KqJob */
   /* Counters. */
   uint64_t *starts;
@@ -252,6 +256,10 @@
 void kq_watch_progress (KqSched *s, KqTime now);
 /* pace.c */
 void kq_pace_runner (KqSched *s, KqRunnerState *r, KqTime now);
+/* How much the logarithm of the serving task's tail may still grow. */
+double kq_pace_headroom (KqSched *s, const KqRun *serving);
+/* How much a task of the step makes it grow at full speed. */
+double kq_pace_press (KqSched *s, const KqRun *serving, const KqStep *filling);
 
 /* progress.c */
 void kq_progress_pack (const KqJob *j, KqBuf *out);
