A runner given to another agent gets no start before it has listed its runs there

Also a silent runner's lease was extended by every unanswered renewal. Change: a runner is unlisted until its new agent lists it; no grant while it doesn't answer.

--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -180,12 +180,14 @@
                         .timeout_ms = timeout_ms };
 }
 
-/* What is granted now; a later grant never ends sooner. */
+/* What is granted now; a later grant never ends sooner. Nothing more is granted to a
+ * runner that doesn't answer: it may hear us all the same, and its lease must end some
+ * time, or its tasks could never be started elsewhere. */
 static int64_t
 grant (Held *h, KqTime now)
 {
   int64_t end;
-  if (h->clock_ms < 0)
+  if (h->clock_ms < 0 || h->failures > 0)
     return -1;
   end = clock_now (h, now) + h->agent->config.lease_ms;
   if (end > h->lease_end_ms)
@@ -339,9 +341,10 @@
 {
   KqRunnerAim to = aim (h, CALL_TIMEOUT_MS);
   Call *c = new_call (h, KQ_ORDER_START, o->u.start.task, o->u.start.run);
+  int64_t end = grant (h, now);
   kq_runner_start (h->agent->config.calls, &to, o->u.start.task, o->u.start.run,
                    o->u.start.text, o->u.start.checkpoint, o->u.start.ticket,
-                   grant (h, now), (KqRunnerCallback){ on_outcome, c });
+                   end >= 0 ? end : h->lease_end_ms, (KqRunnerCallback){ on_outcome, c });
 }
 
 void
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -165,6 +165,7 @@
     }
   r->agent = agent;
   r->watched = false;
+  r->listed = false; /* to this agent: it knows neither the runner's clock nor its runs */
   s->agents.list[agent].runners++;
   o.u.take.address = kq_str (r->address);
   s->config.order (s->config.arg, agent, &o);
@@ -297,7 +298,8 @@
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      bool unheard = r->silent || !r->listed;
+      /* An agent that hasn't spoken yet may be renewing the lease. */
+      bool unheard = r->agent < 0 || r->silent;
       if (!unheard || now < r->lease_ends + LEASE_MARGIN)
         continue;
       if (r->n_runs > 0)
@@ -325,7 +327,10 @@
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      if (!r->listed && r->known_stored && now < r->lease_ends + LEASE_MARGIN)
+      bool unheard = r->agent < 0 || r->silent;
+      if (r->listed || !r->known_stored)
+        continue;
+      if (!unheard || now < r->lease_ends + LEASE_MARGIN)
         return;
     }
   s->settled = true;
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -57,9 +57,9 @@
   if (r->agent < 0)
     return;
   if (run->phase == KQ_RUN_SENDING && !run->waiting && now >= run->retry_at
-      && run->confirmed == 0 && !r->silent)
+      && run->confirmed == 0 && !r->silent && r->listed)
     kq_run_send_start (s, run, now);
-  else if (run->phase == KQ_RUN_STOPPING && !run->waiting && !r->silent
+  else if (run->phase == KQ_RUN_STOPPING && !run->waiting && !r->silent && r->listed
            && now >= run->retry_at + (run->unsure ? 0 : STOP_AGAIN))
     kq_run_send_stop (s, run, now);
   else if (stands_still (run, now))
