--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -112,7 +112,10 @@
   for (int32_t i = 0; i < o->job->spec.n_steps; i++)
     {
       for (int32_t k = 0; k < o->job->spec.steps[i].width; k++)
-        free (o->steps[i].tasks[k].checkpoint);
+        {
+          free (o->steps[i].tasks[k].checkpoint);
+          free (o->steps[i].tasks[k].failed_runs);
+        }
       free (o->steps[i].tasks);
     }
   free (o->steps);
@@ -182,9 +185,10 @@
     return;
   j->state = state;
   j->ended_at = now;
-  kq_log (KQ_LOG_INFO, PART, "Job ended. job=%.*s state=%s age_ms=%lld runs_left=%d",
-          KQ_STR_ARG (j->spec.id), kq_job_state_name (state),
-          (long long)((now - j->accepted_at) / KQ_MS), j->runs);
+  if (s->loaded)
+    kq_log (KQ_LOG_INFO, PART, "Job ended. job=%.*s state=%s age_ms=%lld runs_left=%d",
+            KQ_STR_ARG (j->spec.id), kq_job_state_name (state),
+            (long long)((now - j->accepted_at) / KQ_MS), j->runs);
   if (j->runs > 0)
     kq_run_cancel_all (s, j, now);
   while (j->occurrences != NULL)
@@ -228,19 +232,39 @@
     kq_book_open_steps (o);
 }
 
+bool
+kq_book_has_failed (const KqTaskState *t, uint32_t run)
+{
+  for (int i = 0; i < t->failures; i++)
+    if (t->failed_runs[i] == run)
+      return true;
+  return false;
+}
+
+void
+kq_book_add_failure (KqTaskState *t, uint32_t run)
+{
+  size_t n = (size_t)t->failures + 1;
+  if (t->failures == UINT8_MAX)
+    return;
+  t->failed_runs = kq_realloc (t->failed_runs, n * sizeof *t->failed_runs);
+  t->failed_runs[t->failures++] = run;
+  if (run > t->last_run)
+    t->last_run = run;
+}
+
 void
 kq_book_task_failed (KqSched *s, KqOccurrence *o, int32_t step, int32_t index,
                      uint32_t run, KqRunnerState *where, KqTime now)
 {
   KqTaskState *t = &o->steps[step].tasks[index];
   const KqSpec *spec = &o->job->spec;
-  if (t->phase == KQ_TASK_DONE || run <= t->failed_run)
+  if (t->phase == KQ_TASK_DONE || kq_book_has_failed (t, run))
     return;
-  t->failed_run = run;
   t->avoid = where;
   if (spec->steps[step].lasting)
     return;
-  t->failures++;
+  kq_book_add_failure (t, run);
   kq_book_dirty (s, o->job, now, false);
   kq_log (KQ_LOG_INFO, PART,
           "Task failed. task=%.*s.%d.%d.%d run=%u runner=%s failures=%d attempts=%d",
--- a/src/sched/disturb.c
+++ b/src/sched/disturb.c
@@ -148,16 +148,3 @@
 {
   return d->models[serving]->value[0];
 }
-
-void kq_disturb_print (const KqDisturb *d, KqBuf *b);
-void
-kq_disturb_print (const KqDisturb *d, KqBuf *b)
-{
-  for (int i = 0; i < d->serving.n; i++)
-    {
-      kq_buf_printf (b, " [%s %.2f", d->serving.names[i], d->models[i]->value[0]);
-      for (int k = 0; k < d->filling.n; k++)
-        kq_buf_printf (b, " %.3s:%.2f", d->filling.names[k], d->models[i]->value[k + 1]);
-      kq_buf_printf (b, "]");
-    }
-}
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -22,7 +22,7 @@
   KqOccurrence *o = t->occurrence;
   KqTaskState *state = o != NULL ? &o->steps[t->step].tasks[t->index] : NULL;
   bool wanted = state != NULL && state->phase == KQ_TASK_WAITING && !t->job->cancelled
-                && number > state->failed_run;
+                && !kq_book_has_failed (state, number);
   KqRun *run
       = kq_run_new (s, t->job, wanted ? o : NULL, t->step, t->index, r, number, now);
   run->occurrence_number = t->occurrence_number;
--- a/src/sched/progress.c
+++ b/src/sched/progress.c
@@ -36,10 +36,11 @@
     if (worth_a_row (&st->tasks[i]))
       {
         const KqTaskState *t = &st->tasks[i];
-        kq_pack_array (p, 4);
+        kq_pack_array (p, 3);
         kq_pack_i64 (p, i);
-        kq_pack_i64 (p, t->failures);
-        kq_pack_u64 (p, t->failed_run);
+        kq_pack_array (p, t->failures);
+        for (int k = 0; k < t->failures; k++)
+          kq_pack_u64 (p, t->failed_runs[k]);
         kq_pack_str (p, kq_str (t->checkpoint));
       }
   free (bits);
@@ -73,14 +74,15 @@
 read_task_row (KqReader *r, KqStepState *st, int32_t width)
 {
   int64_t i = kq_read_i64 (r);
-  int64_t failures = kq_read_i64 (r);
-  uint64_t run = kq_read_u64 (r);
-  KqStr checkpoint = kq_read_str (r);
+  KqReader runs;
+  KqStr checkpoint;
+  kq_read_array (r, &runs);
+  while (!runs.bad && runs.left > 0 && i >= 0 && i < width)
+    kq_book_add_failure (&st->tasks[i], (uint32_t)kq_read_u64 (&runs));
+  kq_read_join (r, &runs);
+  checkpoint = kq_read_str (r);
   if (r->bad || i < 0 || i >= width)
     return;
-  st->tasks[i].failures = (uint8_t)failures;
-  st->tasks[i].failed_run = (uint32_t)run;
-  st->tasks[i].last_run = (uint32_t)run;
   if (checkpoint.len > 0)
     st->tasks[i].checkpoint = kq_str_dup (checkpoint);
 }
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -100,7 +100,7 @@
   if (r == NULL)
     r = add (s, e->id, now);
   moved = !kq_str_eq (kq_str (r->address), e->address);
-  if (!r->in_store || r->draining != e->draining || moved)
+  if (s->loaded && (!r->in_store || r->draining != e->draining || moved))
     kq_log (
         KQ_LOG_INFO, PART,
         "Runner's entry. runner=%s address=%.*s draining=%d born_ms=%lld left_ms=%lld",
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -2,7 +2,6 @@
 
 #include "wire/pack.h"
 
-void kq_disturb_print (const KqDisturb *d, KqBuf *b);
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -242,52 +241,6 @@
       kq_runners_look (s, now);
       kq_watch_progress (s, now);
       look_at_jobs (s, now);
-      { /* DBGSUM */
-        static int n;
-        int fills = 0, paced = 0, zero = 0, wait = 0, starved = 0;
-        double use = 0, want = 0;
-        long sv = 0, over = 0;
-        for (guint i = 0; i < s->runner_list->len; i++)
-          {
-            KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-            for (KqRun *run = r->runs; run; run = run->next)
-              {
-                const KqStep *p = kq_run_step (run);
-                if (p->filling)
-                  {
-                    fills++;
-                    paced += run->pace < 100;
-                    zero += run->pace < 20;
-                    use += run->load;
-                    want += p->cpu_milli;
-                    starved += run->pace == 100 && run->load >= 0
-                               && run->load * 10 < p->cpu_milli * 8
-                               && now - run->placed_at > 700000;
-                  }
-                else if (p->target_ms)
-                  {
-                    sv++;
-                    over += run->load >= p->target_ms;
-                  }
-              }
-          }
-        for (KqJob *j = s->open; j; j = j->next)
-          for (KqOccurrence *o = j->occurrences; o; o = o->next)
-            for (int k = 0; k < j->spec.n_steps; k++)
-              if (o->steps[k].open)
-                wait += j->spec.steps[k].width - o->steps[k].done - o->steps[k].active;
-        if (n++ % 4 == 0)
-          {
-            KqBuf b = { 0 };
-            kq_disturb_print (s->disturb, &b);
-            kq_log (KQ_LOG_WARN, "dbg",
-                    "SUM fills=%d paced=%d zero=%d starved=%d use=%.0f want=%.0f "
-                    "waiting=%d serving=%ld over=%ld%s",
-                    fills, paced, zero, starved, use, want, wait, sv, over,
-                    n % 16 == 1 ? b.ptr : "");
-            kq_buf_free (&b);
-          }
-      }
     }
   kq_runners_settle (s, now);
   if (s->work)
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -27,11 +27,12 @@
 {
   uint8_t phase; /* KqTaskPhase */
   uint8_t failures;
-  uint32_t last_run;    /* highest run number given out or seen */
-  uint32_t failed_run;  /* of the last failure counted: each counts once */
-  KqRun *run;           /* while ACTIVE */
-  char *checkpoint;     /* of an earlier run; NULL: none */
-  KqRunnerState *avoid; /* where it failed or stood still last */
+  uint32_t last_run;     /* highest run number given out or seen */
+  uint32_t *failed_runs; /* numbers of the runs that failed: each counts once, and a
+                            new leader hears of them in any order */
+  KqRun *run;            /* while ACTIVE */
+  char *checkpoint;      /* of an earlier run; NULL: none */
+  KqRunnerState *avoid;  /* where it failed or stood still last */
 } KqTaskState;
 
 typedef struct
@@ -204,6 +205,8 @@
 bool kq_book_task (const KqSched *s, KqStr name, KqTaskRef *out);
 void kq_book_task_name (const KqRun *r, char out[96]);
 KqTaskState *kq_book_state (const KqRun *r);
+bool kq_book_has_failed (const KqTaskState *t, uint32_t run);
+void kq_book_add_failure (KqTaskState *t, uint32_t run);
 KqOccurrence *kq_book_add_occurrence (KqJob *j, int32_t number, KqTime due_at);
 void kq_book_open_steps (KqOccurrence *o);
 void kq_book_task_done (KqSched *s, KqOccurrence *o, int32_t step, int32_t index,
