Disturbance is learned by share of the runner's cpu; placing leaves room for the load's peaks

Cause: presses by core differ tenfold between runners of 16 and of 64 cores, so one prior fitted neither; filling tasks were placed into the trough of a load that swings within ten seconds. Change: shares as the model's terms, a fading peak of each serving image's base.

--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -283,6 +283,16 @@
   g_ptr_array_remove_index (g->runs, at);
 }
 
+/* A runner shortens a lease that is longer than the longest allowed. */
+static void
+extend_lease (const KqSchedRig *r, KqSchedRigRunner *g, int64_t end)
+{
+  int64_t most = clock_of (r, g) + LEASE_MS;
+  end = end < most ? end : most;
+  if (end > g->lease_end_ms)
+    g->lease_end_ms = end;
+}
+
 static KqOrderResult
 start_at (KqSchedRig *r, KqSchedRigRunner *g, const KqSchedRigEvent *e)
 {
@@ -307,8 +317,7 @@
     return KQ_ORDER_OLD_RUN;
   if (e->lease_end_ms <= clock_of (r, g))
     return KQ_ORDER_LATE;
-  if (e->lease_end_ms > g->lease_end_ms)
-    g->lease_end_ms = e->lease_end_ms;
+  extend_lease (r, g, e->lease_end_ms);
   run = kq_alloc (sizeof *run);
   run->task = strdup (task);
   run->run = number;
@@ -496,8 +505,8 @@
   if (arrives && r->epoch >= g->fence)
     {
       g->fence = r->epoch;
-      if (g->clock_ms >= 0 && g->failures == 0 && g->granted_ms > g->lease_end_ms)
-        g->lease_end_ms = g->granted_ms;
+      if (g->clock_ms >= 0 && g->failures == 0)
+        extend_lease (r, g, g->granted_ms);
       forget_ends (r, g);
     }
   if (!answered)
--- a/src/sched/disturb.c
+++ b/src/sched/disturb.c
@@ -10,20 +10,23 @@
  * each quite possibly so. */
 #define FIRST_BASE -0.8
 #define FIRST_BASE_VARIANCE 0.3
-#define FIRST_PRESS_VARIANCE 0.15
+#define FIRST_PRESS_VARIANCE 16.0
 /* Variance of a report around the model (residuals of the fit named in the header). */
 #define REPORT_VARIANCE 0.25
 /* Beliefs age by this much variance with each report that bears on them. Serving load
  * swings within seconds, for all tasks of an image alike; what images do to each other
  * stays for much longer. */
 #define BASE_DRIFT 0.003
-#define PRESS_DRIFT 0.000003
+#define PRESS_DRIFT 0.0003
 /* An image counts as harmful by what exceeds so many standard deviations: a third of all
  * pairs are, and the noise of the others would add up over the tasks of a runner. */
 #define SURE 0.8
 /* A report further off than this is taken for so far off: queues can explode for a moment
  * without the images being to blame. */
 #define SURPRISE_MAX 1.5
+/* A peak of the serving load is remembered for about so long: the load swings with a
+ * period of some seconds. */
+#define PEAK_FADES (12.0 * KQ_SEC)
 
 typedef struct
 {
@@ -42,6 +45,8 @@
   Names serving;
   Names filling;
   Model *models[KQ_DISTURB_IMAGES]; /* by serving image */
+  double peaks[KQ_DISTURB_IMAGES];
+  KqTime peaks_at[KQ_DISTURB_IMAGES];
 };
 
 KqDisturb *
@@ -90,6 +95,7 @@
     return at;
   m = d->models[at] = kq_alloc (sizeof *m);
   m->value[0] = FIRST_BASE;
+  d->peaks[at] = FIRST_BASE;
   m->variance[0][0] = FIRST_BASE_VARIANCE;
   for (int i = 1; i < TERMS; i++)
     m->variance[i][i] = FIRST_PRESS_VARIANCE;
@@ -102,9 +108,19 @@
   return place_of (&d->filling, image);
 }
 
+static void
+note_peak (KqDisturb *d, int serving, KqTime now)
+{
+  double base = d->models[serving]->value[0];
+  double age = (double)(now - d->peaks_at[serving]) / PEAK_FADES;
+  double faded = base + (d->peaks[serving] - base) * exp (-age);
+  d->peaks[serving] = faded > base ? faded : base;
+  d->peaks_at[serving] = now;
+}
+
 void
 kq_disturb_learn (KqDisturb *d, int serving, double log_tail,
-                  const double cores[KQ_DISTURB_IMAGES])
+                  const double shares[KQ_DISTURB_IMAGES], KqTime now)
 {
   Model *m = d->models[serving];
   int n = d->filling.n + 1;
@@ -112,7 +128,7 @@
   double gain[TERMS];
   double spread = REPORT_VARIANCE;
   double surprise = log_tail;
-  memcpy (x + 1, cores, KQ_DISTURB_IMAGES * sizeof *cores);
+  memcpy (x + 1, shares, KQ_DISTURB_IMAGES * sizeof *shares);
   for (int i = 0; i < n; i++)
     {
       if (x[i] > 0)
@@ -132,6 +148,7 @@
   for (int i = 0; i < n; i++)
     for (int k = 0; k < n; k++)
       m->variance[i][k] -= gain[i] * gain[k] / spread;
+  note_peak (d, serving, now);
 }
 
 double
@@ -148,3 +165,9 @@
 {
   return d->models[serving]->value[0];
 }
+
+double
+kq_disturb_peak (const KqDisturb *d, int serving)
+{
+  return d->peaks[serving];
+}
--- a/src/sched/disturb.h
+++ b/src/sched/disturb.h
@@ -12,6 +12,7 @@
  * logarithm, kept by recursive least squares. */
 
 #include "base/str.h"
+#include "base/time.h"
 
 #define KQ_DISTURB_IMAGES 32 /* of each sort; further ones share the last place */
 
@@ -23,13 +24,17 @@
 int kq_disturb_serving (KqDisturb *d, KqStr image);
 int kq_disturb_filling (KqDisturb *d, KqStr image);
 
-/* One report: log_tail is the logarithm of tail by target, cores[f] what each filling
- * image used on that runner at the time. */
+/* One report: log_tail is the logarithm of tail by target, shares[f] the share of the
+ * runner's cpu that each filling image used at the time. Shares, not cores: on runners of
+ * 16 and of 64 cores the growth for each core differs tenfold, for each share it is
+ * alike. */
 void kq_disturb_learn (KqDisturb *d, int serving, double log_tail,
-                       const double cores[KQ_DISTURB_IMAGES]);
-/* Growth of the logarithm for each core; at least 0. */
+                       const double shares[KQ_DISTURB_IMAGES], KqTime now);
+/* Growth of the logarithm for the whole cpu; at least 0. */
 double kq_disturb_press (const KqDisturb *d, int serving, int filling);
 /* The logarithm without any filling task. */
 double kq_disturb_base (const KqDisturb *d, int serving);
+/* The same at its highest of late: what is placed now meets it again. */
+double kq_disturb_peak (const KqDisturb *d, int serving);
 
 #endif
--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -28,16 +28,22 @@
 #define BLIND_RATIO 1.3
 #define BLIND_PERCENT 30
 
-/* Cores in use by each filling image on the runner. */
+static double
+whole_cpu (const KqRunnerState *r)
+{
+  return r->room.cpu_milli > 0 ? (double)r->room.cpu_milli : 1;
+}
+
+/* Shares of the runner's cpu in use by each filling image. */
 static void
-cores_in_use (KqSched *s, const KqRunnerState *r, double cores[KQ_DISTURB_IMAGES])
+shares_in_use (KqSched *s, const KqRunnerState *r, double shares[KQ_DISTURB_IMAGES])
 {
   for (int i = 0; i < KQ_DISTURB_IMAGES; i++)
-    cores[i] = 0;
+    shares[i] = 0;
   for (const KqRun *run = r->runs; run != NULL; run = run->next)
     if (kq_run_step (run)->filling && run->load > 0)
-      cores[kq_disturb_filling (s->disturb, kq_run_step (run)->image)]
-          += run->load / 1000.0;
+      shares[kq_disturb_filling (s->disturb, kq_run_step (run)->image)]
+          += (double)run->load / whole_cpu (r);
 }
 
 static bool
@@ -50,8 +56,8 @@
 static void
 learn (KqSched *s, KqRunnerState *r, KqTime now)
 {
-  double cores[KQ_DISTURB_IMAGES];
-  cores_in_use (s, r, cores);
+  double shares[KQ_DISTURB_IMAGES];
+  shares_in_use (s, r, shares);
   for (KqRun *run = r->runs; run != NULL; run = run->next)
     {
       const KqStep *p = kq_run_step (run);
@@ -62,10 +68,10 @@
         continue;
       image = kq_disturb_serving (s->disturb, p->image);
       y = log ((double)run->load / p->target_ms);
-      kq_disturb_learn (s->disturb, image, y, cores);
+      kq_disturb_learn (s->disturb, image, y, shares, now);
       for (int i = 0; i < KQ_DISTURB_IMAGES; i++)
-        if (cores[i] > 0)
-          pressed += cores[i] * kq_disturb_press (s->disturb, image, i);
+        if (shares[i] > 0)
+          pressed += shares[i] * kq_disturb_press (s->disturb, image, i);
       run->own_load
           += LOAD_WEIGHT
              * (y - pressed - kq_disturb_base (s->disturb, image) - run->own_load);
@@ -84,13 +90,21 @@
   return log (AIM) - kq_disturb_base (s->disturb, image) - serving->own_load;
 }
 
+double
+kq_pace_headroom_at_peak (KqSched *s, const KqRun *serving)
+{
+  const KqStep *p = kq_run_step (serving);
+  int image = kq_disturb_serving (s->disturb, p->image);
+  return log (AIM) - kq_disturb_peak (s->disturb, image) - fmax (serving->own_load, 0);
+}
+
 double
 kq_pace_press (KqSched *s, const KqRun *serving, const KqStep *filling)
 {
   return kq_disturb_press (s->disturb,
                            kq_disturb_serving (s->disturb, kq_run_step (serving)->image),
                            kq_disturb_filling (s->disturb, filling->image))
-         * filling->cpu_milli / 1000.0;
+         * filling->cpu_milli / whole_cpu (serving->runner);
 }
 
 /* The share of their speed at which the filling tasks beside it leave the serving task
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -67,7 +67,7 @@
       for (const KqRun *other = r->runs; other != NULL; other = other->next)
         if (kq_run_step (other)->filling)
           press += kq_pace_press (s, run, kq_run_step (other));
-      headroom = kq_pace_headroom (s, run);
+      headroom = kq_pace_headroom_at_peak (s, run);
       press = headroom > 0.01 ? press / headroom : 100;
       worst = press > worst ? press : worst;
     }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -263,6 +263,8 @@
 void kq_pace_runner (KqSched *s, KqRunnerState *r, KqTime now);
 /* How much the logarithm of the serving task's tail may still grow. */
 double kq_pace_headroom (KqSched *s, const KqRun *serving);
+/* The same at the highest load of late. */
+double kq_pace_headroom_at_peak (KqSched *s, const KqRun *serving);
 /* How much a task of the step makes it grow at full speed. */
 double kq_pace_press (KqSched *s, const KqRun *serving, const KqStep *filling);
 
