Serving tasks are packed by image; other tasks go beside them

Cause: spread over all runners, serving tasks left no runner where a filling task disturbs nobody. Change: best fit among runners with the same image; tasks with room of their own go to runners that serve already.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -26,6 +26,7 @@
 /* Serving tasks of one image go together: a filling image disturbs one or two serving
  * images out of several, so a runner with few of them is open to more filling tasks. */
 #define W_IMAGE 0.6
+#define W_BESIDE 0.5
 #define W_SERVE_FREE 0.4
 /* More of the headroom than this is not given away. */
 #define PRESS_MOST 0.9
@@ -152,7 +153,9 @@
   if (p->filling)
     v = (double)cpu_to_fill (r) / whole - W_PRESS * press_on (s, r, p);
   else if (p->target_ms > 0)
-    v = W_SERVE_FREE * v - press_by (s, r, p) - W_IMAGE * strangers (r, p);
+    v = -W_SERVE_FREE * v - press_by (s, r, p) - W_IMAGE * strangers (r, p);
+  else if (r->n_serving > 0)
+    v += W_BESIDE;
   if (slow > 1.3)
     v -= W_SLOW * (slow - 1);
   v -= W_FAILS * r->fails;
