--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -22,7 +22,7 @@
 /* Below this the task may as well stand. */
 #define LEAST_PERCENT 10
 /* Weight of a new report in the estimate of a task's own load. */
-#define LOAD_WEIGHT 0.4
+#define LOAD_WEIGHT 0.2
 /* With a tail this far over the target nobody may be known to be at fault yet: then all
  * filling tasks there are slowed to this. */
 #define BLIND_RATIO 1.3
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -29,7 +29,7 @@
 #define W_BESIDE 0.5
 #define W_SERVE_FREE 0.4
 /* More of the headroom than this is not given away. */
-#define PRESS_MOST 0.9
+#define PRESS_MOST 0.5
 
 /* What is left of the runner's cpu when filling tasks have theirs. */
 static int64_t
