--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -159,12 +159,13 @@
   kq_spec_clear (&j->spec);
   kq_buf_free (&j->stored);
   kq_buf_free (&j->batch);
+  free (j->images);
   free (j);
 }
 
 /* Progress waits a little to be stored with that of others, but not long: runners repeat
- * their ends until then. The end of a job hardly waits, as its client account is told only
- * when it is stored. */
+ * their ends until then. The end of a job hardly waits, as its client account is told
+ * only when it is stored. */
 #define STORE_GAP (70 * KQ_MS)
 #define STORE_GAP_URGENT (15 * KQ_MS)
 
--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -23,6 +23,9 @@
 #define LEAST_PERCENT 10
 /* Weight of a new report in the estimate of a task's own load. */
 #define LOAD_WEIGHT 0.2
+/* A press smaller than this is the model's noise. */
+#define PRESS_LEAST 0.02
+#define PRESS_HOPELESS 100.0
 /* With a tail this far over the target nobody may be known to be at fault yet: then all
  * filling tasks there are slowed to this. */
 #define BLIND_RATIO 1.3
@@ -36,14 +39,13 @@
 
 /* Shares of the runner's cpu in use by each filling image. */
 static void
-shares_in_use (KqSched *s, const KqRunnerState *r, double shares[KQ_DISTURB_IMAGES])
+shares_in_use (const KqRunnerState *r, double shares[KQ_DISTURB_IMAGES])
 {
   for (int i = 0; i < KQ_DISTURB_IMAGES; i++)
     shares[i] = 0;
   for (const KqRun *run = r->runs; run != NULL; run = run->next)
     if (kq_run_step (run)->filling && run->load > 0)
-      shares[kq_disturb_filling (s->disturb, kq_run_step (run)->image)]
-          += (double)run->load / whole_cpu (r);
+      shares[kq_run_image (run)] += (double)run->load / whole_cpu (r);
 }
 
 static bool
@@ -57,7 +59,7 @@
 learn (KqSched *s, KqRunnerState *r, KqTime now)
 {
   double shares[KQ_DISTURB_IMAGES];
-  shares_in_use (s, r, shares);
+  shares_in_use (r, shares);
   for (KqRun *run = r->runs; run != NULL; run = run->next)
     {
       const KqStep *p = kq_run_step (run);
@@ -66,7 +68,7 @@
       int image;
       if (!serves (run))
         continue;
-      image = kq_disturb_serving (s->disturb, p->image);
+      image = kq_run_image (run);
       y = log ((double)run->load / p->target_ms);
       kq_disturb_learn (s->disturb, image, y, shares, now);
       for (int i = 0; i < KQ_DISTURB_IMAGES; i++)
@@ -82,29 +84,44 @@
     }
 }
 
-double
-kq_pace_headroom (KqSched *s, const KqRun *serving)
+/* How much the logarithm of the serving task's tail may still grow. */
+static double
+headroom_of (const KqSched *s, const KqRun *serving)
 {
-  const KqStep *p = kq_run_step (serving);
-  int image = kq_disturb_serving (s->disturb, p->image);
-  return log (AIM) - kq_disturb_base (s->disturb, image) - serving->own_load;
+  return log (AIM) - kq_disturb_base (s->disturb, kq_run_image (serving))
+         - serving->own_load;
 }
 
 double
-kq_pace_headroom_at_peak (KqSched *s, const KqRun *serving)
+kq_pace_press_by (const KqSched *s, const KqRunnerState *r, int serving)
 {
-  const KqStep *p = kq_run_step (serving);
-  int image = kq_disturb_serving (s->disturb, p->image);
-  return log (AIM) - kq_disturb_peak (s->disturb, image) - fmax (serving->own_load, 0);
+  double press = 0;
+  for (int f = 0; f < KQ_DISTURB_IMAGES; f++)
+    if (r->filling_shares[f] > 0.001)
+      press += r->filling_shares[f] * kq_disturb_press (s->disturb, serving, f);
+  return press;
 }
 
 double
-kq_pace_press (KqSched *s, const KqRun *serving, const KqStep *filling)
+kq_pace_press_on (const KqSched *s, const KqRunnerState *r, int filling,
+                  int32_t cpu_milli)
 {
-  return kq_disturb_press (s->disturb,
-                           kq_disturb_serving (s->disturb, kq_run_step (serving)->image),
-                           kq_disturb_filling (s->disturb, filling->image))
-         * filling->cpu_milli / whole_cpu (serving->runner);
+  double worst = 0;
+  for (int v = 0; v < KQ_DISTURB_IMAGES && r->n_serving > 0; v++)
+    {
+      double press;
+      double headroom;
+      if (r->serving_images[v] <= 0)
+        continue;
+      press = kq_disturb_press (s->disturb, v, filling) * cpu_milli / whole_cpu (r);
+      if (press < PRESS_LEAST)
+        continue;
+      headroom = log (AIM) - kq_disturb_peak (s->disturb, v);
+      press += kq_pace_press_by (s, r, v);
+      press = headroom > 0.01 ? press / headroom : PRESS_HOPELESS;
+      worst = press > worst ? press : worst;
+    }
+  return worst;
 }
 
 /* The share of their speed at which the filling tasks beside it leave the serving task
@@ -112,11 +129,8 @@
 static double
 fair_share (KqSched *s, const KqRunnerState *r, const KqRun *serving)
 {
-  double pressed = 0;
-  double headroom = kq_pace_headroom (s, serving);
-  for (const KqRun *run = r->runs; run != NULL; run = run->next)
-    if (kq_run_step (run)->filling)
-      pressed += kq_pace_press (s, serving, kq_run_step (run));
+  double pressed = kq_pace_press_by (s, r, kq_run_image (serving));
+  double headroom = headroom_of (s, serving);
   if (pressed <= 0)
     return 1;
   return headroom > 0 ? headroom / pressed : 0;
@@ -130,11 +144,14 @@
   for (const KqRun *run = r->runs; run != NULL; run = run->next)
     {
       double share;
+      double press;
       bool over = serves (run) && run->load > BLIND_RATIO * kq_run_step (run)->target_ms;
       if (!serves (run))
         continue;
       share = fair_share (s, r, run);
-      if (share < least && kq_pace_press (s, run, kq_run_step (filling)) > 0.02)
+      press = kq_disturb_press (s->disturb, kq_run_image (run), kq_run_image (filling))
+              * kq_run_step (filling)->cpu_milli / whole_cpu (r);
+      if (share < least && press > PRESS_LEAST)
         least = share;
       else if (over && share >= 1 && least > BLIND_PERCENT / 100.0)
         least = BLIND_PERCENT / 100.0;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -50,46 +50,6 @@
   return cpu_to_fill (r) >= (int64_t)p->cpu_milli * FILL_NEEDS_PERCENT / 100;
 }
 
-/* The share of their headroom that serving tasks on the runner would lose: the worst
- * one's, with what fills there already. Above 1: over the target. */
-static double
-press_on (KqSched *s, const KqRunnerState *r, const KqStep *p)
-{
-  double worst = 0;
-  for (const KqRun *run = r->runs; run != NULL; run = run->next)
-    {
-      double press;
-      double headroom;
-      if (kq_run_step (run)->target_ms <= 0)
-        continue;
-      press = kq_pace_press (s, run, p);
-      if (press < 0.02)
-        continue;
-      for (const KqRun *other = r->runs; other != NULL; other = other->next)
-        if (kq_run_step (other)->filling)
-          press += kq_pace_press (s, run, kq_run_step (other));
-      headroom = kq_pace_headroom_at_peak (s, run);
-      press = headroom > 0.01 ? press / headroom : 100;
-      worst = press > worst ? press : worst;
-    }
-  return worst;
-}
-
-/* The same, for a serving task among the filling ones of a runner. */
-static double
-press_by (KqSched *s, const KqRunnerState *r, const KqStep *p)
-{
-  double press = 0;
-  int image = kq_disturb_serving (s->disturb, p->image);
-  for (const KqRun *run = r->runs; run != NULL; run = run->next)
-    if (kq_run_step (run)->filling)
-      press
-          += kq_disturb_press (s->disturb, image,
-                               kq_disturb_filling (s->disturb, kq_run_step (run)->image))
-             * kq_run_step (run)->cpu_milli / 1000.0;
-  return press;
-}
-
 /* Whether the runner could hold the task if nothing else ran there. */
 static bool
 ever_fits (const KqRunnerState *r, const KqStep *p)
@@ -121,24 +81,13 @@
          && !r->draining && r->agent >= 0 && now >= r->suspect_until;
 }
 
-/* Of the serving cpu on the runner, the part that other images have, less the part that
- * the same image has. */
+/* Of the serving tasks on the runner, the part that have other images, less the part that
+ * have the same. */
 static double
-strangers (const KqRunnerState *r, const KqStep *p)
+strangers (const KqRunnerState *r, int image)
 {
-  double other = 0;
-  double same = 0;
-  for (const KqRun *run = r->runs; run != NULL; run = run->next)
-    {
-      const KqStep *q = kq_run_step (run);
-      if (q->target_ms <= 0)
-        continue;
-      if (kq_str_eq (q->image, p->image))
-        same += q->cpu_milli;
-      else
-        other += q->cpu_milli;
-    }
-  return other + same > 0 ? (other - same) / (other + same) : 0;
+  double same = r->serving_images[image];
+  return r->n_serving > 0 ? (r->n_serving - 2 * same) / r->n_serving : 0;
 }
 
 static double
@@ -147,13 +96,16 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   const KqStepState *st = &o->steps[step];
+  int image = o->job->images[step];
   double whole = r->room.cpu_milli > 0 ? (double)r->room.cpu_milli : 1;
   double v = (double)(r->room.cpu_milli - r->used.cpu_milli) / whole;
   double slow = r->slowness / (s->slowness_mean > 0.1 ? s->slowness_mean : 0.1);
   if (p->filling)
-    v = (double)cpu_to_fill (r) / whole - W_PRESS * press_on (s, r, p);
+    v = (double)cpu_to_fill (r) / whole
+        - W_PRESS * kq_pace_press_on (s, r, image, p->cpu_milli);
   else if (p->target_ms > 0)
-    v = -W_SERVE_FREE * v - press_by (s, r, p) - W_IMAGE * strangers (r, p);
+    v = -W_SERVE_FREE * v - kq_pace_press_by (s, r, image)
+        - W_IMAGE * strangers (r, image);
   else if (r->n_serving > 0)
     v += W_BESIDE;
   if (slow > 1.3)
@@ -173,6 +125,7 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   const KqTaskState *t = &o->steps[step].tasks[index];
+  int image = o->job->images[step];
   KqRunnerState *best = NULL;
   double best_score = 0;
   for (guint i = 0; i < s->runner_list->len; i++)
@@ -184,7 +137,7 @@
         continue;
       if (p->per_runner_max > 0 && of_step (r, o, step) >= p->per_runner_max)
         continue;
-      if (p->filling && press_on (s, r, p) > PRESS_MOST)
+      if (p->filling && kq_pace_press_on (s, r, image, p->cpu_milli) > PRESS_MOST)
         continue;
       v = score (s, r, o, step, t);
       if (best == NULL || v > best_score)
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -15,9 +15,18 @@
   return &run->job->spec.steps[run->step];
 }
 
+int
+kq_run_image (const KqRun *run)
+{
+  return run->job->images[run->step];
+}
+
 static void
-reserve (KqRunnerState *r, const KqStep *p, int sign)
+reserve (const KqRun *run, int sign)
 {
+  KqRunnerState *r = run->runner;
+  const KqStep *p = kq_run_step (run);
+  int image = kq_run_image (run);
   if (p->filling)
     r->filling += sign * (int64_t)p->cpu_milli;
   else
@@ -25,8 +34,11 @@
   r->used.mem_mb += sign * (int64_t)p->mem_mb;
   r->used.gpus += sign * (int64_t)p->gpus;
   r->n_runs += sign;
-  if (p->target_ms > 0)
+  if (image >= 0 && p->filling)
+    r->filling_shares[image] += sign * run->share;
+  else if (image >= 0)
     {
+      r->serving_images[image] += sign;
       r->n_serving += sign;
       r->serving += sign * (int64_t)p->cpu_milli;
     }
@@ -47,12 +59,14 @@
   run->runner = r;
   run->pace = 100;
   run->load = -1;
+  run->share = (double)kq_run_step (run)->cpu_milli
+               / (double)(r->room.cpu_milli > 0 ? r->room.cpu_milli : 1);
   run->placed_at = run->moved_at = now;
   run->next = r->runs;
   if (r->runs != NULL)
     r->runs->prev = run;
   r->runs = run;
-  reserve (r, kq_run_step (run), 1);
+  reserve (run, 1);
   j->runs++;
   if (o != NULL)
     {
@@ -84,7 +98,7 @@
           run->checkpoint = NULL;
         }
     }
-  reserve (r, kq_run_step (run), -1);
+  reserve (run, -1);
   if (run->prev != NULL)
     run->prev->next = run->next;
   else
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -95,6 +95,19 @@
   free (s);
 }
 
+static void
+place_images (KqSched *s, KqJob *j)
+{
+  j->images = kq_alloc ((size_t)j->spec.n_steps * sizeof *j->images);
+  for (int32_t i = 0; i < j->spec.n_steps; i++)
+    {
+      const KqStep *p = &j->spec.steps[i];
+      j->images[i] = p->filling         ? kq_disturb_filling (s->disturb, p->image)
+                     : p->target_ms > 0 ? kq_disturb_serving (s->disturb, p->image)
+                                        : -1;
+    }
+}
+
 bool
 kq_sched_job (KqSched *s, KqStr stored, uint64_t revision, KqTime now)
 {
@@ -115,6 +128,7 @@
       return true;
     }
   j->revision = revision;
+  place_images (s, j);
   age = wall - j->spec.accepted_ms;
   j->accepted_at = now - (age > 0 && s->wall_minus_now_ms != 0 ? age : 0) * KQ_MS;
   j->next = s->open;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -69,6 +69,7 @@
   bool stored_once;
   KqTime accepted_at;
   KqTime ended_at;
+  int *images; /* of each step: its image's place in the disturbance model; -1: none */
   int32_t created; /* occurrences made so far */
   int32_t finished;
   KqOccurrence *occurrences; /* open ones */
@@ -101,6 +102,7 @@
   KqTime running_at;
   KqTime moved_at; /* last sign of progress */
   KqTime retry_at;
+  double share; /* of the runner's cpu that it asks for */
   int percent;
   int load;
   int pace;          /* ordered last */
@@ -151,8 +153,10 @@
   int suspect_times;
   int n_runs;
   int n_serving;
-  int64_t serving; /* cpu reserved by serving tasks, of used */
-  KqTime paced_at; /* last look at its serving tasks' tails */
+  int64_t serving;                          /* cpu reserved by serving tasks, of used */
+  int serving_images[KQ_DISTURB_IMAGES];    /* tasks by image */
+  double filling_shares[KQ_DISTURB_IMAGES]; /* of the cpu, wanted by image */
+  KqTime paced_at;                          /* last look at its serving tasks' tails */
   KqRun *runs;
 };
 
@@ -231,6 +235,7 @@
 void kq_run_pace (KqSched *s, KqRun *run, int percent, KqTime now);
 void kq_run_set_checkpoint (KqRun *run, KqStr checkpoint);
 const KqStep *kq_run_step (const KqRun *run);
+int kq_run_image (const KqRun *run); /* place in the disturbance model; -1: none */
 void kq_run_cancel_all (KqSched *s, KqJob *j, KqTime now);
 
 /* runners.c */
@@ -261,12 +266,12 @@
 void kq_watch_progress (KqSched *s, KqTime now);
 /* pace.c */
 void kq_pace_runner (KqSched *s, KqRunnerState *r, KqTime now);
-/* How much the logarithm of the serving task's tail may still grow. */
-double kq_pace_headroom (KqSched *s, const KqRun *serving);
-/* The same at the highest load of late. */
-double kq_pace_headroom_at_peak (KqSched *s, const KqRun *serving);
-/* How much a task of the step makes it grow at full speed. */
-double kq_pace_press (KqSched *s, const KqRun *serving, const KqStep *filling);
+/* The most of the headroom at peak that any serving image on the runner would have lost
+ * with a filling task of that image and cpu more; above 1: over the target. */
+double kq_pace_press_on (const KqSched *s, const KqRunnerState *r, int filling,
+                         int32_t cpu_milli);
+/* Growth of the logarithm for a serving image by what fills on the runner. */
+double kq_pace_press_by (const KqSched *s, const KqRunnerState *r, int serving);
 
 /* progress.c */
 void kq_progress_pack (const KqJob *j, KqBuf *out);
