--- a/bench/sched_soak_main.c
+++ b/bench/sched_soak_main.c
@@ -23,7 +23,7 @@
       if (kq_sched_soak (seed + (uint64_t)i, steps, why, sizeof why) == 0)
         continue;
       bad++;
-      printf ("seed %llu: %s\n", (unsigned long long)(seed + (uint64_t)i), why);
+      printf ("seed %llu: %s\n", (unsigned long long)seed + (unsigned long long)i, why);
     }
   printf ("%d seeds of %d steps, %d with a breach\n", seeds, steps, bad);
   return bad > 0;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -393,11 +393,11 @@
 print_metrics (void *arg, KqBuf *out)
 {
   KqFleet *f = arg;
-  *kq_counter (f->config.counters, "kq_leading", "", "1 while this node leads.")
-      = f->leader != NULL;
-  *kq_counter (f->config.counters, "kq_agent_runners", "",
-               "Runners that this node looks after.")
-      = kq_crew_agent_runners (f->agent);
+  KqCounters *c = f->config.counters;
+  uint64_t *gauge = kq_counter (c, "kq_leading", "", "1 while this node leads.");
+  *gauge = f->leader != NULL;
+  gauge = kq_counter (c, "kq_agent_runners", "", "Runners that this node looks after.");
+  *gauge = kq_crew_agent_runners (f->agent);
   if (f->leader != NULL)
     kq_leader_gauges (f->leader);
   kq_counters_print (f->config.counters, out);
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -48,13 +48,13 @@
   uint64_t out_epoch;
 };
 
+/* The peer is out of the list already. */
 static void
-drop_peer (KqPeer *p, const char *why, KqTime now)
+end_peer (KqPeer *p, const char *why, KqTime now)
 {
   KqLink *l = p->link;
   kq_log (KQ_LOG_INFO, PART, "Node disconnected. agent=%d why=%s heard_ms_ago=%lld",
           p->agent, why, (long long)((now - kq_conn_heard_at (p->conn)) / KQ_MS));
-  g_ptr_array_remove_fast (l->peers, p);
   if (p->joined)
     l->config.owner.left (l->config.owner.arg, p, now);
   kq_conn_free (p->conn);
@@ -98,8 +98,10 @@
 on_peer_closed (void *arg, KqConn *c, KqResult why)
 {
   KqPeer *p = arg;
+  KqTime now = kq_loop_now (p->link->config.loop);
   (void)c;
-  drop_peer (p, kq_result_name (why), kq_loop_now (p->link->config.loop));
+  g_ptr_array_remove_fast (p->link->peers, p);
+  end_peer (p, kq_result_name (why), now);
 }
 
 static void
@@ -270,16 +272,18 @@
 beat_peers (KqLink *l, KqTime now)
 {
   KqCrewItem i = { .kind = KQ_CREW_PING };
-  for (guint n = 0; n < l->peers->len; n++)
+  guint n = 0;
+  while (n < l->peers->len)
     {
       KqPeer *p = g_ptr_array_index (l->peers, n);
-      if (now - kq_conn_heard_at (p->conn) > SILENT)
+      if (now - kq_conn_heard_at (p->conn) <= SILENT)
         {
-          drop_peer (p, "silent", now);
-          n--;
+          kq_link_send_peer (p, &i);
+          n++;
+          continue;
         }
-      else
-        kq_link_send_peer (p, &i);
+      g_ptr_array_steal_index_fast (l->peers, n);
+      end_peer (p, "silent", now);
     }
 }
 
@@ -301,7 +305,7 @@
   l->lead_epoch = epoch;
   l->leader.len = 0;
   while (l->peers->len > 0)
-    drop_peer (g_ptr_array_index (l->peers, 0), "no longer this leader", now);
+    end_peer (g_ptr_array_steal_index_fast (l->peers, 0), "no longer this leader", now);
 }
 
 void
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -135,13 +135,10 @@
     }
 }
 
+/* The occurrence is out of its job's list already. */
 static void
-drop_occurrence (KqSched *s, KqOccurrence *o)
+end_occurrence (KqSched *s, KqOccurrence *o)
 {
-  KqOccurrence **at = &o->job->occurrences;
-  while (*at != o)
-    at = &(*at)->next;
-  *at = o->next;
   if (o->job->runs > 0)
     detach_runs (s, o);
   free_occurrence (o);
@@ -194,7 +191,11 @@
   if (j->runs > 0)
     kq_run_cancel_all (s, j, now);
   while (j->occurrences != NULL)
-    drop_occurrence (s, j->occurrences);
+    {
+      KqOccurrence *o = j->occurrences;
+      j->occurrences = o->next;
+      end_occurrence (s, o);
+    }
   kq_book_dirty (s, j, now, true);
 }
 
@@ -202,7 +203,11 @@
 occurrence_over (KqSched *s, KqOccurrence *o, KqTime now)
 {
   KqJob *j = o->job;
-  drop_occurrence (s, o);
+  KqOccurrence **at = &j->occurrences;
+  while (*at != o)
+    at = &(*at)->next;
+  *at = o->next;
+  end_occurrence (s, o);
   j->finished++;
   kq_book_dirty (s, j, now, false);
   if (j->finished == kq_spec_occurrences (&j->spec))
--- a/src/sched/disturb.c
+++ b/src/sched/disturb.c
@@ -8,7 +8,7 @@
 #define TERMS (KQ_DISTURB_IMAGES + 1)
 /* What is believed before any report: tails at 45% of their target, no image harmful but
  * each quite possibly so. */
-#define FIRST_BASE -0.8
+#define FIRST_BASE (-0.8)
 #define FIRST_BASE_VARIANCE 0.3
 #define FIRST_PRESS_VARIANCE 16.0
 /* Variance of a report around the model (residuals of the fit named in the header). */
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -168,7 +168,7 @@
 place_gang (KqSched *s, KqOccurrence *o, int32_t step, KqTime now)
 {
   const KqStep *p = &o->job->spec.steps[step];
-  KqRun **made = kq_alloc ((size_t)p->width * sizeof *made);
+  KqRun **made = kq_alloc ((size_t)p->width * sizeof (KqRun *));
   uint32_t number = 0;
   int32_t n = 0;
   if (o->steps[step].active > 0)
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -17,6 +17,14 @@
   return names[s];
 }
 
+static uint64_t *
+stop_counter (KqCounters *c, const char *why)
+{
+  char labels[64];
+  snprintf (labels, sizeof labels, "why=\"%s\"", why);
+  return kq_counter (c, "kq_run_stops_total", labels, "Runs stopped, by reason.");
+}
+
 static void
 make_counters (KqSched *s)
 {
@@ -42,10 +50,8 @@
   s->starts = kq_counter (c, "kq_run_starts_total", "", "Start orders given.");
   s->runs_lost
       = kq_counter (c, "kq_runs_lost_total", "", "Runs that ended without a word.");
-  s->stops_hang = kq_counter (c, "kq_run_stops_total", "why=\"stands_still\"",
-                              "Runs stopped, by reason.");
-  s->stops_drain = kq_counter (c, "kq_run_stops_total", "why=\"runner_leaves\"",
-                               "Runs stopped, by reason.");
+  s->stops_hang = stop_counter (c, "stands_still");
+  s->stops_drain = stop_counter (c, "runner_leaves");
   s->lapses = kq_counter (c, "kq_runner_lapses_total", "",
                           "Runners whose lease ended while they were silent.");
   s->no_room
@@ -287,6 +293,7 @@
 kq_sched_gauges (KqSched *s)
 {
   KqCounters *c = s->config.counters;
+  uint64_t *gauge;
   uint64_t open = 0;
   uint64_t runs = 0;
   for (const KqJob *j = s->open; j != NULL; j = j->next)
@@ -294,8 +301,10 @@
       open++;
       runs += (uint64_t)j->runs;
     }
-  *kq_counter (c, "kq_jobs_open", "", "Jobs that aren't ended.") = open;
-  *kq_counter (c, "kq_runs_alive", "", "Runs on runners.") = runs;
-  *kq_counter (c, "kq_runners_known", "", "Runners known to the leader.")
-      = s->runner_list->len;
+  gauge = kq_counter (c, "kq_jobs_open", "", "Jobs that aren't ended.");
+  *gauge = open;
+  gauge = kq_counter (c, "kq_runs_alive", "", "Runs on runners.");
+  *gauge = runs;
+  gauge = kq_counter (c, "kq_runners_known", "", "Runners known to the leader.");
+  *gauge = s->runner_list->len;
 }
