Two tests that fail under load say what was answered instead; listed

Cause so far: 503 NO_TARGET, refused as not run, by an owner whose list of live runners is empty for a moment.

--- a/tests/ctl_live_test.c
+++ b/tests/ctl_live_test.c
@@ -204,6 +204,9 @@
   snprintf (url, sizeof url, "http://127.0.0.1:%d/s/service-with-name-%d/x",
             rig.procs.processes[rig.nodes[node]].callers, service);
   procs_call (&rig.procs, &q, &a);
+  if (a.status != 200)
+    print_message ("node %d service %d: end %d status %d: %.*s\n", node, service, a.end,
+                   a.status, a.body.len < 200 ? (int)a.body.len : 200, a.body.ptr);
   kq_buf_free (&a.body);
   return a.status;
 }
--- a/tests/live_test.c
+++ b/tests/live_test.c
@@ -271,6 +271,7 @@
   int open;
   int cut;
   int answered;
+  char other[160]; /* what was answered instead, last */
 } Count;
 
 static void
@@ -282,6 +283,9 @@
     c->answered++;
   else if (a->end == KQ_HTTP_BROKEN || strcmp (a->ran, "unknown") == 0)
     c->cut++;
+  if (a->status != 200)
+    snprintf (c->other, sizeof c->other, "end %d status %d ran %s: %.*s", a->end,
+              a->status, a->ran, a->body.len < 90 ? (int)a->body.len : 90, a->body.ptr);
 }
 
 static bool
@@ -331,6 +335,8 @@
   procs_signal (&r->procs, r->nodes[1], SIGTERM);
   assert_true (procs_wait (&r->procs, LIMIT, none_open, &c));
   assert_int_equal (c.cut, 0);
+  if (c.answered != 8)
+    print_error ("instead: %s\n", c.other);
   assert_int_equal (c.answered, 8);
   assert_int_equal (procs_wait_exit (&r->procs, r->nodes[1], LIMIT), 0);
   assert_true (procs_wait_serve (&r->procs, LIMIT, READY));
