--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -23,6 +23,11 @@
 #define LEAST_PERCENT 10
 /* Weight of a new report in the estimate of a task's own load. */
 #define LOAD_WEIGHT 0.2
+/* A serving task that has been over its target for so long, by reports, is in the way of
+ * all that fills beside it, whoever is known to be at fault: users have seen it for some
+ * seconds by then. "Over" begins a little below the target, as reports are rough. */
+#define OVER_FOR (1200 * KQ_MS)
+#define OVER_RATIO 0.95
 /* A press smaller than this is the model's noise. */
 #define PRESS_LEAST 0.02
 #define PRESS_HOPELESS 100.0
@@ -77,7 +82,7 @@
       run->own_load
           += LOAD_WEIGHT
              * (y - pressed - kq_disturb_base (s->disturb, image) - run->own_load);
-      if (y < 0)
+      if (y < log (OVER_RATIO))
         run->over_since = 0;
       else if (run->over_since == 0)
         run->over_since = now;
@@ -138,7 +143,7 @@
 
 /* What the filling task should work at; 100: nothing is in its way. */
 static int
-wanted_pace (KqSched *s, const KqRunnerState *r, const KqRun *filling)
+wanted_pace (KqSched *s, const KqRunnerState *r, const KqRun *filling, KqTime now)
 {
   double least = 1;
   for (const KqRun *run = r->runs; run != NULL; run = run->next)
@@ -148,6 +153,8 @@
       bool over = serves (run) && run->load > BLIND_RATIO * kq_run_step (run)->target_ms;
       if (!serves (run))
         continue;
+      if (run->over_since != 0 && now - run->over_since >= OVER_FOR)
+        return 0;
       share = fair_share (s, r, run);
       press = kq_disturb_press (s->disturb, kq_run_image (run), kq_run_image (filling))
               * kq_run_step (filling)->cpu_milli / whole_cpu (r);
@@ -171,7 +178,7 @@
       int to;
       if (!kq_run_step (run)->filling || run->phase != KQ_RUN_RUNNING)
         continue;
-      to = wanted_pace (s, r, run);
+      to = wanted_pace (s, r, run, now);
       if (to > run->pace + RISE_PERCENT)
         to = run->pace + RISE_PERCENT;
       if (to < LEAST_PERCENT)
