Copies start while a runner is silent; a task that stands still is found by two reports

Cause: a task with copies allowed waited up to 5 s for the lease of a dead runner; one that stood still was found after 3 s by the clock.

--- a/src/sched/sched_test.c
+++ b/src/sched/sched_test.c
@@ -250,6 +250,32 @@
   drop_rig (r);
 }
 
+/* The client waits out the lease of a dead runner although its tasks may run twice.
+ * With copies allowed the task starts elsewhere as soon as its runner is silent; when the
+ * runner comes back, what still runs there is stopped. */
+static void
+test_copy_instead_of_waiting_for_a_lease (void **state)
+{
+  KqSchedRig *r = new_rig (3, 1);
+  KqStep s = kq_sched_rig_step (1, 1000, 3000);
+  int at = 0;
+  (void)state;
+  s.copies = true;
+  kq_sched_rig_submit (r, "aa", &s, 1, 2, 3 * KQ_SEC, -1);
+  kq_sched_rig_run (r, 500 * KQ_MS);
+  while (r->runners[at].runs->len == 0)
+    at++;
+  r->runners[at].cut_until = r->now + 4 * KQ_SEC;
+  kq_sched_rig_run (r, 2600 * KQ_MS);
+  assert_int_equal (kq_sched_rig_running (r, "aa"), 1 + 1);
+  r->broken = 0; /* two runs at a time are what is wanted here */
+  kq_sched_rig_run (r, 4 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_state (r, "aa"), KQ_JOB_COMPLETED);
+  kq_sched_rig_run (r, 6 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "aa"), 0);
+  drop_rig (r);
+}
+
 int
 main (void)
 {
@@ -265,6 +291,7 @@
     cmocka_unit_test (test_job_after_the_election_starts_at_once),
     cmocka_unit_test (test_task_that_stands_still_goes_elsewhere),
     cmocka_unit_test (test_runner_that_fails_all_is_left_alone),
+    cmocka_unit_test (test_copy_instead_of_waiting_for_a_lease),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -29,7 +29,9 @@
            && now - run->moved_at > LASTING_START;
   if (run->pace < 100 || p->filling)
     bound *= 3;
-  return now - run->moved_at > (bound > STILL_FLOOR ? bound : STILL_FLOOR);
+  /* By the last report, not by the clock: a late report says nothing of the task. */
+  return run->runner->heard_at - run->moved_at
+         > (bound > STILL_FLOOR ? bound : STILL_FLOOR);
 }
 
 /* Whether the run should leave its runner, which is about to go. */
@@ -50,12 +52,31 @@
   return needs + LEAVE_MARGIN_MS > left;
 }
 
+/* A second run is allowed and the first one's runner is silent: rather than wait for the
+ * end of its lease the task starts elsewhere, and whichever ends first counts. */
+static bool
+start_copy (KqSched *s, KqRun *run)
+{
+  KqTaskState *t = kq_book_state (run);
+  if (!kq_run_step (run)->copies || !run->runner->silent || t == NULL || t->run != run)
+    return false;
+  t->avoid = run->runner;
+  t->run = NULL;
+  t->phase = KQ_TASK_WAITING;
+  run->occurrence->steps[run->step].active--;
+  run->occurrence = NULL;
+  s->work = true;
+  return true;
+}
+
 static void
 look_at_run (KqSched *s, KqRun *run, KqTime now)
 {
   KqRunnerState *r = run->runner;
-  if (r->agent < 0)
+  if (r->agent < 0 || start_copy (s, run))
     return;
+  if (run->occurrence == NULL && !r->silent && r->listed)
+    kq_run_stop (s, run, "no longer wanted", now); /* nothing if it is stopping already */
   if (run->phase == KQ_RUN_SENDING && !run->waiting && now >= run->retry_at
       && run->confirmed == 0 && !r->silent && r->listed)
     kq_run_send_start (s, run, now);
