Soak of real processes on a stand-in of the platform

Change: standin-platform (store, runners, a ledger of breaches), soak/ (nodes paused, killed, stopped and restarted, store and its links hurt, runners crashed), procs can start a program again.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 LIB_C = $(filter-out %_test.c src/daemon/main.c src/ctl/main.c, $(wildcard src/*/*.c platform/*.c))
 LIB_CC = $(wildcard src/*/*.cc)
 LIB_O = $(LIB_C:%.c=%.o) $(LIB_CC:%.cc=%.o)
-STANDIN_C = $(filter-out standin/store_main.c standin/worker_main.c standin/relay_main.c, $(wildcard standin/*.c))
+STANDIN_C = $(filter-out %_main.c, $(wildcard standin/*.c))
 TEST_C = $(wildcard src/*/*_test.c platform/*_test.c tests/*_test.c)
 TESTS = $(patsubst %.c,%,$(notdir $(TEST_C)))
 BENCH_MAIN = $(wildcard bench/*_main.c)
@@ -29,8 +29,8 @@
 FUZZ_LIB_C = $(filter-out fuzz/driver.c, $(FUZZ_C))
 FUZZERS = $(patsubst fuzz/fuzz_%.c,%,$(wildcard fuzz/fuzz_*.c))
 BENCHES = $(patsubst bench/%_main.c,%,$(BENCH_MAIN))
-ALL_C = $(wildcard platform/*.c src/*/*.c standin/*.c bench/*.c tests/*.c fuzz/*.c)
-ALL_H = $(wildcard platform/*.h src/*/*.h standin/*.h bench/*.h tests/*.h fuzz/*.h)
+ALL_C = $(wildcard platform/*.c soak/*.c src/*/*.c standin/*.c bench/*.c tests/*.c fuzz/*.c)
+ALL_H = $(wildcard platform/*.h soak/*.h src/*/*.h standin/*.h bench/*.h tests/*.h fuzz/*.h)
 
 PROGRAMS = kumquatd kumquatctl $(patsubst standin/%_main.c,standin-%,$(wildcard standin/*_main.c))
 
@@ -243,3 +243,16 @@
 .PHONY: faults-live
 faults-live: all $(BUILD)/bench/faults_live
 	@tools/faults-live.sh $(BUILD)/bench/faults_live
+
+# The scheduler alone under random faults, on a rig in memory.
+SEEDS ?= 100
+.PHONY: soak-sched
+soak-sched: $(BUILD)/bench/sched_soak
+	@$< $(SEED) $(if $(filter 200000,$(STEPS)),300,$(STEPS)) $(SEEDS)
+
+# Real processes under random faults from outside (SEED, SEEDS, SECONDS of faults each).
+$(BUILD)/soak: $(BUILD)/o/soak/soak_main.o $(BUILD)/o/soak/soak.o $(BUILD)/libbench.a $(BUILD)/libkq.a
+	@echo "  LD $@"; $(CC) -o $@ $^ $(LIBS)
+.PHONY: soak-live
+soak-live: all $(BUILD)/soak
+	@$(BUILD)/soak $(BUILD) $(SEED) $(SEEDS) $(SECONDS)
--- a/bench/procs.c
+++ b/bench/procs.c
@@ -101,9 +101,8 @@
   _exit (127);
 }
 
-/* Starts a program; options are parted by single spaces. */
-static int
-start (Procs *f, ProcsKind kind, const char *program, const char *options)
+static void
+spawn (Procs *f, int index, ProcsKind kind, const char *program, const char *options)
 {
   char path[512];
   char out[128];
@@ -112,16 +111,10 @@
   char *argv[ARGS_MAX] = { path };
   char *save = NULL;
   int n = 1;
-  ProcsProcess *p = &f->processes[f->n];
-
-  if (f->n == PROCS_MAX)
-    {
-      free (text);
-      return -1;
-    }
+  ProcsProcess *p = &f->processes[index];
   snprintf (path, sizeof path, "%s/%s", f->build, program);
-  snprintf (out, sizeof out, "%s/%d.out", f->dir, f->n);
-  snprintf (log, sizeof log, "%s/%d.log", f->dir, f->n);
+  snprintf (out, sizeof out, "%s/%d.out", f->dir, index);
+  snprintf (log, sizeof log, "%s/%d.log", f->dir, index);
   for (char *a = strtok_r (text, " ", &save); a != NULL && n < ARGS_MAX - 1;
        a = strtok_r (NULL, " ", &save))
     argv[n++] = a;
@@ -130,9 +123,29 @@
   if (p->pid == 0)
     become (path, argv, out, log);
   free (text);
+}
+
+int
+procs_start_program (Procs *f, ProcsKind kind, const char *program, const char *options)
+{
+  if (f->n == PROCS_MAX)
+    return -1;
+  spawn (f, f->n, kind, program, options);
   return f->n++;
 }
 
+void
+procs_start_again (Procs *f, int index, const char *program, const char *options)
+{
+  ProcsProcess *p = &f->processes[index];
+  char now[128];
+  char kept[160];
+  snprintf (now, sizeof now, "%s/%d.out", f->dir, index);
+  snprintf (kept, sizeof kept, "%s/%d.out.%d", f->dir, index, ++p->starts);
+  rename (now, kept);
+  spawn (f, index, p->kind, program, options);
+}
+
 /* Reads a file whole; the caller frees it. */
 static char *
 read_file (const char *path)
@@ -149,9 +162,9 @@
   return b.ptr;
 }
 
-/* Waits for a text in a process's output and copies what stands behind it. */
-static bool
-await_text (Procs *f, int index, const char *ending, const char *text, char rest[256])
+bool
+procs_await_text (Procs *f, int index, const char *ending, const char *text,
+                  char rest[256])
 {
   KqTime until = kq_time_now () + START_LIMIT;
   char path[128];
@@ -176,7 +189,7 @@
 await_port (Procs *f, int index)
 {
   char rest[256];
-  if (index < 0 || !await_text (f, index, "out", "listening ", rest))
+  if (index < 0 || !procs_await_text (f, index, "out", "listening ", rest))
     return -1;
   f->processes[index].port = atoi (rest);
   return index;
@@ -188,7 +201,7 @@
   char options[256];
   int i;
   snprintf (options, sizeof options, "--port 0 %s", extra);
-  i = await_port (f, start (f, PROCS_STORE, "standin-store", options));
+  i = await_port (f, procs_start_program (f, PROCS_STORE, "standin-store", options));
   if (i >= 0 && f->store_url[0] == '\0')
     snprintf (f->store_url, sizeof f->store_url, "http://127.0.0.1:%d",
               f->processes[i].port);
@@ -204,7 +217,7 @@
   snprintf (options, sizeof options,
             "--port 0 --count %d --store %s --region %s --depot %s --prefix %s %s", count,
             f->store_url, region, depot, prefix, extra);
-  i = await_port (f, start (f, PROCS_WORKERS, "standin-worker", options));
+  i = await_port (f, procs_start_program (f, PROCS_WORKERS, "standin-worker", options));
   if (i >= 0)
     {
       snprintf (f->processes[i].name, 32, "%s", prefix);
@@ -219,7 +232,7 @@
 {
   char options[256];
   snprintf (options, sizeof options, "--port 0 --target %s", target);
-  return await_port (f, start (f, PROCS_RELAY, "standin-relay", options));
+  return await_port (f, procs_start_program (f, PROCS_RELAY, "standin-relay", options));
 }
 
 static void
@@ -258,8 +271,8 @@
   int i;
   write_settings (f, f->n, name, region, depot);
   snprintf (options, sizeof options, "--settings %s/%d.toml", f->dir, f->n);
-  i = start (f, PROCS_NODE, "kumquatd", options);
-  if (i < 0 || !await_text (f, i, "log", "Listening. ", rest))
+  i = procs_start_program (f, PROCS_NODE, "kumquatd", options);
+  if (i < 0 || !procs_await_text (f, i, "log", "Listening. ", rest))
     return -1;
   p = &f->processes[i];
   snprintf (p->name, sizeof p->name, "%s", name);
--- a/bench/procs.h
+++ b/bench/procs.h
@@ -20,7 +20,9 @@
   PROCS_STORE,
   PROCS_WORKERS,
   PROCS_NODE,
-  PROCS_RELAY
+  PROCS_RELAY,
+  PROCS_PLATFORM,
+  PROCS_FLEET_NODE
 } ProcsKind;
 
 typedef struct
@@ -33,6 +35,7 @@
   int port;  /* store, workers, relay */
   int callers;
   int operators;
+  int starts; /* again */
 } ProcsProcess;
 
 typedef struct
@@ -76,6 +79,16 @@
                          const char *depot, int count, const char *extra);
 int procs_start_node (Procs *f, const char *name, const char *region, const char *depot);
 int procs_start_relay (Procs *f, const char *target);
+/* Any program of the build directory; options are parted by single spaces. The index, or
+ * -1. Its output goes to INDEX.out and INDEX.log in f->dir. */
+int procs_start_program (Procs *f, ProcsKind kind, const char *program,
+                         const char *options);
+/* The same again, in the place of a process that has ended; its earlier output is kept as
+ * INDEX.out.N. */
+void procs_start_again (Procs *f, int index, const char *program, const char *options);
+/* Waits for a line with the text in INDEX.ending and copies what stands behind it. */
+bool procs_await_text (Procs *f, int index, const char *ending, const char *text,
+                       char rest[256]);
 void procs_signal (Procs *f, int index, int signal);
 /* Waits for the end; the exit code, 128 + signal, or -1 after `limit`. */
 int procs_wait_exit (Procs *f, int index, KqTime limit);
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,617 @@
+#include "soak.h"
+
+#include "base/rand.h"
+#include "bench/procs.h"
+
+#include <glib.h>
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NODES_MAX 12
+#define JOBS_MAX 2000
+#define SUBMIT_GAP (60 * KQ_MS)
+#define ASK_MS 3000
+/* With all faults over, everything accepted must have ended by then. */
+#define SETTLE (60 * KQ_SEC)
+
+typedef struct Soak Soak;
+
+typedef struct
+{
+  Soak *soak;
+  char id[20];
+  int tasks;
+  bool lasting;
+  bool fails;
+  bool asking; /* a call about it is open */
+  bool accepted;
+  bool unsure;    /* some attempt had no clear answer */
+  bool rejected;  /* some attempt was refused as not run */
+  bool cancelled; /* the cancellation was acknowledged */
+  bool cancel_sent;
+  char state[16]; /* as last told */
+  int tries;
+} Job;
+
+typedef struct
+{
+  int process; /* in procs; -1: down */
+  int relay;
+  int relay_control;
+  int front;
+  KqTime up_at; /* when to start or wake it again; 0: it is up */
+  bool paused;
+} Node;
+
+struct Soak
+{
+  const KqSoakPlan *plan;
+  Procs procs;
+  KqRand rand;
+  int platform;
+  int control;
+  int store_port;
+  int runner_ports[64];
+  Node nodes[NODES_MAX];
+  Job jobs[JOBS_MAX];
+  int n_jobs;
+  KqTime began_at;
+  KqTime heal_store_at;
+  KqTime heal_runner_at[64];
+  int breaches;
+  int answers;
+  int refusals;
+};
+
+static int
+below (Soak *s, int n)
+{
+  return (int)kq_rand_below (&s->rand, (uint64_t)n);
+}
+
+static void
+breach (Soak *s, const char *rule, const char *what)
+{
+  s->breaches++;
+  printf ("seed %llu at %.1f s: %s: %s\n", (unsigned long long)s->plan->seed,
+          (double)(kq_time_now () - s->began_at) / KQ_SEC, rule, what);
+}
+
+/* Starting. */
+
+static bool
+start_platform (Soak *s)
+{
+  char options[64];
+  char rest[256];
+  snprintf (options, sizeof options, "--runners %d", s->plan->runners);
+  s->platform
+      = procs_start_program (&s->procs, PROCS_PLATFORM, "standin-platform", options);
+  if (s->platform < 0
+      || !procs_await_text (&s->procs, s->platform, "out", "control ", rest))
+    return false;
+  s->control = atoi (rest);
+  procs_await_text (&s->procs, s->platform, "out", "store ", rest);
+  s->store_port = atoi (rest);
+  return true;
+}
+
+static void
+read_runner_ports (Soak *s)
+{
+  char path[128];
+  gchar *text = NULL;
+  char *at;
+  int n = 0;
+  snprintf (path, sizeof path, "%s/%d.out", s->procs.dir, s->platform);
+  g_file_get_contents (path, &text, NULL, NULL);
+  at = text;
+  while (at != NULL && (at = strstr (at, "runner ")) != NULL && n < 64)
+    {
+      at += strlen ("runner ");
+      s->runner_ports[n++] = atoi (at);
+    }
+  g_free (text);
+}
+
+static bool
+start_relay (Soak *s, Node *n)
+{
+  char target[32];
+  char rest[256];
+  snprintf (target, sizeof target, "127.0.0.1:%d", s->store_port);
+  n->relay = procs_start_relay (&s->procs, target);
+  if (n->relay < 0 || !procs_await_text (&s->procs, n->relay, "out", "control ", rest))
+    return false;
+  n->relay_control = atoi (rest);
+  return true;
+}
+
+static void
+write_settings (Soak *s, int i, const char *path)
+{
+  FILE *f = fopen (path, "w");
+  if (f == NULL)
+    return;
+  fprintf (f,
+           "[fleet]\nnode = \"n%d\"\nfailure_domain = \"north\"\nregion = \"r\"\n"
+           "[listen]\nip = \"127.0.0.1\"\nfront = \"127.0.0.1:0\"\n"
+           "ready = \"127.0.0.1:0\"\npeer_port = 0\nmetrics_port = 0\n"
+           "[store]\naddress = \"127.0.0.1:%d\"\n[bounds]\ngrace_s = 6\n",
+           i, s->procs.processes[s->nodes[i].relay].port);
+  fclose (f);
+}
+
+static bool
+start_node (Soak *s, int i)
+{
+  Node *n = &s->nodes[i];
+  char path[128];
+  char options[160];
+  char rest[256];
+  snprintf (path, sizeof path, "%s/node%d.toml", s->procs.dir, i);
+  write_settings (s, i, path);
+  snprintf (options, sizeof options, "--settings %s", path);
+  if (n->process >= 0)
+    procs_start_again (&s->procs, n->process, "kumquatd", options);
+  else
+    n->process = procs_start_program (&s->procs, PROCS_FLEET_NODE, "kumquatd", options);
+  if (n->process < 0
+      || !procs_await_text (&s->procs, n->process, "out", "Started. front=", rest))
+    return false;
+  n->front = atoi (rest);
+  n->up_at = 0;
+  n->paused = false;
+  return true;
+}
+
+/* Clients. */
+
+static bool
+has_ended (const Job *j)
+{
+  return strcmp (j->state, "completed") == 0 || strcmp (j->state, "failed") == 0
+         || strcmp (j->state, "canceled") == 0;
+}
+
+static void
+on_state (void *arg, const ProcsAnswer *a)
+{
+  Job *j = arg;
+  json_t *o;
+  const char *state;
+  j->asking = false;
+  j->soak->answers++;
+  if (a->end != KQ_HTTP_DONE)
+    return;
+  if (a->status == 410 && j->accepted)
+    breach (j->soak, "an accepted job is unknown", j->id);
+  if (a->status != 200)
+    return;
+  o = json_loadb (a->body.ptr, a->body.len, 0, NULL);
+  state = json_string_value (json_object_get (o, "state"));
+  if (state == NULL)
+    breach (j->soak, "a state that can't be read", j->id);
+  else
+    {
+      if (has_ended (j) && strcmp (state, j->state) != 0 && !j->cancel_sent)
+        breach (j->soak, "an ended job changes its state", j->id);
+      if (strcmp (state, "canceled") == 0 && !j->cancel_sent)
+        breach (j->soak, "a job that nobody cancelled is shown as canceled", j->id);
+      snprintf (j->state, sizeof j->state, "%s", state);
+    }
+  json_decref (o);
+}
+
+static void
+on_submitted (void *arg, const ProcsAnswer *a)
+{
+  Job *j = arg;
+  j->asking = false;
+  j->soak->answers++;
+  if (a->end == KQ_HTTP_DONE && a->status == 200)
+    j->accepted = true;
+  else if (a->end == KQ_HTTP_DONE && (a->status == 503 || a->status == 429))
+    {
+      j->rejected = true;
+      j->soak->refusals++;
+    }
+  else if (a->end != KQ_HTTP_NOT_SENT)
+    j->unsure = true;
+}
+
+static void
+on_cancelled (void *arg, const ProcsAnswer *a)
+{
+  Job *j = arg;
+  j->asking = false;
+  if (a->end == KQ_HTTP_DONE && (a->status == 200 || a->status == 410))
+    j->cancelled = true;
+}
+
+static void
+call (Soak *s, Job *j, const char *method, KqStr body, ProcsDone done)
+{
+  char url[128];
+  KqHeader h[] = { { KQ_STR ("Host"), KQ_STR ("desk.example") },
+                   { KQ_STR ("Content-Type"), KQ_STR ("application/json") },
+                   { KQ_STR ("Deadline-Ms"), KQ_STR ("3000") } };
+  ProcsRequest q = { .method = method,
+                     .url = url,
+                     .headers = h,
+                     .n_headers = 3,
+                     .body = body,
+                     .total_ms = ASK_MS };
+  const Node *n = &s->nodes[below (s, s->plan->nodes)];
+  if (n->front == 0)
+    return;
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/plans/%s", n->front, j->id);
+  j->asking = true;
+  procs_ask (&s->procs, &q, done, j);
+}
+
+static void
+submit (Soak *s, Job *j)
+{
+  KqBuf b = { 0 };
+  int ms = j->lasting ? 0 : 100 + (int)(kq_str_hash (kq_str (j->id)) % 700);
+  kq_buf_printf (&b,
+                 "{\"spec\":\"ms=%d fail=%d\",\"steps\":[{\"count\":%d,\"cpu\":700,"
+                 "\"mem_mb\":100,\"est_ms\":%d%s}",
+                 ms, j->fails ? 0 : -1, j->lasting ? j->tasks : j->tasks - 1, ms,
+                 j->lasting ? ",\"daemon\":true" : "");
+  if (!j->lasting)
+    kq_buf_printf (&b,
+                   ",{\"count\":1,\"cpu\":300,\"mem_mb\":50,\"est_ms\":%d,"
+                   "\"after\":[0]}",
+                   ms);
+  kq_buf_printf (&b, "]}");
+  j->tries++;
+  call (s, j, "POST", kq_buf_str (&b), on_submitted);
+  kq_buf_free (&b);
+}
+
+static void
+new_job (Soak *s)
+{
+  Job *j = &s->jobs[s->n_jobs];
+  if (s->n_jobs == JOBS_MAX)
+    return;
+  s->n_jobs++;
+  j->soak = s;
+  snprintf (j->id, sizeof j->id, "%016llx", (unsigned long long)kq_rand_next (&s->rand));
+  j->tasks = 2 + below (s, 4);
+  j->lasting = below (s, 12) == 0;
+  j->fails = !j->lasting && below (s, 15) == 0;
+  submit (s, j);
+}
+
+static void
+step_job (Soak *s, Job *j)
+{
+  if (j->asking)
+    return;
+  if (!j->accepted && j->tries < 8)
+    submit (s, j);
+  else if (j->accepted && !has_ended (j) && below (s, 30) == 0 && j->lasting
+           && !j->cancelled)
+    {
+      j->cancel_sent = true;
+      call (s, j, "DELETE", KQ_STR (""), on_cancelled);
+    }
+  else if (j->accepted && !has_ended (j))
+    call (s, j, "GET", KQ_STR (""), on_state);
+}
+
+/* Faults. */
+
+static void
+post (Soak *s, int port, const char *path, const char *body)
+{
+  char url[160];
+  ProcsRequest q
+      = { .method = "POST", .url = url, .body = kq_str (body), .total_ms = 2000 };
+  ProcsAnswer a;
+  snprintf (url, sizeof url, "http://127.0.0.1:%d%s", port, path);
+  procs_call (&s->procs, &q, &a);
+  kq_buf_free (&a.body);
+}
+
+static void
+hurt_node (Soak *s)
+{
+  Node *n = &s->nodes[below (s, s->plan->nodes)];
+  KqTime now = kq_time_now ();
+  if (n->up_at != 0)
+    return;
+  n->up_at = now + (KqTime)(200 + below (s, 3500)) * KQ_MS;
+  switch (below (s, 4))
+    {
+    case 0:
+      procs_signal (&s->procs, n->process, SIGSTOP);
+      n->paused = true;
+      break;
+    case 1:
+      procs_signal (&s->procs, n->process, SIGTERM);
+      n->up_at = now + 7 * KQ_SEC;
+      break;
+    default:
+      procs_signal (&s->procs, n->process, SIGKILL);
+      break;
+    }
+}
+
+static void
+hurt_all_nodes (Soak *s)
+{
+  for (int i = 0; i < s->plan->nodes; i++)
+    {
+      Node *n = &s->nodes[i];
+      if (n->paused)
+        procs_signal (&s->procs, n->process, SIGCONT);
+      n->paused = false;
+      procs_signal (&s->procs, n->process, SIGKILL);
+      n->up_at = kq_time_now () + (KqTime)(300 + below (s, 1500)) * KQ_MS;
+    }
+}
+
+static void
+hurt_store (Soak *s)
+{
+  static const char *const faults[]
+      = { "{\"path\":\"/kv\",\"outage\":\"refuse\"}",
+          "{\"path\":\"/kv\",\"outage\":\"close\"}",
+          "{\"path\":\"/kv\",\"accept_and_hang\":true}",
+          "{\"path\":\"/kv-txn\",\"lose_answer\":12}",
+          "{\"path\":\"/kv\",\"answer_delay_ms\":240}",
+          "{\"path\":\"/kv-watch\",\"silent_watch\":true}" };
+  if (s->heal_store_at != 0)
+    return;
+  post (s, s->store_port, "/v1/fault", faults[below (s, 6)]);
+  s->heal_store_at = kq_time_now () + (KqTime)(300 + below (s, 4500)) * KQ_MS;
+}
+
+static void
+hurt_link (Soak *s)
+{
+  static const char *const modes[]
+      = { "{\"stall\":\"all\",\"direction\":\"up\"}",
+          "{\"stall\":\"all\",\"direction\":\"down\"}", "{\"stall\":\"open\"}",
+          "{\"refuse\":true}", "{\"delay_ms\":150}" };
+  post (s, s->nodes[below (s, s->plan->nodes)].relay_control, "/v1/mode",
+        modes[below (s, 5)]);
+}
+
+static void
+heal_links (Soak *s)
+{
+  for (int i = 0; i < s->plan->nodes; i++)
+    post (s, s->nodes[i].relay_control, "/v1/mode", "{}");
+}
+
+static void
+hurt_runner (Soak *s)
+{
+  int i = below (s, s->plan->runners);
+  char path[48];
+  if (s->heal_runner_at[i] != 0)
+    return;
+  s->heal_runner_at[i] = kq_time_now () + (KqTime)(200 + below (s, 8000)) * KQ_MS;
+  if (below (s, 2) == 0)
+    {
+      snprintf (path, sizeof path, "/v1/crash?runner=%d", i);
+      post (s, s->control, path, "{}");
+    }
+  else
+    post (s, s->runner_ports[i], "/v1/fault",
+          below (s, 2) == 0 ? "{\"path\":\"/run-\",\"lose_answer\":6}"
+                            : "{\"path\":\"/hold\",\"accept_and_hang\":true}");
+}
+
+static void
+heal_runner (Soak *s, int i)
+{
+  char path[48];
+  snprintf (path, sizeof path, "/v1/rise?runner=%d", i);
+  post (s, s->control, path, "{}");
+  post (s, s->runner_ports[i], "/v1/fault", "{\"clear\":true}");
+  s->heal_runner_at[i] = 0;
+}
+
+static void
+hurt (Soak *s)
+{
+  int n = below (s, 20);
+  if (n < 7)
+    hurt_node (s);
+  else if (n < 11)
+    hurt_store (s);
+  else if (n < 14)
+    hurt_link (s);
+  else if (n < 16)
+    heal_links (s);
+  else if (n < 19)
+    hurt_runner (s);
+  else if (below (s, 3) == 0)
+    hurt_all_nodes (s);
+}
+
+static void
+heal (Soak *s, bool all)
+{
+  KqTime now = kq_time_now ();
+  if (s->heal_store_at != 0 && (all || now >= s->heal_store_at))
+    {
+      post (s, s->store_port, "/v1/fault", "{\"clear\":true}");
+      s->heal_store_at = 0;
+    }
+  for (int i = 0; i < s->plan->runners; i++)
+    if (s->heal_runner_at[i] != 0 && (all || now >= s->heal_runner_at[i]))
+      heal_runner (s, i);
+  for (int i = 0; i < s->plan->nodes; i++)
+    {
+      Node *n = &s->nodes[i];
+      if (n->up_at == 0 || (!all && now < n->up_at))
+        continue;
+      if (n->paused)
+        {
+          procs_signal (&s->procs, n->process, SIGCONT);
+          n->paused = false;
+          n->up_at = 0;
+          continue;
+        }
+      if (procs_wait_exit (&s->procs, n->process, 8 * KQ_SEC) < 0)
+        breach (s, "a process doesn't end", "SIGTERM");
+      if (!start_node (s, i))
+        breach (s, "a process doesn't start", "kumquatd");
+    }
+}
+
+/* Judging. */
+
+static void
+judge_job (Soak *s, Job *j)
+{
+  char path[64];
+  char url[128];
+  ProcsRequest q = { .method = "GET", .url = url, .total_ms = 2000 };
+  ProcsAnswer a;
+  json_t *o;
+  bool started;
+  int done;
+  snprintf (path, sizeof path, "/v1/job?id=%s", j->id);
+  snprintf (url, sizeof url, "http://127.0.0.1:%d%s", s->control, path);
+  procs_call (&s->procs, &q, &a);
+  o = json_loadb (a.body.ptr, a.body.len, 0, NULL);
+  kq_buf_free (&a.body);
+  started = json_is_true (json_object_get (o, "started"));
+  done = (int)json_integer_value (json_object_get (o, "done"));
+  if (!j->accepted && !j->unsure && j->rejected && started)
+    breach (s, "refused as not run, and it ran", j->id);
+  if (j->accepted && !has_ended (j))
+    breach (s, "an accepted job never ended", j->id);
+  if (strcmp (j->state, "completed") == 0 && done != j->tasks)
+    breach (s, "completed without all its tasks done", j->id);
+  if (strcmp (j->state, "failed") == 0 && !j->fails)
+    breach (s, "shown as failed without a cause", j->id);
+  json_decref (o);
+}
+
+static void
+judge_runners (Soak *s)
+{
+  char url[64];
+  ProcsRequest q = { .method = "GET", .url = url, .total_ms = 2000 };
+  ProcsAnswer a;
+  json_t *o;
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/ledger", s->control);
+  procs_call (&s->procs, &q, &a);
+  o = json_loadb (a.body.ptr, a.body.len, 0, NULL);
+  kq_buf_free (&a.body);
+  if (json_integer_value (json_object_get (o, "breaches")) > 0)
+    breach (s, "seen by a runner", json_string_value (json_object_get (o, "first")));
+  printf ("seed %llu: %d jobs, %d answers, %d refusals, %lld starts, %lld tasks done, %d "
+          "breaches\n",
+          (unsigned long long)s->plan->seed, s->n_jobs, s->answers, s->refusals,
+          (long long)json_integer_value (json_object_get (o, "starts")),
+          (long long)json_integer_value (json_object_get (o, "done")), s->breaches);
+  json_decref (o);
+}
+
+static bool
+all_ended (const Soak *s)
+{
+  for (int i = 0; i < s->n_jobs; i++)
+    if (s->jobs[i].accepted && !has_ended (&s->jobs[i]))
+      return false;
+  return true;
+}
+
+static void
+cancel_lasting (Soak *s)
+{
+  for (int i = 0; i < s->n_jobs; i++)
+    {
+      Job *j = &s->jobs[i];
+      if (!j->lasting || !j->accepted || j->cancelled || j->asking)
+        continue;
+      j->cancel_sent = true;
+      call (s, j, "DELETE", KQ_STR (""), on_cancelled);
+    }
+}
+
+static void
+work (Soak *s, KqTime until, bool faults)
+{
+  KqTime submit_at = 0;
+  KqTime hurt_at = kq_time_now () + KQ_SEC;
+  while (kq_time_now () < until && (faults || !all_ended (s)))
+    {
+      KqTime now = kq_time_now ();
+      if (faults && now >= submit_at)
+        {
+          new_job (s);
+          submit_at = now + SUBMIT_GAP;
+        }
+      if (faults && now >= hurt_at)
+        {
+          hurt (s);
+          hurt_at = now + (KqTime)(100 + below (s, 900)) * KQ_MS;
+        }
+      heal (s, false);
+      if (!faults)
+        cancel_lasting (s);
+      for (int i = 0; i < s->n_jobs; i++)
+        if (below (s, 12) == 0)
+          step_job (s, &s->jobs[i]);
+      procs_run (&s->procs, 20 * KQ_MS, NULL);
+    }
+}
+
+static bool
+start_all (Soak *s)
+{
+  if (!start_platform (s))
+    return false;
+  read_runner_ports (s);
+  for (int i = 0; i < s->plan->nodes; i++)
+    {
+      s->nodes[i].process = -1;
+      if (!start_relay (s, &s->nodes[i]))
+        return false;
+    }
+  for (int i = 0; i < s->plan->nodes; i++)
+    if (!start_node (s, i))
+      return false;
+  return true;
+}
+
+int
+kq_soak_run (const KqSoakPlan *p)
+{
+  Soak *s = kq_alloc (sizeof *s);
+  int breaches = -1;
+  s->plan = p;
+  s->rand = kq_rand (p->seed);
+  s->began_at = kq_time_now ();
+  if (!procs_init (&s->procs, p->build) || !start_all (s))
+    goto out;
+  work (s, kq_time_now () + p->seconds * KQ_SEC, true);
+  heal (s, true);
+  heal_links (s);
+  work (s, kq_time_now () + SETTLE, false);
+  procs_run (&s->procs, KQ_SEC, NULL);
+  for (int i = 0; i < s->n_jobs; i++)
+    judge_job (s, &s->jobs[i]);
+  judge_runners (s);
+  breaches = s->breaches;
+out:
+  if (p->keep || breaches != 0)
+    printf ("seed %llu: output in %s\n", (unsigned long long)p->seed, s->procs.dir);
+  procs_end (&s->procs, p->keep || breaches != 0);
+  free (s);
+  return breaches;
+}
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -387,8 +387,14 @@
   d.fleet = kq_fleet_new (&c);
   if (d.fleet != NULL)
     {
-      kq_log (KQ_LOG_INFO, PART, "Started. node=%.*s front=%s store=%s version=" VERSION,
-              KQ_STR_ARG (kq_name_str (&s->node)), s->front, s->store);
+      int ports[4];
+      kq_fleet_ports (d.fleet, &ports[0], &ports[1], &ports[2], &ports[3]);
+      kq_log (KQ_LOG_INFO, PART,
+              "Started. front=%d ready=%d peers=%d metrics=%d node=%.*s store=%s "
+              "version=" VERSION,
+              ports[0], ports[1], ports[2], ports[3], KQ_STR_ARG (kq_name_str (&s->node)),
+              s->store);
+      kq_log_flush ();
       kq_loop_run (d.loop);
     }
   else
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -482,6 +482,14 @@
   return f;
 }
 
+void
+kq_fleet_ports (const KqFleet *f, int *front, int *ready_port, int *peers, int *metrics)
+{
+  kq_front_ports (f->front, front, ready_port);
+  *peers = kq_link_port (f->link);
+  *metrics = kq_metrics_port (f->metrics);
+}
+
 void
 kq_fleet_free (KqFleet *f)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -22,6 +22,8 @@
 
 /* NULL: an address can't be bound. */
 KqFleet *kq_fleet_new (const KqFleetConfig *c);
+/* Ports as bound; the settings may leave them to the kernel. */
+void kq_fleet_ports (const KqFleet *f, int *front, int *ready, int *peers, int *metrics);
 void kq_fleet_free (KqFleet *f);
 /* A planned stop: no new connections, the lead and the runners go to other nodes,
  * requests in progress are answered. */
--- a/src/fleet/metrics.c
+++ b/src/fleet/metrics.c
@@ -65,6 +65,12 @@
   return NULL;
 }
 
+int
+kq_metrics_port (const KqMetrics *m)
+{
+  return kq_http_server_port (m->server);
+}
+
 void
 kq_metrics_free (KqMetrics *m)
 {
--- a/src/fleet/metrics.h
+++ b/src/fleet/metrics.h
@@ -11,6 +11,7 @@
 /* NULL: the address can't be bound. */
 KqMetrics *kq_metrics_new (KqLoop *loop, const char *ip, int port,
                            void (*print) (void *arg, KqBuf *out), void *arg);
+int kq_metrics_port (const KqMetrics *m);
 void kq_metrics_free (KqMetrics *m);
 
 #endif
--- a/src/port/front.h
+++ b/src/port/front.h
@@ -63,6 +63,7 @@
 typedef struct KqFront KqFront;
 /* Listens at both "ip:port" addresses; NULL when one can't be bound. */
 KqFront *kq_front_new (KqLoop *loop, KqStr front, KqStr ready, const KqFrontOwner *owner);
+void kq_front_ports (const KqFront *f, int *front, int *ready);
 void kq_front_free (KqFront *f);
 size_t kq_front_open (const KqFront *f); /* requests without an answer */
 
--- /dev/null
+++ b/standin/platform_main.c
@@ -0,0 +1,89 @@
+/* standin-platform: the users' platform in one process: its store, some runners, and a
+ * control port with what the runners have seen.
+ *
+ *   GET  /v1/ledger             breaches of what must never happen, starts, done tasks
+ *   GET  /v1/job?id=ID          {"started":B,"running":N,"done":N}
+ *   POST /v1/crash?runner=N     the runner dies without a word
+ *   POST /v1/rise?runner=N      and comes back in a new life
+ * Faults of store and runners: POST /v1/fault at their own ports, as of all stand-ins. */
+
+#include "platform_runner.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define RUNNERS_MAX 64
+
+typedef struct
+{
+  KqPlatformKv *kv;
+  KqPlatformLedger *ledger;
+  KqPlatformRunner *runners[RUNNERS_MAX];
+  int n;
+} Platform;
+
+static void
+tell_job (Platform *p, KqWebCall *c)
+{
+  KqBuf id = { 0 };
+  kq_web_query (c, "id", &id);
+  kq_web_reply_json (c, 200,
+                     json_pack ("{s:b, s:i, s:i}", "started",
+                                kq_platform_ledger_started (p->ledger, id.ptr), "running",
+                                kq_platform_ledger_running (p->ledger, id.ptr), "done",
+                                kq_platform_ledger_done (p->ledger, id.ptr)));
+  kq_buf_free (&id);
+}
+
+static void
+on_handle (void *arg, KqWebCall *c)
+{
+  Platform *p = arg;
+  uint64_t n = kq_web_query_u64 (c, "runner", RUNNERS_MAX);
+  if (kq_web_is (c, "GET", "/v1/ledger"))
+    kq_web_reply_json (c, 200, kq_platform_ledger_json (p->ledger));
+  else if (kq_web_is (c, "GET", "/v1/job"))
+    tell_job (p, c);
+  else if (n >= (uint64_t)p->n)
+    kq_web_error (c, 404, "no such call");
+  else
+    {
+      if (kq_web_is (c, "POST", "/v1/crash"))
+        kq_platform_runner_crash (p->runners[n]);
+      else
+        kq_platform_runner_rise (p->runners[n]);
+      kq_web_reply_json (c, 200, json_object ());
+    }
+}
+
+static const char config[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"plans\",\"host\":\"desk.example\","
+      "\"prefix\":\"/plans/\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,"
+      "\"slo_ms\":500,\"priority\":0,\"service\":\"desk\",\"attempts\":3,"
+      "\"stretch\":1.5}],\"services\":[{\"name\":\"desk\",\"admission_check\":false}],"
+      "\"limits\":{\"max_body_bytes\":262144}}";
+
+int
+main (int argc, char **argv)
+{
+  static Platform p;
+  gint runners = 6;
+  gint cpu = 8000;
+  GOptionEntry entries[]
+      = { { "runners", 0, 0, G_OPTION_ARG_INT, &runners, "How many runners", "N" },
+          { "cpu", 0, 0, G_OPTION_ARG_INT, &cpu, "Thousandths of a core of each", "N" },
+          { NULL, 0, 0, 0, NULL, NULL, NULL } };
+  KqLoop *loop;
+  KqWebApp app = { .arg = &p, .handle = on_handle };
+  kq_web_options ("- stand-in for the users' platform", entries, argc, argv);
+  loop = kq_loop_new ();
+  p.kv = kq_platform_kv_new (loop);
+  p.ledger = kq_platform_ledger_new ();
+  kq_platform_kv_put (p.kv, "op/config", kq_str (config));
+  p.n = runners < RUNNERS_MAX ? runners : RUNNERS_MAX;
+  for (int i = 0; i < p.n; i++)
+    p.runners[i] = kq_platform_runner_new (loop, p.kv, p.ledger, i, cpu);
+  kq_web_new (loop, 0, "control", &app);
+  kq_loop_run (loop);
+  return 0;
+}
