--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 TEST_C = $(wildcard src/*/*_test.c platform/*_test.c tests/*_test.c)
 TESTS = $(patsubst %.c,%,$(notdir $(TEST_C)))
 BENCH_MAIN = $(wildcard bench/*_main.c)
-BENCH_C = $(filter-out $(BENCH_MAIN), $(wildcard bench/*.c))
+BENCH_C = $(filter-out $(BENCH_MAIN), $(wildcard bench/*.c)) soak/soak.c
 FUZZ_C = $(wildcard fuzz/*.c)
 FUZZ_LIB_C = $(filter-out fuzz/driver.c, $(FUZZ_C))
 FUZZERS = $(patsubst fuzz/fuzz_%.c,%,$(wildcard fuzz/fuzz_*.c))
@@ -251,7 +251,7 @@
 	@$< $(SEED) $(if $(filter 200000,$(STEPS)),300,$(STEPS)) $(SEEDS)
 
 # Real processes under random faults from outside (SEED, SEEDS, SECONDS of faults each).
-$(BUILD)/soak: $(BUILD)/o/soak/soak_main.o $(BUILD)/o/soak/soak.o $(BUILD)/libbench.a $(BUILD)/libkq.a
+$(BUILD)/soak: $(BUILD)/o/soak/soak_main.o $(BUILD)/libbench.a $(BUILD)/libkq.a
 	@echo "  LD $@"; $(CC) -o $@ $^ $(LIBS)
 .PHONY: soak-live
 soak-live: all $(BUILD)/soak
--- /dev/null
+++ b/src/crew/frame_test.c
@@ -0,0 +1,134 @@
+#include "base/rand.h"
+#include "crew/frame.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+static KqCrewItem
+pass (const KqCrewItem *i, KqBuf *b)
+{
+  KqCrewItem out;
+  KqStr rest;
+  kq_buf_clear (b);
+  kq_crew_pack (i, b);
+  kq_crew_pack (i, b); /* items follow each other */
+  rest = kq_buf_str (b);
+  assert_true (kq_crew_unpack (&rest, &out));
+  assert_int_equal (out.kind, i->kind);
+  kq_crew_clear (&out);
+  assert_true (kq_crew_unpack (&rest, &out));
+  assert_int_equal (rest.len, 0);
+  return out;
+}
+
+static void
+test_list_passes_whole (void **state)
+{
+  KqRunRow running[] = { { KQ_STR ("j.0.1.2"), 7, KQ_STR ("cp"), 41, 12 } };
+  KqEndRow ended[] = { { 58, KQ_STR ("j.0.1.3"), 6, KQ_END_FAILED, KQ_STR ("") } };
+  KqCrewItem i = { .kind = KQ_CREW_LIST, .runner = KQ_STR ("i-1") };
+  KqBuf b = { 0 };
+  KqCrewItem o;
+  (void)state;
+  i.u.list = (KqRunnerList){ 99, 5000, 3, running, 1, ended, 1, true };
+  o = pass (&i, &b);
+  assert_int_equal (o.u.list.born_ms, 99);
+  assert_int_equal (o.u.list.lease_left_ms, 5000);
+  assert_int_equal (o.u.list.order, 3);
+  assert_true (o.u.list.ended_cut);
+  assert_int_equal (o.u.list.n_running, 1);
+  assert_true (kq_str_eq (o.u.list.running[0].task, KQ_STR ("j.0.1.2")));
+  assert_int_equal (o.u.list.running[0].percent, 41);
+  assert_int_equal (o.u.list.running[0].load, 12);
+  assert_int_equal (o.u.list.ended[0].number, 58);
+  assert_int_equal (o.u.list.ended[0].how, KQ_END_FAILED);
+  kq_crew_clear (&o);
+  kq_buf_free (&b);
+}
+
+static void
+test_orders_pass_whole (void **state)
+{
+  KqBuf b = { 0 };
+  KqCrewItem i = { .kind = KQ_CREW_ORDER };
+  KqCrewItem o;
+  (void)state;
+  i.u.order.kind = KQ_ORDER_START;
+  i.u.order.runner = KQ_STR ("i-1");
+  i.u.order.u.start.task = KQ_STR ("j.0.0.0");
+  i.u.order.u.start.run = 1001;
+  i.u.order.u.start.text = KQ_STR ("text");
+  i.u.order.u.start.checkpoint = KQ_STR ("cp");
+  o = pass (&i, &b);
+  assert_int_equal (o.u.order.u.start.run, 1001);
+  assert_true (kq_str_eq (o.u.order.u.start.checkpoint, KQ_STR ("cp")));
+  i.u.order.kind = KQ_ORDER_SEEN;
+  i.u.order.u.seen.ends = 12;
+  i.u.order.u.seen.born_ms = 34;
+  i.u.order.u.seen.watched = true;
+  o = pass (&i, &b);
+  assert_int_equal (o.u.order.u.seen.ends, 12);
+  assert_int_equal (o.u.order.u.seen.born_ms, 34);
+  assert_true (o.u.order.u.seen.watched);
+  for (int k = KQ_ORDER_TAKE; k <= KQ_ORDER_SEEN; k++)
+    {
+      memset (&i.u.order.u, 0, sizeof i.u.order.u);
+      i.u.order.kind = (KqOrderKind)k;
+      o = pass (&i, &b);
+      assert_int_equal (o.u.order.kind, k);
+    }
+  kq_buf_free (&b);
+}
+
+static void
+test_every_kind_passes (void **state)
+{
+  KqBuf b = { 0 };
+  (void)state;
+  for (int k = KQ_CREW_ANSWER; k <= KQ_CREW_CANCEL; k++)
+    {
+      KqCrewItem i = { .kind = (KqCrewKind)k };
+      KqCrewItem o = pass (&i, &b);
+      kq_crew_clear (&o);
+    }
+  kq_buf_free (&b);
+}
+
+/* A node gets a frame whose bytes were damaged: it must drop it, not crash on it. */
+static void
+test_damaged_bytes_are_refused (void **state)
+{
+  KqRunRow running[] = { { KQ_STR ("j.0.1.2"), 7, KQ_STR ("cp"), 41, 12 } };
+  KqCrewItem i = { .kind = KQ_CREW_LIST, .runner = KQ_STR ("i-1") };
+  KqRand r = kq_rand (1);
+  (void)state;
+  i.u.list.running = running;
+  i.u.list.n_running = 1;
+  for (int n = 0; n < 20000; n++)
+    {
+      KqBuf b = { 0 };
+      KqCrewItem o;
+      KqStr rest;
+      kq_crew_pack (&i, &b);
+      for (int k = 0; k < 3; k++)
+        b.ptr[kq_rand_below (&r, b.len)] = (char)kq_rand_next (&r);
+      rest = kq_str_n (b.ptr, kq_rand_below (&r, b.len + 1));
+      while (kq_crew_unpack (&rest, &o))
+        kq_crew_clear (&o);
+      kq_buf_free (&b);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_list_passes_whole),
+                                      cmocka_unit_test (test_orders_pass_whole),
+                                      cmocka_unit_test (test_every_kind_passes),
+                                      cmocka_unit_test (test_damaged_bytes_are_refused) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/sched/disturb_test.c
@@ -0,0 +1,108 @@
+#include "base/rand.h"
+#include "sched/agents.h"
+#include "sched/disturb.h"
+
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+/* Load: two serving images whose load swings within ten seconds, three filling images, of
+ * which one disturbs the first serving image and another the second. Reports are noisy.
+ * After some hundred reports the harmful pairs must stand out, and no other pair. */
+static void
+test_harmful_pairs_stand_out (void **state)
+{
+  KqDisturb *d = kq_disturb_new ();
+  KqRand r = kq_rand (7);
+  int s[2]
+      = { kq_disturb_serving (d, KQ_STR ("s0")), kq_disturb_serving (d, KQ_STR ("s1")) };
+  int f[3]
+      = { kq_disturb_filling (d, KQ_STR ("f0")), kq_disturb_filling (d, KQ_STR ("f1")),
+          kq_disturb_filling (d, KQ_STR ("f2")) };
+  static const double truth[2][3] = { { 6, 0, 0 }, { 0, 4, 0 } };
+  (void)state;
+  for (int n = 0; n < 600; n++)
+    {
+      double x[KQ_DISTURB_IMAGES] = { 0 };
+      double y = -0.8 + 0.35 * sin (n / 30.0);
+      int v = n % 2;
+      for (int i = 0; i < 3; i++)
+        if (kq_rand_below (&r, 2) == 0)
+          x[f[i]] = 0.1 * (double)(1 + kq_rand_below (&r, 2));
+      for (int i = 0; i < 3; i++)
+        y += truth[v][i] * x[f[i]];
+      y += (kq_rand_unit (&r) - 0.5) * 0.8;
+      kq_disturb_learn (d, s[v], y, x, n * 20 * KQ_MS);
+    }
+  for (int v = 0; v < 2; v++)
+    for (int i = 0; i < 3; i++)
+      {
+        double press = kq_disturb_press (d, s[v], f[i]);
+        if (truth[v][i] > 0)
+          assert_true (press > 0.6 * truth[v][i] && press < 1.4 * truth[v][i]);
+        else
+          assert_true (press < 1.0);
+      }
+  assert_true (kq_disturb_peak (d, s[0]) >= kq_disturb_base (d, s[0]));
+  kq_disturb_free (d);
+}
+
+static void
+test_unknown_images_are_taken_for_harmless (void **state)
+{
+  KqDisturb *d = kq_disturb_new ();
+  (void)state;
+  assert_true (kq_disturb_press (d, kq_disturb_serving (d, KQ_STR ("s")),
+                                 kq_disturb_filling (d, KQ_STR ("f")))
+               == 0);
+  for (int i = 0; i < 2 * KQ_DISTURB_IMAGES; i++)
+    {
+      char name[2] = { (char)('!' + i), '\0' };
+      assert_true (kq_disturb_filling (d, kq_str (name)) < KQ_DISTURB_IMAGES);
+    }
+  kq_disturb_free (d);
+}
+
+static KqAgentInfo
+host (const char *name, const char *domain, int share, bool leader)
+{
+  return (KqAgentInfo){ kq_name (kq_str (name)), kq_name (kq_str (domain)), share,
+                        leader };
+}
+
+/* Runners are spread by the hosts' processors, and the leader keeps its own for
+ * decisions. */
+static void
+test_runners_go_to_hosts_by_share (void **state)
+{
+  static KqAgents a;
+  KqAgentInfo h[] = { host ("a", "n", 100, true), host ("b", "n", 100, false),
+                      host ("c", "s", 300, false) };
+  (void)state;
+  for (int i = 0; i < 3; i++)
+    assert_int_equal (kq_agents_up (&a, &h[i]), i);
+  for (int i = 0; i < 40; i++)
+    a.list[kq_agents_pick (&a, KQ_STR ("n"))].runners++;
+  assert_int_equal (a.list[0].runners, 0);
+  assert_in_range (a.list[1].runners, 9, 13);
+  assert_in_range (a.list[2].runners, 27, 31);
+  assert_false (kq_agents_overfull (&a, 1, 40));
+  a.list[1].runners = 30;
+  assert_true (kq_agents_overfull (&a, 1, 40));
+  kq_agents_down (&a, 1);
+  kq_agents_down (&a, 2);
+  assert_int_equal (kq_agents_pick (&a, KQ_STR ("n")), 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_harmful_pairs_stand_out),
+          cmocka_unit_test (test_unknown_images_are_taken_for_harmless),
+          cmocka_unit_test (test_runners_go_to_hosts_by_share) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
