--- a/Makefile
+++ b/Makefile
@@ -123,6 +123,7 @@
 	@$(BUILD)/kumquatctl results --markdown | diff -u docs/RESULTS.md -
 	@tools/metrics.sh | diff -u docs/METRICS.md -
 	@tools/check-names.sh
+	@tools/check-platform.sh
 pages: $(BUILD)/kumquatctl
 	$(BUILD)/kumquatctl results --markdown > docs/RESULTS.md
 	tools/metrics.sh > docs/METRICS.md
