--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -28,6 +28,9 @@
 /* Watches answer at least every WATCH_MS; without an answer for this long the store is
  * taken for away. */
 #define STORE_AWAY (2600 * KQ_MS)
+/* So many calls in a row without an answer say the same sooner; one may be lost by
+ * chance. */
+#define STORE_FAILURES 3
 /* A leader that can't renew goes on while no other node reaches the store either, but no
  * longer than this: silent runners are waited for about as long by a new leader. */
 #define BLIND_MAX (9 * KQ_SEC)
@@ -60,6 +63,7 @@
   KqTime store_at;             /* the store's last answer; 0: never */
   KqTime peers_reach_store_at; /* some node's, as told by it */
   bool store_lost;
+  int store_failures; /* calls without an answer since the last one */
   bool leaving;
   bool stopped;
   KqTime leaving_at;
@@ -76,13 +80,23 @@
             (long long)((now - f->store_at) / KQ_MS));
   f->store_lost = false;
   f->store_at = now;
+  f->store_failures = 0;
+}
+
+static void
+on_store_failed (void *arg, KqTime now)
+{
+  KqFleet *f = arg;
+  (void)now;
+  f->store_failures++;
 }
 
 static bool
 store_up (void *arg, KqTime now)
 {
   const KqFleet *f = arg;
-  return f->store_at != 0 && now - f->store_at < STORE_AWAY;
+  return f->store_at != 0 && now - f->store_at < STORE_AWAY
+         && f->store_failures < STORE_FAILURES;
 }
 
 /* Configuration. */
@@ -423,7 +437,8 @@
                         .owner = { f, on_joined, on_left, on_from_node, on_connected,
                                    on_from_leader, store_age_ms } };
   KqFrontDeskConfig desk
-      = { loop, f->kv, f->config.counters, f, table, store_up, ask, tell, on_answered };
+      = { loop, f->kv,       f->config.counters, f, table, store_up, ask,
+          tell, on_answered, on_store_failed };
   KqFrontOwner owner = { f, on_request, ready, leaving, body_max };
   f->agent = kq_crew_agent_new (&agent);
   f->link = kq_link_new (&link);
@@ -460,8 +475,8 @@
 kq_fleet_new (const KqFleetConfig *c)
 {
   KqFleet *f = kq_alloc (sizeof *f);
-  KqFollowOwner config
-      = { f, on_config_item, on_config_gone, on_config_synced, on_answered };
+  KqFollowOwner config = { f,           on_config_item, on_config_gone, on_config_synced,
+                           on_answered, on_store_failed };
   f->config = *c;
   f->self = (KqAgentInfo){ .name = c->settings->node,
                            .failure_domain = c->settings->failure_domain,
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -184,6 +184,8 @@
       list_anew (f);
       break;
     default:
+      if (f->owner.failed != NULL)
+        f->owner.failed (f->owner.arg, now);
       pause = f->retry_ms;
       if (f->retry_ms == RETRY_MS)
         kq_log (KQ_LOG_WARN, PART,
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -19,6 +19,8 @@
   void (*synced) (void *arg, KqTime now);
   /* The store has answered. */
   void (*answered) (void *arg, KqTime sent_at, KqTime now);
+  /* It has not, or has refused. May be NULL. */
+  void (*failed) (void *arg, KqTime now);
 } KqFollowOwner;
 
 /* pause_ms: changes are collected for so long before the next call; 0: none. */
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -14,6 +14,9 @@
 /* Time of one write, and how often one without an answer is repeated: the store takes
  * repeats for one, as the job's key must not exist. */
 #define WRITE_MS 900
+/* No request is tried longer than this: the client knows better what to do with its time.
+ */
+#define TRY_FOR (1000 * KQ_MS)
 /* Left for the answer's way when a client's deadline is near. */
 #define DEADLINE_SLACK_MS 250
 /* A call to the store without an answer is repeated after this long, doubled each time: a
@@ -136,7 +139,8 @@
 static bool
 time_left (const Request *q, KqTime now)
 {
-  return now + (DEADLINE_SLACK_MS + 50) * KQ_MS < q->deadline;
+  return now + (DEADLINE_SLACK_MS + 50) * KQ_MS < q->deadline
+         && now - q->begun_at < TRY_FOR;
 }
 
 static int
@@ -151,6 +155,8 @@
 {
   if (r->result != KQ_KV_UNKNOWN && r->result != KQ_KV_REFUSED)
     q->desk->config.answered (q->desk->config.arg, r->sent_at, now);
+  else
+    q->desk->config.failed (q->desk->config.arg, now);
 }
 
 static void
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -291,8 +291,9 @@
 static void
 load (KqLeader *l)
 {
-  KqFollowOwner jobs = { l, on_job_item, on_job_gone, on_jobs_synced, on_answered };
-  KqFollowOwner entries = { l, on_entry, on_entry_gone, on_entries_synced, on_answered };
+  KqFollowOwner jobs = { l, on_job_item, on_job_gone, on_jobs_synced, on_answered, NULL };
+  KqFollowOwner entries
+      = { l, on_entry, on_entry_gone, on_entries_synced, on_answered, NULL };
   KqKvCallback cb = { on_loaded, l };
   switch (l->phase)
     {
--- a/src/lead/lead.c
+++ b/src/lead/lead.c
@@ -374,7 +374,7 @@
 kq_lead_new (const KqLeadConfig *c)
 {
   KqLead *l = kq_alloc (sizeof *l);
-  KqFollowOwner owner = { l, on_item, on_gone, on_synced, on_answered };
+  KqFollowOwner owner = { l, on_item, on_gone, on_synced, on_answered, NULL };
   l->config = *c;
   l->ask = true;
   l->rand = kq_rand (kq_rand_system ());
