--- a/src/fleet/batch.c
+++ b/src/fleet/batch.c
@@ -10,8 +10,12 @@
 #define TIMEOUT_MS 1200
 /* After a refusal or no answer: the store is in trouble, what waits is kept in memory. */
 #define RETRY (200 * KQ_MS)
-/* Rows of a transaction behind two checks, the sequence and the list of runners. */
-#define ROWS (KQ_KV_TXN_MAX - 4)
+/* Rows of a transaction behind two checks, the sequence, the list of runners and what has
+ * been learned. */
+#define ROWS (KQ_KV_TXN_MAX - 5)
+/* What has been learned goes along with progress this often: a few kilobytes that change
+ * slowly. */
+#define LEARNED_EVERY (4 * KQ_SEC)
 
 typedef enum
 {
@@ -33,6 +37,8 @@
   KqProgress rows[ROWS];
   size_t n;
   KqBuf runners;
+  KqBuf learned; /* on its way; empty: none */
+  KqTime learned_at;
   KqTime retry_at;
   uint64_t *writes;
   uint64_t *conflicts;
@@ -42,6 +48,7 @@
 destroy (KqBatch *b)
 {
   kq_buf_free (&b->runners);
+  kq_buf_free (&b->learned);
   free (b);
 }
 
@@ -188,11 +195,11 @@
 }
 
 static void
-write_rows (KqBatch *b)
+write_rows (KqBatch *b, KqTime now)
 {
   KqKvCheck checks[2]
       = { { kq_lead_key, b->config.epoch }, { KQ_STR (KQ_KEY_SEQUENCE), b->sequence } };
-  KqKvPut puts[ROWS + 2];
+  KqKvPut puts[ROWS + 3];
   KqStr keys[ROWS];
   KqStr removes[ROWS];
   KqKvTxn t = { checks, 2, puts, 0, removes, 0 };
@@ -204,6 +211,14 @@
           = (KqKvPut){ KQ_STR (KQ_KEY_RUNNERS), kq_buf_str (&b->runners), 0 };
       b->runners_sent = true;
     }
+  if (now - b->learned_at >= LEARNED_EVERY)
+    {
+      b->learned_at = now;
+      kq_buf_clear (&b->learned);
+      kq_sched_learned_pack (b->config.sched, &b->learned);
+      puts[t.n_puts++]
+          = (KqKvPut){ KQ_STR (KQ_KEY_LEARNED), kq_buf_str (&b->learned), 0 };
+    }
   for (size_t i = 0; i < b->n; i++)
     {
       const KqProgress *p = &b->rows[i];
@@ -244,5 +259,5 @@
       b->open = b->n > 0;
     }
   if (b->n > 0 || b->runners.len > 0)
-    write_rows (b);
+    write_rows (b, now);
 }
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -24,6 +24,7 @@
 
 typedef enum
 {
+  LOAD_LEARNED, /* what an earlier leader has learned */
   LOAD_RUNNERS, /* the list of runners ever in use */
   LOAD_JOBS,    /* accepted jobs and cancellations */
   LOAD_PROGRESS,
@@ -262,9 +263,14 @@
       load (l);
       return;
     }
-  kq_loop_now (l->config.loop);
   on_answered (l, r->sent_at, now);
-  if (l->phase == LOAD_RUNNERS)
+  if (l->phase == LOAD_LEARNED)
+    {
+      if (r->n_items == 1 && !kq_sched_learned (l->sched, r->items[0].value))
+        kq_log (KQ_LOG_ERROR, PART, "What has been learned can't be read.");
+      l->phase = LOAD_RUNNERS;
+    }
+  else if (l->phase == LOAD_RUNNERS)
     {
       if (r->n_items == 1 && !kq_sched_known (l->sched, r->items[0].value, now))
         kq_log (KQ_LOG_ERROR, PART, "The stored list of runners can't be read.");
@@ -297,6 +303,10 @@
   KqKvCallback cb = { on_loaded, l };
   switch (l->phase)
     {
+    case LOAD_LEARNED:
+      l->calling = true;
+      kq_kv_get (l->config.kv, KQ_STR (KQ_KEY_LEARNED), TIMEOUT_MS, cb);
+      break;
     case LOAD_RUNNERS:
       l->calling = true;
       kq_kv_get (l->config.kv, KQ_STR (KQ_KEY_RUNNERS), TIMEOUT_MS, cb);
--- a/src/sched/disturb.c
+++ b/src/sched/disturb.c
@@ -1,5 +1,7 @@
 #include "sched/disturb.h"
 
+#include "wire/pack.h"
+
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -171,3 +173,83 @@
 {
   return d->peaks[serving];
 }
+
+/* First field of the stored form. */
+#define FORM 1
+
+void
+kq_disturb_pack (const KqDisturb *d, KqBuf *out)
+{
+  KqPacker p;
+  kq_packer_init (&p, out);
+  kq_pack_array (&p, 3);
+  kq_pack_i64 (&p, FORM);
+  kq_pack_array (&p, (size_t)d->filling.n);
+  for (int i = 0; i < d->filling.n; i++)
+    kq_pack_str (&p, kq_str (d->filling.names[i]));
+  kq_pack_array (&p, (size_t)d->serving.n);
+  for (int i = 0; i < d->serving.n; i++)
+    {
+      const Model *m = d->models[i];
+      kq_pack_array (&p, 2 + 2 * ((size_t)d->filling.n + 1));
+      kq_pack_str (&p, kq_str (d->serving.names[i]));
+      kq_pack_double (&p, d->peaks[i]);
+      for (int k = 0; k <= d->filling.n; k++)
+        {
+          kq_pack_double (&p, m->value[k]);
+          kq_pack_double (&p, m->variance[k][k]);
+        }
+    }
+}
+
+static void
+read_model (KqDisturb *d, KqReader *r, int filling)
+{
+  KqStr name = kq_read_str (r);
+  double peak = kq_read_double (r);
+  int at;
+  Model *m;
+  if (r->bad || d->serving.n == KQ_DISTURB_IMAGES)
+    return;
+  at = kq_disturb_serving (d, name);
+  m = d->models[at];
+  d->peaks[at] = isfinite (peak) ? peak : FIRST_BASE;
+  for (int k = 0; k <= filling; k++)
+    {
+      double value = kq_read_double (r);
+      double variance = kq_read_double (r);
+      if (r->bad || !isfinite (value) || !isfinite (variance) || variance < 0)
+        continue;
+      m->value[k] = value;
+      m->variance[k][k] = variance;
+    }
+}
+
+bool
+kq_disturb_unpack (KqDisturb *d, KqStr stored)
+{
+  KqUnpacked u;
+  KqReader r;
+  KqReader list;
+  bool good;
+  if (!kq_unpacked_open (&u, stored, &r))
+    return false;
+  good = kq_read_i64 (&r) == FORM;
+  kq_read_array (&r, &list);
+  good = good && list.left <= KQ_DISTURB_IMAGES;
+  for (uint32_t n = list.left; good && n > 0; n--)
+    kq_disturb_filling (d, kq_read_str (&list));
+  kq_read_join (&r, &list);
+  kq_read_array (&r, &list);
+  while (good && !list.bad && list.left > 0)
+    {
+      KqReader one;
+      kq_read_array (&list, &one);
+      read_model (d, &one, d->filling.n);
+      kq_read_join (&list, &one);
+    }
+  kq_read_join (&r, &list);
+  good = good && !r.bad;
+  kq_unpacked_close (&u);
+  return good;
+}
--- a/src/sched/disturb.h
+++ b/src/sched/disturb.h
@@ -24,6 +24,12 @@
 int kq_disturb_serving (KqDisturb *d, KqStr image);
 int kq_disturb_filling (KqDisturb *d, KqStr image);
 
+/* What has been learned, in a stored form for the next leader: without it each change of
+ * leader begins with seconds of filling tasks in the wrong places. */
+void kq_disturb_pack (const KqDisturb *d, KqBuf *out);
+/* Into a model that has learned nothing yet. False: not such a text. */
+bool kq_disturb_unpack (KqDisturb *d, KqStr stored);
+
 /* One report: log_tail is the logarithm of tail by target, shares[f] the share of the
  * runner's cpu that each filling image used at the time. Shares, not cores: on runners of
  * 16 and of 64 cores the growth for each core differs tenfold, for each share it is
--- a/src/sched/disturb_test.c
+++ b/src/sched/disturb_test.c
@@ -9,6 +9,28 @@
 
 #include <cmocka.h>
 
+/* The next leader knows what this one has learned, from the stored form. */
+static void
+check_next_leader (KqDisturb *d, const int s[2], const int f[3])
+{
+  KqDisturb *next = kq_disturb_new ();
+  KqBuf b = { 0 };
+  kq_disturb_pack (d, &b);
+  assert_true (kq_disturb_unpack (next, kq_buf_str (&b)));
+  for (int v = 0; v < 2; v++)
+    for (int i = 0; i < 3; i++)
+      assert_true (kq_disturb_press (next, s[v], f[i])
+                   == kq_disturb_press (d, s[v], f[i]));
+  for (size_t n = 0; n < b.len; n++)
+    {
+      KqDisturb *cut = kq_disturb_new ();
+      assert_false (kq_disturb_unpack (cut, kq_str_n (b.ptr, n)));
+      kq_disturb_free (cut);
+    }
+  kq_buf_free (&b);
+  kq_disturb_free (next);
+}
+
 /* Load: two serving images whose load swings within ten seconds, three filling images, of
  * which one disturbs the first serving image and another the second. Reports are noisy.
  * After some hundred reports the harmful pairs must stand out, and no other pair. */
@@ -47,6 +69,7 @@
           assert_true (press < 1.0);
       }
   assert_true (kq_disturb_peak (d, s[0]) >= kq_disturb_base (d, s[0]));
+  check_next_leader (d, s, f);
   kq_disturb_free (d);
 }
 
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -211,6 +211,18 @@
   return good;
 }
 
+bool
+kq_sched_learned (KqSched *s, KqStr stored)
+{
+  return kq_disturb_unpack (s->disturb, stored);
+}
+
+void
+kq_sched_learned_pack (const KqSched *s, KqBuf *out)
+{
+  kq_disturb_pack (s->disturb, out);
+}
+
 void
 kq_sched_loaded (KqSched *s, KqTime now)
 {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -125,6 +125,9 @@
 bool kq_sched_progress (KqSched *s, KqStr id, KqStr stored, KqTime now);
 /* The runners that earlier leaders used (kq_sched_known_pack). */
 bool kq_sched_known (KqSched *s, KqStr stored, KqTime now);
+/* What an earlier leader has learned (kq_sched_learned_pack); before any job. */
+bool kq_sched_learned (KqSched *s, KqStr stored);
+void kq_sched_learned_pack (const KqSched *s, KqBuf *out);
 /* Everything stored has been told: decisions may begin. */
 void kq_sched_loaded (KqSched *s, KqTime now);
 
