--- /dev/null
+++ b/src/base/histogram.c
@@ -0,0 +1,45 @@
+#include "base/histogram.h"
+
+#include <stdio.h>
+
+static const int64_t bounds_ms[KQ_HISTOGRAM_BOUNDS]
+    = { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000 };
+
+static uint64_t *
+bucket (KqCounters *c, const char *name, const char *labels, const char *le,
+        const char *help)
+{
+  char full[96];
+  char with_le[128];
+  snprintf (full, sizeof full, "%s_bucket", name);
+  snprintf (with_le, sizeof with_le, "%s%sle=\"%s\"", labels,
+            labels[0] != '\0' ? "," : "", le);
+  return kq_counter (c, full, with_le, help);
+}
+
+KqHistogram
+kq_histogram (KqCounters *c, const char *name, const char *labels, const char *help)
+{
+  KqHistogram h;
+  char text[96];
+  for (int i = 0; i < KQ_HISTOGRAM_BOUNDS; i++)
+    {
+      char le[24];
+      snprintf (le, sizeof le, "%lld", (long long)bounds_ms[i]);
+      h.buckets[i] = bucket (c, name, labels, le, help);
+    }
+  h.all = bucket (c, name, labels, "+Inf", help);
+  snprintf (text, sizeof text, "%s_sum", name);
+  h.sum_ms = kq_counter (c, text, labels, help);
+  return h;
+}
+
+void
+kq_histogram_add (KqHistogram *h, KqTime took)
+{
+  for (int i = 0; i < KQ_HISTOGRAM_BOUNDS; i++)
+    if (took <= bounds_ms[i] * KQ_MS)
+      ++*h->buckets[i];
+  ++*h->all;
+  *h->sum_ms += took > 0 ? (uint64_t)(took / KQ_MS) : 0;
+}
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -99,6 +99,9 @@
   if (out.tokens > out.rate)
     out.tokens = out.rate;
   out.filled_at = now;
+  /* Lines on single tasks leave half of the rate to those on jobs and beliefs. */
+  if (level == KQ_LOG_DEBUG && out.tokens < out.rate / 2.0)
+    return false;
   if (out.tokens < 1 && level > KQ_LOG_WARN)
     return false;
   out.tokens -= out.tokens < 1 ? 0 : 1;
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -1,5 +1,6 @@
 #include "fleet/front.h"
 
+#include "base/histogram.h"
 #include "base/log.h"
 #include "fleet/keys.h"
 
@@ -62,6 +63,13 @@
   bool unsure;       /* some write had no answer */
 } Request;
 
+static const char *const step_names[]
+    = { "submit",   "ask_leader",  "read_progress", "read_cancel",
+        "read_job", "cancel_read", "cancel_write",  "count_waiting" };
+static const char *const reply_names[]
+    = { "done",    "state", "waiting",   "no_job", "no_queue",
+        "refused", "bad",   "too_large", "unknown" };
+
 struct KqFrontDesk
 {
   KqFrontDeskConfig config;
@@ -70,6 +78,7 @@
   uint64_t calls;
   ev_timer sweep;
   uint64_t *replies[9];
+  KqHistogram took;
   uint64_t *refused_store;
   uint64_t *refused_start;
   uint64_t *refused_leader;
@@ -100,10 +109,11 @@
 {
   KqFrontDesk *d = q->desk;
   ++*d->replies[r->kind];
+  kq_histogram_add (&d->took, now - q->begun_at);
   if (q->step == SUBMIT || q->step == CANCEL_WRITE || r->kind >= KQ_REPLY_NO_JOB)
     kq_log (KQ_LOG_INFO, PART,
-            "Answered. job=%.*s step=%d reply=%d took_ms=%lld unsure=%d why=%s",
-            KQ_STR_ARG (q->id), q->step, r->kind,
+            "Answered. job=%.*s at=%s reply=%s took_ms=%lld unsure=%d why=%s",
+            KQ_STR_ARG (q->id), step_names[q->step], reply_names[r->kind],
             (long long)((now - q->begun_at) / KQ_MS), q->unsure,
             r->why != NULL ? r->why : "-");
   kq_ask_reply (q->ask, r);
@@ -522,9 +532,6 @@
 KqFrontDesk *
 kq_front_desk_new (const KqFrontDeskConfig *c)
 {
-  static const char *const kinds[]
-      = { "done",    "state", "waiting",   "no_job", "no_queue",
-          "refused", "bad",   "too_large", "unknown" };
   KqFrontDesk *d = kq_alloc (sizeof *d);
   char labels[64];
   d->config = *c;
@@ -532,10 +539,12 @@
   d->later = g_ptr_array_new ();
   for (int i = 0; i < 9; i++)
     {
-      snprintf (labels, sizeof labels, "reply=\"%s\"", kinds[i]);
+      snprintf (labels, sizeof labels, "reply=\"%s\"", reply_names[i]);
       d->replies[i] = kq_counter (c->counters, "kq_front_replies_total", labels,
                                   "Requests of client accounts answered.");
     }
+  d->took = kq_histogram (c->counters, "kq_front_answer_ms", "",
+                          "Time to answer client accounts' requests.");
   d->refused_store = refusal_counter (d, "store");
   d->refused_start = refusal_counter (d, "no_configuration");
   d->refused_leader = refusal_counter (d, "no_leader");
--- a/src/port/runner.h
+++ b/src/port/runner.h
@@ -78,6 +78,10 @@
   KQ_ORDER_UNKNOWN /* no answer: done, not done, or done seconds later */
 } KqOrderResult;
 
+/* For logs. */
+const char *kq_order_result_name (KqOrderResult r);
+const char *kq_end_how_name (KqEndHow h);
+
 typedef struct
 {
   KqOrderResult result;
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -188,6 +188,8 @@
     kq_log (KQ_LOG_INFO, PART, "Job ended. job=%.*s state=%s age_ms=%lld runs_left=%d",
             KQ_STR_ARG (j->spec.id), kq_job_state_name (state),
             (long long)((now - j->accepted_at) / KQ_MS), j->runs);
+  if (s->loaded && !kq_spec_lasting (&j->spec))
+    kq_histogram_add (&s->job_time, now - j->accepted_at);
   if (j->runs > 0)
     kq_run_cancel_all (s, j, now);
   while (j->occurrences != NULL)
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -144,8 +144,9 @@
     return;
   run = find_run (r, &t, e->run);
   ours = run != NULL && run->occurrence != NULL;
-  kq_log (KQ_LOG_DEBUG, PART, "Run ended. task=%.*s run=%u runner=%s how=%d n=%llu",
-          KQ_STR_ARG (e->task), e->run, r->id, e->how, (unsigned long long)e->number);
+  kq_log (KQ_LOG_DEBUG, PART, "Run ended. task=%.*s run=%u runner=%s how=%s n=%llu",
+          KQ_STR_ARG (e->task), e->run, r->id, kq_end_how_name (e->how),
+          (unsigned long long)e->number);
   if (run != NULL)
     kq_run_set_checkpoint (run, e->checkpoint);
   if (e->how == KQ_END_DONE)
@@ -257,6 +258,7 @@
         {
           run->phase = KQ_RUN_RUNNING;
           run->running_at = run->moved_at = now;
+          kq_histogram_add (&s->start_answer, now - run->placed_at);
         }
       break;
     case KQ_ORDER_UNKNOWN:
@@ -289,6 +291,13 @@
     }
 }
 
+static const char *
+order_name (KqOrderKind kind)
+{
+  static const char *const names[] = { "take", "drop", "start", "stop", "pace", "seen" };
+  return names[kind];
+}
+
 void
 kq_sched_outcome (KqSched *s, int agent, KqStr runner, const KqOrderOutcome *o,
                   KqTime now)
@@ -301,9 +310,9 @@
   ++*s->results[o->result];
   if (o->result != KQ_ORDER_OK)
     kq_log (KQ_LOG_INFO, PART,
-            "Order not carried out. task=%.*s run=%u runner=%s order=%d "
-            "result=%d",
-            KQ_STR_ARG (o->task), o->run, r->id, o->kind, o->result);
+            "Order not carried out. task=%.*s run=%u runner=%s order=%s result=%s",
+            KQ_STR_ARG (o->task), o->run, r->id, order_name (o->kind),
+            kq_order_result_name (o->result));
   run = find_run (r, &t, o->run);
   if (run == NULL || o->kind == KQ_ORDER_PACE)
     return;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -138,6 +138,8 @@
           KQ_STR_ARG (o->job->spec.id), o->number, step, index, number, r->id,
           (long long)(r->room.cpu_milli - r->used.cpu_milli),
           (long long)((now - r->heard_at) / KQ_MS));
+  if (!o->job->begun)
+    kq_histogram_add (&s->first_start, now - o->due_at);
   o->job->begun = true;
   if (o->job->state == KQ_JOB_WAITING)
     o->job->state = KQ_JOB_RUNNING;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -28,26 +28,27 @@
 static void
 make_counters (KqSched *s)
 {
-  static const char *const hows[]
-      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
-  static const char *const results[]
-      = { "ok",        "fenced",    "old_run",    "late", "no_room",
-          "no_ticket", "unhealthy", "other_life", "bad",  "unknown" };
   KqCounters *c = s->config.counters;
   char labels[64];
   for (int i = 0; i < 6; i++)
     {
-      snprintf (labels, sizeof labels, "how=\"%s\"", hows[i]);
+      snprintf (labels, sizeof labels, "how=\"%s\"", kq_end_how_name ((KqEndHow)i));
       s->ends[i]
           = kq_counter (c, "kq_run_ends_total", labels, "Ends of runs, as listed.");
     }
   for (int i = 0; i < 10; i++)
     {
-      snprintf (labels, sizeof labels, "result=\"%s\"", results[i]);
+      snprintf (labels, sizeof labels, "result=\"%s\"",
+                kq_order_result_name ((KqOrderResult)i));
       s->results[i] = kq_counter (c, "kq_run_orders_total", labels,
                                   "Orders to runners, by how they ended.");
     }
   s->starts = kq_counter (c, "kq_run_starts_total", "", "Start orders given.");
+  s->first_start = kq_histogram (c, "kq_job_first_start_ms", "",
+                                 "From a job's acceptance to its first start.");
+  s->job_time = kq_histogram (c, "kq_job_ms", "", "From a job's acceptance to its end.");
+  s->start_answer = kq_histogram (c, "kq_run_start_answer_ms", "",
+                                  "From a start order to the runner's word.");
   s->runs_lost
       = kq_counter (c, "kq_runs_lost_total", "", "Runs that ended without a word.");
   s->stops_hang = stop_counter (c, "stands_still");
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -3,6 +3,7 @@
 
 /* state: what the scheduler's files share. Nobody else includes this. */
 
+#include "base/histogram.h"
 #include "base/log.h"
 #include "sched/disturb.h"
 #include "sched/sched.h"
@@ -192,7 +193,9 @@
   uint64_t *lapses;
   uint64_t *no_room;
   uint64_t *paces;
-  uint64_t *starts_late;
+  KqHistogram first_start;
+  KqHistogram job_time;
+  KqHistogram start_answer;
 };
 
 /* book.c */
--- a/tools/metrics.sh
+++ b/tools/metrics.sh
@@ -8,7 +8,7 @@
 # One line for each kq_counter call whose name is a literal: name|labels|help|file. Labels
 # that aren't a literal are shown as "`peers`". A call of another form stops the script.
 own () {
-  for f in $(ls src/*/*.c | grep -v -e _test.c -e base/counter.c -e port/meter.c); do
+  for f in $(ls src/*/*.c | grep -v -e _test.c -e base/counter.c -e base/histogram.c -e port/meter.c); do
     tr '\n' ' ' <"$f" | sed 's/  */ /g' | grep -o 'kq_counter ([^;]*;' \
       | sed -E "s|^kq_counter \([^,]*, \"([a-z_]+)\", (\"([^\"]*)\"\|[a-z_]+), \"([^\"]*)\"\);|\1\|\2\|\4\|$f|" || true
   done | sort
@@ -18,6 +18,14 @@
   exit 1
 fi
 
+# Histograms: name|help|file.
+histograms () {
+  for f in $(ls src/*/*.c | grep -v -e _test.c -e base/histogram.c); do
+    tr '\n' ' ' <"$f" | sed 's/  */ /g' | grep -o 'kq_histogram ([^;]*;' \
+      | sed -nE "s|^kq_histogram \([^,]*, \"([a-z_]+)\", \"\", \"([^\"]*)\"\);|\1\|\2\|$f|p" || true
+  done | sort
+}
+
 # The meters: one set for each port, with the labels that meter.c writes.
 meters () {
   tr '\n' ' ' <src/port/meter.c | sed 's/  */ /g' | grep -o 'find (m, "[^;]*;' \
@@ -39,6 +47,7 @@
 | --- | --- | --- | --- |
 TEXT
 own | awk -F'|' '{l = $2 == "\"\"" ? "" : $2 ~ /^"/ ? "`" $2 "`" : "`peers`"; printf "| `%s` | %s | %s | %s |\n", $1, l, $3, $4}'
+histograms | awk -F'|' '{printf "| `%s_bucket`, `%s_sum` | `le` | %s | %s |\n", $1, $1, $2, $3}'
 meters | awk -F'|' '{for (i = 0; i < 2; i++) printf "| `kq_%s_%s` | `kind`%s | %s | src/port/meter.c |\n", i ? "worker" : "store", $1, $2 == "" ? "" : ", `" $2 "`", $3}' | sort
 cat <<'TEXT'
 | `kq_results_total` | `code`, `name` | Refusals, retries and faults by result | src/base/counter.c |
