Leases and waits follow the platform's bounds: short leases, slow elections

Cause: questions waited 1.5 s whatever the lease, agents went on for 4 s whatever the election took. Change: waits are a third of the lease at most; the agents' blind time follows the lead's lease.

--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -11,6 +11,7 @@
 #define TIMEOUT (900 * KQ_MS)
 #define ASK_GAP (120 * KQ_MS)
 #define LEASE_MS 5000
+#define BLIND_MS 4000
 #define KEEP_MS 600000
 #define SILENT_AFTER 2
 
@@ -198,6 +199,7 @@
   else if (chance (r, r->late))
     {
       e->answered = false;
+      e->late = true;
       e->due += (KqTime)(1 + kq_rand_below (&r->rand, 6)) * KQ_SEC;
     }
   if (!e->answered)
@@ -675,6 +677,7 @@
 {
   KqAgentInfo agent = { .name = kq_name (KQ_STR ("a")), .share_milli = 1000 };
   KqSchedConfig c = { .lease_ms = LEASE_MS,
+                      .blind_ms = BLIND_MS,
                       .keep_ms = KEEP_MS,
                       .counters = r->counters,
                       .order = on_order,
@@ -814,8 +817,7 @@
   for (guint i = 0; i < r->events->len; i++)
     {
       KqSchedRigEvent *e = g_ptr_array_index (r->events, i);
-      if (e->kind == ORDER && e->runner == n
-          && (r->now < g->cut_until || e->due > r->now + WAY))
+      if (e->kind == ORDER && e->runner == n && (r->now < g->cut_until || e->late))
         e->due = KQ_TIME_NEVER;
     }
   g_ptr_array_set_size (g->runs, 0);
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -74,6 +74,7 @@
   KqOrder order;
   KqOrderOutcome outcome;
   GByteArray *list; /* packed KqCrewItem */
+  bool late;        /* held up for seconds */
   bool answered;    /* the outcome of this order travels back */
   int64_t lease_end_ms;
 } KqSchedRigEvent;
--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -9,13 +9,10 @@
 #include <string.h>
 
 #define PART "agent"
-/* Without a word of a leader leases are renewed for so long; a new leader counts on it
- * (sched/runners.c) before it takes a silent runner's tasks for ended. Longer than an
- * election takes. */
-#define BLIND (4 * KQ_SEC)
-/* A question for the list waits this long for an end: an answer sooner than needed costs
- * a call, a later one delays what depends on the lease. */
+/* A question for the list waits this long for an end, and this part of a lease at most:
+ * two that fail must not end it. An answer sooner than needed costs a call. */
 #define WAIT_MS 1500
+#define WAITS_PER_LEASE 3
 /* Where filling tasks run beside serving ones, reports drive the pace. */
 #define WATCHED_WAIT_MS 500
 /* Ends that were listed are listed again, at once, until they are acknowledged; so the
@@ -288,16 +285,24 @@
   free_call (c);
 }
 
+static int
+wait_ms (const Held *h)
+{
+  int64_t most = h->agent->config.lease_ms / WAITS_PER_LEASE;
+  int wait = h->watched ? WATCHED_WAIT_MS : WAIT_MS;
+  return most < wait ? (int)most : wait;
+}
+
 static void
 ask (Held *h, KqTime now)
 {
   KqCrewAgent *a = h->agent;
   KqRunnerAim to;
   Call *c;
-  int wait = h->watched ? WATCHED_WAIT_MS : WAIT_MS;
+  int wait = wait_ms (h);
   if (h->asking)
     return;
-  if (now - a->heard_at > BLIND)
+  if (now - a->heard_at > a->config.blind_ms * KQ_MS)
     {
       kq_log (KQ_LOG_WARN, PART, "No leader for too long; not renewing. runner=%s",
               h->id);
--- a/src/crew/agent.h
+++ b/src/crew/agent.h
@@ -16,6 +16,7 @@
   KqLoop *loop;
   KqRunnerCalls *calls;
   int64_t lease_ms;
+  int64_t blind_ms; /* leases are renewed for so long without a word of a leader */
   KqCounters *counters;
   void (*notice) (void *arg, uint64_t epoch, const KqCrewItem *i);
   void *arg;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -25,6 +25,9 @@
  * runner's tasks wait for their end. */
 #define RUNNER_LEASE_MS 5000
 #define CONFIG_WATCH_MS 1500
+/* Without a leader, leases of runners are renewed for as long as an election may take:
+ * the old leader's lease, then this. */
+#define ELECTION_MS 2500
 /* Watches answer at least every WATCH_MS; without an answer for this long the store is
  * taken for away. */
 #define STORE_AWAY (2600 * KQ_MS)
@@ -99,6 +102,20 @@
          && f->store_failures < STORE_FAILURES;
 }
 
+static int64_t
+lead_ttl_ms (const KqFleet *f)
+{
+  int64_t least = f->config.settings->lease_min_ms;
+  return least > LEAD_TTL_MS ? least : LEAD_TTL_MS;
+}
+
+static int64_t
+runner_lease_ms (const KqFleet *f)
+{
+  int64_t most = f->config.settings->runner_lease_max_ms;
+  return most < RUNNER_LEASE_MS ? most : RUNNER_LEASE_MS;
+}
+
 /* Configuration. */
 
 static void
@@ -164,20 +181,19 @@
 {
   KqFleet *f = arg;
   const KqFleetSettings *s = f->config.settings;
-  KqLeaderConfig c
-      = { .loop = f->config.loop,
-          .kv = f->kv,
-          .epoch = epoch,
-          .term = term,
-          .lease_ms = s->runner_lease_max_ms < RUNNER_LEASE_MS ? s->runner_lease_max_ms
-                                                               : RUNNER_LEASE_MS,
-          .keep_ms = s->keep_ms,
-          .counters = f->config.counters,
-          .self = f->self,
-          .agent = f->agent,
-          .arg = f,
-          .deposed = on_deposed,
-          .answered = on_answered };
+  KqLeaderConfig c = { .loop = f->config.loop,
+                       .kv = f->kv,
+                       .epoch = epoch,
+                       .term = term,
+                       .lease_ms = runner_lease_ms (f),
+                       .blind_ms = lead_ttl_ms (f) + ELECTION_MS,
+                       .keep_ms = s->keep_ms,
+                       .counters = f->config.counters,
+                       .self = f->self,
+                       .agent = f->agent,
+                       .arg = f,
+                       .deposed = on_deposed,
+                       .answered = on_answered };
   c.serving_harm_ms = s->serving_harm_ms;
   kq_link_lead (f->link, epoch, now);
   kq_crew_agent_heard (f->agent, epoch, now);
@@ -362,7 +378,7 @@
     return;
   if (now - until > BLIND_MAX)
     kq_lead_resign (f->lead, "not renewed for too long", !f->leaving, now);
-  else if (f->peers_reach_store_at > until - LEAD_TTL_MS / 2 * KQ_MS
+  else if (f->peers_reach_store_at > until - lead_ttl_ms (f) / 2 * KQ_MS
            && now - f->peers_reach_store_at < 3 * REACHES_MS * KQ_MS)
     kq_lead_resign (f->lead, "not renewed while other nodes reach the store", !f->leaving,
                     now);
@@ -422,14 +438,13 @@
 {
   const KqFleetSettings *s = f->config.settings;
   KqLoop *loop = f->config.loop;
-  KqCrewAgentConfig agent
-      = { .loop = loop,
-          .calls = f->calls,
-          .lease_ms = s->runner_lease_max_ms < RUNNER_LEASE_MS ? s->runner_lease_max_ms
-                                                               : RUNNER_LEASE_MS,
-          .counters = f->config.counters,
-          .notice = on_notice,
-          .arg = f };
+  KqCrewAgentConfig agent = { .loop = loop,
+                              .calls = f->calls,
+                              .lease_ms = runner_lease_ms (f),
+                              .blind_ms = lead_ttl_ms (f) + ELECTION_MS,
+                              .counters = f->config.counters,
+                              .notice = on_notice,
+                              .arg = f };
   KqLinkConfig link = { .loop = loop,
                         .ip = s->ip,
                         .port = (int)s->peer_port,
@@ -452,17 +467,16 @@
 start_lead (KqFleet *f)
 {
   const KqFleetSettings *s = f->config.settings;
-  KqLeadConfig c
-      = { .loop = f->config.loop,
-          .kv = f->kv,
-          .node = s->node,
-          .ttl_ms = s->lease_min_ms > LEAD_TTL_MS ? s->lease_min_ms : LEAD_TTL_MS,
-          .counters = f->config.counters,
-          .arg = f,
-          .changed = on_changed,
-          .elected = on_elected,
-          .lost = on_lost,
-          .answered = on_answered };
+  KqLeadConfig c = { .loop = f->config.loop,
+                     .kv = f->kv,
+                     .node = s->node,
+                     .ttl_ms = lead_ttl_ms (f),
+                     .counters = f->config.counters,
+                     .arg = f,
+                     .changed = on_changed,
+                     .elected = on_elected,
+                     .lost = on_lost,
+                     .answered = on_answered };
   char address[32];
   snprintf (address, sizeof address, "%s:%d", s->ip, kq_link_port (f->link));
   c.address = kq_name (kq_str (address));
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -338,6 +338,7 @@
   KqSchedConfig sched = { .epoch = c->epoch,
                           .term = c->term,
                           .lease_ms = c->lease_ms,
+                          .blind_ms = c->blind_ms,
                           .keep_ms = c->keep_ms,
                           .serving_harm_ms = c->serving_harm_ms,
                           .counters = c->counters,
--- a/src/fleet/leader.h
+++ b/src/fleet/leader.h
@@ -18,6 +18,7 @@
   uint64_t epoch;
   uint32_t term;
   int64_t lease_ms; /* of runners */
+  int64_t blind_ms;
   int64_t keep_ms;
   int64_t serving_harm_ms;
   KqCounters *counters;
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -9,8 +9,6 @@
 
 /* Beyond the computed end of a lease: timers fire late and answers travel. */
 #define LEASE_MARGIN (300 * KQ_MS)
-/* An agent that has lost its leader goes on renewing for so long (crew/agent.c). */
-#define AGENT_BLIND (4 * KQ_SEC)
 /* Runners' clocks may be this much slow, in percent. */
 #define CLOCK_SLOW_PERCENT 2
 /* Counts of done and failed tasks halve in so long: a runner that was sick a moment ago
@@ -67,7 +65,7 @@
 static KqTime
 blind_lease_end (const KqSched *s, KqTime now)
 {
-  return now + AGENT_BLIND
+  return now + s->config.blind_ms * KQ_MS
          + s->config.lease_ms * KQ_MS * (100 + CLOCK_SLOW_PERCENT) / 100;
 }
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -107,8 +107,9 @@
 {
   uint64_t epoch; /* also the fencing token; jobs stored after it can't have run before */
   uint32_t term;  /* counts leaders from 1 */
-  int64_t lease_ms;        /* of runners */
-  int64_t keep_ms;         /* a finished job's state is told for so long */
+  int64_t lease_ms; /* of runners */
+  int64_t blind_ms; /* an agent that has lost its leader goes on renewing for so long */
+  int64_t keep_ms;  /* a finished job's state is told for so long */
   int64_t serving_harm_ms; /* longest time over a serving target that is borne; 0: any */
   KqCounters *counters;
   void (*order) (void *arg, int agent, const KqOrder *o);
--- a/tools/check-names.sh
+++ b/tools/check-names.sh
@@ -10,12 +10,12 @@
 }
 for page in README.md docs/*.md docs/design/*.md; do
   for t in $(grep -oE '\btest_[a-z_]+[a-z]\b' "$page" | sort -u); do
-    grep -rqw "$t" src tests || missing "$page" "$t"
+    grep -rqw "$t" src tests platform || missing "$page" "$t"
   done
   for t in $(grep -oE '`[a-z_]+_test`' "$page" | tr -d '`' | sort -u); do
-    ls src/*/"$t".c tests/"$t".c 2>/dev/null | grep -q . || missing "$page" "$t"
+    ls src/*/"$t".c tests/"$t".c platform/"$t".c 2>/dev/null | grep -q . || missing "$page" "$t"
   done
-  for f in $(grep -oE '\b(src|docs|bench|tests|tools|standin|fuzz)/[A-Za-z0-9_./-]+\.(c|h|cc|md|sh|[1-8])\b' "$page" | sort -u); do
+  for f in $(grep -oE '\b(src|platform|soak|deploy|docs|bench|tests|tools|standin|fuzz)/[A-Za-z0-9_./-]+\.(c|h|cc|md|sh|[1-8])\b' "$page" | sort -u); do
     [ -e "$f" ] || missing "$page" "$f"
   done
   for c in $(grep -oE '\bkq_[a-z_]+_total\b' "$page" | sort -u); do
