--- /dev/null
+++ b/fuzz/fuzz_platform.c
@@ -0,0 +1,90 @@
+#include "crew/frame.h"
+#include "fuzz.h"
+#include "platform/runners.h"
+#include "port/source.h"
+#include "sched/disturb.h"
+#include "settings/fleet_settings.h"
+
+static void
+take (void *arg, const KqRunnerEntry *e)
+{
+  (void)arg;
+  kq_fuzz_check (e->room.cpu_milli >= 0 && e->address.len > 0, "a usable entry is whole");
+}
+
+static void
+read_config (KqStr text)
+{
+  bool bad;
+  KqQueueTable *t = kq_source_config (KQ_STR ("op/config"), text, &bad);
+  for (size_t i = 0; t != NULL && i < t->n_queues; i++)
+    kq_fuzz_check (t->queues[i].service.len > 0, "a queue has a service");
+  kq_queue_table_free (t);
+}
+
+static void
+read_entry (KqStr text)
+{
+  KqStr id;
+  kq_source_runner (KQ_STR ("servers/i-1"), text, &id, take, NULL);
+}
+
+static void
+read_list (KqStr text)
+{
+  json_error_t e;
+  json_t *j = json_loadb (text.ptr, text.len, 0, &e);
+  KqRunnerReply r = { 0 };
+  kq_list_read (j, &r);
+  kq_list_clear (&r);
+  json_decref (j);
+}
+
+static void
+read_spec (KqStr text)
+{
+  KqSpec s;
+  const char *why;
+  if (!kq_spec_unpack (text, &s))
+    return;
+  kq_fuzz_check (kq_spec_check (&s, &why) == KQ_OK, "a stored job that is read is sound");
+  kq_spec_clear (&s);
+}
+
+static void
+read_crew (KqStr text)
+{
+  KqCrewItem i;
+  while (kq_crew_unpack (&text, &i))
+    kq_crew_clear (&i);
+}
+
+static void
+read_learned (KqStr text)
+{
+  KqDisturb *d = kq_disturb_new ();
+  kq_disturb_unpack (d, text);
+  kq_disturb_free (d);
+}
+
+static void
+read_settings (KqStr text)
+{
+  KqFleetSettings s;
+  KqSettingsFault faults[8];
+  kq_fleet_settings_is (text);
+  kq_fleet_settings_parse (text, &s, faults, 8);
+}
+
+/* The first byte chooses the reader. */
+void
+kq_fuzz_platform (KqStr data)
+{
+  static void (*const readers[]) (KqStr)
+      = { read_config, read_entry,   read_list,    read_spec,
+          read_crew,   read_learned, read_settings };
+  size_t n = sizeof readers / sizeof readers[0];
+  if (data.len == 0)
+    return;
+  readers[(uint8_t)data.ptr[0] % n](kq_str_n (data.ptr + 1, data.len - 1));
+}
--- a/src/base/time.c
+++ b/src/base/time.c
@@ -11,3 +11,11 @@
   clock_gettime (CLOCK_BOOTTIME, &ts);
   return (KqTime)ts.tv_sec * KQ_SEC + ts.tv_nsec / 1000;
 }
+
+int64_t
+kq_time_wall_ms (void)
+{
+  struct timespec ts;
+  clock_gettime (CLOCK_REALTIME, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -16,5 +16,8 @@
 #define KQ_TIME_NEVER (INT64_MAX / 4)
 
 KqTime kq_time_now (void);
+/* The time of day, in milliseconds since 1970. It may jump; only what others compare with
+ * their own time of day is measured by it. */
+int64_t kq_time_wall_ms (void);
 
 #endif
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -9,7 +9,6 @@
 
 #include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
 
 #define PART "front"
 /* Time of one write, and how often one without an answer is repeated: the store takes
@@ -96,14 +95,6 @@
 static void read_from_store (Request *q, Step step);
 static void submit (Request *q);
 
-static int64_t
-wall_ms (void)
-{
-  struct timespec ts;
-  clock_gettime (CLOCK_REALTIME, &ts);
-  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 static void
 finish (Request *q, const KqFrontReply *r, KqTime now)
 {
@@ -408,7 +399,7 @@
   s->attempts = queue->attempts;
   s->stretch_percent = queue->stretch_percent;
   s->slo_ms = queue->slo_ms;
-  s->accepted_ms = wall_ms ();
+  s->accepted_ms = kq_time_wall_ms ();
 }
 
 static void
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -11,7 +11,6 @@
 #include <glib.h>
 
 #include <stdlib.h>
-#include <time.h>
 
 #define PART "leader"
 #define TIMEOUT_MS 1500
@@ -55,14 +54,6 @@
 
 static void load (KqLeader *l);
 
-static int64_t
-wall_ms (void)
-{
-  struct timespec ts;
-  clock_gettime (CLOCK_REALTIME, &ts);
-  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 static void
 destroy (KqLeader *l)
 {
@@ -110,7 +101,7 @@
 run (KqLeader *l, KqTime now)
 {
   l->dirty = false;
-  l->next_at = kq_sched_run (l->sched, now, wall_ms ());
+  l->next_at = kq_sched_run (l->sched, now, kq_time_wall_ms ());
 }
 
 static void
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -307,8 +307,8 @@
     }
 }
 
-static void
-unlink_open (KqSched *s, KqJob *j)
+void
+kq_book_unlink (KqSched *s, KqJob *j)
 {
   if (j->prev == NULL && s->open != j)
     return;
@@ -327,6 +327,6 @@
   char id[KQ_SPEC_ID_MAX + 1];
   memcpy (id, j->spec.id.ptr, j->spec.id.len);
   id[j->spec.id.len] = '\0';
-  unlink_open (s, j);
+  kq_book_unlink (s, j);
   g_hash_table_remove (s->jobs, id);
 }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -251,13 +251,7 @@
         kq_book_due (s, j, now);
       if (j->state < KQ_JOB_COMPLETED || j->runs > 0)
         continue;
-      if (j->prev != NULL)
-        j->prev->next = j->next;
-      else
-        s->open = j->next;
-      if (j->next != NULL)
-        j->next->prev = j->prev;
-      j->next = j->prev = NULL;
+      kq_book_unlink (s, j);
     }
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -223,6 +223,8 @@
 void kq_book_end_job (KqSched *s, KqJob *j, KqJobState state, KqTime now);
 void kq_book_due (KqSched *s, KqJob *j, KqTime now);
 void kq_book_job_free (KqJob *j);
+/* Out of the list of jobs to look at. */
+void kq_book_unlink (KqSched *s, KqJob *j);
 void kq_book_forget (KqSched *s, KqJob *j);
 void kq_book_dirty (KqSched *s, KqJob *j, KqTime now, bool urgent);
 
--- a/standin/platform_runner.c
+++ b/standin/platform_runner.c
@@ -3,7 +3,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define LOOK_S 0.02
 #define ATTEMPTS 3 /* as the stand-in's configuration says */
@@ -453,12 +452,10 @@
 void
 kq_platform_runner_rise (KqPlatformRunner *r)
 {
-  struct timespec ts;
   if (r->alive)
     return;
-  clock_gettime (CLOCK_REALTIME, &ts);
   r->alive = true;
-  r->born_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+  r->born_ms = kq_time_wall_ms ();
   r->born_at = kq_time_now ();
   r->lease_end_ms = 0;
   r->fence = 0;
--- a/tests/corpus_test.c
+++ b/tests/corpus_test.c
@@ -14,10 +14,11 @@
 #define FILES_MIN 8
 
 static const KqFuzzTarget targets[] = {
-  { "frame", kq_fuzz_frame },   { "block", kq_fuzz_block },
-  { "record", kq_fuzz_record }, { "table", kq_fuzz_table },
-  { "row", kq_fuzz_row },       { "settings", kq_fuzz_settings },
-  { "hosts", kq_fuzz_hosts },   { "worker", kq_fuzz_worker },
+  { "frame", kq_fuzz_frame },       { "block", kq_fuzz_block },
+  { "record", kq_fuzz_record },     { "table", kq_fuzz_table },
+  { "row", kq_fuzz_row },           { "settings", kq_fuzz_settings },
+  { "hosts", kq_fuzz_hosts },       { "worker", kq_fuzz_worker },
+  { "platform", kq_fuzz_platform },
 };
 
 /* Runs the file's bytes, each of its beginnings, and the bytes with one changed. */
