--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -1,4 +1,4 @@
-#include "sched_rig.h"
+#include "sched_rig_impl.h"
 
 #include "crew/frame.h"
 
@@ -10,44 +10,10 @@
 #define WAY (5 * KQ_MS)
 #define TIMEOUT (900 * KQ_MS)
 #define ASK_GAP (120 * KQ_MS)
-#define LEASE_MS 5000
 #define BLIND_MS 4000
 #define KEEP_MS 600000
 #define SILENT_AFTER 2
 
-enum
-{
-  ORDER,
-  OUTCOME,
-  LIST
-};
-
-static void
-breach (KqSchedRig *r, const char *rule, const char *what)
-{
-  if (r->broken++ == 0)
-    snprintf (r->why, sizeof r->why, "%s: %s at %lld ms", rule, what,
-              (long long)(r->now / KQ_MS));
-}
-
-/* With KQ_RIG_TRACE=TASK in the environment: what happens to it, on standard error. */
-static void
-trace (const KqSchedRig *r, const char *task, const char *what, const char *where,
-       uint32_t run, int detail)
-{
-  static const char *wanted;
-  if (wanted == NULL)
-    {
-      wanted = getenv ("KQ_RIG_TRACE");
-      if (wanted == NULL)
-        wanted = "";
-    }
-  if (wanted[0] != '\0' && strstr (task, wanted) != NULL)
-    fprintf (stderr, "%lld epoch %llu %s %s run %u on %s (%d)\n",
-             (long long)(r->now / KQ_MS), (unsigned long long)r->epoch, task, what, run,
-             where, detail);
-}
-
 static bool
 chance (KqSchedRig *r, int percent)
 {
@@ -74,7 +40,7 @@
 free_event (gpointer p)
 {
   KqSchedRigEvent *e = p;
-  if (e->kind == ORDER || e->kind == OUTCOME)
+  if (e->kind == KQ_SCHED_RIG_ORDER || e->kind == KQ_SCHED_RIG_OUTCOME)
     {
       free ((char *)e->order.u.start.task.ptr);
       free ((char *)e->outcome.task.ptr);
@@ -99,12 +65,6 @@
   free (j);
 }
 
-static int64_t
-clock_of (const KqSchedRig *r, const KqSchedRigRunner *n)
-{
-  return 1000 + (int64_t)((double)(r->now - n->born_at) / KQ_MS * n->rate);
-}
-
 static KqSchedRigEvent *
 push (KqSchedRig *r, int kind, int runner, KqTime due)
 {
@@ -127,23 +87,6 @@
   return -1;
 }
 
-static KqSchedRigJob *
-job_of (KqSchedRig *r, const char *task, int32_t *step, int32_t *index)
-{
-  KqStr rest = kq_str (task);
-  KqStr id = kq_str_cut (&rest, '.');
-  char *key = kq_str_dup (id);
-  KqSchedRigJob *j = g_hash_table_lookup (r->jobs, key);
-  int64_t v = 0;
-  kq_str_cut (&rest, '.');
-  kq_str_to_i64 (kq_str_cut (&rest, '.'), &v);
-  *step = (int32_t)v;
-  kq_str_to_i64 (rest, &v);
-  *index = (int32_t)v;
-  free (key);
-  return j;
-}
-
 /* What the scheduler orders, by its sink. */
 static void
 on_order (void *arg, int agent, const KqOrder *o)
@@ -173,7 +116,7 @@
     g->seen = o->u.seen.ends;
   if (o->kind != KQ_ORDER_START && o->kind != KQ_ORDER_STOP)
     return;
-  e = push (r, ORDER, n, r->now + WAY);
+  e = push (r, KQ_SCHED_RIG_ORDER, n, r->now + WAY);
   e->order.kind = o->kind;
   /* start and stop begin with the same two fields */
   e->order.u.start.task
@@ -182,14 +125,14 @@
   if (g->failures == 0 && g->clock_ms >= 0)
     {
       int64_t end = g->clock_ms + (int64_t)((double)(r->now - g->clock_at) / KQ_MS * 0.98)
-                    + LEASE_MS;
+                    + KQ_SCHED_RIG_LEASE_MS;
       g->granted_ms = end > g->granted_ms ? end : g->granted_ms;
     }
   e->lease_end_ms = g->clock_ms < 0 ? -1 : g->granted_ms;
   e->answered = true;
-  trace (r, e->order.u.start.task.ptr,
-         o->kind == KQ_ORDER_START ? "order start" : "order stop", g->id,
-         e->order.u.start.run, 0);
+  kq_sched_rig_trace (r, e->order.u.start.task.ptr,
+                      o->kind == KQ_ORDER_START ? "order start" : "order stop", g->id,
+                      e->order.u.start.run, 0);
   if (chance (r, r->lost))
     {
       e->answered = false;
@@ -204,7 +147,7 @@
     }
   if (!e->answered)
     {
-      KqSchedRigEvent *u = push (r, OUTCOME, n, r->now + TIMEOUT);
+      KqSchedRigEvent *u = push (r, KQ_SCHED_RIG_OUTCOME, n, r->now + TIMEOUT);
       u->outcome = (KqOrderOutcome){ .kind = o->kind,
                                      .task = kq_str_own (e->order.u.start.task),
                                      .run = e->order.u.start.run,
@@ -212,150 +155,6 @@
     }
 }
 
-static int
-running_elsewhere (KqSchedRig *r, const char *task)
-{
-  int n = 0;
-  for (int i = 0; i < r->n_runners; i++)
-    for (guint k = 0; r->runners[i].alive && k < r->runners[i].runs->len; k++)
-      n += strcmp (((KqSchedRigRun *)g_ptr_array_index (r->runners[i].runs, k))->task,
-                   task)
-           == 0;
-  return n;
-}
-
-static void
-check_start (KqSchedRig *r, const KqSchedRigRunner *g, const KqSchedRigRun *run)
-{
-  int32_t step;
-  int32_t index;
-  KqSchedRigJob *j = job_of (r, run->task, &step, &index);
-  int64_t cpu = 0;
-  if (j == NULL)
-    {
-      breach (r, "unasked", run->task);
-      return;
-    }
-  if (running_elsewhere (r, run->task) > 1)
-    breach (r, "twice at a time", run->task);
-  if (g_hash_table_contains (r->done, run->task))
-    breach (r, "again after done", run->task);
-  if (GPOINTER_TO_INT (g_hash_table_lookup (r->failed, run->task)) >= j->attempts
-      && !j->spec.steps[step].lasting)
-    breach (r, "attempts", run->task);
-  for (int32_t k = 0; k < j->spec.steps[step].n_after; k++)
-    for (int32_t i = 0; i < j->spec.steps[j->spec.steps[step].after[k]].width; i++)
-      {
-        char name[96];
-        char *ended;
-        snprintf (name, sizeof name, "%.*s.0.%d.%d", KQ_STR_ARG (j->spec.id),
-                  j->spec.steps[step].after[k], i);
-        ended = g_strdup_printf ("ever %s", name);
-        if (!g_hash_table_contains (r->done, ended))
-          breach (r, "before an earlier step", run->task);
-        g_free (ended);
-      }
-  for (guint k = 0; k < g->runs->len; k++)
-    {
-      KqSchedRigRun *other = g_ptr_array_index (g->runs, k);
-      KqSchedRigJob *o = job_of (r, other->task, &step, &index);
-      if (o != NULL && !o->spec.steps[step].filling)
-        cpu += o->spec.steps[step].cpu_milli;
-    }
-  if (cpu > g->room.cpu_milli)
-    breach (r, "over the room", run->task);
-}
-
-static void
-end_run (KqSchedRig *r, KqSchedRigRunner *g, guint at, KqEndHow how)
-{
-  KqSchedRigRun *run = g_ptr_array_index (g->runs, at);
-  KqSchedRigEnd *e = kq_alloc (sizeof *e);
-  uint32_t highest = GPOINTER_TO_UINT (g_hash_table_lookup (g->highest, run->task));
-  e->number = ++g->next_end;
-  trace (r, run->task, "ends", g->id, run->run, how);
-  e->task = strdup (run->task);
-  e->run = run->run;
-  e->how = how;
-  g_ptr_array_add (g->ends, e);
-  if (run->run > highest)
-    g_hash_table_insert (g->highest, strdup (run->task), GUINT_TO_POINTER (run->run));
-  if (how == KQ_END_DONE)
-    g_hash_table_add (r->done, g_strdup_printf ("ever %s", run->task));
-  g_ptr_array_remove_index (g->runs, at);
-}
-
-/* A runner shortens a lease that is longer than the longest allowed. */
-static void
-extend_lease (const KqSchedRig *r, KqSchedRigRunner *g, int64_t end)
-{
-  int64_t most = clock_of (r, g) + LEASE_MS;
-  end = end < most ? end : most;
-  if (end > g->lease_end_ms)
-    g->lease_end_ms = end;
-}
-
-static KqOrderResult
-start_at (KqSchedRig *r, KqSchedRigRunner *g, const KqSchedRigEvent *e)
-{
-  const char *task = e->order.u.start.task.ptr;
-  uint32_t number = e->order.u.start.run;
-  int32_t step;
-  int32_t index;
-  KqSchedRigJob *j = job_of (r, task, &step, &index);
-  KqSchedRigRun *run;
-  if (e->lease_end_ms < 0)
-    return KQ_ORDER_BAD;
-  if (e->epoch < g->fence)
-    return KQ_ORDER_FENCED;
-  g->fence = e->epoch;
-  for (guint i = 0; i < g->runs->len; i++)
-    {
-      run = g_ptr_array_index (g->runs, i);
-      if (strcmp (run->task, task) == 0 && run->run == number)
-        return KQ_ORDER_OK;
-    }
-  if (number <= GPOINTER_TO_UINT (g_hash_table_lookup (g->highest, task)))
-    return KQ_ORDER_OLD_RUN;
-  if (e->lease_end_ms <= clock_of (r, g))
-    return KQ_ORDER_LATE;
-  extend_lease (r, g, e->lease_end_ms);
-  run = kq_alloc (sizeof *run);
-  run->task = strdup (task);
-  run->run = number;
-  run->started_at = r->now;
-  run->length = j != NULL ? j->length : KQ_SEC;
-  run->fails = g->fails_all || (j != NULL && index == j->fails_index);
-  run->lasting = j != NULL && j->spec.steps[step].lasting;
-  g_ptr_array_add (g->runs, run);
-  r->starts++;
-  trace (r, task, "starts", g->id, number, (int)(g->lease_end_ms - clock_of (r, g)));
-  check_start (r, g, run);
-  return KQ_ORDER_OK;
-}
-
-static KqOrderResult
-stop_at (KqSchedRig *r, KqSchedRigRunner *g, const KqSchedRigEvent *e)
-{
-  const char *task = e->order.u.start.task.ptr;
-  uint32_t number = e->order.u.start.run;
-  if (e->epoch < g->fence)
-    return KQ_ORDER_FENCED;
-  g->fence = e->epoch;
-  if (number > GPOINTER_TO_UINT (g_hash_table_lookup (g->highest, task)))
-    g_hash_table_insert (g->highest, strdup (task), GUINT_TO_POINTER (number));
-  for (guint i = 0; i < g->runs->len; i++)
-    {
-      const KqSchedRigRun *run = g_ptr_array_index (g->runs, i);
-      if (strcmp (run->task, task) == 0 && run->run <= number)
-        {
-          end_run (r, g, i, KQ_END_STOPPED);
-          break;
-        }
-    }
-  return KQ_ORDER_OK;
-}
-
 static void
 order_arrives (KqSchedRig *r, KqSchedRigEvent *e)
 {
@@ -363,14 +162,16 @@
   KqOrderResult result = KQ_ORDER_UNKNOWN;
   KqSchedRigEvent *o;
   if (g->alive && r->now >= g->cut_until)
-    result = e->order.kind == KQ_ORDER_START ? start_at (r, g, e) : stop_at (r, g, e);
+    result = e->order.kind == KQ_ORDER_START ? kq_sched_rig_start_at (r, g, e)
+                                             : kq_sched_rig_stop_at (r, g, e);
   else if (!g->alive)
     result = KQ_ORDER_UNHEALTHY;
   if (!e->answered)
     return;
   if (r->now < g->deaf_until)
     result = KQ_ORDER_UNKNOWN;
-  o = push (r, OUTCOME, e->runner, r->now + (result == KQ_ORDER_UNKNOWN ? TIMEOUT : WAY));
+  o = push (r, KQ_SCHED_RIG_OUTCOME, e->runner,
+            r->now + (result == KQ_ORDER_UNKNOWN ? TIMEOUT : WAY));
   o->epoch = e->epoch;
   o->life = e->life;
   o->outcome = (KqOrderOutcome){ .kind = e->order.kind,
@@ -396,7 +197,8 @@
     return;
   if (e->outcome.result == KQ_ORDER_OK)
     hear_life (g);
-  trace (r, e->outcome.task.ptr, "outcome", g->id, e->outcome.run, e->outcome.result);
+  kq_sched_rig_trace (r, e->outcome.task.ptr, "outcome", g->id, e->outcome.run,
+                      e->outcome.result);
   e->outcome.order = ++g->results;
   kq_sched_outcome (r->sched, r->agent, kq_str (g->id), &e->outcome, r->now);
 }
@@ -422,7 +224,7 @@
       KqSchedRigEnd *e = g_ptr_array_index (g->ends, 0);
       if (e->number > g->seen)
         return;
-      trace (r, e->task, "acknowledged", g->id, e->run, e->how);
+      kq_sched_rig_trace (r, e->task, "acknowledged", g->id, e->run, e->how);
       if (e->how == KQ_END_DONE)
         g_hash_table_add (r->done, strdup (e->task));
       if (e->how == KQ_END_FAILED)
@@ -466,9 +268,9 @@
                              .ended = ends,
                              .n_ended = g->ends->len };
   i.u.list.lease_left_ms
-      = (int64_t)((double)(g->granted_ms - clock_of (r, g)) / 0.98) + 1;
+      = (int64_t)((double)(g->granted_ms - kq_sched_rig_clock_of (r, g)) / 0.98) + 1;
   kq_crew_pack (&i, &b);
-  e = push (r, LIST, n, r->now + WAY);
+  e = push (r, KQ_SCHED_RIG_LIST, n, r->now + WAY);
   e->list = g_byte_array_new ();
   g_byte_array_append (e->list, (const guint8 *)b.ptr, (guint)b.len);
   kq_buf_free (&b);
@@ -501,14 +303,14 @@
   if (g->clock_ms >= 0 && g->failures == 0)
     {
       int64_t end = g->clock_ms + (int64_t)((double)(r->now - g->clock_at) / KQ_MS * 0.98)
-                    + LEASE_MS;
+                    + KQ_SCHED_RIG_LEASE_MS;
       g->granted_ms = end > g->granted_ms ? end : g->granted_ms;
     }
   if (arrives && r->epoch >= g->fence)
     {
       g->fence = r->epoch;
       if (g->clock_ms >= 0 && g->failures == 0)
-        extend_lease (r, g, g->granted_ms);
+        kq_sched_rig_extend_lease (r, g, g->granted_ms);
       forget_ends (r, g);
     }
   if (!answered)
@@ -519,9 +321,9 @@
     }
   g->failures = 0;
   hear_life (g);
-  if (g->clock_ms < 0 || clock_of (r, g) < g->clock_ms)
-    g->granted_ms = clock_of (r, g) + LEASE_MS;
-  g->clock_ms = clock_of (r, g);
+  if (g->clock_ms < 0 || kq_sched_rig_clock_of (r, g) < g->clock_ms)
+    g->granted_ms = kq_sched_rig_clock_of (r, g) + KQ_SCHED_RIG_LEASE_MS;
+  g->clock_ms = kq_sched_rig_clock_of (r, g);
   g->clock_at = r->now;
   send_list (r, n);
 }
@@ -530,16 +332,16 @@
 tick_runner (KqSchedRig *r, int n)
 {
   KqSchedRigRunner *g = &r->runners[n];
-  if (g->alive && clock_of (r, g) >= g->lease_end_ms)
+  if (g->alive && kq_sched_rig_clock_of (r, g) >= g->lease_end_ms)
     while (g->runs->len > 0)
-      end_run (r, g, 0, KQ_END_LAPSED);
+      kq_sched_rig_end_run (r, g, 0, KQ_END_LAPSED);
   for (guint i = 0; g->alive && i < g->runs->len; i++)
     {
       const KqSchedRigRun *run = g_ptr_array_index (g->runs, i);
       bool over = r->now - run->started_at >= run->length && !run->stands_still;
       if (!over || (run->lasting && !run->fails))
         continue;
-      end_run (r, g, i, run->fails ? KQ_END_FAILED : KQ_END_DONE);
+      kq_sched_rig_end_run (r, g, i, run->fails ? KQ_END_FAILED : KQ_END_DONE);
       i--;
     }
   if (g->held && r->now >= g->ask_at)
@@ -556,9 +358,9 @@
         continue;
       g_ptr_array_steal_index (r->events, i);
       i--;
-      if (e->kind == ORDER)
+      if (e->kind == KQ_SCHED_RIG_ORDER)
         order_arrives (r, e);
-      else if (e->kind == OUTCOME)
+      else if (e->kind == KQ_SCHED_RIG_OUTCOME)
         outcome_arrives (r, e);
       else
         list_arrives (r, e);
@@ -676,7 +478,7 @@
 kq_sched_rig_new_leader (KqSchedRig *r)
 {
   KqAgentInfo agent = { .name = kq_name (KQ_STR ("a")), .share_milli = 1000 };
-  KqSchedConfig c = { .lease_ms = LEASE_MS,
+  KqSchedConfig c = { .lease_ms = KQ_SCHED_RIG_LEASE_MS,
                       .blind_ms = BLIND_MS,
                       .keep_ms = KEEP_MS,
                       .counters = r->counters,
@@ -752,16 +554,6 @@
     }
 }
 
-KqStep
-kq_sched_rig_step (int32_t width, int32_t cpu_milli, int32_t estimate_ms)
-{
-  return (KqStep){ .width = width,
-                   .cpu_milli = cpu_milli,
-                   .mem_mb = 100,
-                   .estimate_ms = estimate_ms,
-                   .may_miss = -1 };
-}
-
 void
 kq_sched_rig_submit (KqSchedRig *r, const char *id, const KqStep *steps, int n,
                      int attempts, KqTime length, int32_t fails_index)
@@ -803,54 +595,6 @@
   kq_sched_cancel (r->sched, kq_str (id), r->now);
 }
 
-void
-kq_sched_rig_restart_runner (KqSchedRig *r, int n)
-{
-  KqSchedRigRunner *g = &r->runners[n];
-  for (guint i = 0; i < g->runs->len; i++)
-    {
-      const KqSchedRigRun *run = g_ptr_array_index (g->runs, i);
-      trace (r, run->task, "dies with its runner", g->id, run->run, 0);
-    }
-  /* What is under way to a runner that is cut off waits in connections of its earlier
-   * life and goes with them. */
-  for (guint i = 0; i < r->events->len; i++)
-    {
-      KqSchedRigEvent *e = g_ptr_array_index (r->events, i);
-      if (e->kind == ORDER && e->runner == n && (r->now < g->cut_until || e->late))
-        e->due = KQ_TIME_NEVER;
-    }
-  g_ptr_array_set_size (g->runs, 0);
-  g_ptr_array_set_size (g->ends, 0);
-  g_hash_table_remove_all (g->highest);
-  g->alive = true;
-  g->fence = 0;
-  g->next_end = 0;
-  g->lease_end_ms = 0;
-  g->born_at = r->now;
-  g->born_ms += 100;
-}
-
-KqJobState
-kq_sched_rig_state (KqSchedRig *r, const char *id)
-{
-  return kq_sched_state (r->sched, kq_str (id));
-}
-
-int
-kq_sched_rig_running (const KqSchedRig *r, const char *id)
-{
-  int n = 0;
-  size_t len = strlen (id);
-  for (int i = 0; i < r->n_runners; i++)
-    for (guint k = 0; k < r->runners[i].runs->len; k++)
-      {
-        const KqSchedRigRun *run = g_ptr_array_index (r->runners[i].runs, k);
-        n += strncmp (run->task, id, len) == 0 && run->task[len] == '.';
-      }
-  return n;
-}
-
 void
 kq_sched_rig_set_draining (KqSchedRig *r, int n)
 {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -472,21 +472,30 @@
 
 /* Judging. */
 
-static void
-judge_job (Soak *s, Job *j)
+/* What the stand-in's control port says; the caller's to decref. */
+static json_t *
+ask_platform (Soak *s, const char *path)
 {
-  char path[64];
   char url[128];
   ProcsRequest q = { .method = "GET", .url = url, .total_ms = 2000 };
   ProcsAnswer a;
   json_t *o;
-  bool started;
-  int done;
-  snprintf (path, sizeof path, "/v1/job?id=%s", j->id);
   snprintf (url, sizeof url, "http://127.0.0.1:%d%s", s->control, path);
   procs_call (&s->procs, &q, &a);
   o = json_loadb (a.body.ptr, a.body.len, 0, NULL);
   kq_buf_free (&a.body);
+  return o;
+}
+
+static void
+judge_job (Soak *s, Job *j)
+{
+  char path[64];
+  json_t *o;
+  bool started;
+  int done;
+  snprintf (path, sizeof path, "/v1/job?id=%s", j->id);
+  o = ask_platform (s, path);
   started = json_is_true (json_object_get (o, "started"));
   done = (int)json_integer_value (json_object_get (o, "done"));
   if (!j->accepted && !j->unsure && j->rejected && started)
@@ -503,14 +512,7 @@
 static void
 judge_runners (Soak *s)
 {
-  char url[64];
-  ProcsRequest q = { .method = "GET", .url = url, .total_ms = 2000 };
-  ProcsAnswer a;
-  json_t *o;
-  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/ledger", s->control);
-  procs_call (&s->procs, &q, &a);
-  o = json_loadb (a.body.ptr, a.body.len, 0, NULL);
-  kq_buf_free (&a.body);
+  json_t *o = ask_platform (s, "/v1/ledger");
   if (json_integer_value (json_object_get (o, "breaches")) > 0)
     breach (s, "seen by a runner", json_string_value (json_object_get (o, "first")));
   printf ("seed %llu: %d jobs, %d answers, %d refusals, %lld starts, %lld tasks done, %d "
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -258,9 +258,10 @@
 
 /* A node of a fleet (settings/fleet_settings.h). */
 
-/* Lines a second on standard output: a decision a line at the rate of a small host's
- * usual work; more would cost it a tenth of its processor. */
-#define LOG_LINES_PER_S 150
+/* Lines a second on standard output: a line costs some 5 us, so this is at most 1% of the
+ * share of a processor that the host has. */
+#define LOG_LINES_PER_S 200
+#define LOG_LINES_PER_CORE 2000
 
 typedef struct
 {
@@ -380,7 +381,9 @@
   KqFleetConfig c = { .settings = s, .stopped = fleet_stopped, .arg = &d };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   kq_log_set_level ((KqLogLevel)s->log_level);
-  kq_log_to_stdout (LOG_LINES_PER_S);
+  kq_log_to_stdout ((int)(s->cpu_share_milli * LOG_LINES_PER_CORE / 1000 > LOG_LINES_PER_S
+                              ? s->cpu_share_milli * LOG_LINES_PER_CORE / 1000
+                              : LOG_LINES_PER_S));
   d.loop = c.loop = kq_loop_new ();
   c.counters = kq_counters_new ();
   start_fleet_signals (&d);
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -381,6 +381,9 @@
       else
         finish (q, &waiting, now);
     }
+  else if ((value < 0 || value == KQ_JOB_UNKNOWN)
+           && !d->config.store_up (d->config.arg, now))
+    refuse (q, "neither leader nor store", RETRY_STORE_MS, d->refused_store, now);
   else if (value < 0)
     read_from_store (q, READ_PROGRESS);
   else if (value == KQ_JOB_UNKNOWN)
