--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -17,8 +17,7 @@
 #define WATCHED_WAIT_MS 500
 /* Ends that were listed are listed again, at once, until they are acknowledged; so the
  * next question waits for that, and this long if it doesn't come (the store may be away).
- * Without the wait each end was fetched three times over (37,000 questions in a day of
- * 11,000 tasks). */
+ * Without the wait there were three questions for each end (37,000 for 11,000 tasks). */
 #define ACKNOWLEDGED_WITHIN (200 * KQ_MS)
 /* Ends that come close together are fetched with one call. */
 #define GATHER (20 * KQ_MS)
--- a/src/sched/agents.c
+++ b/src/sched/agents.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* A runner of another failure domain counts so much more, in thousandths: a call crosses
- * domains either way, from the leader or from the agent, so nearness is worth little. */
+ * domains either way, from the leader or from the agent, so nearness saves little. */
 #define FAR_MILLI 1150
 /* A host is relieved when it carries this much over its part, in percent; less would move
  * runners back and forth when hosts come and go. */
--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -56,8 +56,8 @@
 static bool
 serves (const KqRun *run)
 {
-  return kq_run_step (run)->target_ms > 0 && run->phase == KQ_RUN_RUNNING
-         && run->load > 0;
+  const KqStep *p = kq_run_step (run);
+  return p->target_ms > 0 && !p->filling && run->phase == KQ_RUN_RUNNING && run->load > 0;
 }
 
 static void
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -1,11 +1,12 @@
-/* pass: one placing pass over all tasks whose turn has come, in the order of their worth.
+/* pass: one placing pass over all tasks whose turn has come.
  *
  * Load pattern: in a burst more work waits than the runners hold. First come jobs that
  * can still meet their objective, the earliest objective first, then tasks that last,
  * then late jobs. Tasks that last never give their room back: put first, they took what
- * short jobs lived on (8 days: worth 0.495 against 0.521 and 0.740 against 0.753). A job
- * that has become late steps behind those that aren't: with the objective alone as order
- * every job of a long burst would end just too late. */
+ * short jobs live on, and 65% instead of 77% of these met their objective (simulation of
+ * 48 runners whose room is nearly all reserved). A job that has become late steps behind
+ * those that aren't: with the objective alone as order every job of a long burst would
+ * end just too late. */
 
 #include "sched/state.h"
 
@@ -17,7 +18,7 @@
 {
   RANK_IN_TIME,
   RANK_LASTING,
-  RANK_LATE,    /* some worth is left up to LATE_TIMES the objective */
+  RANK_LATE,    /* of some use up to LATE_TIMES the objective */
   RANK_HOPELESS /* still owed, behind all others */
 };
 #define LATE_TIMES 3
