The check in front of the TOML parser holds for every reader of a file

Cause: the fuzzer's input of 14 bytes (a letter beyond ASCII in the fleet's settings) ran the parser into undefined behaviour; only the other settings reader asked toml_check first.

--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -2,7 +2,6 @@
 
 #include "base/log.h"
 #include "settings/settings_keys.h"
-#include "settings/toml_check.h"
 #include "settings/toml_shim.h"
 
 #include <arpa/inet.h>
@@ -424,17 +423,10 @@
 {
   Parse p = { .out = out, .faults = faults, .max = max, .skip_index = -1 };
   char why[120];
-  const char *stray;
   int line;
   memset (out, 0, sizeof *out);
   p.skip = KQ_STR ("");
   set_defaults (&p);
-  line = kq_toml_check (text, &stray);
-  if (line != 0)
-    {
-      fault (&p, KQ_ERR_SETTINGS_SYNTAX, line, "", "%s", stray);
-      return p.n_faults;
-    }
   line = kq_toml_read (text, visit, &p, why, sizeof why);
   if (line != 0)
     {
--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -1,3 +1,4 @@
+#include "settings/fleet_settings.h"
 #include "settings/settings.h"
 
 #include "base/log.h"
@@ -179,6 +180,23 @@
   assert_int_equal (parse_with ("shards = 3", "shards = 3 # \xc4\x8d"), 0);
 }
 
+/* What the caller sees: a daemon of the fleet that is started with a damaged file dies or
+ * reads on with nonsense instead of naming the line. The file holds a letter beyond ASCII
+ * outside of a comment; the parser asks whether it is white space and has no answer. The
+ * check in front of the parser holds for every reader of such a file. */
+static void
+test_fleet_letters_beyond_ascii (void **state)
+{
+  KqStr text = KQ_STR ("[fleet]\n\xef\xbb\xbe"
+                       "f = 1\n");
+  KqFleetSettings s;
+  (void)state;
+  assert_false (kq_fleet_settings_is (text));
+  assert_int_equal (kq_fleet_settings_parse (text, &s, faults, 8), 1);
+  assert_int_equal (faults[0].code, KQ_ERR_SETTINGS_SYNTAX);
+  assert_int_equal (faults[0].line, 2);
+}
+
 static void
 test_reference (void **state)
 {
@@ -197,6 +215,7 @@
     cmocka_unit_test (test_whole_file),      cmocka_unit_test (test_each_fault),
     cmocka_unit_test (test_all_faults_told), cmocka_unit_test (test_any_bytes),
     cmocka_unit_test (test_reference),       cmocka_unit_test (test_letters_beyond_ascii),
+    cmocka_unit_test (test_fleet_letters_beyond_ascii),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/settings/toml_shim.cc
+++ b/src/settings/toml_shim.cc
@@ -1,5 +1,10 @@
 #include "settings/toml_shim.h"
 
+extern "C"
+{
+#include "settings/toml_check.h"
+}
+
 #include <cstdio>
 #include <stdexcept>
 #include <string_view>
@@ -130,6 +135,13 @@
 extern "C" int
 kq_toml_read (KqStr text, KqTomlVisit visit, void *data, char *why, size_t why_size)
 {
+  const char *stray;
+  int wrong = kq_toml_check (text, &stray);
+  if (wrong != 0)
+    {
+      std::snprintf (why, why_size, "%s", stray);
+      return wrong;
+    }
   try
     {
       toml::table root = toml::parse (std::string_view (text.ptr, text.len));
--- a/src/settings/toml_shim.h
+++ b/src/settings/toml_shim.h
@@ -38,7 +38,8 @@
   typedef void (*KqTomlVisit) (void *data, const KqTomlValue *v);
 
   /* Returns 0, or the line of the first fault of syntax (1 when it has none) with the
-   * parser's words in why. Visits nothing then. Safe for any bytes. */
+   * parser's words in why. Visits nothing then. Safe for any bytes: what the parser
+   * can't be given, toml_check refuses first. */
   int kq_toml_read (KqStr text, KqTomlVisit visit, void *data, char *why,
                     size_t why_size);
 
