--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -212,9 +212,12 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_whole_file),      cmocka_unit_test (test_each_fault),
-    cmocka_unit_test (test_all_faults_told), cmocka_unit_test (test_any_bytes),
-    cmocka_unit_test (test_reference),       cmocka_unit_test (test_letters_beyond_ascii),
+    cmocka_unit_test (test_whole_file),
+    cmocka_unit_test (test_each_fault),
+    cmocka_unit_test (test_all_faults_told),
+    cmocka_unit_test (test_any_bytes),
+    cmocka_unit_test (test_reference),
+    cmocka_unit_test (test_letters_beyond_ascii),
     cmocka_unit_test (test_fleet_letters_beyond_ascii),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
