A '#' within a string opens no comment for the check before the parser

Cause: the fuzzer, after 537,598 inputs, found text behind a string that holds a '#': the check took the rest of the line for a comment, the parser didn't, and ran into undefined behaviour on a letter beyond ASCII.

--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -165,10 +165,13 @@
 static void
 test_letters_beyond_ascii (void **state)
 {
-  static const char *const wrong[]
-      = { "\n\xc3\xa4 = 1\n", "\n[x]\na = 'b' \xc5\xbe\n", "\n[x]\na = 2'1\xef\xbb\x9f\n",
-          "\n[x]\na = \"\"\"\n# \\\xc3\xa4\n\"\"\"\n",
-          "\n[x]\na = '\xc3\xa4' # \xc3\xa4\n" };
+  static const char *const wrong[] = { "\n\xc3\xa4 = 1\n",
+                                       "\n[x]\na = 'b' \xc5\xbe\n",
+                                       "\n[x]\na = 2'1\xef\xbb\x9f\n",
+                                       "\n[x]\na = \"\"\"\n# \\\xc3\xa4\n\"\"\"\n",
+                                       "\n[x]\na = '\xc3\xa4' # \xc3\xa4\n",
+                                       "\n'fl#@' \xef\xbb\x8e@ c",
+                                       "\n\"\\\"#\" \xef\xbb\x8e@ c" };
   (void)state;
   for (size_t i = 0; i < sizeof wrong / sizeof wrong[0]; i++)
     {
--- a/src/settings/toml_check.c
+++ b/src/settings/toml_check.c
@@ -2,6 +2,26 @@
 
 #define NOT_ASCII 0x80
 
+/* The line without its comment: a '#' within a string opens none. */
+static KqStr
+before_comment (KqStr line)
+{
+  char quote = '\0'; /* that opened the string which i is in */
+  for (size_t i = 0; i < line.len; i++)
+    {
+      char c = line.ptr[i];
+      if (quote == '\0' && c == '#')
+        return kq_str_n (line.ptr, i);
+      if (quote == '\0' && (c == '"' || c == '\''))
+        quote = c;
+      else if (c == quote)
+        quote = '\0';
+      else if (quote == '"' && c == '\\')
+        i++;
+    }
+  return line;
+}
+
 /* What stands wrong in one line, or NULL. */
 static const char *
 check_line (KqStr line)
@@ -17,7 +37,7 @@
           || kq_str_has_prefix (rest, KQ_STR ("'''")))
         return "strings of several lines are not taken";
     }
-  before = kq_str_cut (&line, '#');
+  before = before_comment (line);
   for (size_t i = 0; i < before.len; i++)
     {
       if ((uint8_t)before.ptr[i] >= NOT_ASCII)
