--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -12,21 +12,35 @@
   kq_fuzz_check (e->room.cpu_milli >= 0 && e->address.len > 0, "a usable entry is whole");
 }
 
+/* A key under a prefix; freed by the caller. */
+static KqBuf
+key_under (KqStr prefix, KqStr rest)
+{
+  KqBuf b = { 0 };
+  kq_buf_add_str (&b, prefix);
+  kq_buf_add_str (&b, rest);
+  return b;
+}
+
 static void
 read_config (KqStr text)
 {
   bool bad;
-  KqQueueTable *t = kq_source_config (KQ_STR ("op/config"), text, &bad);
+  KqBuf key = key_under (kq_source_config_prefix (), KQ_STR ("config"));
+  KqQueueTable *t = kq_source_config (kq_buf_str (&key), text, &bad);
   for (size_t i = 0; t != NULL && i < t->n_queues; i++)
     kq_fuzz_check (t->queues[i].service.len > 0, "a queue has a service");
   kq_queue_table_free (t);
+  kq_buf_free (&key);
 }
 
 static void
 read_entry (KqStr text)
 {
+  KqBuf key = key_under (kq_source_runners_prefix (), KQ_STR ("i-1"));
   KqStr id;
-  kq_source_runner (KQ_STR ("servers/i-1"), text, &id, take, NULL);
+  kq_source_runner (kq_buf_str (&key), text, &id, take, NULL);
+  kq_buf_free (&key);
 }
 
 static void
