Code and state that nothing reads go

Cause: read anew, the change held six functions without a caller, three fields that were written and never read, two settings without any effect (drain_ms, serving_harm_ms), and two functions that one file alone used. A settings file with these keys now gets the fault of an unknown key.

--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -432,7 +432,6 @@
                           .failure_domain = KQ_STR ("north"),
                           .kind = KQ_STR ("a"),
                           .rack = KQ_STR ("r1"),
-                          .draining = g->draining,
                           .left_ms = 2500,
                           .room = g->room };
       if (g->alive)
@@ -594,10 +593,3 @@
   r->revision++;
   kq_sched_cancel (r->sched, kq_str (id), r->now);
 }
-
-void
-kq_sched_rig_set_draining (KqSchedRig *r, int n)
-{
-  r->runners[n].draining = true;
-  tell_entries (r);
-}
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -39,7 +39,6 @@
   char id[16];
   KqRoom room;
   bool alive;
-  bool draining;
   KqTime cut_until;  /* no call passes either way */
   KqTime deaf_until; /* calls pass, answers don't */
   double rate;       /* of its clock, by true time */
@@ -134,7 +133,6 @@
 KqJobState kq_sched_rig_state (KqSchedRig *r, const char *id);
 int kq_sched_rig_running (const KqSchedRig *r,
                           const char *id); /* runs alive at runners */
-void kq_sched_rig_set_draining (KqSchedRig *r, int n);
 KqStep kq_sched_rig_step (int32_t width, int32_t cpu_milli, int32_t estimate_ms);
 
 #endif
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -64,12 +64,6 @@
   out.filled_at = kq_time_now ();
 }
 
-uint64_t
-kq_log_dropped (void)
-{
-  return out.dropped;
-}
-
 void
 kq_log_flush (void)
 {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -26,7 +26,6 @@
 void kq_log_to_stdout (int lines_per_second);
 /* Writes what is collected, as far as the reader takes it now. */
 void kq_log_flush (void);
-uint64_t kq_log_dropped (void); /* lines left out so far */
 void kq_log (KqLogLevel level, const char *part, const char *fmt, ...)
     __attribute__ ((format (printf, 3, 4)));
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -194,7 +194,6 @@
                        .arg = f,
                        .deposed = on_deposed,
                        .answered = on_answered };
-  c.serving_harm_ms = s->serving_harm_ms;
   kq_link_lead (f->link, epoch, now);
   kq_crew_agent_heard (f->agent, epoch, now);
   f->peers_reach_store_at = 0;
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -232,12 +232,3 @@
   go (f);
   return f;
 }
-
-uint64_t
-kq_follow_revision (const KqFollow *f, KqStr key)
-{
-  char *k = kq_str_dup (key);
-  uint64_t n = (uint64_t)(uintptr_t)g_hash_table_lookup (f->revisions, k);
-  free (k);
-  return n;
-}
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -28,6 +28,5 @@
                          const KqFollowOwner *owner);
 /* May be called from within the owner's functions. */
 void kq_follow_free (KqFollow *f);
-uint64_t kq_follow_revision (const KqFollow *f, KqStr key); /* 0: not there */
 
 #endif
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -331,7 +331,6 @@
                           .lease_ms = c->lease_ms,
                           .blind_ms = c->blind_ms,
                           .keep_ms = c->keep_ms,
-                          .serving_harm_ms = c->serving_harm_ms,
                           .counters = c->counters,
                           .order = on_order,
                           .arg = l };
@@ -492,12 +491,6 @@
   return -1;
 }
 
-bool
-kq_leader_loaded (const KqLeader *l)
-{
-  return l->phase == LOAD_DONE;
-}
-
 void
 kq_leader_gauges (KqLeader *l)
 {
--- a/src/fleet/leader.h
+++ b/src/fleet/leader.h
@@ -20,7 +20,6 @@
   int64_t lease_ms; /* of runners */
   int64_t blind_ms;
   int64_t keep_ms;
-  int64_t serving_harm_ms;
   KqCounters *counters;
   KqAgentInfo self;
   KqCrewAgent *agent; /* of this node */
@@ -39,7 +38,6 @@
 void kq_leader_item (KqLeader *l, KqPeer *p, const KqCrewItem *i, KqTime now);
 /* An answer to a question, for this node's or another's client accounts. */
 int64_t kq_leader_ask (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text);
-bool kq_leader_loaded (const KqLeader *l);
 void kq_leader_gauges (KqLeader *l);
 
 #endif
--- a/src/lead/lead.c
+++ b/src/lead/lead.c
@@ -428,9 +428,3 @@
   if (was && ask)
     try_later (l, AGAIN_MS);
 }
-
-void
-kq_lead_set_rank (KqLead *l, int rank_ms)
-{
-  l->config.rank_ms = rank_ms;
-}
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -51,7 +51,5 @@
 /* Gives the lead up at once: a planned stop, or a reason to believe that it is lost.
  * `ask` says whether to try again later. */
 void kq_lead_resign (KqLead *l, const char *why, bool ask, KqTime now);
-/* Later attempts wait this much longer. */
-void kq_lead_set_rank (KqLead *l, int rank_ms);
 
 #endif
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -166,8 +166,8 @@
 #define STORE_GAP (70 * KQ_MS)
 #define STORE_GAP_URGENT (15 * KQ_MS)
 
-void
-kq_book_dirty (KqSched *s, KqJob *j, KqTime now, bool urgent)
+static void
+note_dirty (KqSched *s, KqJob *j, KqTime now, bool urgent)
 {
   KqTime due = s->stored_at + (urgent ? STORE_GAP_URGENT : STORE_GAP);
   j->dirty = true;
@@ -198,7 +198,7 @@
       j->occurrences = o->next;
       end_occurrence (s, o);
     }
-  kq_book_dirty (s, j, now, true);
+  note_dirty (s, j, now, true);
 }
 
 static void
@@ -211,7 +211,7 @@
   *at = o->next;
   end_occurrence (s, o);
   j->finished++;
-  kq_book_dirty (s, j, now, false);
+  note_dirty (s, j, now, false);
   if (j->finished == kq_spec_occurrences (&j->spec))
     kq_book_end_job (s, j, KQ_JOB_COMPLETED, now);
 }
@@ -230,7 +230,7 @@
   free (t->checkpoint);
   t->checkpoint = NULL;
   p->done++;
-  kq_book_dirty (s, o->job, now, false);
+  note_dirty (s, o->job, now, false);
   if (p->done < o->job->spec.steps[step].width)
     return;
   o->steps_done++;
@@ -274,7 +274,7 @@
   if (spec->steps[step].lasting)
     return;
   kq_book_add_failure (t, run);
-  kq_book_dirty (s, o->job, now, false);
+  note_dirty (s, o->job, now, false);
   kq_log (KQ_LOG_INFO, PART,
           "Task failed. task=%.*s.%d.%d.%d run=%u runner=%s failures=%d attempts=%d",
           KQ_STR_ARG (spec->id), o->number, step, index, run,
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -69,8 +69,6 @@
     run->moved_at = now;
   run->percent = row->percent;
   run->load = row->load;
-  if (row->percent >= 100)
-    run->at_work = true;
   kq_run_set_checkpoint (run, row->checkpoint);
 }
 
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -136,8 +136,9 @@
   r->in_store = false;
 }
 
-void
-kq_runners_lost (KqSched *s, KqRunnerState *r, const char *why, KqTime now)
+/* All that ran there is over without a word. */
+static void
+lose (KqSched *s, KqRunnerState *r, const char *why, KqTime now)
 {
   if (r->n_runs > 0)
     kq_log (KQ_LOG_WARN, PART, "Runs are over without a word. runner=%s runs=%d why=%s",
@@ -281,7 +282,7 @@
   KqRunnerState *r = kq_runners_find (s, runner);
   if (r == NULL || r->agent != agent)
     return;
-  kq_runners_lost (s, r, "another runner at its address", now);
+  lose (s, r, "another runner at its address", now);
   r->listed = false;
   r->silent = true;
   r->lease_ends = now;
@@ -327,7 +328,7 @@
       if (r->n_runs > 0)
         {
           ++*s->lapses;
-          kq_runners_lost (s, r, "lease over", now);
+          lose (s, r, "lease over", now);
         }
       if (!r->in_store && r->n_runs == 0)
         {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -110,7 +110,6 @@
   int64_t lease_ms; /* of runners */
   int64_t blind_ms; /* an agent that has lost its leader goes on renewing for so long */
   int64_t keep_ms;  /* a finished job's state is told for so long */
-  int64_t serving_harm_ms; /* longest time over a serving target that is borne; 0: any */
   KqCounters *counters;
   void (*order) (void *arg, int agent, const KqOrder *o);
   void *arg;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -65,9 +65,7 @@
   KqJobState shown; /* the last state that is in the store */
   bool begun;       /* some task has been started */
   bool cancelled;
-  bool dirty;    /* progress differs from the store's */
-  bool in_batch; /* of the batch that is on its way to the store */
-  bool stored_once;
+  bool dirty; /* progress differs from the store's */
   KqTime accepted_at;
   KqTime ended_at;
   int *images; /* of each step: its image's place in the disturbance model; -1: none */
@@ -75,7 +73,7 @@
   int32_t finished;
   KqOccurrence *occurrences; /* open ones */
   int runs;                  /* alive on runners */
-  KqBuf batch;               /* packed progress while in_batch */
+  KqBuf batch;               /* packed progress on its way to the store */
   KqJob *next;               /* list of jobs that aren't ended */
   KqJob *prev;
 };
@@ -107,7 +105,6 @@
   int percent;
   int load;
   int pace;          /* ordered last */
-  bool at_work;      /* lasting: has reached full service once */
   double own_load;   /* serving: logarithm of the tail beyond what its image and its
                         neighbours explain */
   KqTime over_since; /* serving: tail above the target; 0: isn't */
@@ -226,7 +223,6 @@
 /* Out of the list of jobs to look at. */
 void kq_book_unlink (KqSched *s, KqJob *j);
 void kq_book_forget (KqSched *s, KqJob *j);
-void kq_book_dirty (KqSched *s, KqJob *j, KqTime now, bool urgent);
 
 /* runs.c */
 KqRun *kq_run_new (KqSched *s, KqJob *j, KqOccurrence *o, int32_t step, int32_t index,
@@ -245,8 +241,6 @@
 
 /* runners.c */
 KqRunnerState *kq_runners_find (const KqSched *s, KqStr id);
-/* All that ran there is over without a word. */
-void kq_runners_lost (KqSched *s, KqRunnerState *r, const char *why, KqTime now);
 /* The runner is alive, in a new life. */
 void kq_runners_reborn (KqSched *s, KqRunnerState *r, KqTime now);
 void kq_runners_look (KqSched *s, KqTime now);
--- a/src/sched/store.c
+++ b/src/sched/store.c
@@ -43,7 +43,6 @@
       rows[n].id = j->spec.id;
       rows[n].value = kq_buf_str (&j->batch);
       rows[n++].remove = over;
-      j->in_batch = true;
       j->dirty = false;
       g_ptr_array_add (s->batch, j);
     }
@@ -90,7 +89,6 @@
   for (guint i = 0; i < s->batch->len; i++)
     {
       KqJob *j = g_ptr_array_index (s->batch, i);
-      j->in_batch = false;
       if (!whole)
         j->dirty = true;
       else if (j->batch.len == 0)
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -50,9 +50,7 @@
   { "bounds", "runner_lease_max_ms", NUMBER, AT (runner_lease_max_ms), 0, 500, HOUR_MS,
     6000 },
   { "bounds", "grace_s", MILLI, AT (grace_ms), 0, 0, HOUR_MS, 6000 },
-  { "bounds", "drain_ms", NUMBER, AT (drain_ms), 0, 0, HOUR_MS, 2500 },
   { "bounds", "keep_s", MILLI, AT (keep_ms), 0, 0, 24 * (int64_t)HOUR_MS, 120000 },
-  { "bounds", "serving_harm_ms", NUMBER, AT (serving_harm_ms), 0, 0, HOUR_MS, 0 },
 };
 #define N_KEYS ((int)(sizeof keys / sizeof keys[0]))
 
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -24,9 +24,7 @@
   int64_t cpu_share_milli; /* of a processor, in thousandths */
   int64_t runner_lease_max_ms;
   int64_t grace_ms; /* from SIGTERM to SIGKILL */
-  int64_t drain_ms; /* a leaving runner stays so long at least */
   int64_t keep_ms;  /* a finished job's state is kept */
-  int64_t serving_harm_ms;
   int log_level;
 } KqFleetSettings;
 
--- a/standin/platform_kv.c
+++ b/standin/platform_kv.c
@@ -493,9 +493,3 @@
   ev_timer_start (kq_loop_ev (loop), &kv->look);
   return kv;
 }
-
-int
-kq_platform_kv_port (const KqPlatformKv *kv)
-{
-  return kq_web_port (kv->web);
-}
--- a/standin/platform_kv.h
+++ b/standin/platform_kv.h
@@ -8,7 +8,6 @@
 typedef struct KqPlatformKv KqPlatformKv;
 
 KqPlatformKv *kq_platform_kv_new (KqLoop *loop);
-int kq_platform_kv_port (const KqPlatformKv *kv);
 /* Writes as the platform itself does: no condition, no lease. */
 void kq_platform_kv_put (KqPlatformKv *kv, const char *key, KqStr value);
 void kq_platform_kv_remove (KqPlatformKv *kv, const char *key);
