--- a/src/base/str.c
+++ b/src/base/str.c
@@ -112,17 +112,24 @@
   return s;
 }
 
+bool
+kq_str_copy (KqStr s, char *to, size_t size)
+{
+  if (s.len >= size)
+    return false;
+  if (s.len > 0)
+    memcpy (to, s.ptr, s.len);
+  to[s.len] = '\0';
+  return true;
+}
+
 /* The conversions of the C library want a NUL; numbers are short. */
 #define NUMBER_MAX 40
 
 static bool
 number_text (KqStr s, char out[NUMBER_MAX])
 {
-  if (s.len == 0 || s.len >= NUMBER_MAX || is_space (s.ptr[0]))
-    return false;
-  memcpy (out, s.ptr, s.len);
-  out[s.len] = '\0';
-  return true;
+  return s.len > 0 && !is_space (s.ptr[0]) && kq_str_copy (s, out, NUMBER_MAX);
 }
 
 bool
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -51,6 +51,8 @@
 /* A decimal integer that fills the whole string; false otherwise or when out of range. */
 bool kq_str_to_i64 (KqStr s, int64_t *out);
 bool kq_str_to_u64 (KqStr s, uint64_t *out);
+/* Copies s and a NUL to `to`; false when that doesn't fit: nothing is copied then. */
+bool kq_str_copy (KqStr s, char *to, size_t size);
 char *kq_str_dup (KqStr s); /* NUL-terminated copy, freed with free () */
 KqStr kq_str_own (KqStr s); /* the same as a KqStr; its ptr is freed with free () */
 uint64_t kq_str_hash (KqStr s);
--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -381,11 +381,9 @@
   char id[KQ_NAME_MAX + 1];
   KqRunnerAim to;
   Held *h;
-  if (epoch < a->epoch || o->runner.len > KQ_NAME_MAX)
+  if (epoch < a->epoch || !kq_str_copy (o->runner, id, sizeof id))
     return;
   kq_crew_agent_heard (a, epoch, now);
-  memcpy (id, o->runner.ptr, o->runner.len);
-  id[o->runner.len] = '\0';
   h = g_hash_table_lookup (a->held, id);
   if (o->kind == KQ_ORDER_TAKE)
     {
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -2,18 +2,16 @@
 
 #include "sched/state.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 KqJob *
 kq_book_find (const KqSched *s, KqStr id)
 {
   char key[KQ_SPEC_ID_MAX + 1];
-  if (id.len > KQ_SPEC_ID_MAX)
+  if (!kq_str_copy (id, key, sizeof key))
     return NULL;
-  memcpy (key, id.ptr, id.len);
-  key[id.len] = '\0';
   return g_hash_table_lookup (s->jobs, key);
 }
 
@@ -325,8 +323,9 @@
 kq_book_forget (KqSched *s, KqJob *j)
 {
   char id[KQ_SPEC_ID_MAX + 1];
-  memcpy (id, j->spec.id.ptr, j->spec.id.len);
-  id[j->spec.id.len] = '\0';
+  bool fits = kq_str_copy (j->spec.id, id, sizeof id);
+  assert (fits); /* or it had not been accepted */
+  (void)fits;
   kq_book_unlink (s, j);
   g_hash_table_remove (s->jobs, id);
 }
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -5,7 +5,6 @@
 
 #include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
 /* Beyond the computed end of a lease: timers fire late and answers travel. */
 #define LEASE_MARGIN (300 * KQ_MS)
@@ -25,10 +24,8 @@
 kq_runners_find (const KqSched *s, KqStr id)
 {
   char key[KQ_NAME_MAX + 1];
-  if (id.len > KQ_NAME_MAX)
+  if (!kq_str_copy (id, key, sizeof key))
     return NULL;
-  memcpy (key, id.ptr, id.len);
-  key[id.len] = '\0';
   return g_hash_table_lookup (s->runners, key);
 }
 
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -85,10 +85,8 @@
   char text[32];
   char *end;
   double v;
-  if (s.len == 0 || s.len >= sizeof text)
+  if (s.len == 0 || !kq_str_copy (s, text, sizeof text))
     return false;
-  memcpy (text, s.ptr, s.len);
-  text[s.len] = '\0';
   v = strtod (text, &end);
   if (*end != '\0' || !(v >= -1e12 && v <= 1e12))
     return false;
@@ -142,13 +140,9 @@
       memcpy (to, &name, sizeof name);
     }
   else if (k->kind == TEXT && v->text.len > 0 && v->text.len < k->size)
+    kq_str_copy (v->text, to, k->size);
+  else if (k->kind == LEVEL && kq_str_copy (v->text, word, sizeof word))
     {
-      memcpy (to, v->text.ptr, v->text.len);
-      to[v->text.len] = '\0';
-    }
-  else if (k->kind == LEVEL && v->text.len < sizeof word)
-    {
-      snprintf (word, sizeof word, "%.*s", KQ_STR_ARG (v->text));
       level = kq_log_level_parse (word);
       if (level < 0)
         fault (p, KQ_ERR_SETTINGS_RANGE, v->line, k->section, k->key,
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -96,11 +96,7 @@
 static bool
 copy_text (char *to, size_t size, KqStr s)
 {
-  if (s.len >= size || memchr (s.ptr, '\0', s.len) != NULL)
-    return false;
-  memcpy (to, s.ptr, s.len);
-  to[s.len] = '\0';
-  return true;
+  return memchr (s.ptr, '\0', s.len) == NULL && kq_str_copy (s, to, size);
 }
 
 static bool
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -6,7 +6,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -232,10 +231,9 @@
   KqStr port = address;
   KqStr host = kq_str_cut (&port, ':');
   int64_t n;
-  if (host.len >= sizeof ip || !kq_str_to_i64 (port, &n) || n < 1 || n > 65535)
+  if (!kq_str_copy (host, ip, sizeof ip) || !kq_str_to_i64 (port, &n) || n < 1
+      || n > 65535)
     return false;
-  memcpy (ip, host.ptr, host.len);
-  ip[host.len] = '\0';
   *sa = (struct sockaddr_in){ .sin_family = AF_INET, .sin_port = htons ((uint16_t)n) };
   return inet_pton (AF_INET, ip, &sa->sin_addr) == 1;
 }
