No name of the platform's wire outside platform/, deploy/ and the stand-in

Cause: a step's field had the platform's own name in the product, and the soak named its paths; the check of names left both out.

--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -237,7 +237,7 @@
                    .cpu_milli = cpu_milli,
                    .mem_mb = 100,
                    .estimate_ms = estimate_ms,
-                   .may_miss = -1 };
+                   .away_most = -1 };
 }
 
 int
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -2,6 +2,7 @@
 
 #include "base/rand.h"
 #include "bench/procs.h"
+#include "standin/platform_faults.h"
 
 #include <glib.h>
 
@@ -361,16 +362,10 @@
 static void
 hurt_store (Soak *s)
 {
-  static const char *const faults[]
-      = { "{\"path\":\"/kv\",\"outage\":\"refuse\"}",
-          "{\"path\":\"/kv\",\"outage\":\"close\"}",
-          "{\"path\":\"/kv\",\"accept_and_hang\":true}",
-          "{\"path\":\"/kv-txn\",\"lose_answer\":12}",
-          "{\"path\":\"/kv\",\"answer_delay_ms\":240}",
-          "{\"path\":\"/kv-watch\",\"silent_watch\":true}" };
   if (s->heal_store_at != 0)
     return;
-  post (s, s->store_port, "/v1/fault", faults[below (s, 6)]);
+  post (s, s->store_port, "/v1/fault",
+        kq_platform_kv_faults[below (s, KQ_PLATFORM_KV_FAULTS)]);
   s->heal_store_at = kq_time_now () + (KqTime)(300 + below (s, 4500)) * KQ_MS;
 }
 
@@ -407,8 +402,7 @@
     }
   else
     post (s, s->runner_ports[i], "/v1/fault",
-          below (s, 2) == 0 ? "{\"path\":\"/run-\",\"lose_answer\":6}"
-                            : "{\"path\":\"/hold\",\"accept_and_hang\":true}");
+          kq_platform_runner_faults[below (s, KQ_PLATFORM_RUNNER_FAULTS)]);
 }
 
 static void
--- a/src/steps/spec.c
+++ b/src/steps/spec.c
@@ -105,7 +105,7 @@
   kq_pack_bool (p, s->lasting);
   kq_pack_bool (p, s->filling);
   kq_pack_i64 (p, s->per_runner_max);
-  kq_pack_i64 (p, s->may_miss);
+  kq_pack_i64 (p, s->away_most);
   kq_pack_i64 (p, s->target_ms);
   kq_pack_str (p, s->label);
   kq_pack_str (p, s->rack);
@@ -170,7 +170,7 @@
   s->lasting = kq_read_bool (r);
   s->filling = kq_read_bool (r);
   s->per_runner_max = (int32_t)kq_read_i64 (r);
-  s->may_miss = (int32_t)kq_read_i64 (r);
+  s->away_most = (int32_t)kq_read_i64 (r);
   s->target_ms = (int32_t)kq_read_i64 (r);
   s->label = kq_read_str (r);
   s->rack = kq_read_str (r);
--- a/src/steps/spec.h
+++ b/src/steps/spec.h
@@ -35,7 +35,7 @@
   bool lasting;     /* runs until the job is cancelled; started anew however it ends */
   bool filling;     /* its cpu isn't reserved: it takes what others leave unused */
   int32_t per_runner_max; /* most tasks of the step on one runner; 0: any */
-  int32_t may_miss;  /* lasting: so many may be away at once by our doing; -1: not told */
+  int32_t away_most; /* lasting: so many may be away at once by our doing; -1: not told */
   int32_t target_ms; /* serving: the latency tail must stay below; 0: none */
   KqStr label;       /* the runner must carry it; "": any */
   KqStr rack;        /* where the data lies; "": anywhere */
