An acknowledgement reaches only the life of a runner that listed the ends

Change: a question that acknowledges leaves only on a connection that was open when the ends were listed; connections of an earlier life end with it. The HTTP client keeps a connection's age by its addresses.

--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -87,6 +87,18 @@
   return -1;
 }
 
+void
+kq_sched_rig_no_answer (KqSchedRig *r, const KqSchedRigEvent *order)
+{
+  KqSchedRigEvent *u = push (r, KQ_SCHED_RIG_OUTCOME, order->runner, r->now + TIMEOUT);
+  u->epoch = order->epoch;
+  u->life = order->life;
+  u->outcome = (KqOrderOutcome){ .kind = order->order.kind,
+                                 .task = kq_str_own (order->order.u.start.task),
+                                 .run = order->order.u.start.run,
+                                 .result = KQ_ORDER_UNKNOWN };
+}
+
 /* What the scheduler orders, by its sink. */
 static void
 on_order (void *arg, int agent, const KqOrder *o)
@@ -146,13 +158,7 @@
       e->due += (KqTime)(1 + kq_rand_below (&r->rand, 6)) * KQ_SEC;
     }
   if (!e->answered)
-    {
-      KqSchedRigEvent *u = push (r, KQ_SCHED_RIG_OUTCOME, n, r->now + TIMEOUT);
-      u->outcome = (KqOrderOutcome){ .kind = o->kind,
-                                     .task = kq_str_own (e->order.u.start.task),
-                                     .run = e->order.u.start.run,
-                                     .result = KQ_ORDER_UNKNOWN };
-    }
+    kq_sched_rig_no_answer (r, e);
 }
 
 static void
@@ -292,6 +298,13 @@
   kq_sched_unreached (r->sched, r->agent, kq_str (g->id), left, r->now);
 }
 
+/* An acknowledgement leaves only on a connection of the life that listed the ends. */
+static bool
+leaves (const KqSchedRigRunner *g)
+{
+  return g->failures > 0 || g->seen == 0 || g->heard_born_ms == g->born_ms;
+}
+
 /* The agent's question: renews the lease, fetches the list. */
 static void
 ask (KqSchedRig *r, int n)
@@ -299,6 +312,8 @@
   KqSchedRigRunner *g = &r->runners[n];
   bool arrives = g->alive && r->now >= g->cut_until;
   bool answered = arrives && r->now >= g->deaf_until && !chance (r, r->lost);
+  if (!leaves (g))
+    arrives = answered = false;
   g->ask_at = r->now + (answered ? ASK_GAP : TIMEOUT);
   if (g->clock_ms >= 0 && g->failures == 0)
     {
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -20,6 +20,8 @@
 void kq_sched_rig_breach (KqSchedRig *r, const char *rule, const char *what);
 void kq_sched_rig_trace (const KqSchedRig *r, const char *task, const char *what,
                          const char *where, uint32_t run, int detail);
+/* The order's agent is told, after its timeout, that no answer came. */
+void kq_sched_rig_no_answer (KqSchedRig *r, const KqSchedRigEvent *order);
 int64_t kq_sched_rig_clock_of (const KqSchedRig *r, const KqSchedRigRunner *n);
 void kq_sched_rig_end_run (KqSchedRig *r, KqSchedRigRunner *g, guint at, KqEndHow how);
 void kq_sched_rig_extend_lease (const KqSchedRig *r, KqSchedRigRunner *g, int64_t end);
--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -215,9 +215,12 @@
   for (guint i = 0; i < r->events->len; i++)
     {
       KqSchedRigEvent *e = g_ptr_array_index (r->events, i);
-      if (e->kind == KQ_SCHED_RIG_ORDER && e->runner == n
-          && (r->now < g->cut_until || e->late))
-        e->due = KQ_TIME_NEVER;
+      if (e->kind != KQ_SCHED_RIG_ORDER || e->runner != n
+          || !(r->now < g->cut_until || e->late) || e->due == KQ_TIME_NEVER)
+        continue;
+      e->due = KQ_TIME_NEVER;
+      if (e->answered)
+        kq_sched_rig_no_answer (r, e);
     }
   g_ptr_array_set_size (g->runs, 0);
   g_ptr_array_set_size (g->ends, 0);
--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -42,6 +42,7 @@
   bool watched;
   uint64_t ends_seen;
   uint64_t ends_told;   /* the highest number listed to us */
+  KqTime listed_at;     /* when the last list came */
   uint64_t results;     /* outcomes told */
   int64_t born_ms;      /* of the life that was heard last; 0: never */
   int64_t clock_ms;     /* the runner's clock, as last told; -1: never */
@@ -253,6 +254,7 @@
       h->told_at = 0;
       h->quiet = r->n_running == 0;
       note_clock (h, r, now);
+      h->listed_at = now;
       h->ends_told = r->n_ended > 0 ? r->ended[r->n_ended - 1].number : 0;
       tell_list (h, r, c->order, now);
       h = held_of (c);
@@ -298,6 +300,7 @@
   KqCrewAgent *a = h->agent;
   KqRunnerAim to;
   Call *c;
+  uint64_t seen;
   int wait = wait_ms (h);
   if (h->asking)
     return;
@@ -315,9 +318,14 @@
   ++*a->renewals;
   to = aim (h, wait + CALL_TIMEOUT_MS);
   c = new_call (h, KQ_ORDER_TAKE, KQ_STR (""), (uint32_t)wait);
-  /* After a silence a new life may answer, whose ends nobody has seen yet. */
-  kq_runner_renew (a->config.calls, &to, grant (h, now),
-                   h->failures > 0 ? 0 : h->ends_seen, wait,
+  /* A runner that has started anew counts its ends anew: it would forget, by an
+   * acknowledgement meant for its earlier life, ends that nobody has seen, and their
+   * tasks would run again. Connections of the earlier life end with it, so those that
+   * were open when the list came lead to the life that gave it, or nowhere. */
+  seen = h->failures > 0 || h->listed_at == 0 ? 0 : h->ends_seen;
+  if (seen > 0)
+    to.opened_before = h->listed_at;
+  kq_runner_renew (a->config.calls, &to, grant (h, now), seen, wait,
                    (KqRunnerCallback){ on_list, c });
 }
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <ev.h>
+#include <glib.h>
 
 #include <assert.h>
 #include <stdlib.h>
@@ -10,6 +11,10 @@
 
 /* How often calls are looked over for silence. */
 #define SILENCE_CHECK_S 0.1
+/* Connections whose age is remembered; beyond that all are forgotten, and calls that ask
+ * for an old one end as not sent until they have opened another. Descriptors end far
+ * below this; ports of closed connections make up the rest. */
+#define OPENED_MAX 20000
 
 typedef struct Socket
 {
@@ -26,7 +31,8 @@
   int idle_s;
   bool in_curl; /* a libcurl callback is on the stack: handles may not be removed */
   KqHttpCall *first;
-  uint64_t bytes_out; /* of ended calls */
+  GHashTable *opened_at; /* hash of a connection's addresses -> when it was opened */
+  uint64_t bytes_out;    /* of ended calls */
   uint64_t bytes_in;
 };
 
@@ -52,6 +58,8 @@
   int64_t length; /* Content-Length; -1 without */
   bool head_given;
   bool issued; /* the request has begun to leave */
+  bool opens;  /* a new connection was opened for it */
+  KqTime opened_before;
 };
 
 static void
@@ -347,6 +355,7 @@
   struct ev_loop *ev = kq_loop_ev (loop);
   cl->loop = loop;
   cl->idle_s = idle_ms >= 1000 ? idle_ms / 1000 : 1;
+  cl->opened_at = g_hash_table_new (NULL, NULL);
   cl->multi = curl_multi_init ();
   assert (cl->multi != NULL);
   curl_multi_setopt (cl->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -377,6 +386,7 @@
   curl_multi_cleanup (cl->multi);
   ev_timer_stop (ev, &cl->timeout);
   ev_timer_stop (ev, &cl->silence);
+  g_hash_table_destroy (cl->opened_at);
   free (cl);
 }
 
@@ -446,6 +456,36 @@
     }
 }
 
+static int
+on_socket_opened (void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+  KqHttpCall *c = arg;
+  (void)fd;
+  (void)purpose;
+  c->opens = true;
+  return CURL_SOCKOPT_OK;
+}
+
+/* Whether the connection is younger than the call allows; also when its age isn't known.
+ * libcurl doesn't tell a connection's age, so it is kept here by its addresses. */
+static bool
+opened_too_late (KqHttpCall *c, const char *to, int to_port, int own_port)
+{
+  GHashTable *opened = c->client->opened_at;
+  uint64_t ports = (uint64_t)to_port << 16 | (uint64_t)own_port;
+  gpointer key = GSIZE_TO_POINTER (kq_hash2 (kq_str_hash (kq_str (to)), ports));
+  KqTime at;
+  if (c->opens && g_hash_table_size (opened) >= OPENED_MAX)
+    g_hash_table_remove_all (opened);
+  if (c->opens)
+    g_hash_table_insert (opened, key, GSIZE_TO_POINTER (kq_time_now ()));
+  c->opens = false;
+  if (c->opened_before == 0)
+    return false;
+  at = (KqTime)GPOINTER_TO_SIZE (g_hash_table_lookup (opened, key));
+  return at == 0 || at > c->opened_before;
+}
+
 /* libcurl asks before each sending of the request. The second time it would repeat it by
  * itself, because a reused connection closed without an answer: outside of the retry
  * budget, counted nowhere, and perhaps a second run. */
@@ -453,11 +493,8 @@
 on_issue (void *arg, char *to, char *from, int to_port, int from_port)
 {
   KqHttpCall *c = arg;
-  (void)to;
   (void)from;
-  (void)to_port;
-  (void)from_port;
-  if (c->issued)
+  if (c->issued || opened_too_late (c, to, to_port, from_port))
     return CURL_PREREQFUNC_ABORT;
   c->issued = true;
   return CURL_PREREQFUNC_OK;
@@ -472,6 +509,8 @@
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_issue);
   curl_easy_setopt (e, CURLOPT_PREREQDATA, c);
+  curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket_opened);
+  curl_easy_setopt (e, CURLOPT_SOCKOPTDATA, c);
   curl_easy_setopt (e, CURLOPT_PROXY, "");
   curl_easy_setopt (e, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
@@ -504,6 +543,7 @@
   c->easy = curl_easy_init ();
   assert (c->easy != NULL);
   c->silent_us = r->silent_ms * KQ_MS;
+  c->opened_before = r->opened_before;
   note_byte (c);
   set_options (c, r);
   set_headers (c, r);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -48,6 +48,9 @@
   int silent_ms; /* no byte either way for so long ends the call; 0: never */
   int total_ms;  /* 0: no limit */
   bool once;     /* never reuse a connection: leaves at most once */
+  /* Not 0: the call leaves only on a connection opened by then, and ends as NOT_SENT
+   * where there is none. A process that has started anew since has no such connection. */
+  KqTime opened_before;
 } KqHttpRequest;
 
 /* host_connections: most connections to one host; idle_ms: an idle pooled connection
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -232,6 +232,31 @@
   assert_int_equal (p->end, KQ_HTTP_BROKEN);
 }
 
+/* An acknowledgement is meant for the process that was heard before. It died and another
+ * one listens at its address: a call on a new connection would reach that one, which
+ * would take the acknowledgement for its own. So the call must not leave, and say so;
+ * on the old connection it goes through. */
+static void
+test_call_keeps_to_an_old_connection (void **state)
+{
+  Pair *p = *state;
+  KqHttpRequest r = { .method = "GET" };
+  start (p, "/plain", &r);
+  run (p);
+  r.opened_before = kq_time_now ();
+  start (p, "/plain", &r);
+  run (p);
+  assert_int_equal (p->end, KQ_HTTP_DONE);
+  start (p, "/drop", &(KqHttpRequest){ .method = "GET" }); /* closes the connection */
+  run (p);
+  p->begun = 0;
+  start (p, "/plain", &r);
+  run (p);
+  assert_true (p->done);
+  assert_int_equal (p->end, KQ_HTTP_NOT_SENT);
+  assert_int_equal (p->begun, 0);
+}
+
 /* The server accepts and never answers: the silence limit ends the call. */
 static void
 test_silent_target (void **state)
@@ -323,6 +348,8 @@
     cmocka_unit_test_setup_teardown (test_cut_answer_is_broken, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_no_repeat_on_reused_connection, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_call_keeps_to_an_old_connection, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_silent_target, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_silent_calls_end_together, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_connection_is_not_sent, set_up,
--- a/src/port/runner.h
+++ b/src/port/runner.h
@@ -107,6 +107,9 @@
   KqStr id;
   uint64_t epoch;
   int timeout_ms;
+  /* Not 0: only on a connection opened by then, otherwise UNHEALTHY without having left.
+   */
+  KqTime opened_before;
 } KqRunnerAim;
 
 void kq_runner_start (KqRunnerCalls *c, const KqRunnerAim *a, KqStr task, uint32_t run,
