The store's return is noticed at once

Change: the first call after a failure doesn't wait; calls are repeated at least every 0.4 s instead of 0.8 s. Measured: follow_test fails before (wait 1500) and passes after.

--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -12,7 +12,7 @@
 /* After a failed call; doubled up to the bound, so that a store in trouble isn't pressed.
  */
 #define RETRY_MS 100
-#define RETRY_MAX_MS 800
+#define RETRY_MAX_MS 400
 
 struct KqFollow
 {
@@ -202,15 +202,19 @@
     go (f);
 }
 
+/* After a failure the first answer is wanted at once, whether anything has changed or
+ * not: a watch that waited told of the store's return 1.5 s late, and clients were
+ * refused all that time (29 of 380 jobs in an outage of 4.2 s). */
 static void
 go (KqFollow *f)
 {
   KqKvCallback cb = { on_reply, f };
+  int wait_ms = f->retry_ms == RETRY_MS ? f->wait_ms : 0;
   f->calling = true;
   if (f->listing)
     kq_kv_range (f->kv, kq_str (f->prefix), kq_str (f->after), LIST_TIMEOUT_MS, cb);
   else
-    kq_kv_watch (f->kv, kq_str (f->prefix), f->from, f->wait_ms, cb);
+    kq_kv_watch (f->kv, kq_str (f->prefix), f->from, wait_ms, cb);
 }
 
 KqFollow *
--- /dev/null
+++ b/src/fleet/follow_test.c
@@ -0,0 +1,138 @@
+#include "base/log.h"
+#include "fleet/follow.h"
+
+#include <ev.h>
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#define WAIT_MS 1500
+
+/* The store, played by the test: calls are noted here and answered by answer (). */
+static struct
+{
+  int watches;
+  int wait_ms; /* of the last watch */
+  KqKvCallback cb;
+  int answered;
+  int failed;
+} store;
+
+void
+kq_kv_watch (KqKv *kv, KqStr prefix, uint64_t after, int wait_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)prefix;
+  (void)after;
+  store.watches++;
+  store.wait_ms = wait_ms;
+  store.cb = cb;
+}
+
+void
+kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)prefix;
+  (void)after;
+  (void)timeout_ms;
+  store.cb = cb;
+}
+
+static void
+answer (KqKvResult result)
+{
+  KqKvReply r = { .result = result, .revision = 7 };
+  store.cb.done (store.cb.arg, &r, kq_time_now ());
+}
+
+static void
+on_item (void *arg, const KqKvItem *i, KqTime now)
+{
+  (void)arg;
+  (void)i;
+  (void)now;
+}
+
+static void
+on_gone (void *arg, KqStr key, KqTime now)
+{
+  (void)arg;
+  (void)key;
+  (void)now;
+}
+
+static void
+on_synced (void *arg, KqTime now)
+{
+  (void)arg;
+  (void)now;
+}
+
+static void
+on_answered (void *arg, KqTime sent_at, KqTime now)
+{
+  (void)arg;
+  (void)sent_at;
+  (void)now;
+  store.answered++;
+}
+
+static void
+on_failed (void *arg, KqTime now)
+{
+  (void)arg;
+  (void)now;
+  store.failed++;
+}
+
+/* Runs the loop until the next call has left. */
+static void
+await_watch (KqLoop *loop, int n)
+{
+  for (int i = 0; i < 1000 && store.watches < n; i++)
+    ev_run (kq_loop_ev (loop), EVRUN_ONCE);
+  assert_int_equal (store.watches, n);
+}
+
+/* Clients go on being refused for seconds after the store is back.
+ * The store fails, then serves again; nothing has changed under the prefix, so a watch
+ * that waits its full time is answered only when that is over, and until then the node
+ * takes the store for away. The first call after a failure must not wait. */
+static void
+test_return_of_the_store_is_noticed_at_once (void **state)
+{
+  KqLoop *loop = kq_loop_new ();
+  KqFollowOwner owner = { NULL, on_item, on_gone, on_synced, on_answered, on_failed };
+  KqFollow *f = kq_follow_new (loop, NULL, KQ_STR ("k/"), WAIT_MS, 0, &owner);
+  (void)state;
+  kq_log_set_level (KQ_LOG_ERROR);
+  answer (KQ_KV_OK);
+  await_watch (loop, 1);
+  assert_int_equal (store.wait_ms, WAIT_MS);
+  answer (KQ_KV_UNKNOWN);
+  await_watch (loop, 2);
+  answer (KQ_KV_REFUSED);
+  await_watch (loop, 3);
+  assert_int_equal (store.failed, 2);
+  assert_int_equal (store.wait_ms, 0);
+  answer (KQ_KV_OK);
+  assert_int_equal (store.answered, 2);
+  await_watch (loop, 4);
+  assert_int_equal (store.wait_ms, WAIT_MS);
+  kq_follow_free (f);
+  answer (KQ_KV_OK); /* frees it */
+  kq_loop_free (loop);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_return_of_the_store_is_noticed_at_once) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
