A node whose connection to the leader is new renews no lease of before

Cause: a node that lost its connection and was back at once went on renewing its runners, which the leader had given to others. Change: a new connection, or being elected, ends all renewals until the leader gives a runner again; the leader ends a node's earlier connection when the node joins anew.

--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -469,3 +469,16 @@
 {
   return g_hash_table_size (a->held);
 }
+/* Renewing on, unknown to the leader, kept a runner alive whose lease the leader counted
+ * as over: nine tasks ran twice (a node whose connections were reset, and 13 s later a
+ * runner that its next agent didn't reach). */
+void
+kq_crew_agent_released (KqCrewAgent *a)
+{
+  guint n = g_hash_table_size (a->held);
+  if (n > 0)
+    kq_log (KQ_LOG_INFO, PART, "Released from all runners. runners=%u epoch=%llu", n,
+            (unsigned long long)a->epoch);
+  g_hash_table_remove_all (a->held);
+}
+
--- a/src/crew/agent.h
+++ b/src/crew/agent.h
@@ -29,5 +29,8 @@
 /* A sign of life of the leader of that epoch. */
 void kq_crew_agent_heard (KqCrewAgent *a, uint64_t epoch, KqTime now);
 size_t kq_crew_agent_runners (const KqCrewAgent *a);
+/* The connection to a leader is new, or this node leads from now on: whatever leader gave
+ * the runners has given them to others by now, or will give them again. */
+void kq_crew_agent_released (KqCrewAgent *a);
 
 #endif
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -196,6 +196,7 @@
                        .answered = on_answered };
   kq_link_lead (f->link, epoch, now);
   kq_crew_agent_heard (f->agent, epoch, now);
+  kq_crew_agent_released (f->agent);
   f->peers_reach_store_at = 0;
   f->leader = kq_leader_new (&c, now);
 }
@@ -274,6 +275,7 @@
   (void)arg;
   (void)now;
 }
+  kq_crew_agent_released (f->agent);
 
 static void
 on_from_leader (void *arg, uint64_t epoch, const KqCrewItem *i, KqTime now)
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -377,11 +377,27 @@
     destroy (l);
 }
 
+/* A node that is back has let go of its runners, whether the end of its earlier
+ * connection has been noticed or not. */
+static void
+end_earlier (KqLeader *l, const KqAgentInfo *info, KqTime now)
+{
+  int agent = kq_sched_agent_find (l->sched, kq_name_str (&info->name));
+  KqPeer *p = agent >= 0 && (guint)agent < l->peers->len
+                  ? g_ptr_array_index (l->peers, agent)
+                  : NULL;
+  if (p == NULL)
+    return;
+  kq_leader_left (l, p, now);
+  kq_peer_set_agent (p, -1);
+}
+
 void
 kq_leader_joined (KqLeader *l, KqPeer *p, const KqAgentInfo *info, KqTime now)
 {
   KqAgentInfo other = *info;
   int agent;
+  end_earlier (l, info, now);
   other.leader = false;
   agent = kq_sched_agent_up (l->sched, &other, now);
   kq_peer_set_agent (p, agent);
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -233,6 +233,18 @@
   return n;
 }
 
+int
+kq_sched_agent_find (const KqSched *s, KqStr name)
+{
+  for (int i = 0; i < s->agents.n; i++)
+    {
+      const KqAgentState *a = &s->agents.list[i];
+      if (a->up && kq_str_eq (kq_name_str (&a->info.name), name))
+        return i;
+    }
+  return -1;
+}
+
 void
 kq_sched_agent_down (KqSched *s, int agent, KqTime now)
 {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -151,6 +151,8 @@
 
 /* Decides; to be called after inputs and when the time that it returned has come. wall_ms
  * is Unix time. */
+/* The agent of that name that is up; -1: none. */
+int kq_sched_agent_find (const KqSched *s, KqStr name);
 KqTime kq_sched_run (KqSched *s, KqTime now, int64_t wall_ms);
 
 KqJobState kq_sched_state (const KqSched *s, KqStr id);
