--- /dev/null
+++ b/bench/sched_desk.c
@@ -0,0 +1,159 @@
+#include "sched_desk.h"
+
+#include "base/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+on_order (void *arg, int agent, const KqOrder *o)
+{
+  KqSchedDesk *d = arg;
+  (void)agent;
+  if (o->kind == KQ_ORDER_STOP)
+    d->stops++;
+  if (o->kind == KQ_ORDER_ADVISE)
+    {
+      d->questions++;
+      d->questions_about = (int)o->u.advise.n_runners;
+      kq_str_copy (o->u.advise.step, d->question, sizeof d->question);
+    }
+  if (o->kind != KQ_ORDER_START)
+    return;
+  d->starts++;
+  kq_str_copy (o->runner, d->runner, sizeof d->runner);
+  kq_str_copy (o->u.start.task, d->task, sizeof d->task);
+  kq_str_copy (o->u.start.ticket, d->ticket, sizeof d->ticket);
+  d->run = o->u.start.run;
+}
+
+void
+kq_sched_desk_run (KqSchedDesk *d, KqTime span)
+{
+  for (KqTime end = d->now + span; d->now < end; d->now += 10 * KQ_MS)
+    kq_sched_run (d->sched, d->now, d->now / KQ_MS);
+}
+
+void
+kq_sched_desk_list (KqSchedDesk *d, const char *runner, const KqEndRow *ends,
+                    size_t n_ends)
+{
+  KqRunnerList l = { .born_ms = 1,
+                     .lease_left_ms = 5000,
+                     .order = d->results,
+                     .ended = ends,
+                     .n_ended = n_ends };
+  kq_sched_list (d->sched, d->agent, kq_str (runner), &l, d->now);
+}
+
+void
+kq_sched_desk_list_serving (KqSchedDesk *d, const char *runner, const char *task,
+                            uint32_t run, int tail_ms)
+{
+  KqRunRow row = { .task = kq_str (task),
+                   .run = run,
+                   .checkpoint = KQ_STR (""),
+                   .percent = 100,
+                   .load = tail_ms };
+  KqRunnerList l = { .born_ms = 1,
+                     .lease_left_ms = 5000,
+                     .order = d->results,
+                     .running = &row,
+                     .n_running = 1 };
+  kq_sched_list (d->sched, d->agent, kq_str (runner), &l, d->now);
+}
+
+void
+kq_sched_desk_outcome (KqSchedDesk *d, KqOrderKind kind, const char *runner,
+                       const char *task, uint32_t n, KqOrderResult result)
+{
+  KqOrderOutcome o = {
+    .kind = kind, .task = kq_str (task), .run = n, .result = result, .order = ++d->results
+  };
+  kq_sched_outcome (d->sched, d->agent, kq_str (runner), &o, d->now);
+}
+
+void
+kq_sched_desk_advise (KqSchedDesk *d, const char *step, KqAdviceResult result,
+                      const char *runner, const char *ticket, int64_t valid_ms)
+{
+  KqAdviceRow row = { kq_str (runner), kq_str (ticket) };
+  KqStepAdvice a = { .step = kq_str (step) };
+  a.reply = (KqAdviceReply){ result, &row, ticket != NULL ? 1 : 0, valid_ms };
+  kq_sched_advice (d->sched, d->agent, &a, d->now);
+}
+
+KqStep
+kq_sched_desk_step (void)
+{
+  return (KqStep){
+    .width = 1, .cpu_milli = 500, .mem_mb = 100, .estimate_ms = 300, .away_most = -1
+  };
+}
+
+void
+kq_sched_desk_submit (KqSchedDesk *d, const char *id, KqStep step, bool advised)
+{
+  KqSpec spec = { .id = kq_str (id),
+                  .queue = KQ_STR ("q"),
+                  .service = KQ_STR ("desk"),
+                  .text = KQ_STR ("text"),
+                  .attempts = 3,
+                  .advised = advised,
+                  .stretch_percent = 150,
+                  .slo_ms = 500,
+                  .steps = &step,
+                  .n_steps = 1 };
+  KqBuf b = { 0 };
+  kq_spec_pack (&spec, &b);
+  kq_sched_job (d->sched, kq_buf_str (&b), 10, d->now);
+  kq_buf_free (&b);
+}
+
+int
+kq_sched_desk_set_up (void **state)
+{
+  KqSchedDesk *d = calloc (1, sizeof *d);
+  KqSchedConfig c = { .epoch = 5,
+                      .term = 1,
+                      .lease_ms = 5000,
+                      .blind_ms = 4000,
+                      .keep_ms = 60000,
+                      .order = on_order,
+                      .arg = d };
+  KqAgentInfo agent = { .name = kq_name (KQ_STR ("a")), .share_milli = 1000 };
+  KqBuf known = { 0 };
+  kq_log_set_level (KQ_LOG_ERROR);
+  d->now = 100 * KQ_SEC;
+  d->counters = c.counters = kq_counters_new ();
+  d->sched = kq_sched_new (&c, d->now);
+  kq_sched_run (d->sched, d->now, d->now / KQ_MS);
+  d->agent = kq_sched_agent_up (d->sched, &agent, d->now);
+  kq_sched_loaded (d->sched, d->now);
+  for (int i = 0; i < 2; i++)
+    {
+      KqRunnerEntry e = { .id = kq_str (i == 0 ? "r0" : "r1"),
+                          .service = KQ_STR ("desk"),
+                          .address = KQ_STR ("127.0.0.1:1"),
+                          .room = { 4000, 16000, 0 } };
+      kq_sched_entry (d->sched, &e, d->now);
+    }
+  kq_sched_known_pack (d->sched, &known);
+  kq_buf_free (&known);
+  kq_sched_known_stored (d->sched);
+  kq_sched_desk_run (d, 100 * KQ_MS);
+  kq_sched_desk_list (d, "r0", NULL, 0);
+  kq_sched_desk_list (d, "r1", NULL, 0);
+  *state = d;
+  return 0;
+}
+
+int
+kq_sched_desk_tear_down (void **state)
+{
+  KqSchedDesk *d = *state;
+  kq_sched_free (d->sched);
+  kq_counters_free (d->counters);
+  free (d);
+  return 0;
+}
--- /dev/null
+++ b/bench/sched_desk.h
@@ -0,0 +1,48 @@
+#ifndef KQ_BENCH_SCHED_DESK_H
+#define KQ_BENCH_SCHED_DESK_H
+
+/* sched_desk: a scheduler whose runners' part a test plays by hand, one answer at a time,
+ * to put inputs into an order that a run of the rig would hardly meet. */
+
+#include "sched/sched.h"
+
+/* A scheduler with two runners and one agent; the test plays the runners' part. */
+typedef struct
+{
+  KqSched *sched;
+  KqCounters *counters;
+  KqTime now;
+  int agent;
+  int starts; /* orders so far */
+  int stops;
+  char runner[16]; /* of the last start */
+  char task[96];
+  uint32_t run;
+  char ticket[32];
+  int questions;       /* to the advice service so far */
+  char question[96];   /* the step of the last one */
+  int questions_about; /* runners in it */
+  uint64_t results;
+} KqSchedDesk;
+
+/* cmocka's set-up and tear-down; *state is the desk. */
+int kq_sched_desk_set_up (void **state);
+int kq_sched_desk_tear_down (void **state);
+/* Lets the scheduler decide until the span has passed. */
+void kq_sched_desk_run (KqSchedDesk *d, KqTime span);
+/* The runner lists these ends and no run. */
+void kq_sched_desk_list (KqSchedDesk *d, const char *runner, const KqEndRow *ends,
+                         size_t n_ends);
+/* The runner lists one run, a serving task with this latency tail. */
+void kq_sched_desk_list_serving (KqSchedDesk *d, const char *runner, const char *task,
+                                 uint32_t run, int tail_ms);
+void kq_sched_desk_outcome (KqSchedDesk *d, KqOrderKind kind, const char *runner,
+                            const char *task, uint32_t run, KqOrderResult result);
+/* The advice service names one runner, or none with ticket NULL. */
+void kq_sched_desk_advise (KqSchedDesk *d, const char *step, KqAdviceResult result,
+                           const char *runner, const char *ticket, int64_t valid_ms);
+/* A small step of one task. */
+KqStep kq_sched_desk_step (void);
+void kq_sched_desk_submit (KqSchedDesk *d, const char *id, KqStep step, bool advised);
+
+#endif
--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -24,6 +24,8 @@
 #define RETRY (150 * KQ_MS)
 /* Over one call's way there and back between regions, with a queue on the link. */
 #define CALL_TIMEOUT_MS 900
+/* The service takes its time for each runner asked about, and answers in turn. */
+#define ADVICE_TIMEOUT_MS 2000
 /* So many questions without an answer make a runner silent. */
 #define SILENT_AFTER 2
 #define TELL_AGAIN KQ_SEC
@@ -348,6 +350,53 @@
   free_call (c);
 }
 
+typedef struct
+{
+  KqCrewAgent *agent;
+  uint64_t epoch;
+  char *step;
+} Question;
+
+static void
+tell_advice (KqCrewAgent *a, uint64_t epoch, KqStr step, const KqAdviceReply *r)
+{
+  KqCrewItem i = { .kind = KQ_CREW_ADVICE };
+  i.u.advice.step = step;
+  i.u.advice.reply = *r;
+  a->config.notice (a->config.arg, epoch, &i);
+}
+
+static void
+on_advice (void *arg, const KqAdviceReply *r, KqTime now)
+{
+  Question *q = arg;
+  (void)now;
+  tell_advice (q->agent, q->epoch, kq_str (q->step), r);
+  free (q->step);
+  free (q);
+}
+
+static void
+advise (KqCrewAgent *a, uint64_t epoch, const KqOrder *o)
+{
+  Question *q;
+  if (a->config.advice == NULL)
+    {
+      KqAdviceReply none = { .result = KQ_ADVICE_UNKNOWN };
+      kq_log (KQ_LOG_ERROR, PART, "No advice service in the settings. step=%.*s",
+              KQ_STR_ARG (o->u.advise.step));
+      tell_advice (a, epoch, o->u.advise.step, &none);
+      return;
+    }
+  q = kq_alloc (sizeof *q);
+  q->agent = a;
+  q->epoch = epoch;
+  q->step = kq_str_dup (o->u.advise.step);
+  kq_advice_ask (a->config.advice, o->u.advise.step, o->u.advise.runners,
+                 o->u.advise.n_runners, ADVICE_TIMEOUT_MS,
+                 (KqAdviceCallback){ on_advice, q });
+}
+
 static void
 take (KqCrewAgent *a, uint64_t epoch, const KqOrder *o)
 {
@@ -392,6 +441,11 @@
   if (epoch < a->epoch || !kq_str_copy (o->runner, id, sizeof id))
     return;
   kq_crew_agent_heard (a, epoch, now);
+  if (o->kind == KQ_ORDER_ADVISE)
+    {
+      advise (a, epoch, o);
+      return;
+    }
   h = g_hash_table_lookup (a->held, id);
   if (o->kind == KQ_ORDER_TAKE)
     {
@@ -404,6 +458,7 @@
   switch (o->kind)
     {
     case KQ_ORDER_TAKE:
+    case KQ_ORDER_ADVISE:
       break;
     case KQ_ORDER_DROP:
       g_hash_table_remove (a->held, id);
@@ -442,6 +497,19 @@
   a->heard_at = now;
 }
 
+/* Renewing on, unknown to the leader, kept a runner alive whose lease the leader counted
+ * as over: nine tasks ran twice (a node whose connections were reset, and 13 s later a
+ * runner that its next agent didn't reach). */
+void
+kq_crew_agent_released (KqCrewAgent *a)
+{
+  guint n = g_hash_table_size (a->held);
+  if (n > 0)
+    kq_log (KQ_LOG_INFO, PART, "Released from all runners. runners=%u epoch=%llu", n,
+            (unsigned long long)a->epoch);
+  g_hash_table_remove_all (a->held);
+}
+
 KqCrewAgent *
 kq_crew_agent_new (const KqCrewAgentConfig *c)
 {
@@ -469,16 +537,3 @@
 {
   return g_hash_table_size (a->held);
 }
-/* Renewing on, unknown to the leader, kept a runner alive whose lease the leader counted
- * as over: nine tasks ran twice (a node whose connections were reset, and 13 s later a
- * runner that its next agent didn't reach). */
-void
-kq_crew_agent_released (KqCrewAgent *a)
-{
-  guint n = g_hash_table_size (a->held);
-  if (n > 0)
-    kq_log (KQ_LOG_INFO, PART, "Released from all runners. runners=%u epoch=%llu", n,
-            (unsigned long long)a->epoch);
-  g_hash_table_remove_all (a->held);
-}
-
--- a/src/crew/agent.h
+++ b/src/crew/agent.h
@@ -15,6 +15,7 @@
 {
   KqLoop *loop;
   KqRunnerCalls *calls;
+  KqAdviceCalls *advice; /* NULL: there is no such service */
   int64_t lease_ms;
   int64_t blind_ms; /* leases are renewed for so long without a word of a leader */
   KqCounters *counters;
@@ -28,9 +29,9 @@
 void kq_crew_agent_order (KqCrewAgent *a, uint64_t epoch, const KqOrder *o, KqTime now);
 /* A sign of life of the leader of that epoch. */
 void kq_crew_agent_heard (KqCrewAgent *a, uint64_t epoch, KqTime now);
-size_t kq_crew_agent_runners (const KqCrewAgent *a);
 /* The connection to a leader is new, or this node leads from now on: whatever leader gave
  * the runners has given them to others by now, or will give them again. */
 void kq_crew_agent_released (KqCrewAgent *a);
+size_t kq_crew_agent_runners (const KqCrewAgent *a);
 
 #endif
--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -41,9 +41,36 @@
       kq_pack_i64 (p, o->u.seen.born_ms);
       kq_pack_bool (p, o->u.seen.watched);
       break;
+    case KQ_ORDER_ADVISE:
+      kq_pack_str (p, o->u.advise.step);
+      kq_pack_array (p, o->u.advise.n_runners);
+      for (size_t i = 0; i < o->u.advise.n_runners; i++)
+        kq_pack_str (p, o->u.advise.runners[i]);
+      break;
     }
 }
 
+static size_t open_rows (KqReader *r, KqReader *rows);
+
+static void
+read_advise (KqReader *r, KqOrder *o)
+{
+  KqReader rows;
+  KqStr *list;
+  size_t n;
+  o->u.advise.step = kq_read_str (r);
+  n = open_rows (r, &rows);
+  if (n > KQ_ADVICE_RUNNERS_MAX)
+    r->bad = true;
+  n = r->bad ? 0 : n;
+  list = kq_alloc ((n + 1) * sizeof *list);
+  o->u.advise.runners = list;
+  o->u.advise.n_runners = n;
+  for (size_t i = 0; i < n; i++)
+    list[i] = kq_read_str (&rows);
+  kq_read_join (r, &rows);
+}
+
 static void
 read_order (KqReader *r, KqOrder *o)
 {
@@ -77,6 +104,9 @@
       o->u.seen.born_ms = kq_read_i64 (r);
       o->u.seen.watched = kq_read_bool (r);
       return;
+    case KQ_ORDER_ADVISE:
+      read_advise (r, o);
+      return;
     }
   r->bad = true;
 }
@@ -197,6 +227,47 @@
   o->order = kq_read_u64 (r);
 }
 
+static void
+pack_advice (KqPacker *p, const KqStepAdvice *a)
+{
+  kq_pack_str (p, a->step);
+  kq_pack_i64 (p, a->reply.result);
+  kq_pack_i64 (p, a->reply.valid_ms);
+  kq_pack_array (p, a->reply.n_rows);
+  for (size_t i = 0; i < a->reply.n_rows; i++)
+    {
+      kq_pack_array (p, 2);
+      kq_pack_str (p, a->reply.rows[i].runner);
+      kq_pack_str (p, a->reply.rows[i].ticket);
+    }
+}
+
+static void
+read_advice (KqReader *r, KqStepAdvice *a)
+{
+  KqReader rows;
+  KqAdviceRow *list;
+  int64_t result;
+  a->step = kq_read_str (r);
+  result = kq_read_i64 (r);
+  if (result < KQ_ADVICE_OK || result > KQ_ADVICE_UNKNOWN)
+    r->bad = true;
+  a->reply.result = (KqAdviceResult)result;
+  a->reply.valid_ms = kq_read_i64 (r);
+  a->reply.n_rows = open_rows (r, &rows);
+  list = kq_alloc ((a->reply.n_rows + 1) * sizeof *list);
+  a->reply.rows = list;
+  for (size_t i = 0; i < a->reply.n_rows; i++)
+    {
+      KqReader row;
+      kq_read_array (&rows, &row);
+      list[i].runner = kq_read_str (&row);
+      list[i].ticket = kq_read_str (&row);
+      kq_read_join (&rows, &row);
+    }
+  kq_read_join (r, &rows);
+}
+
 static void
 pack_fields (KqPacker *p, const KqCrewItem *i)
 {
@@ -240,6 +311,9 @@
     case KQ_CREW_CANCEL:
       kq_pack_str (p, i->u.cancel.id);
       break;
+    case KQ_CREW_ADVICE:
+      pack_advice (p, &i->u.advice);
+      break;
     case KQ_CREW_PING:
     case KQ_CREW_FENCED:
       break;
@@ -294,6 +368,9 @@
     case KQ_CREW_CANCEL:
       i->u.cancel.id = kq_read_str (r);
       return;
+    case KQ_CREW_ADVICE:
+      read_advice (r, &i->u.advice);
+      return;
     case KQ_CREW_PING:
     case KQ_CREW_FENCED:
       return;
@@ -305,8 +382,8 @@
 static size_t
 n_fields (const KqCrewItem *i)
 {
-  static const uint8_t of_kind[] = { 0, 0, 3, 0, 3, 1, 6, 5, 2, 0, 3, 2, 1 };
-  static const uint8_t of_order[] = { 3, 2, 7, 4, 5, 5 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 0, 3, 1, 6, 5, 2, 0, 3, 2, 1, 4 };
+  static const uint8_t of_order[] = { 3, 2, 7, 4, 5, 5, 4 };
   if (i->kind == KQ_CREW_ORDER)
     return of_order[i->u.order.kind];
   return of_kind[i->kind];
@@ -364,4 +441,14 @@
       i->u.list.running = NULL;
       i->u.list.ended = NULL;
     }
+  else if (i->kind == KQ_CREW_ADVICE)
+    {
+      free ((void *)i->u.advice.reply.rows);
+      i->u.advice.reply.rows = NULL;
+    }
+  else if (i->kind == KQ_CREW_ORDER && i->u.order.kind == KQ_ORDER_ADVISE)
+    {
+      free ((void *)i->u.order.u.advise.runners);
+      i->u.order.u.advise.runners = NULL;
+    }
 }
--- a/src/crew/frame.h
+++ b/src/crew/frame.h
@@ -19,8 +19,9 @@
   KQ_CREW_UNREACHED,
   KQ_CREW_FENCED, /* a runner has seen a higher epoch */
   KQ_CREW_ASK,
-  KQ_CREW_JOB,   /* accepted: it is in the store */
-  KQ_CREW_CANCEL /* as well */
+  KQ_CREW_JOB,    /* accepted: it is in the store */
+  KQ_CREW_CANCEL, /* as well */
+  KQ_CREW_ADVICE  /* the answer to an order to ask for it */
 } KqCrewKind;
 
 typedef enum
@@ -50,6 +51,7 @@
     } beat;
     KqRunnerList list;
     KqOrderOutcome outcome;
+    KqStepAdvice advice;
     struct
     {
       int64_t lease_left_ms;
--- a/src/crew/frame_test.c
+++ b/src/crew/frame_test.c
@@ -50,6 +50,36 @@
   kq_buf_free (&b);
 }
 
+static void
+test_advice_passes_whole (void **state)
+{
+  KqStr runners[] = { KQ_STR ("i-1"), KQ_STR ("i-2") };
+  KqAdviceRow rows[] = { { KQ_STR ("i-2"), KQ_STR ("t-9") } };
+  KqCrewItem i = { .kind = KQ_CREW_ORDER };
+  KqBuf b = { 0 };
+  KqCrewItem o;
+  (void)state;
+  i.u.order.kind = KQ_ORDER_ADVISE;
+  i.u.order.u.advise.step = KQ_STR ("j.0.1");
+  i.u.order.u.advise.runners = runners;
+  i.u.order.u.advise.n_runners = 2;
+  o = pass (&i, &b);
+  assert_int_equal (o.u.order.u.advise.n_runners, 2);
+  assert_true (kq_str_eq (o.u.order.u.advise.step, KQ_STR ("j.0.1")));
+  assert_true (kq_str_eq (o.u.order.u.advise.runners[1], KQ_STR ("i-2")));
+  kq_crew_clear (&o);
+  i = (KqCrewItem){ .kind = KQ_CREW_ADVICE };
+  i.u.advice.step = KQ_STR ("j.0.1");
+  i.u.advice.reply = (KqAdviceReply){ KQ_ADVICE_OK, rows, 1, 3000 };
+  o = pass (&i, &b);
+  assert_int_equal (o.u.advice.reply.result, KQ_ADVICE_OK);
+  assert_int_equal (o.u.advice.reply.valid_ms, 3000);
+  assert_int_equal (o.u.advice.reply.n_rows, 1);
+  assert_true (kq_str_eq (o.u.advice.reply.rows[0].ticket, KQ_STR ("t-9")));
+  kq_crew_clear (&o);
+  kq_buf_free (&b);
+}
+
 static void
 test_orders_pass_whole (void **state)
 {
@@ -128,6 +158,7 @@
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_list_passes_whole),
                                       cmocka_unit_test (test_orders_pass_whole),
+                                      cmocka_unit_test (test_advice_passes_whole),
                                       cmocka_unit_test (test_every_kind_passes),
                                       cmocka_unit_test (test_damaged_bytes_are_refused) };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -53,6 +53,7 @@
   KqFleetConfig config;
   KqKv *kv;
   KqRunnerCalls *calls;
+  KqAdviceCalls *advice; /* NULL: none in the settings */
   KqCrewAgent *agent;
   KqLink *link;
   KqLead *lead;
@@ -195,8 +196,8 @@
                        .deposed = on_deposed,
                        .answered = on_answered };
   kq_link_lead (f->link, epoch, now);
-  kq_crew_agent_heard (f->agent, epoch, now);
   kq_crew_agent_released (f->agent);
+  kq_crew_agent_heard (f->agent, epoch, now);
   f->peers_reach_store_at = 0;
   f->leader = kq_leader_new (&c, now);
 }
@@ -272,10 +273,10 @@
 static void
 on_connected (void *arg, KqTime now)
 {
-  (void)arg;
+  KqFleet *f = arg;
   (void)now;
-}
   kq_crew_agent_released (f->agent);
+}
 
 static void
 on_from_leader (void *arg, uint64_t epoch, const KqCrewItem *i, KqTime now)
@@ -441,6 +442,7 @@
   KqLoop *loop = f->config.loop;
   KqCrewAgentConfig agent = { .loop = loop,
                               .calls = f->calls,
+                              .advice = f->advice,
                               .lease_ms = runner_lease_ms (f),
                               .blind_ms = lead_ttl_ms (f) + ELECTION_MS,
                               .counters = f->config.counters,
@@ -498,6 +500,8 @@
                            .share_milli = (int)c->settings->cpu_share_milli };
   f->kv = kq_store_new (c->loop, kq_str (c->settings->store));
   f->calls = kq_runners_new (c->loop);
+  if (c->settings->advice[0] != '\0')
+    f->advice = kq_advice_new (c->loop, kq_str (c->settings->advice));
   ev_timer_init (&f->look, on_look, LOOK_S, LOOK_S);
   f->look.data = f;
   if (!start_parts (f))
@@ -536,6 +540,7 @@
   kq_front_desk_free (f->desk);
   kq_metrics_free (f->metrics);
   kq_runners_calls_free (f->calls);
+  kq_advice_free (f->advice);
   kq_store_free (f->kv);
   kq_queue_table_free (f->table);
   free (f);
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -395,6 +395,7 @@
 static void
 fill_spec (KqSpec *s, const KqQueue *queue, KqStr id)
 {
+  s->advised = queue->advised;
   s->id = id;
   s->queue = queue->name;
   s->service = queue->service;
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -473,6 +473,9 @@
     case KQ_CREW_FENCED:
       l->config.deposed (l->config.arg, "a runner has seen a higher epoch", now);
       break;
+    case KQ_CREW_ADVICE:
+      kq_sched_advice (l->sched, agent, &i->u.advice, now);
+      break;
     case KQ_CREW_JOB:
       take_job (l, i, now);
       break;
--- a/src/sched/agents.h
+++ b/src/sched/agents.h
@@ -24,6 +24,7 @@
   KqAgentInfo info;
   bool up;
   int runners;
+  int questions; /* to the advice service, without an answer yet */
 } KqAgentState;
 
 #define KQ_AGENTS_MAX 512
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -115,6 +115,7 @@
           free (o->steps[i].tasks[k].failed_runs);
         }
       free (o->steps[i].tasks);
+      kq_tickets_free (o->steps[i].advice);
     }
   free (o->steps);
   free (o);
--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -3,7 +3,8 @@
 #include "sched/state.h"
 
 static void
-explain_step (const KqSched *s, const KqOccurrence *o, int32_t step, KqBuf *out)
+explain_step (const KqSched *s, const KqOccurrence *o, int32_t step, KqTime now,
+              KqBuf *out)
 {
   const KqStep *p = &o->job->spec.steps[step];
   const KqStepState *st = &o->steps[step];
@@ -16,6 +17,10 @@
     kq_buf_printf (out, ", waits until all runners have told what runs");
   else if (st->done + st->active < p->width && !kq_place_ever (s, &o->job->spec, step))
     kq_buf_printf (out, ", no runner is large enough");
+  else if (st->done + st->active < p->width && o->job->spec.advised && st->advice != NULL
+           && st->advice->agent >= 0)
+    kq_buf_printf (out, ", waits for advice since %lld ms",
+                   (long long)((now - st->advice->asked_at) / KQ_MS));
   else if (st->done + st->active < p->width)
     kq_buf_printf (out, ", waits for room: %d milli cpu, %d MB", p->cpu_milli, p->mem_mb);
   kq_buf_printf (out, "\n");
@@ -37,5 +42,5 @@
                  (long long)kq_spec_objective_ms (&j->spec), j->runs);
   for (const KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
     for (int32_t i = 0; i < j->spec.n_steps; i++)
-      explain_step (s, o, i, out);
+      explain_step (s, o, i, now, out);
 }
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -250,6 +250,12 @@
     kq_runners_score (r, false, now);
   if (result == KQ_ORDER_NO_ROOM)
     ++*s->no_room;
+  if (result == KQ_ORDER_NO_TICKET)
+    {
+      run->job->spec.advised = true; /* the queue has become so since */
+      if (run->occurrence != NULL)
+        kq_tickets_refused (run->occurrence, run->step, r);
+    }
   /* An earlier sending of it may still be under way: only a stop rules that out. */
   if (run->unsure)
     kq_run_stop (s, run, "refused", now);
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -159,6 +159,8 @@
       if (t->phase != KQ_TASK_WAITING)
         continue;
       r = kq_place (s, o, step, i, now);
+      if (r == NULL && o->job->spec.advised)
+        kq_tickets_want (s, o, step, now);
       if (r == NULL)
         return false;
       start_task (s, o, step, i, next_run (s, t), r, now);
@@ -192,6 +194,8 @@
       if (p->one_rack && o->steps[step].rack[0] == '\0')
         g_strlcpy (o->steps[step].rack, r->rack, sizeof o->steps[step].rack);
     }
+  if (n < p->width && o->job->spec.advised)
+    kq_tickets_want (s, o, step, now);
   for (int32_t i = 0; i < n; i++)
     {
       if (n == p->width)
@@ -229,7 +233,8 @@
         continue;
       whole = p->gang ? place_gang (s, t->occurrence, t->step, now)
                       : place_tasks (s, t->occurrence, t->step, now);
-      if (!whole && !p->gang)
+      /* What waits for a ticket says nothing about room. */
+      if (!whole && !p->gang && !spec->advised)
         note_misfit (&misfits, spec->service, p);
     }
   g_array_free (turns, TRUE);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -8,6 +8,7 @@
 
 #include "sched/state.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* A filling task goes only where this share of its cpu is unused, in percent: with less
@@ -120,26 +121,35 @@
   return v;
 }
 
+/* Whether a task of the step may go to the runner now, tickets apart. */
+static bool
+may_take (KqSched *s, const KqRunnerState *r, const KqOccurrence *o, int32_t step,
+          KqTime now)
+{
+  const KqStep *p = &o->job->spec.steps[step];
+  int image = o->job->images[step];
+  if (!usable (r, now) || !room_for (r, p) || !has_label (r, p->label)
+      || !kq_str_eq (kq_str (r->service), o->job->spec.service))
+    return false;
+  if (p->per_runner_max > 0 && of_step (r, o, step) >= p->per_runner_max)
+    return false;
+  if (p->filling && r->n_serving > 0 && kq_pace_closed (r, now))
+    return false;
+  return !p->filling || kq_pace_press_on (s, r, image, p->cpu_milli) <= PRESS_MOST;
+}
+
 KqRunnerState *
 kq_place (KqSched *s, const KqOccurrence *o, int32_t step, int32_t index, KqTime now)
 {
-  const KqStep *p = &o->job->spec.steps[step];
   const KqTaskState *t = &o->steps[step].tasks[index];
-  int image = o->job->images[step];
   KqRunnerState *best = NULL;
   double best_score = 0;
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       double v;
-      if (!usable (r, now) || !room_for (r, p) || !has_label (r, p->label)
-          || !kq_str_eq (kq_str (r->service), o->job->spec.service))
-        continue;
-      if (p->per_runner_max > 0 && of_step (r, o, step) >= p->per_runner_max)
-        continue;
-      if (p->filling && r->n_serving > 0 && kq_pace_closed (r, now))
-        continue;
-      if (p->filling && kq_pace_press_on (s, r, image, p->cpu_milli) > PRESS_MOST)
+      if (!may_take (s, r, o, step, now)
+          || (o->job->spec.advised && kq_tickets_find (o, step, r, now) == NULL))
         continue;
       v = score (s, r, o, step, t);
       if (best == NULL || v > best_score)
@@ -151,6 +161,40 @@
   return best;
 }
 
+typedef struct
+{
+  KqRunnerState *runner;
+  double score;
+} Candidate;
+
+static int
+by_score (const void *a, const void *b)
+{
+  double x = ((const Candidate *)a)->score;
+  double y = ((const Candidate *)b)->score;
+  return x > y ? -1 : x < y;
+}
+
+int32_t
+kq_place_candidates (KqSched *s, const KqOccurrence *o, int32_t step, KqTime now,
+                     KqRunnerState **out, int32_t max)
+{
+  Candidate *list = kq_alloc (((size_t)s->runner_list->len + 1) * sizeof *list);
+  int32_t n = 0;
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      if (may_take (s, r, o, step, now))
+        list[n++] = (Candidate){ r, score (s, r, o, step, &o->steps[step].tasks[0]) };
+    }
+  qsort (list, (size_t)n, sizeof *list, by_score);
+  n = n < max ? n : max;
+  for (int32_t i = 0; i < n; i++)
+    out[i] = list[i].runner;
+  free (list);
+  return n;
+}
+
 bool
 kq_place_ever (const KqSched *s, const KqSpec *spec, int32_t step)
 {
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -266,6 +266,7 @@
         }
     }
   s->agents.list[agent].runners = 0;
+  kq_tickets_agent_down (s, agent);
   s->work = true;
 }
 
@@ -312,16 +313,20 @@
   s->known_dirty = true;
 }
 
-/* Tasks remember where they failed; a runner that is forgotten must not be looked up. */
+/* Tasks remember where they failed, steps which runners were allowed; a runner that is
+ * forgotten must not be looked up. */
 static void
-forget_avoid (KqSched *s, const KqRunnerState *r)
+forget_mentions (KqSched *s, const KqRunnerState *r)
 {
   for (KqJob *j = s->open; j != NULL; j = j->next)
     for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
       for (int32_t i = 0; i < j->spec.n_steps; i++)
-        for (int32_t k = 0; k < j->spec.steps[i].width; k++)
-          if (o->steps[i].tasks[k].avoid == r)
-            o->steps[i].tasks[k].avoid = NULL;
+        {
+          kq_tickets_forget_runner (&o->steps[i], r);
+          for (int32_t k = 0; k < j->spec.steps[i].width; k++)
+            if (o->steps[i].tasks[k].avoid == r)
+              o->steps[i].tasks[k].avoid = NULL;
+        }
 }
 
 void
@@ -341,7 +346,7 @@
         }
       if (!r->in_store && r->n_runs == 0)
         {
-          forget_avoid (s, r);
+          forget_mentions (s, r);
           remove_runner (s, r);
           i--;
         }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -25,6 +25,16 @@
   return kq_counter (c, "kq_run_stops_total", labels, "Runs stopped, by reason.");
 }
 
+static uint64_t *
+advice_counter (KqCounters *c, int result)
+{
+  static const char *const labels[]
+      = { "result=\"ok\"", "result=\"busy\"", "result=\"no_answer\"" };
+  const char *label = labels[result];
+  return kq_counter (c, "kq_advice_total", label,
+                     "Answers of the advice service, by result.");
+}
+
 static void
 make_counters (KqSched *s)
 {
@@ -58,6 +68,8 @@
   s->no_room
       = kq_counter (c, "kq_run_no_room_total", "", "Starts refused for want of room.");
   s->paces = kq_counter (c, "kq_run_paces_total", "", "Changes of a task's pace.");
+  for (int i = 0; i <= KQ_ADVICE_UNKNOWN; i++)
+    s->advices[i] = advice_counter (c, i);
 }
 
 static void
@@ -270,6 +282,11 @@
       look_at_jobs (s, now);
     }
   kq_runners_settle (s, now);
+  if (s->work_at != 0 && now >= s->work_at)
+    {
+      s->work_at = 0;
+      s->work = true;
+    }
   if (s->work)
     kq_pass (s, now);
   return s->look_at;
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -13,6 +13,7 @@
  * with each start; runs of a later term are higher than all of an earlier one. */
 
 #include "base/counter.h"
+#include "port/advice.h"
 #include "port/runner.h"
 #include "sched/agents.h"
 #include "steps/spec.h"
@@ -39,7 +40,8 @@
   KQ_ORDER_START, /* begin a run */
   KQ_ORDER_STOP,
   KQ_ORDER_PACE,
-  KQ_ORDER_SEEN /* ends up to a number are in the store */
+  KQ_ORDER_SEEN,  /* ends up to a number are in the store */
+  KQ_ORDER_ADVISE /* ask the advice service about a step; runner is "" */
 } KqOrderKind;
 
 typedef struct
@@ -77,9 +79,22 @@
       int64_t born_ms; /* the runner's life in which they were counted */
       bool watched;    /* serving tasks share the runner: report often */
     } seen;
+    struct
+    {
+      KqStr step;           /* job.occurrence.step */
+      const KqStr *runners; /* ids */
+      size_t n_runners;
+    } advise;
   } u;
 } KqOrder;
 
+/* What an agent was told about a step. */
+typedef struct
+{
+  KqStr step;
+  KqAdviceReply reply;
+} KqStepAdvice;
+
 /* How an order to a runner ended, by its agent. Results and lists of one runner arrive in
  * the order in which the agent gave them; `order` counts its results. */
 typedef struct
@@ -136,6 +151,8 @@
 
 /* The agents that carry out orders; returns the agent's number. */
 int kq_sched_agent_up (KqSched *s, const KqAgentInfo *info, KqTime now);
+/* The agent of that name that is up; -1: none. */
+int kq_sched_agent_find (const KqSched *s, KqStr name);
 void kq_sched_agent_down (KqSched *s, int agent, KqTime now);
 
 void kq_sched_list (KqSched *s, int agent, KqStr runner, const KqRunnerList *l,
@@ -146,13 +163,14 @@
 void kq_sched_unreached (KqSched *s, int agent, KqStr runner, int64_t lease_left_ms,
                          KqTime now);
 
+/* The answer to an order KQ_ORDER_ADVISE. */
+void kq_sched_advice (KqSched *s, int agent, const KqStepAdvice *a, KqTime now);
+
 /* Another runner answers at its address: that life is over, and all that ran in it. */
 void kq_sched_runner_over (KqSched *s, int agent, KqStr runner, KqTime now);
 
 /* Decides; to be called after inputs and when the time that it returned has come. wall_ms
  * is Unix time. */
-/* The agent of that name that is up; -1: none. */
-int kq_sched_agent_find (const KqSched *s, KqStr name);
 KqTime kq_sched_run (KqSched *s, KqTime now, int64_t wall_ms);
 
 KqJobState kq_sched_state (const KqSched *s, KqStr id);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -36,12 +36,31 @@
   KqRunnerState *avoid;  /* where it failed or stood still last */
 } KqTaskState;
 
+/* What the advice service has said of a runner for a step. */
+typedef struct
+{
+  KqRunnerState *runner;
+  int64_t born_ms; /* the runner's life that it was said for */
+  char *ticket;    /* NULL: the runner may not run the step */
+  KqTime valid_until;
+} KqTicket;
+
+typedef struct
+{
+  KqTicket *rows;
+  int32_t n_rows;
+  int agent;       /* that asks; -1: nobody */
+  KqTime asked_at; /* when the question left */
+  KqTime again_at; /* no question before */
+} KqTickets;
+
 typedef struct
 {
   int32_t done;
   int32_t active;
-  bool open;     /* what it depends on is done */
-  char rack[24]; /* of a one-rack step, once its first task is placed; "" before */
+  KqTickets *advice; /* of an advised step that has been asked about */
+  bool open;         /* what it depends on is done */
+  char rack[24];     /* of a one-rack step, once its first task is placed; "" before */
   KqTaskState *tasks;
 } KqStepState;
 
@@ -172,6 +191,7 @@
   bool known_dirty;
   int64_t wall_minus_now_ms;
   KqTime started_at;
+  KqTime work_at; /* a placing pass is due then also without news; 0: no */
   KqTime look_at; /* next look at progress, leases, pace */
   KqTime store_due;
   KqTime stored_at;
@@ -190,6 +210,7 @@
   uint64_t *lapses;
   uint64_t *no_room;
   uint64_t *paces;
+  uint64_t *advices[3]; /* answers, by KqAdviceResult */
   KqHistogram first_start;
   KqHistogram job_time;
   KqHistogram start_answer;
@@ -255,6 +276,24 @@
 KqRunnerState *kq_place (KqSched *s, const KqOccurrence *o, int32_t step, int32_t index,
                          KqTime now);
 
+/* Up to max runners for a task of the step, the best first, tickets apart. */
+int32_t kq_place_candidates (KqSched *s, const KqOccurrence *o, int32_t step, KqTime now,
+                             KqRunnerState **out, int32_t max);
+
+/* tickets.c: permits for steps of advised queues. */
+/* The ticket for the step at the runner now; NULL: none. */
+const char *kq_tickets_find (const KqOccurrence *o, int32_t step, const KqRunnerState *r,
+                             KqTime now);
+/* A task of the step found no runner with a ticket: asks for more, unless an answer is
+ * outstanding. */
+void kq_tickets_want (KqSched *s, KqOccurrence *o, int32_t step, KqTime now);
+/* The runner has refused the ticket. */
+void kq_tickets_refused (KqOccurrence *o, int32_t step, const KqRunnerState *r);
+/* The runner is forgotten, or the agent is gone. */
+void kq_tickets_forget_runner (KqStepState *st, const KqRunnerState *r);
+void kq_tickets_agent_down (KqSched *s, int agent);
+void kq_tickets_free (KqTickets *a);
+
 /* Whether any runner could hold a task of the step if it were empty. */
 bool kq_place_ever (const KqSched *s, const KqSpec *spec, int32_t step);
 
--- /dev/null
+++ b/src/sched/tickets.c
@@ -0,0 +1,257 @@
+/* tickets: permits for steps of queues whose policy allows only some runners.
+ *
+ * Load pattern: the service answers one question of a host at a time, so under load the
+ * questions are what a start waits for. One question names as many runners as a step is
+ * likely to need, the best first; questions are spread over all hosts, and few wait at
+ * each, so that those for urgent steps don't stand behind others at the service. What it
+ * said of a runner is kept for the step: "no" for good, "yes" as long as its ticket. */
+
+#include "sched/state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Runners named in one question: a third of a small fleet. With fewer a wide step needs
+ * several questions, with more each takes longer. */
+#define RUNNERS_ASKED 30
+/* Questions of one host that may be outstanding: one that is being answered and the next.
+ */
+#define QUESTIONS_EACH 2
+/* A question without an answer for so long is asked again, elsewhere. */
+#define ANSWER_TIMEOUT (2500 * KQ_MS)
+/* After a refusal, or an answer that allowed no runner. */
+#define AGAIN (100 * KQ_MS)
+/* A ticket isn't used in the last part of its time: the start has yet to arrive. */
+#define VALID_MARGIN (150 * KQ_MS)
+
+void
+kq_tickets_free (KqTickets *a)
+{
+  if (a == NULL)
+    return;
+  for (int32_t i = 0; i < a->n_rows; i++)
+    free (a->rows[i].ticket);
+  free (a->rows);
+  free (a);
+}
+
+static KqTicket *
+find_row (const KqTickets *a, const KqRunnerState *r)
+{
+  for (int32_t i = 0; a != NULL && i < a->n_rows; i++)
+    if (a->rows[i].runner == r && a->rows[i].born_ms == r->born_ms)
+      return &a->rows[i];
+  return NULL;
+}
+
+const char *
+kq_tickets_find (const KqOccurrence *o, int32_t step, const KqRunnerState *r, KqTime now)
+{
+  const KqTicket *row = find_row (o->steps[step].advice, r);
+  return row != NULL && now < row->valid_until ? row->ticket : NULL;
+}
+
+static void
+drop_row (KqTickets *a, KqTicket *row)
+{
+  KqTicket *last = &a->rows[--a->n_rows];
+  free (row->ticket);
+  row->ticket = NULL;
+  if (row != last)
+    {
+      *row = *last;
+      last->ticket = NULL;
+    }
+}
+
+/* Nothing is known of the runners in a question without a good answer. */
+static void
+forget_question (KqTickets *a)
+{
+  a->agent = -1;
+  for (int32_t i = 0; i < a->n_rows; i++)
+    if (a->rows[i].ticket == NULL && a->rows[i].valid_until == 0)
+      drop_row (a, &a->rows[i--]);
+}
+
+void
+kq_tickets_refused (KqOccurrence *o, int32_t step, const KqRunnerState *r)
+{
+  KqTickets *a = o->steps[step].advice;
+  KqTicket *row = find_row (a, r);
+  if (row != NULL)
+    drop_row (a, row);
+}
+
+void
+kq_tickets_forget_runner (KqStepState *st, const KqRunnerState *r)
+{
+  for (int32_t i = 0; st->advice != NULL && i < st->advice->n_rows; i++)
+    if (st->advice->rows[i].runner == r)
+      drop_row (st->advice, &st->advice->rows[i--]);
+}
+
+void
+kq_tickets_agent_down (KqSched *s, int agent)
+{
+  s->agents.list[agent].questions = 0;
+  for (KqJob *j = s->open; j != NULL; j = j->next)
+    for (KqOccurrence *o = j->occurrences; j->spec.advised && o != NULL; o = o->next)
+      for (int32_t i = 0; i < j->spec.n_steps; i++)
+        if (o->steps[i].advice != NULL && o->steps[i].advice->agent == agent)
+          forget_question (o->steps[i].advice);
+}
+
+/* The agent with the fewest questions outstanding; -1: all have enough. */
+static int
+pick_agent (const KqSched *s)
+{
+  int best = -1;
+  int least = QUESTIONS_EACH;
+  for (int i = 0; i < s->agents.n; i++)
+    {
+      const KqAgentState *a = &s->agents.list[i];
+      if (!a->up || a->questions >= least)
+        continue;
+      least = a->questions;
+      best = i;
+    }
+  return best;
+}
+
+static void
+step_name (const KqOccurrence *o, int32_t step, char out[96])
+{
+  snprintf (out, 96, "%.*s.%d.%d", KQ_STR_ARG (o->job->spec.id), o->number, step);
+}
+
+/* Runners of which nothing is known, or whose ticket has run out. */
+static int32_t
+worth_asking (const KqTickets *a, KqRunnerState **list, int32_t n, KqStr *ids, KqTime now)
+{
+  int32_t asked = 0;
+  for (int32_t i = 0; i < n && asked < RUNNERS_ASKED; i++)
+    {
+      const KqTicket *row = find_row (a, list[i]);
+      if (row == NULL || (row->ticket != NULL && now >= row->valid_until))
+        ids[asked++] = kq_str (list[i]->id);
+    }
+  return asked;
+}
+
+void
+kq_tickets_want (KqSched *s, KqOccurrence *o, int32_t step, KqTime now)
+{
+  KqStepState *st = &o->steps[step];
+  int32_t max = (int32_t)s->runner_list->len;
+  KqRunnerState **list;
+  KqStr ids[RUNNERS_ASKED];
+  KqOrder order = { .kind = KQ_ORDER_ADVISE, .runner = KQ_STR ("") };
+  char name[96];
+  int32_t n;
+  int agent;
+  if (st->advice == NULL)
+    {
+      st->advice = kq_alloc (sizeof *st->advice);
+      st->advice->agent = -1;
+    }
+  if (st->advice->agent >= 0 && now - st->advice->asked_at >= ANSWER_TIMEOUT)
+    forget_question (st->advice);
+  if (s->work_at == 0)
+    s->work_at = now + AGAIN;
+  if (st->advice->agent >= 0 || now < st->advice->again_at)
+    return;
+  agent = pick_agent (s);
+  if (agent < 0)
+    return;
+  list = kq_alloc (((size_t)max + 1) * sizeof (KqRunnerState *));
+  n = kq_place_candidates (s, o, step, now, list, max);
+  n = worth_asking (st->advice, list, n, ids, now);
+  free (list);
+  if (n == 0)
+    return;
+  step_name (o, step, name);
+  kq_log (KQ_LOG_DEBUG, PART, "Asking for advice. step=%s runners=%d agent=%d", name, n,
+          agent);
+  s->agents.list[agent].questions++;
+  st->advice->agent = agent;
+  st->advice->asked_at = now;
+  order.u.advise.step = kq_str (name);
+  order.u.advise.runners = ids;
+  order.u.advise.n_runners = (size_t)n;
+  /* Kept as "no" until the answer: what it doesn't name stays so. */
+  for (int32_t i = 0; i < n; i++)
+    {
+      KqRunnerState *r = kq_runners_find (s, ids[i]);
+      KqTicket *row = find_row (st->advice, r);
+      if (row == NULL)
+        {
+          size_t size = ((size_t)st->advice->n_rows + 1) * sizeof *st->advice->rows;
+          st->advice->rows = kq_realloc (st->advice->rows, size);
+          row = &st->advice->rows[st->advice->n_rows++];
+        }
+      else
+        free (row->ticket);
+      *row = (KqTicket){ .runner = r, .born_ms = r->born_ms };
+    }
+  s->config.order (s->config.arg, agent, &order);
+}
+
+/* The step that the name names, if it is still open. */
+static KqStepState *
+find_step (const KqSched *s, KqStr name)
+{
+  KqBuf task = { 0 };
+  KqTaskRef t;
+  bool found;
+  kq_buf_add_str (&task, name);
+  kq_buf_add (&task, ".0", 2);
+  found = kq_book_task (s, kq_buf_str (&task), &t) && t.occurrence != NULL;
+  kq_buf_free (&task);
+  return found ? &t.occurrence->steps[t.step] : NULL;
+}
+
+/* After this a "no" isn't taken for an open question any more. */
+static void
+settle_question (KqTickets *a)
+{
+  for (int32_t i = 0; i < a->n_rows; i++)
+    if (a->rows[i].ticket == NULL && a->rows[i].valid_until == 0)
+      a->rows[i].valid_until = 1;
+}
+
+void
+kq_sched_advice (KqSched *s, int agent, const KqStepAdvice *a, KqTime now)
+{
+  KqStepState *st = find_step (s, a->step);
+  ++*s->advices[a->reply.result];
+  if (s->agents.list[agent].questions > 0)
+    s->agents.list[agent].questions--;
+  kq_log (a->reply.result == KQ_ADVICE_OK ? KQ_LOG_DEBUG : KQ_LOG_WARN, PART,
+          "Advice. step=%.*s result=%d good=%zu valid_ms=%lld", KQ_STR_ARG (a->step),
+          a->reply.result, a->reply.n_rows, (long long)a->reply.valid_ms);
+  if (st == NULL || st->advice == NULL || st->advice->agent != agent)
+    return;
+  s->work = true;
+  if (a->reply.result != KQ_ADVICE_OK)
+    {
+      st->advice->again_at = now + AGAIN;
+      forget_question (st->advice);
+      return;
+    }
+  st->advice->agent = -1;
+  /* Counted from the question: the ticket can't be older than that. */
+  for (size_t i = 0; i < a->reply.n_rows; i++)
+    {
+      const KqAdviceRow *good = &a->reply.rows[i];
+      KqRunnerState *r = kq_runners_find (s, good->runner);
+      KqTicket *row = r != NULL ? find_row (st->advice, r) : NULL;
+      if (row == NULL)
+        continue;
+      free (row->ticket);
+      row->ticket = kq_str_dup (good->ticket);
+      row->valid_until = st->advice->asked_at + a->reply.valid_ms * KQ_MS - VALID_MARGIN;
+    }
+  settle_question (st->advice);
+}
--- /dev/null
+++ b/src/sched/tickets_test.c
@@ -0,0 +1,138 @@
+#include "bench/sched_desk.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#define SETTLE (50 * KQ_MS)
+
+/* A job of an advised queue has been asked about. */
+static KqSchedDesk *
+asked (void **state)
+{
+  KqSchedDesk *d = *state;
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), true);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->starts, 0);
+  assert_int_equal (d->questions, 1);
+  assert_int_equal (d->questions_about, 2);
+  assert_string_equal (d->question, "aa.0.0");
+  return d;
+}
+
+/* A start without a ticket would be refused by every runner: the step waits for the
+ * answer, and starts where it says, with the ticket. */
+static void
+test_start_goes_where_the_ticket_is (void **state)
+{
+  KqSchedDesk *d = asked (state);
+  kq_sched_desk_advise (d, "aa.0.0", KQ_ADVICE_OK, "r1", "t-1", 3000);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->starts, 1);
+  assert_string_equal (d->runner, "r1");
+  assert_string_equal (d->ticket, "t-1");
+  assert_int_equal (d->questions, 1);
+}
+
+/* No allowed runner exists: the step waits, and nobody is asked for ever about what stays
+ * as it is. Other jobs go on. */
+static void
+test_no_runner_is_allowed (void **state)
+{
+  KqSchedDesk *d = asked (state);
+  kq_sched_desk_advise (d, "aa.0.0", KQ_ADVICE_OK, "", NULL, 3000);
+  kq_sched_desk_run (d, 2 * KQ_SEC);
+  assert_int_equal (d->starts, 0);
+  assert_int_equal (d->questions, 1);
+  kq_sched_desk_submit (d, "bb", kq_sched_desk_step (), false);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->starts, 1);
+}
+
+/* The service turns the question away, or doesn't answer: it is asked again, after a
+ * pause. */
+static void
+test_busy_service_is_asked_again (void **state)
+{
+  KqSchedDesk *d = asked (state);
+  kq_sched_desk_advise (d, "aa.0.0", KQ_ADVICE_BUSY, "", NULL, 0);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->questions, 1);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->questions, 2);
+  kq_sched_desk_run (d, 4 * KQ_SEC);
+  assert_int_equal (d->questions, 3);
+}
+
+/* The client's job would wait for ever: the runner refuses the ticket (it has lapsed on
+ * the way, or the runner has started anew). A new one is asked for. */
+static void
+test_refused_ticket_is_replaced (void **state)
+{
+  KqSchedDesk *d = asked (state);
+  kq_sched_desk_advise (d, "aa.0.0", KQ_ADVICE_OK, "r1", "t-1", 3000);
+  kq_sched_desk_run (d, SETTLE);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, "r1", d->task, d->run, KQ_ORDER_NO_TICKET);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->questions, 2);
+  assert_int_equal (d->questions_about, 1); /* what is known of the other stays */
+  kq_sched_desk_advise (d, "aa.0.0", KQ_ADVICE_OK, "r1", "t-2", 3000);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->starts, 2);
+  assert_string_equal (d->ticket, "t-2");
+}
+
+/* A queue that has become advised after the job was accepted: the first start is refused
+ * for want of a ticket, and one is asked for. */
+static void
+test_queue_that_becomes_advised (void **state)
+{
+  KqSchedDesk *d = *state;
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->starts, 1);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, d->runner, d->task, d->run,
+                         KQ_ORDER_NO_TICKET);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->starts, 1);
+  assert_int_equal (d->questions, 1);
+}
+
+/* Ten steps wait at once and one host can ask: two questions are out, the service's
+ * answers bring on the others. More would stand in its line, which is served in turn. */
+static void
+test_few_questions_are_out_at_a_time (void **state)
+{
+  KqSchedDesk *d = *state;
+  for (int i = 0; i < 10; i++)
+    {
+      char id[2] = { (char)('a' + i), 0 };
+      kq_sched_desk_submit (d, id, kq_sched_desk_step (), true);
+    }
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->questions, 2);
+  kq_sched_desk_advise (d, d->question, KQ_ADVICE_OK, "r0", "t", 3000);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->questions, 3);
+  assert_int_equal (d->starts, 1);
+}
+
+#define DESK(test)                                                                       \
+  cmocka_unit_test_setup_teardown (test, kq_sched_desk_set_up, kq_sched_desk_tear_down)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    DESK (test_start_goes_where_the_ticket_is),
+    DESK (test_no_runner_is_allowed),
+    DESK (test_busy_service_is_asked_again),
+    DESK (test_refused_ticket_is_replaced),
+    DESK (test_queue_that_becomes_advised),
+    DESK (test_few_questions_are_out_at_a_time),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -12,8 +12,9 @@
 {
   NAME,
   TEXT,
-  NUMBER, /* whole */
-  MILLI,  /* kept in thousandths: "0.25" is 250, seconds become milliseconds */
+  TEXT_OR_NONE, /* may be empty or left out */
+  NUMBER,       /* whole */
+  MILLI,        /* kept in thousandths: "0.25" is 250, seconds become milliseconds */
   LEVEL
 } Kind;
 
@@ -47,6 +48,7 @@
   { "listen", "metrics_port", NUMBER, AT (metrics_port), 0, 0, PORT_MAX, -1 },
   { "store", "address", TEXT, AT (store), SIZE (store), 0, 0, -1 },
   { "store", "lease_min_ms", NUMBER, AT (lease_min_ms), 0, 1, HOUR_MS, 1000 },
+  { "advice", "address", TEXT_OR_NONE, AT (advice), SIZE (advice), 0, 0, 0 },
   { "bounds", "runner_lease_max_ms", NUMBER, AT (runner_lease_max_ms), 0, 500, HOUR_MS,
     6000 },
   { "bounds", "grace_s", MILLI, AT (grace_ms), 0, 0, HOUR_MS, 6000 },
@@ -139,7 +141,8 @@
       name = kq_name (v->text);
       memcpy (to, &name, sizeof name);
     }
-  else if (k->kind == TEXT && v->text.len > 0 && v->text.len < k->size)
+  else if ((k->kind == TEXT_OR_NONE || (k->kind == TEXT && v->text.len > 0))
+           && v->text.len < k->size)
     kq_str_copy (v->text, to, k->size);
   else if (k->kind == LEVEL && kq_str_copy (v->text, word, sizeof word))
     {
@@ -188,6 +191,8 @@
         continue;
       if (k->otherwise < 0)
         fault (p, KQ_ERR_SETTINGS_MISSING, 0, k->section, k->key, "must be given");
+      else if (k->kind == TEXT_OR_NONE)
+        continue;
       else if (k->kind == LEVEL)
         memcpy ((char *)p->out + k->at, &level, sizeof level);
       else
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -20,6 +20,7 @@
   int64_t peer_port; /* for the other nodes */
   int64_t metrics_port;
   char store[32];          /* "ip:port" */
+  char advice[32];         /* "ip:port" of the advice service; "": none */
   int64_t lease_min_ms;    /* shortest lease that the store gives */
   int64_t cpu_share_milli; /* of a processor, in thousandths */
   int64_t runner_lease_max_ms;
--- a/src/steps/spec.c
+++ b/src/steps/spec.c
@@ -117,7 +117,7 @@
 {
   KqPacker p;
   kq_packer_init (&p, out);
-  kq_pack_array (&p, 14);
+  kq_pack_array (&p, 15);
   kq_pack_i64 (&p, FORM);
   kq_pack_str (&p, s->id);
   kq_pack_str (&p, s->queue);
@@ -134,6 +134,7 @@
   kq_pack_array (&p, (size_t)s->n_steps);
   for (int32_t i = 0; i < s->n_steps; i++)
     pack_step (&p, &s->steps[i]);
+  kq_pack_bool (&p, s->advised);
 }
 
 static void
@@ -223,6 +224,8 @@
   out->interval_ms = kq_read_i64 (&r);
   out->times = (int32_t)kq_read_i64 (&r);
   read_steps (&r, out);
+  /* Jobs stored by a version that knew no advice end here. */
+  out->advised = r.left > 0 && kq_read_bool (&r);
   good = good && !r.bad && kq_spec_check (out, &why) == KQ_OK;
   kq_unpacked_close (&u);
   if (!good)
--- a/src/steps/spec.h
+++ b/src/steps/spec.h
@@ -52,6 +52,7 @@
   int32_t attempts;        /* a task may fail so often; the last failure fails the job */
   int32_t stretch_percent; /* objective: this share of the longest chain of work ... */
   int32_t slo_ms;          /* ... and so much more */
+  bool advised;            /* starts need a ticket of the advice service */
   int64_t accepted_ms;     /* Unix time */
   int64_t first_ms;        /* Unix time at which occurrence 0 is due */
   int64_t interval_ms;
