--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -62,6 +62,36 @@
   assert_int_equal (d->starts, 2);
 }
 
+/* A task is begun on a runner that has said long ago that it leaves, and dies with it.
+ * The start had no answer; meanwhile the runner's entry says that it is draining, and the
+ * repeat of the start is sent all the same. It must be stopped there instead, and go
+ * elsewhere. */
+static void
+test_start_is_not_repeated_at_a_runner_that_leaves (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqRunnerEntry e = { .service = KQ_STR ("desk"),
+                      .address = KQ_STR ("127.0.0.1:1"),
+                      .draining = true,
+                      .left_ms = 2500,
+                      .room = { 4000, 16000, 0 } };
+  char runner[16];
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  memcpy (runner, d->runner, sizeof runner);
+  e.id = kq_str (runner);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, runner, d->task, d->run, KQ_ORDER_UNKNOWN);
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_desk_run (d, 500 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  assert_int_equal (d->stops, 1);
+  kq_sched_desk_outcome (d, KQ_ORDER_STOP, runner, d->task, d->run, KQ_ORDER_OK);
+  kq_sched_desk_list (d, runner, NULL, 0);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+  assert_string_not_equal (d->runner, runner);
+}
+
 /* Users of a serving task wait too long for seconds on end.
  * Its tail is over the target and all that fills beside it has been stopped; but new
  * filling tasks come to its runner meanwhile, each at full speed until the next report,
@@ -111,6 +141,8 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_done_end_while_a_start_is_out,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_start_is_not_repeated_at_a_runner_that_leaves,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_nothing_fills_beside_a_task_over_its_target,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
   };
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -69,6 +69,18 @@
   return true;
 }
 
+/* A start without an answer. Where the runner has said meanwhile that it leaves, a repeat
+ * would begin the task there seconds later, to die with the runner (a start 3 s after the
+ * runner's word: 1 of 172 days of mixed faults). */
+static void
+send_again (KqSched *s, KqRun *run, KqTime now)
+{
+  if (run->runner->draining)
+    kq_run_stop (s, run, "its runner leaves", now);
+  else
+    kq_run_send_start (s, run, now);
+}
+
 static void
 look_at_run (KqSched *s, KqRun *run, KqTime now)
 {
@@ -79,7 +91,7 @@
     kq_run_stop (s, run, "no longer wanted", now); /* nothing if it is stopping already */
   if (run->phase == KQ_RUN_SENDING && !run->waiting && now >= run->retry_at
       && run->confirmed == 0 && !r->silent && r->listed)
-    kq_run_send_start (s, run, now);
+    send_again (s, run, now);
   else if (run->phase == KQ_RUN_STOPPING && !run->waiting && !r->silent && r->listed
            && now >= run->retry_at + (run->unsure ? 0 : STOP_AGAIN))
     kq_run_send_stop (s, run, now);
