A settings file that changes without a signal is read again

Cause: only SIGHUP made a node of a fleet read its file again. Change: the file is looked at every 2 s; the line says what caused the reload and whether something has changed that the next start will bring.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -18,12 +18,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #define PART "daemon"
 #define VERSION "0.1.0"
 /* A mesh connection that was silent for this many heartbeats is replaced. */
 #define SILENT_BEATS 6
 
+/* The settings file is looked at so often; a change needn't come with a signal. */
+#define SETTINGS_LOOK_S 2.0
+
 /* Exit codes; also in kumquatd(8). */
 enum
 {
@@ -272,6 +276,9 @@
   ev_signal on_int;
   ev_signal on_hup;
   int exit_code;
+  KqFleetSettings settings; /* in force */
+  struct stat file;         /* of the settings, as last looked at */
+  ev_timer look;
 } FleetDaemon;
 
 static bool
@@ -325,6 +332,21 @@
   return yes;
 }
 
+/* Whether the settings file differs from when it was last looked at. */
+static bool
+note_settings_file (FleetDaemon *d)
+{
+  struct stat now;
+  bool differs;
+  if (stat (d->path, &now) != 0)
+    return false; /* it is being replaced; the next look finds the new one */
+  differs = now.st_ino != d->file.st_ino || now.st_size != d->file.st_size
+            || now.st_mtim.tv_sec != d->file.st_mtim.tv_sec
+            || now.st_mtim.tv_nsec != d->file.st_mtim.tv_nsec;
+  d->file = now;
+  return differs;
+}
+
 static void
 fleet_stopped (void *arg, bool whole)
 {
@@ -343,21 +365,46 @@
   kq_fleet_stop (d->fleet, kq_time_now ());
 }
 
-/* Addresses and bounds are fixed for a process's life; the log level may change. */
+/* The log level may change in a process's life. Everything else, addresses and bounds,
+ * is in force from the next start on; that it has changed is told. */
 static void
-on_fleet_reload (struct ev_loop *ev, ev_signal *w, int events)
+reload_fleet (FleetDaemon *d, const char *cause)
 {
-  FleetDaemon *d = w->data;
   KqFleetSettings s;
-  (void)ev;
-  (void)events;
+  KqFleetSettings rest;
   if (!load_fleet_settings (d->path, &s))
     {
-      kq_log (KQ_LOG_ERROR, PART, "Settings not reloaded: the file has faults.");
+      kq_log (KQ_LOG_ERROR, PART,
+              "Settings not reloaded: the file has faults. cause=%s file=%s", cause,
+              d->path);
       return;
     }
+  rest = s;
+  rest.log_level = d->settings.log_level;
   kq_log_set_level ((KqLogLevel)s.log_level);
-  kq_log (KQ_LOG_INFO, PART, "Settings reloaded. log_level=%d", s.log_level);
+  kq_log (KQ_LOG_INFO, PART,
+          "Settings reloaded. cause=%s log_level=%d changed_for_next_start=%d", cause,
+          s.log_level, memcmp (&rest, &d->settings, sizeof rest) != 0);
+}
+
+static void
+on_fleet_reload (struct ev_loop *ev, ev_signal *w, int events)
+{
+  FleetDaemon *d = w->data;
+  (void)ev;
+  (void)events;
+  reload_fleet (d, "SIGHUP");
+  note_settings_file (d); /* or the same change would be read twice */
+}
+
+static void
+on_settings_look (struct ev_loop *ev, ev_timer *w, int events)
+{
+  FleetDaemon *d = w->data;
+  (void)ev;
+  (void)events;
+  if (note_settings_file (d))
+    reload_fleet (d, "file changed");
 }
 
 static void
@@ -372,12 +419,16 @@
   ev_signal_start (ev, &d->on_term);
   ev_signal_start (ev, &d->on_int);
   ev_signal_start (ev, &d->on_hup);
+  note_settings_file (d);
+  ev_timer_init (&d->look, on_settings_look, SETTINGS_LOOK_S, SETTINGS_LOOK_S);
+  d->look.data = d;
+  ev_timer_start (ev, &d->look);
 }
 
 static int
 run_fleet (const char *path, const KqFleetSettings *s)
 {
-  FleetDaemon d = { .path = path, .exit_code = EXIT_BIND };
+  FleetDaemon d = { .path = path, .settings = *s, .exit_code = EXIT_BIND };
   KqFleetConfig c = { .settings = s, .stopped = fleet_stopped, .arg = &d };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   kq_log_set_level ((KqLogLevel)s->log_level);
--- /dev/null
+++ b/tests/settings_live_test.c
@@ -0,0 +1,61 @@
+#include "bench/procs.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+/* The store's port leads nowhere: only the settings matter here. */
+static void
+write_settings (const char *path, const char *level)
+{
+  FILE *f = fopen (path, "w");
+  assert_non_null (f);
+  fprintf (f,
+           "[fleet]\nnode = \"n0\"\nfailure_domain = \"north\"\nregion = \"r\"\n"
+           "log_level = \"%s\"\n"
+           "[listen]\nip = \"127.0.0.1\"\nfront = \"127.0.0.1:0\"\n"
+           "ready = \"127.0.0.1:0\"\npeer_port = 0\nmetrics_port = 0\n"
+           "[store]\naddress = \"127.0.0.1:1\"\n",
+           level);
+  fclose (f);
+}
+
+/* The platform changes a node's settings file and sends no signal. The node went on with
+ * what it had read at its start; now it reads the file again within seconds. A file with
+ * faults leaves what is in force as it is. */
+static void
+test_file_that_changes_without_a_signal (void **state)
+{
+  Procs p;
+  char path[128];
+  char options[160];
+  char rest[256];
+  int node;
+  (void)state;
+  assert_true (procs_init (&p, KQ_BUILD_DIR));
+  snprintf (path, sizeof path, "%s/node.toml", p.dir);
+  write_settings (path, "info");
+  snprintf (options, sizeof options, "--settings %s", path);
+  node = procs_start_program (&p, PROCS_FLEET_NODE, "kumquatd", options);
+  assert_true (node >= 0);
+  assert_true (procs_await_text (&p, node, "out", "Started. front=", rest));
+  write_settings (path, "loud");
+  assert_true (procs_await_text (&p, node, "out", "Settings not reloaded", rest));
+  write_settings (path, "debug");
+  assert_true (procs_await_text (
+      &p, node, "out", "Settings reloaded. cause=file changed log_level=3", rest));
+  remove (path);
+  procs_end (&p, false);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_file_that_changes_without_a_signal) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
