--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -276,8 +276,7 @@
   ev_signal on_int;
   ev_signal on_hup;
   int exit_code;
-  KqFleetSettings settings; /* in force */
-  struct stat file;         /* of the settings, as last looked at */
+  struct stat file; /* of the settings, as last looked at */
   ev_timer look;
 } FleetDaemon;
 
@@ -366,12 +365,11 @@
 }
 
 /* The log level may change in a process's life. Everything else, addresses and bounds,
- * is in force from the next start on; that it has changed is told. */
+ * is in force from the next start on. */
 static void
 reload_fleet (FleetDaemon *d, const char *cause)
 {
   KqFleetSettings s;
-  KqFleetSettings rest;
   if (!load_fleet_settings (d->path, &s))
     {
       kq_log (KQ_LOG_ERROR, PART,
@@ -379,12 +377,9 @@
               d->path);
       return;
     }
-  rest = s;
-  rest.log_level = d->settings.log_level;
   kq_log_set_level ((KqLogLevel)s.log_level);
-  kq_log (KQ_LOG_INFO, PART,
-          "Settings reloaded. cause=%s log_level=%d changed_for_next_start=%d", cause,
-          s.log_level, memcmp (&rest, &d->settings, sizeof rest) != 0);
+  kq_log (KQ_LOG_INFO, PART, "Settings reloaded. cause=%s log_level=%d", cause,
+          s.log_level);
 }
 
 static void
@@ -428,7 +423,7 @@
 static int
 run_fleet (const char *path, const KqFleetSettings *s)
 {
-  FleetDaemon d = { .path = path, .settings = *s, .exit_code = EXIT_BIND };
+  FleetDaemon d = { .path = path, .exit_code = EXIT_BIND };
   KqFleetConfig c = { .settings = s, .stopped = fleet_stopped, .arg = &d };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   kq_log_set_level ((KqLogLevel)s->log_level);
