--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -5,6 +5,7 @@
  * slowed that the learned pairs (sched/disturb.h) make responsible, just as far as
  * needed. */
 
+#include "sched/pace.h"
 #include "sched/state.h"
 
 #include <math.h>
@@ -127,6 +128,16 @@
     }
 }
 
+bool
+kq_pace_worth_a_call (int ordered, int wanted)
+{
+  /* Standing still is the last means: at 12% beside a task long over its target filling
+   * tasks were left at 12%, for 4 s. */
+  if (wanted == 0)
+    return ordered != 0;
+  return abs (wanted - ordered) >= STEP_PERCENT;
+}
+
 /* How much the logarithm of the serving task's tail may still grow. */
 static double
 headroom_of (const KqSched *s, const KqRun *serving)
@@ -223,7 +234,7 @@
         to = 0;
       if (to > 100 - STEP_PERCENT / 2)
         to = 100;
-      if (abs (to - run->pace) >= STEP_PERCENT)
+      if (kq_pace_worth_a_call (run->pace, to))
         kq_run_pace (s, run, to, now);
     }
 }
