--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -169,6 +169,46 @@
   assert_int_equal (d->starts, 1);
 }
 
+/* The users of a lasting task are without it for as long as short jobs come.
+ * It has lost its runner; each time room is free another job that can still end in time
+ * takes it, and jobs in time came before lasting ones. After two seconds it goes first.
+ */
+static void
+test_lost_lasting_task_gets_the_next_room (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqStep serving = kq_sched_desk_step ();
+  KqStep brief = kq_sched_desk_step ();
+  KqEndRow end = { .number = 1, .how = KQ_END_FAILED };
+  char task[96];
+  int turn = 0;
+  serving.lasting = true;
+  serving.cpu_milli = brief.cpu_milli = 3000;
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_desk_submit (d, "aa", serving, false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  do
+    {
+      char id[] = { 'j', (char)('0' + turn), 0 };
+      brief.estimate_ms = 500 + turn;
+      kq_sched_desk_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+      kq_sched_desk_submit (d, id, brief, false);
+      kq_sched_desk_run (d, 500 * KQ_MS);
+      memcpy (task, d->task, sizeof task);
+      end.task = kq_str (task);
+      end.run = d->run;
+      kq_sched_desk_list (d, "r0", &end, 1);
+      kq_sched_desk_run (d, 50 * KQ_MS);
+      end.number++;
+      end.how = KQ_END_DONE;
+      turn++;
+    }
+  while (strncmp (d->task, "aa", 2) != 0 && turn < 9);
+  assert_int_equal (strncmp (d->task, "aa", 2), 0);
+  assert_true (turn > 2); /* not before: jobs in time have the first claim */
+}
+
 int
 main (void)
 {
@@ -181,6 +221,8 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_rough_reports_about_the_target,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_lost_lasting_task_gets_the_next_room,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_nothing_fills_beside_a_task_over_its_target,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
   };
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -16,12 +16,16 @@
 /* Ranks, lowest first. */
 enum
 {
+  RANK_LOST, /* a lasting task that was running has waited for too long */
   RANK_IN_TIME,
   RANK_LASTING,
   RANK_LATE,    /* of some use up to LATE_TIMES the objective */
   RANK_HOPELESS /* still owed, behind all others */
 };
 #define LATE_TIMES 3
+/* When hosts go down in numbers, short jobs in time took the room of the lasting tasks
+ * that had to move, for 14 s on end; their users are without them all that while. */
+#define LOST_FOR (2 * KQ_SEC)
 /* Run numbers of a term start here; a task isn't started so often in one term. */
 #define RUNS_PER_TERM 1000
 
@@ -72,11 +76,12 @@
 turn_of (KqOccurrence *o, int32_t step, KqTime now)
 {
   const KqSpec *spec = &o->job->spec;
+  const KqStepState *st = &o->steps[step];
   KqTime objective = kq_spec_objective_ms (spec) * KQ_MS;
   KqTime end = now + o->chain_left_ms * KQ_MS;
   Turn t = { o, step, RANK_IN_TIME, o->due_at + objective };
   if (spec->steps[step].lasting)
-    t.rank = RANK_LASTING;
+    t.rank = st->lost_at != 0 && now - st->lost_at >= LOST_FOR ? RANK_LOST : RANK_LASTING;
   else if (end > o->due_at + LATE_TIMES * objective)
     t.rank = RANK_HOPELESS;
   else if (end > t.due)
@@ -94,8 +99,10 @@
       for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
         for (int32_t i = 0; i < j->spec.n_steps; i++)
           {
-            const KqStepState *st = &o->steps[i];
+            KqStepState *st = &o->steps[i];
             Turn t;
+            if (st->done + st->active >= j->spec.steps[i].width)
+              st->lost_at = 0;
             if (!st->open || st->done + st->active >= j->spec.steps[i].width)
               continue;
             t = turn_of (o, i, now);
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -88,9 +88,12 @@
   KqJob *j = run->job;
   if (t != NULL && t->run == run)
     {
+      KqStepState *st = &run->occurrence->steps[run->step];
       t->run = NULL;
       t->phase = KQ_TASK_WAITING;
-      run->occurrence->steps[run->step].active--;
+      st->active--;
+      if (kq_run_step (run)->lasting && st->lost_at == 0)
+        st->lost_at = now;
       if (run->checkpoint != NULL && kq_run_step (run)->checkpoints)
         {
           free (t->checkpoint);
@@ -109,7 +112,6 @@
   free (run->checkpoint);
   free (run);
   s->work = true;
-  (void)now;
 }
 
 static void
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -59,6 +59,7 @@
   int32_t done;
   int32_t active;
   KqTickets *advice; /* of an advised step that has been asked about */
+  KqTime lost_at;    /* since when a lasting task that has run is waiting; 0: none is */
   bool open;         /* what it depends on is done */
   char rack[24];     /* of a one-rack step, once its first task is placed; "" before */
   KqTaskState *tasks;
