--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -27,6 +27,15 @@
   d->run = o->u.start.run;
 }
 
+static void
+on_upkeep (void *arg, KqStr host, int64_t wave)
+{
+  KqSchedDesk *d = arg;
+  (void)wave;
+  d->upkeeps++;
+  kq_str_copy (host, d->upkept, sizeof d->upkept);
+}
+
 void
 kq_sched_desk_run (KqSchedDesk *d, KqTime span)
 {
@@ -120,6 +129,8 @@
                       .blind_ms = 4000,
                       .keep_ms = 60000,
                       .order = on_order,
+                      .upkeep = on_upkeep,
+                      .upkeep_ms = 2000,
                       .arg = d };
   KqAgentInfo agent = { .name = kq_name (KQ_STR ("a")), .share_milli = 1000 };
   KqBuf known = { 0 };
@@ -135,6 +146,7 @@
       KqRunnerEntry e = { .id = kq_str (i == 0 ? "r0" : "r1"),
                           .service = KQ_STR ("desk"),
                           .address = KQ_STR ("127.0.0.1:1"),
+                          .host = kq_str (i == 0 ? "h0" : "h1"),
                           .room = { 4000, 16000, 0 } };
       kq_sched_entry (d->sched, &e, d->now);
     }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -54,6 +54,7 @@
   KqKv *kv;
   KqRunnerCalls *calls;
   KqAdviceCalls *advice; /* NULL: none in the settings */
+  KqUpkeepCalls *upkeep; /* NULL as well */
   KqCrewAgent *agent;
   KqLink *link;
   KqLead *lead;
@@ -189,9 +190,11 @@
                        .lease_ms = runner_lease_ms (f),
                        .blind_ms = lead_ttl_ms (f) + ELECTION_MS,
                        .keep_ms = s->keep_ms,
+                       .upkeep_ms = s->upkeep_ms,
                        .counters = f->config.counters,
                        .self = f->self,
                        .agent = f->agent,
+                       .upkeep = f->upkeep,
                        .arg = f,
                        .deposed = on_deposed,
                        .answered = on_answered };
@@ -502,6 +505,8 @@
   f->calls = kq_runners_new (c->loop);
   if (c->settings->advice[0] != '\0')
     f->advice = kq_advice_new (c->loop, kq_str (c->settings->advice));
+  if (c->settings->control_plane[0] != '\0')
+    f->upkeep = kq_upkeep_new (c->loop, kq_str (c->settings->control_plane));
   ev_timer_init (&f->look, on_look, LOOK_S, LOOK_S);
   f->look.data = f;
   if (!start_parts (f))
@@ -541,6 +546,7 @@
   kq_metrics_free (f->metrics);
   kq_runners_calls_free (f->calls);
   kq_advice_free (f->advice);
+  kq_upkeep_free (f->upkeep);
   kq_store_free (f->kv);
   kq_queue_table_free (f->table);
   free (f);
--- a/src/fleet/keys.h
+++ b/src/fleet/keys.h
@@ -7,6 +7,7 @@
  * far kq/in/j/ID   a job as accepted, never changed     kq/in/x/ID  its cancellation
  *   kq/p/ID      its progress, by the leader          kq/runners  runners ever in use
  *   kq/learned  which tasks disturb which, for the next leader
+ *   kq/waves    how far the waves of upkeep are
  *   kq/seq       changes with each batch of progress, so that a batch whose answer was
  * lost and that is carried out late can't overwrite a later one */
 
@@ -18,6 +19,7 @@
 #define KQ_KEY_PROGRESS "kq/p/"
 #define KQ_KEY_RUNNERS "kq/runners"
 #define KQ_KEY_LEARNED "kq/learned"
+#define KQ_KEY_WAVES "kq/waves"
 #define KQ_KEY_SEQUENCE "kq/seq"
 
 /* The key of an id under one of the prefixes above; freed with free (). */
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -4,6 +4,7 @@
 #include "fleet/batch.h"
 #include "fleet/follow.h"
 #include "fleet/keys.h"
+#include "fleet/waves.h"
 #include "lead/lead.h"
 #include "port/source.h"
 
@@ -23,6 +24,7 @@
 
 typedef enum
 {
+  LOAD_WAVES,   /* how far waves of upkeep are */
   LOAD_LEARNED, /* what an earlier leader has learned */
   LOAD_RUNNERS, /* the list of runners ever in use */
   LOAD_JOBS,    /* accepted jobs and cancellations */
@@ -36,6 +38,7 @@
   KqLeaderConfig config;
   KqSched *sched;
   KqBatch *batch;
+  KqWaves *waves; /* once loaded */
   KqFollow *jobs;
   KqFollow *entries;
   GPtrArray *peers;  /* by agent number; NULL: gone */
@@ -83,6 +86,21 @@
   kq_link_send_peer (p, &i);
 }
 
+static void
+on_sched_upkeep (void *arg, KqStr host, int64_t wave)
+{
+  KqLeader *l = arg;
+  if (l->waves != NULL)
+    kq_waves_upkeep (l->waves, host, wave);
+}
+
+static void
+on_waves_changed (void *arg)
+{
+  KqLeader *l = arg;
+  l->dirty = true;
+}
+
 static void
 on_batch_deposed (void *arg, const char *why, KqTime now)
 {
@@ -131,6 +149,8 @@
   run (l, now);
   if (l->phase == LOAD_DONE && kq_batch_due (l->batch) <= now)
     kq_batch_go (l->batch, now);
+  if (l->waves != NULL && !l->closing)
+    kq_waves_go (l->waves, now);
   arm (l, now);
 }
 
@@ -217,6 +237,22 @@
   l->dirty = true;
 }
 
+static void
+follow_waves (KqLeader *l)
+{
+  KqWavesConfig c = { .loop = l->config.loop,
+                      .kv = l->config.kv,
+                      .calls = l->config.upkeep,
+                      .sched = l->sched,
+                      .holder = l->config.self.name,
+                      .epoch = l->config.epoch,
+                      .arg = l,
+                      .changed = on_waves_changed,
+                      .deposed = on_batch_deposed,
+                      .answered = on_answered };
+  l->waves = kq_waves_new (&c);
+}
+
 static void
 on_entries_synced (void *arg, KqTime now)
 {
@@ -228,6 +264,7 @@
     return;
   l->phase = LOAD_DONE;
   kq_sched_loaded (l->sched, now);
+  follow_waves (l);
   g_hash_table_iter_init (&it, l->early);
   while (g_hash_table_iter_next (&it, &id, NULL))
     {
@@ -255,7 +292,13 @@
       return;
     }
   on_answered (l, r->sent_at, now);
-  if (l->phase == LOAD_LEARNED)
+  if (l->phase == LOAD_WAVES)
+    {
+      if (r->n_items == 1 && !kq_sched_waves_stored (l->sched, r->items[0].value))
+        kq_log (KQ_LOG_ERROR, PART, "The state of waves can't be read.");
+      l->phase = LOAD_LEARNED;
+    }
+  else if (l->phase == LOAD_LEARNED)
     {
       if (r->n_items == 1 && !kq_sched_learned (l->sched, r->items[0].value))
         kq_log (KQ_LOG_ERROR, PART, "What has been learned can't be read.");
@@ -294,6 +337,10 @@
   KqKvCallback cb = { on_loaded, l };
   switch (l->phase)
     {
+    case LOAD_WAVES:
+      l->calling = true;
+      kq_kv_get (l->config.kv, KQ_STR (KQ_KEY_WAVES), TIMEOUT_MS, cb);
+      break;
     case LOAD_LEARNED:
       l->calling = true;
       kq_kv_get (l->config.kv, KQ_STR (KQ_KEY_LEARNED), TIMEOUT_MS, cb);
@@ -331,8 +378,10 @@
                           .lease_ms = c->lease_ms,
                           .blind_ms = c->blind_ms,
                           .keep_ms = c->keep_ms,
+                          .upkeep_ms = c->upkeep_ms,
                           .counters = c->counters,
                           .order = on_order,
+                          .upkeep = c->upkeep != NULL ? on_sched_upkeep : NULL,
                           .arg = l };
   KqBatchConfig batch = { .kv = c->kv,
                           .epoch = c->epoch,
@@ -371,6 +420,7 @@
   ev_prepare_stop (ev, &l->before_poll);
   kq_follow_free (l->jobs);
   kq_follow_free (l->entries);
+  kq_waves_free (l->waves);
   kq_batch_free (l->batch);
   l->dead = true;
   if (!l->calling)
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -79,7 +79,7 @@
 usable (const KqRunnerState *r, KqTime now)
 {
   return r->in_store && r->known_stored && r->listed && !r->silent && !r->foreign
-         && !r->draining && r->agent >= 0 && now >= r->suspect_until;
+         && !r->draining && !r->leaving && r->agent >= 0 && now >= r->suspect_until;
 }
 
 /* Of the serving tasks on the runner, the part that have other images, less the part that
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -54,6 +54,7 @@
   free (r->domain);
   free (r->rack);
   free (r->kind);
+  free (r->host);
   free (r);
 }
 
@@ -76,6 +77,7 @@
   set_text (&r->domain, KQ_STR (""));
   set_text (&r->rack, KQ_STR (""));
   set_text (&r->kind, KQ_STR (""));
+  set_text (&r->host, KQ_STR (""));
   r->agent = -1;
   r->slowness = 1;
   r->score_at = r->heard_at = now;
@@ -106,6 +108,7 @@
   set_text (&r->domain, e->failure_domain);
   set_text (&r->rack, e->rack);
   set_text (&r->kind, e->kind);
+  set_text (&r->host, e->host);
   r->room = e->room;
   r->in_store = true;
   if (e->draining && !r->draining)
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -93,6 +93,7 @@
   s->runners = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_runner);
   s->runner_list = g_ptr_array_new ();
   s->batch = g_ptr_array_new ();
+  s->waves = kq_upkeep_new_waves ();
   s->started_at = s->look_at = s->stored_at = now;
   s->store_due = KQ_TIME_NEVER;
   s->slowness_mean = 1;
@@ -110,6 +111,7 @@
   g_hash_table_destroy (s->jobs);
   g_ptr_array_free (s->runner_list, TRUE);
   g_ptr_array_free (s->batch, TRUE);
+  g_ptr_array_free (s->waves, TRUE);
   kq_disturb_free (s->disturb);
   free (s);
 }
@@ -280,6 +282,7 @@
       kq_runners_look (s, now);
       kq_watch_progress (s, now);
       look_at_jobs (s, now);
+      kq_upkeep_look (s, now);
     }
   kq_runners_settle (s, now);
   if (s->work_at != 0 && now >= s->work_at)
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -145,6 +145,8 @@
   char *domain;
   char *rack;
   char *kind;
+  char *host;   /* the target host it lives on; "" when not told */
+  bool leaving; /* its host is about to go down for upkeep */
   KqRoom room;
   KqRoom used;     /* reserved, by all runs that may be there */
   int64_t filling; /* cpu that filling runs could use */
@@ -180,6 +182,37 @@
   KqRun *runs;
 };
 
+/* How far a host of a wave is, in this order. */
+typedef enum
+{
+  KQ_HOST_WAITING,
+  KQ_HOST_EMPTYING, /* takes nothing new, its tasks move */
+  KQ_HOST_ASKED,    /* the call is out, or had no answer: it may be down */
+  KQ_HOST_DOWN,     /* its upkeep has begun */
+  KQ_HOST_BACK      /* a new runner is there, or the host has gone for good */
+} KqHostPhase;
+
+typedef struct
+{
+  char *host;
+  KqHostPhase phase;
+  KqTime since;    /* of the phase */
+  KqTime again_at; /* no earlier attempt */
+  char *old_runner;
+} KqWaveHost;
+
+typedef struct
+{
+  int64_t number;
+  bool asked; /* the operators' request has been seen, not just our own record */
+  int32_t cap;
+  KqTime ends_at;
+  int64_t ends_wall_ms; /* Unix time of the same; 0: not known */
+  bool completed;
+  KqWaveHost *hosts;
+  size_t n_hosts;
+} KqWave;
+
 struct KqSched
 {
   KqSchedConfig config;
@@ -202,6 +235,8 @@
   bool ends_dirty;
   double slowness_mean;
   KqDisturb *disturb;
+  GPtrArray *waves; /* KqWave */
+  bool waves_dirty; /* differ from the store's */
   GPtrArray *batch; /* KqJob */
   /* Counters. */
   uint64_t *starts;
@@ -297,6 +332,10 @@
 void kq_tickets_agent_down (KqSched *s, int agent);
 void kq_tickets_free (KqTickets *a);
 
+/* upkeep.c */
+GPtrArray *kq_upkeep_new_waves (void);
+void kq_upkeep_look (KqSched *s, KqTime now);
+
 /* Whether any runner could hold a task of the step if it were empty. */
 bool kq_place_ever (const KqSched *s, const KqSpec *spec, int32_t step);
 
--- /dev/null
+++ b/src/sched/upkeep.c
@@ -0,0 +1,454 @@
+/* upkeep: takes the target hosts of a wave down, one upkeep each, in time.
+ *
+ * Load pattern: most of the room is reserved by tasks that last, so each host that goes
+ * down takes away what its tasks would move to. So no more hosts go down at once than the
+ * wave's time asks for, the emptiest first; a host takes nothing new, its tasks move or
+ * save their progress, and only then it goes down. Without that a wave of 20 of 48 hosts
+ * ended all that ran there at once. */
+
+#include "sched/state.h"
+
+#include "wire/pack.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* What a host takes from the first stop to its new runner: tasks that end, the upkeep of
+ * 2 s, the new runner's entry; 4.1 s measured on 48 hosts. */
+#define HOST_TAKES (5 * KQ_SEC)
+/* The wave should be through so long before its time is over. */
+#define SPARE_TIME (2 * KQ_SEC)
+/* Tasks that can't save their progress may run on for so long. */
+#define EMPTY_LONGEST (2 * KQ_SEC)
+/* A task that ends by itself so soon isn't stopped. */
+#define ENDS_SOON_MS 500
+/* After this a host counts as back, whether a new runner has come or not. */
+#define DOWN_LONGEST (10 * KQ_SEC)
+/* An order of an earlier leader for the same host may be this young; two leaders must not
+ * order in turns. */
+#define FIRST_ORDER_AFTER (3200 * KQ_MS)
+/* Repeats: of a call without an answer, of one that was turned away, and of one for a
+ * host that wasn't up. */
+#define AGAIN_UNKNOWN (600 * KQ_MS)
+#define AGAIN_LIMITED (300 * KQ_MS)
+#define AGAIN_BUSY KQ_SEC
+
+static bool
+is_begun (const KqWaveHost *h)
+{
+  return h->phase >= KQ_HOST_DOWN;
+}
+
+static void
+free_wave (gpointer p)
+{
+  KqWave *w = p;
+  for (size_t i = 0; i < w->n_hosts; i++)
+    {
+      free (w->hosts[i].host);
+      free (w->hosts[i].old_runner);
+    }
+  free (w->hosts);
+  free (w);
+}
+
+GPtrArray *
+kq_upkeep_new_waves (void)
+{
+  return g_ptr_array_new_with_free_func (free_wave);
+}
+
+static KqWave *
+find_wave (const KqSched *s, int64_t number)
+{
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      KqWave *w = g_ptr_array_index (s->waves, i);
+      if (w->number == number)
+        return w;
+    }
+  return NULL;
+}
+
+static KqWaveHost *
+find_host (const KqWave *w, KqStr host)
+{
+  for (size_t i = 0; i < w->n_hosts; i++)
+    if (kq_str_eq (kq_str (w->hosts[i].host), host))
+      return &w->hosts[i];
+  return NULL;
+}
+
+static KqWaveHost *
+add_host (KqWave *w, KqStr host)
+{
+  KqWaveHost *h = find_host (w, host);
+  if (h != NULL)
+    return h;
+  w->hosts = kq_realloc (w->hosts, (w->n_hosts + 1) * sizeof *w->hosts);
+  h = &w->hosts[w->n_hosts++];
+  *h = (KqWaveHost){ .host = kq_str_dup (host) };
+  return h;
+}
+
+static KqWave *
+need_wave (KqSched *s, int64_t number)
+{
+  KqWave *w = find_wave (s, number);
+  if (w != NULL)
+    return w;
+  w = kq_alloc (sizeof *w);
+  w->number = number;
+  g_ptr_array_add (s->waves, w);
+  return w;
+}
+
+void
+kq_sched_wave (KqSched *s, const KqWaveInfo *info, KqTime now)
+{
+  KqWave *w = need_wave (s, info->number);
+  if (w->asked)
+    return;
+  w->asked = true;
+  w->cap = info->cap;
+  if (w->ends_wall_ms == 0)
+    w->ends_wall_ms = s->wall_minus_now_ms + now / KQ_MS + info->duration_ms;
+  w->ends_at = (w->ends_wall_ms - s->wall_minus_now_ms) * KQ_MS;
+  for (size_t i = 0; i < info->n_hosts; i++)
+    add_host (w, info->hosts[i]);
+  s->waves_dirty = s->waves_dirty || !w->completed;
+  kq_log (KQ_LOG_INFO, PART,
+          "Wave of upkeep. wave=%lld hosts=%zu cap=%d duration_ms=%lld",
+          (long long)w->number, w->n_hosts, w->cap, (long long)info->duration_ms);
+}
+
+static KqRunnerState *
+runner_on (const KqSched *s, const char *host)
+{
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      if (r->in_store && r->host != NULL && strcmp (r->host, host) == 0)
+        return r;
+    }
+  return NULL;
+}
+
+/* Whether one more task of the step may be away by our doing. */
+static bool
+may_be_away (const KqRun *run)
+{
+  const KqStep *p = kq_run_step (run);
+  const KqStepState *st;
+  int away = 0;
+  if (p->away_most < 0 || run->occurrence == NULL)
+    return true;
+  st = &run->occurrence->steps[run->step];
+  for (int32_t i = 0; i < p->width; i++)
+    {
+      const KqRun *other = st->tasks[i].run;
+      bool at_work
+          = other != NULL && other->phase == KQ_RUN_RUNNING && other->percent >= 100;
+      away += i != run->index && !at_work;
+    }
+  return away < p->away_most;
+}
+
+/* Moves on what can be moved. Whether the host may go down now. */
+static bool
+empty_host (KqSched *s, KqRunnerState *r, KqTime since, KqTime now)
+{
+  bool protected_left = false;
+  for (KqRun *run = r->runs; run != NULL; run = run->next)
+    {
+      const KqStep *p = kq_run_step (run);
+      int64_t left_ms = (int64_t)p->estimate_ms * (100 - run->percent) / 100;
+      if (run->phase != KQ_RUN_RUNNING)
+        continue;
+      if (!may_be_away (run))
+        protected_left = true;
+      else if (p->lasting || (p->checkpoints && left_ms > ENDS_SOON_MS))
+        kq_run_stop (s, run, "its host goes down for upkeep", now);
+    }
+  return r->n_runs == 0 || (!protected_left && now - since >= EMPTY_LONGEST);
+}
+
+/* How many hosts of the wave should be on their way down, so that it ends in time. */
+static int32_t
+wanted_at_once (const KqWave *w, KqTime now)
+{
+  int64_t left = 0;
+  KqTime time = w->ends_at - SPARE_TIME - now;
+  int64_t wanted;
+  for (size_t i = 0; i < w->n_hosts; i++)
+    left += !is_begun (&w->hosts[i]);
+  if (time < HOST_TAKES)
+    return w->cap;
+  wanted = (left * HOST_TAKES + time - 1) / time;
+  return wanted < w->cap ? (int32_t)wanted : w->cap;
+}
+
+/* Whether another wave has the host in hand. */
+static bool
+in_other_wave (const KqSched *s, const KqWave *w, const char *host)
+{
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      const KqWave *other = g_ptr_array_index (s->waves, i);
+      const KqWaveHost *h = other != w ? find_host (other, kq_str (host)) : NULL;
+      if (h != NULL && h->phase > KQ_HOST_WAITING && h->phase < KQ_HOST_BACK)
+        return true;
+    }
+  return false;
+}
+
+/* Hosts of the wave on their way down or down, by this wave or another one. */
+static int32_t
+count_away (const KqSched *s, const KqWave *w)
+{
+  int32_t n = 0;
+  for (size_t i = 0; i < w->n_hosts; i++)
+    {
+      KqHostPhase phase = w->hosts[i].phase;
+      n += (phase > KQ_HOST_WAITING && phase < KQ_HOST_BACK)
+           || in_other_wave (s, w, w->hosts[i].host);
+    }
+  return n;
+}
+
+/* The waiting host with the least on it. */
+static KqWaveHost *
+next_host (const KqSched *s, const KqWave *w, KqTime now)
+{
+  KqWaveHost *best = NULL;
+  int least = 0;
+  for (size_t i = 0; i < w->n_hosts; i++)
+    {
+      KqWaveHost *h = &w->hosts[i];
+      const KqRunnerState *r = runner_on (s, h->host);
+      int n = r != NULL ? r->n_runs : 0;
+      if (h->phase != KQ_HOST_WAITING || now < h->again_at || (best != NULL && n >= least)
+          || in_other_wave (s, w, h->host))
+        continue;
+      best = h;
+      least = n;
+    }
+  return best;
+}
+
+static void
+begin_emptying (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
+{
+  KqRunnerState *r = runner_on (s, h->host);
+  h->phase = KQ_HOST_EMPTYING;
+  h->since = now;
+  if (r != NULL)
+    r->leaving = true;
+  kq_log (KQ_LOG_INFO, PART, "Emptying a host. wave=%lld host=%s runner=%s runs=%d",
+          (long long)w->number, h->host, r != NULL ? r->id : "-",
+          r != NULL ? r->n_runs : 0);
+}
+
+static void
+order_upkeep (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
+{
+  const KqRunnerState *r = runner_on (s, h->host);
+  free (h->old_runner);
+  h->old_runner = r != NULL ? kq_str_dup (kq_str (r->id)) : NULL;
+  h->phase = KQ_HOST_ASKED;
+  h->since = now;
+  h->again_at = KQ_TIME_NEVER; /* until the answer */
+  s->config.upkeep (s->config.arg, kq_str (h->host), w->number);
+}
+
+static bool
+is_new (const KqRunnerState *r, const KqWaveHost *h)
+{
+  return r != NULL && (h->old_runner == NULL || strcmp (r->id, h->old_runner) != 0);
+}
+
+static void
+look_at_host (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
+{
+  KqRunnerState *r = runner_on (s, h->host);
+  switch (h->phase)
+    {
+    case KQ_HOST_WAITING:
+    case KQ_HOST_BACK:
+      break;
+    case KQ_HOST_EMPTYING:
+      if (r == NULL || empty_host (s, r, h->since, now))
+        order_upkeep (s, w, h, now);
+      break;
+    case KQ_HOST_ASKED:
+      if (now >= h->again_at)
+        order_upkeep (s, w, h, now);
+      break;
+    case KQ_HOST_DOWN:
+      /* An earlier upkeep's new runner may have come up just before this one began. */
+      if (now - h->since >= s->config.upkeep_ms * KQ_MS
+          && (now - h->since >= DOWN_LONGEST || is_new (r, h)))
+        h->phase = KQ_HOST_BACK;
+      break;
+    }
+}
+
+static void
+look_at_wave (KqSched *s, KqWave *w, KqTime now)
+{
+  int32_t wanted = wanted_at_once (w, now);
+  for (size_t i = 0; i < w->n_hosts; i++)
+    look_at_host (s, w, &w->hosts[i], now);
+  if (w->completed)
+    return; /* its last hosts have yet to come back */
+  for (int32_t n = count_away (s, w); n < wanted; n++)
+    {
+      KqWaveHost *h = next_host (s, w, now);
+      if (h == NULL)
+        break;
+      begin_emptying (s, w, h, now);
+    }
+  for (size_t i = 0; i < w->n_hosts; i++)
+    if (!is_begun (&w->hosts[i]))
+      return;
+  w->completed = true;
+  s->waves_dirty = true;
+  kq_log (KQ_LOG_INFO, PART, "Wave is through. wave=%lld left_ms=%lld",
+          (long long)w->number, (long long)((w->ends_at - now) / KQ_MS));
+}
+
+void
+kq_upkeep_look (KqSched *s, KqTime now)
+{
+  if (s->config.upkeep == NULL || now - s->started_at < FIRST_ORDER_AFTER)
+    return;
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      KqWave *w = g_ptr_array_index (s->waves, i);
+      if (w->asked)
+        look_at_wave (s, w, now);
+    }
+}
+
+static void
+use_again (KqSched *s, const KqWaveHost *h)
+{
+  KqRunnerState *r = runner_on (s, h->host);
+  if (r != NULL)
+    r->leaving = false;
+  s->work = true;
+}
+
+void
+kq_sched_upkeep_ended (KqSched *s, int64_t wave, KqStr host, KqUpkeepResult result,
+                       KqTime now)
+{
+  KqWave *w = find_wave (s, wave);
+  KqWaveHost *h = w != NULL ? find_host (w, host) : NULL;
+  kq_log (KQ_LOG_INFO, PART, "Upkeep ordered. wave=%lld host=%.*s result=%s",
+          (long long)wave, KQ_STR_ARG (host), kq_upkeep_result_name (result));
+  if (h == NULL || h->phase != KQ_HOST_ASKED)
+    return;
+  switch (result)
+    {
+    case KQ_UPKEEP_OK:
+      h->phase = KQ_HOST_DOWN;
+      h->since = now;
+      s->waves_dirty = true;
+      break;
+    case KQ_UPKEEP_FOREIGN:
+      h->phase = KQ_HOST_BACK; /* it has gone for good: nothing to wait for */
+      s->waves_dirty = true;
+      use_again (s, h);
+      break;
+    case KQ_UPKEEP_BUSY:
+      h->phase = KQ_HOST_WAITING;
+      h->again_at = now + AGAIN_BUSY;
+      use_again (s, h);
+      break;
+    case KQ_UPKEEP_LIMITED:
+      h->again_at = now + AGAIN_LIMITED;
+      break;
+    case KQ_UPKEEP_FENCED:
+    case KQ_UPKEEP_UNKNOWN:
+      h->again_at = now + AGAIN_UNKNOWN;
+      break;
+    }
+}
+
+/* First field of the stored form. */
+#define FORM 1
+
+bool
+kq_sched_waves_pending (const KqSched *s)
+{
+  return s->waves_dirty;
+}
+
+void
+kq_sched_waves_pack (KqSched *s, KqBuf *out)
+{
+  KqPacker p;
+  kq_packer_init (&p, out);
+  kq_pack_array (&p, 1 + (size_t)s->waves->len);
+  kq_pack_i64 (&p, FORM);
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      const KqWave *w = g_ptr_array_index (s->waves, i);
+      size_t begun = 0;
+      for (size_t k = 0; k < w->n_hosts; k++)
+        begun += is_begun (&w->hosts[k]);
+      kq_pack_array (&p, 3 + begun);
+      kq_pack_i64 (&p, w->number);
+      kq_pack_i64 (&p, w->ends_wall_ms);
+      kq_pack_bool (&p, w->completed);
+      for (size_t k = 0; k < w->n_hosts; k++)
+        if (is_begun (&w->hosts[k]))
+          kq_pack_str (&p, kq_str (w->hosts[k].host));
+    }
+  s->waves_dirty = false;
+}
+
+void
+kq_sched_waves_failed (KqSched *s)
+{
+  s->waves_dirty = true;
+}
+
+void
+kq_sched_waves_each (const KqSched *s,
+                     void (*take) (void *arg, int64_t number, bool completed), void *arg)
+{
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      const KqWave *w = g_ptr_array_index (s->waves, i);
+      if (w->asked)
+        take (arg, w->number, w->completed);
+    }
+}
+
+bool
+kq_sched_waves_stored (KqSched *s, KqStr stored)
+{
+  KqUnpacked u;
+  KqReader r;
+  bool good;
+  if (!kq_unpacked_open (&u, stored, &r))
+    return false;
+  good = kq_read_i64 (&r) == FORM;
+  while (good && !r.bad && r.left > 0)
+    {
+      KqReader one;
+      KqWave *w;
+      kq_read_array (&r, &one);
+      w = need_wave (s, kq_read_i64 (&one));
+      w->ends_wall_ms = kq_read_i64 (&one);
+      w->completed = kq_read_bool (&one);
+      while (!one.bad && one.left > 0)
+        add_host (w, kq_read_str (&one))->phase = KQ_HOST_BACK;
+      kq_read_join (&r, &one);
+    }
+  good = good && !r.bad;
+  kq_unpacked_close (&u);
+  return good;
+}
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -75,7 +75,7 @@
 static void
 send_again (KqSched *s, KqRun *run, KqTime now)
 {
-  if (run->runner->draining)
+  if (run->runner->draining || run->runner->leaving)
     kq_run_stop (s, run, "its runner leaves", now);
   else
     kq_run_send_start (s, run, now);
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -49,8 +49,11 @@
   { "store", "address", TEXT, AT (store), SIZE (store), 0, 0, -1 },
   { "store", "lease_min_ms", NUMBER, AT (lease_min_ms), 0, 1, HOUR_MS, 1000 },
   { "advice", "address", TEXT_OR_NONE, AT (advice), SIZE (advice), 0, 0, 0 },
+  { "control_plane", "address", TEXT_OR_NONE, AT (control_plane), SIZE (control_plane), 0,
+    0, 0 },
   { "bounds", "runner_lease_max_ms", NUMBER, AT (runner_lease_max_ms), 0, 500, HOUR_MS,
     6000 },
+  { "bounds", "upkeep_s", MILLI, AT (upkeep_ms), 0, 0, HOUR_MS, 2000 },
   { "bounds", "grace_s", MILLI, AT (grace_ms), 0, 0, HOUR_MS, 6000 },
   { "bounds", "keep_s", MILLI, AT (keep_ms), 0, 0, 24 * (int64_t)HOUR_MS, 120000 },
 };
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -21,6 +21,8 @@
   int64_t metrics_port;
   char store[32];          /* "ip:port" */
   char advice[32];         /* "ip:port" of the advice service; "": none */
+  int64_t upkeep_ms;       /* how long a host is down for its upkeep */
+  char control_plane[32];  /* "ip:port" of what takes hosts down; "": none */
   int64_t lease_min_ms;    /* shortest lease that the store gives */
   int64_t cpu_share_milli; /* of a processor, in thousandths */
   int64_t runner_lease_max_ms;
