--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -92,6 +92,33 @@
   assert_string_not_equal (d->runner, runner);
 }
 
+typedef struct
+{
+  char runner[16];
+  char task[96];
+  uint32_t run;
+} Serving;
+
+/* A serving task runs, and its runner is the only one there is. */
+static void
+serve_alone (KqSchedDesk *d, int32_t target_ms, Serving *out)
+{
+  KqStep step = kq_sched_desk_step ();
+  step.lasting = true;
+  step.target_ms = target_ms;
+  step.image = KQ_STR ("serves");
+  kq_sched_desk_submit (d, "aa", step, false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  memcpy (out->runner, d->runner, sizeof out->runner);
+  memcpy (out->task, d->task, sizeof out->task);
+  out->run = d->run;
+  kq_sched_entry_gone (d->sched, kq_str (strcmp (out->runner, "r0") == 0 ? "r1" : "r0"),
+                       d->now);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, out->runner, out->task, out->run,
+                         KQ_ORDER_OK);
+}
+
 /* Users of a serving task wait too long for seconds on end.
  * Its tail is over the target and all that fills beside it has been stopped; but new
  * filling tasks come to its runner meanwhile, each at full speed until the next report,
@@ -100,35 +127,20 @@
 test_nothing_fills_beside_a_task_over_its_target (void **state)
 {
   KqSchedDesk *d = *state;
-  KqStep serving = kq_sched_desk_step ();
   KqStep filling = kq_sched_desk_step ();
-  char runner[16];
-  char task[96];
-  uint32_t number;
-  serving.lasting = true;
-  serving.target_ms = 10;
-  serving.image = KQ_STR ("serves");
+  Serving v;
   filling.filling = true;
   filling.image = KQ_STR ("fills");
-  kq_sched_desk_submit (d, "aa", serving, false);
-  kq_sched_desk_run (d, 50 * KQ_MS);
-  assert_int_equal (d->starts, 1);
-  memcpy (runner, d->runner, sizeof runner);
-  memcpy (task, d->task, sizeof task);
-  number = d->run;
-  /* The other runner leaves, so that there is one place only. */
-  kq_sched_entry_gone (d->sched, kq_str (strcmp (runner, "r0") == 0 ? "r1" : "r0"),
-                       d->now);
-  kq_sched_desk_outcome (d, KQ_ORDER_START, runner, task, number, KQ_ORDER_OK);
+  serve_alone (d, 10, &v);
   for (int i = 0; i < 5; i++)
     {
-      kq_sched_desk_list_serving (d, runner, task, number, 12);
+      kq_sched_desk_list_serving (d, v.runner, v.task, v.run, 12);
       kq_sched_desk_run (d, 500 * KQ_MS);
     }
   kq_sched_desk_submit (d, "bb", filling, false);
   kq_sched_desk_run (d, 100 * KQ_MS);
   assert_int_equal (d->starts, 1);
-  kq_sched_desk_list_serving (d, runner, task, number, 5);
+  kq_sched_desk_list_serving (d, v.runner, v.task, v.run, 5);
   kq_sched_desk_run (d, 100 * KQ_MS);
   assert_int_equal (d->starts, 2);
 }
@@ -141,27 +153,14 @@
 {
   static const int tails[] = { 108, 94, 109, 93, 108, 94, 110, 94 };
   KqSchedDesk *d = *state;
-  KqStep serving = kq_sched_desk_step ();
   KqStep filling = kq_sched_desk_step ();
-  char runner[16];
-  char task[96];
-  uint32_t number;
-  serving.lasting = true;
-  serving.target_ms = 100;
-  serving.image = KQ_STR ("serves");
+  Serving v;
   filling.filling = true;
   filling.image = KQ_STR ("fills");
-  kq_sched_desk_submit (d, "aa", serving, false);
-  kq_sched_desk_run (d, 50 * KQ_MS);
-  memcpy (runner, d->runner, sizeof runner);
-  memcpy (task, d->task, sizeof task);
-  number = d->run;
-  kq_sched_entry_gone (d->sched, kq_str (strcmp (runner, "r0") == 0 ? "r1" : "r0"),
-                       d->now);
-  kq_sched_desk_outcome (d, KQ_ORDER_START, runner, task, number, KQ_ORDER_OK);
+  serve_alone (d, 100, &v);
   for (size_t i = 0; i < sizeof tails / sizeof tails[0]; i++)
     {
-      kq_sched_desk_list_serving (d, runner, task, number, tails[i]);
+      kq_sched_desk_list_serving (d, v.runner, v.task, v.run, tails[i]);
       kq_sched_desk_run (d, 500 * KQ_MS);
     }
   kq_sched_desk_submit (d, "bb", filling, false);
