--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -1,8 +1,11 @@
 #include "crew/frame.h"
 #include "fuzz.h"
+#include "platform/advice.h"
 #include "platform/runners.h"
+#include "platform/upkeep.h"
 #include "port/source.h"
 #include "sched/disturb.h"
+#include "sched/sched.h"
 #include "settings/fleet_settings.h"
 
 static void
@@ -90,15 +93,62 @@
   kq_fleet_settings_parse (text, &s, faults, 8);
 }
 
-/* The first byte chooses the reader. */
+static void
+take_wave (void *arg, const KqWaveInfo *w)
+{
+  (void)arg;
+  kq_fuzz_check (w->cap > 0 && w->number >= 0, "a usable wave is whole");
+}
+
+static void
+read_wave (KqStr text)
+{
+  KqBuf key = key_under (kq_source_waves_prefix (), KQ_STR ("1"));
+  kq_source_wave (kq_buf_str (&key), text, take_wave, NULL);
+  kq_buf_free (&key);
+}
+
+static void
+read_advice (KqStr text)
+{
+  json_error_t e;
+  json_t *j = json_loadb (text.ptr, text.len, 0, &e);
+  KqAdviceReply r;
+  kq_advice_read (200, j, &r);
+  kq_advice_clear (&r);
+  kq_upkeep_read (409, j, KQ_HTTP_DONE);
+  json_decref (j);
+}
+
+static void
+read_waves (KqStr text)
+{
+  KqSchedConfig c = { .counters = kq_counters_new () };
+  KqSched *s = kq_sched_new (&c, KQ_SEC);
+  kq_sched_waves_stored (s, text);
+  kq_sched_free (s);
+  kq_counters_free (c.counters);
+}
+
+/* The first byte chooses the reader. Readers that came later have the highest bytes, so
+ * that the corpus keeps its meaning. */
 void
 kq_fuzz_platform (KqStr data)
 {
   static void (*const readers[]) (KqStr)
       = { read_config, read_entry,   read_list,    read_spec,
           read_crew,   read_learned, read_settings };
+  static void (*const later[]) (KqStr) = { read_wave, read_advice, read_waves };
   size_t n = sizeof readers / sizeof readers[0];
+  size_t n_later = sizeof later / sizeof later[0];
+  uint8_t first;
+  KqStr rest;
   if (data.len == 0)
     return;
-  readers[(uint8_t)data.ptr[0] % n](kq_str_n (data.ptr + 1, data.len - 1));
+  first = (uint8_t)data.ptr[0];
+  rest = kq_str_n (data.ptr + 1, data.len - 1);
+  if (first > UINT8_MAX - n_later)
+    later[UINT8_MAX - first](rest);
+  else
+    readers[first % n](rest);
 }
