The stand-in's silent watch loses no change

The stand-in's fault silent_watch answered a watch, when its time was over, with the present revision and without what it had withheld; the leader hears of jobs that a stopping node accepts by its watch alone, and so never did. Change: such a watch answers with the revision that it was asked from, as a store does that tells later; the fault is as hard, it only keeps the store's promise.

--- a/standin/platform_kv.c
+++ b/standin/platform_kv.c
@@ -101,12 +101,10 @@
 }
 
 static void
-answer_watch (KqWebCall *c, json_t *events)
+answer_watch (KqWebCall *c, json_t *events, uint64_t at)
 {
-  Watch *w = c->data;
-  kq_web_reply_json (
-      c, 200,
-      json_pack ("{s:o, s:I}", "events", events, "at", (json_int_t)w->kv->revision));
+  kq_web_reply_json (c, 200,
+                     json_pack ("{s:o, s:I}", "events", events, "at", (json_int_t)at));
 }
 
 static void
@@ -114,7 +112,9 @@
 {
   Watch *w = c->data;
   g_ptr_array_remove (w->kv->watches, c);
-  answer_watch (c, json_array ());
+  /* What a silent watch has withheld is still to come: going on from the present
+   * revision the caller would never hear of it, which no store does. */
+  answer_watch (c, json_array (), kq_web_watch_silent (c) ? w->after : w->kv->revision);
 }
 
 static void
@@ -133,7 +133,7 @@
       g_ptr_array_remove_index (kv->watches, i);
       i--;
       ev_timer_stop (kq_loop_ev (kv->loop), &c->timer);
-      answer_watch (c, events);
+      answer_watch (c, events, kv->revision);
     }
 }
 
@@ -323,7 +323,7 @@
   events = events_for (kv, w->prefix.ptr, w->after);
   if (json_array_size (events) > 0 && !kq_web_watch_silent (c))
     {
-      answer_watch (c, events);
+      answer_watch (c, events, kv->revision);
       return;
     }
   json_decref (events);
