What a given-up connection still tells of runners is passed over

Cause: found by reading. A node's earlier connection, ended when the node joins anew, has agent number -1 until it closes. A list from it would be taken for runners without an agent, which have -1 as well, and an advice would index the agents before their first. Change: lists, outcomes, silences and advice of such a connection are passed over; jobs, cancellations and a higher epoch still count. Measured: make check 708 passed; no test of its own yet.

--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -503,6 +503,12 @@
 kq_leader_item (KqLeader *l, KqPeer *p, const KqCrewItem *i, KqTime now)
 {
   int agent = p == NULL ? l->own_agent : kq_peer_agent (p);
+  bool of_runner = i->kind == KQ_CREW_LIST || i->kind == KQ_CREW_OUTCOME
+                   || i->kind == KQ_CREW_UNREACHED || i->kind == KQ_CREW_ADVICE;
+  /* Of a connection that has been given up for the node's next one: the number stands for
+   * no agent, and equals that of runners which nobody looks after. */
+  if (of_runner && agent < 0)
+    return;
   l->dirty = true;
   switch (i->kind)
     {
