An agent extends no lease before the leader has heard from the runner

Cause: an agent that gets no answer from a runner tells the leader what is left of its lease, and the leader starts the tasks elsewhere when that is over. But the agent went on asking, and extended the lease as soon as the runner answered; the leader heard of it by a list, which on a congested link comes after the end that it was told. The same with an agent that has just been given a runner which the leader counts as silent.

Change: from a report of silence on, and from a taking on, the agent looks but grants nothing; each list says so by a number (halt), and the leader answers it with an order KQ_ORDER_RENEW that names the number. A report of silence after the list draws a new number, so that the answer to an earlier list allows nothing. The leader's belief about the end of a silent runner's lease is now an upper bound at all times.

Why this is enough: the leader counts a lease as over only while it believes the runner silent; from the report that made it believe so until its own order, nothing is granted.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -14,6 +14,11 @@
     d->stops++;
   if (o->kind == KQ_ORDER_PACE && o->u.pace.percent < 100)
     d->slowed++;
+  if (o->kind == KQ_ORDER_RENEW)
+    {
+      d->renewals++;
+      d->halt = o->u.renew.halt;
+    }
   if (o->kind == KQ_ORDER_ADVISE)
     {
       d->questions++;
--- a/bench/sched_desk.h
+++ b/bench/sched_desk.h
@@ -25,6 +25,8 @@
   int questions_about; /* runners in it */
   int went_down;       /* hosts ordered down so far */
   char last_down[16];  /* the last of them */
+  int renewals;        /* allowed so far */
+  uint64_t halt;       /* that the last order to renew names */
   uint64_t results;
 } KqSchedDesk;
 
--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -51,6 +51,7 @@
   KqTime clock_at;      /* when that was received */
   int64_t lease_end_ms; /* the latest granted, on the runner's clock */
   int failures;         /* questions without an answer, in a row */
+  uint64_t halt;        /* nothing is granted before the leader names this; 0: no halt */
   KqTime told_at;       /* last told to be silent */
   bool quiet;           /* nothing runs there */
 } Held;
@@ -200,12 +201,13 @@
 
 /* What is granted now; a later grant never ends sooner. Nothing more is granted to a
  * runner that doesn't answer: it may hear us all the same, and its lease must end some
- * time, or its tasks could never be started elsewhere. */
+ * time, or its tasks could never be started elsewhere. Nor before the leader has heard of
+ * a runner that has just been taken or was silent: it may count the lease as over. */
 static int64_t
 grant (Held *h, KqTime now)
 {
   int64_t end;
-  if (h->clock_ms < 0 || h->failures > 0)
+  if (h->clock_ms < 0 || h->failures > 0 || h->halt != 0)
     return -1;
   end = clock_now (h, now) + h->agent->config.lease_ms;
   if (end > h->lease_end_ms)
@@ -220,6 +222,7 @@
   if (now - h->told_at < TELL_AGAIN)
     return;
   h->told_at = now;
+  h->halt = ++h->agent->serial;
   i.u.unreached.lease_left_ms = lease_left (h, now);
   i.u.unreached.gone = gone;
   tell (h, &i);
@@ -232,6 +235,7 @@
   i.u.list = (KqRunnerList){ .born_ms = r->born_ms,
                              .lease_left_ms = lease_left (h, now),
                              .order = order,
+                             .halt = h->halt,
                              .running = r->running,
                              .n_running = r->n_running,
                              .ended = r->ended,
@@ -240,6 +244,17 @@
   tell (h, &i);
 }
 
+/* From a list to the next question; at_once: the last one didn't wait for an end. */
+static KqTime
+pause_after (const Held *h, bool at_once)
+{
+  if (h->halt != 0)
+    return RETRY;
+  if (h->ends_told > h->ends_seen)
+    return ACKNOWLEDGED_WITHIN;
+  return at_once ? GATHER : 0;
+}
+
 static void
 on_list (void *arg, const KqRunnerReply *r, KqTime now)
 {
@@ -261,9 +276,7 @@
       tell_list (h, r, c->order, now);
       h = held_of (c);
       if (h != NULL)
-        ask_in (h, h->ends_told > h->ends_seen ? ACKNOWLEDGED_WITHIN
-                   : c->run == 0               ? GATHER
-                                               : 0);
+        ask_in (h, pause_after (h, c->run == 0));
       break;
     case KQ_ORDER_FENCED:
       kq_log (KQ_LOG_WARN, PART, "Runner has seen a higher epoch. runner=%s epoch=%llu",
@@ -314,7 +327,7 @@
       return;
     }
   /* The first question, and one after a silence, is answered at once. */
-  if (h->clock_ms < 0 || h->failures > 0)
+  if (h->clock_ms < 0 || h->failures > 0 || h->halt != 0)
     wait = 0;
   h->asking = true;
   ++*a->renewals;
@@ -406,7 +419,7 @@
   h->id = kq_str_dup (o->runner);
   h->address = kq_str_dup (o->u.take.address);
   h->epoch = epoch;
-  h->serial = ++a->serial;
+  h->serial = h->halt = ++a->serial;
   h->clock_ms = -1;
   ev_timer_init (&h->next, on_next, 0, 0);
   h->next.data = h;
@@ -485,6 +498,13 @@
       if (!h->asking && h->ends_told <= h->ends_seen)
         ask_in (h, 0);
       break;
+    case KQ_ORDER_RENEW:
+      if (o->u.renew.halt != h->halt)
+        break; /* silence has been reported again since */
+      h->halt = 0;
+      if (!h->asking)
+        ask_in (h, 0);
+      break;
     }
 }
 
--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -47,6 +47,9 @@
       for (size_t i = 0; i < o->u.advise.n_runners; i++)
         kq_pack_str (p, o->u.advise.runners[i]);
       break;
+    case KQ_ORDER_RENEW:
+      kq_pack_u64 (p, o->u.renew.halt);
+      break;
     }
 }
 
@@ -107,6 +110,9 @@
     case KQ_ORDER_ADVISE:
       read_advise (r, o);
       return;
+    case KQ_ORDER_RENEW:
+      o->u.renew.halt = kq_read_u64 (r);
+      return;
     }
   r->bad = true;
 }
@@ -117,6 +123,7 @@
   kq_pack_i64 (p, l->born_ms);
   kq_pack_i64 (p, l->lease_left_ms);
   kq_pack_u64 (p, l->order);
+  kq_pack_u64 (p, l->halt);
   kq_pack_bool (p, l->ended_cut);
   kq_pack_array (p, l->n_running);
   for (size_t i = 0; i < l->n_running; i++)
@@ -345,6 +352,7 @@
       i->u.list.born_ms = kq_read_i64 (r);
       i->u.list.lease_left_ms = kq_read_i64 (r);
       i->u.list.order = kq_read_u64 (r);
+      i->u.list.halt = kq_read_u64 (r);
       i->u.list.ended_cut = kq_read_bool (r);
       read_running (r, &i->u.list);
       read_ended (r, &i->u.list);
@@ -382,8 +390,8 @@
 static size_t
 n_fields (const KqCrewItem *i)
 {
-  static const uint8_t of_kind[] = { 0, 0, 3, 0, 3, 1, 6, 5, 2, 0, 3, 2, 1, 4 };
-  static const uint8_t of_order[] = { 3, 2, 7, 4, 5, 5, 4 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 0, 3, 1, 7, 5, 2, 0, 3, 2, 1, 4 };
+  static const uint8_t of_order[] = { 3, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_CREW_ORDER)
     return of_order[i->u.order.kind];
   return of_kind[i->kind];
--- a/src/crew/frame_test.c
+++ b/src/crew/frame_test.c
@@ -34,11 +34,12 @@
   KqBuf b = { 0 };
   KqCrewItem o;
   (void)state;
-  i.u.list = (KqRunnerList){ 99, 5000, 3, running, 1, ended, 1, true };
+  i.u.list = (KqRunnerList){ 99, 5000, 3, 8, running, 1, ended, 1, true };
   o = pass (&i, &b);
   assert_int_equal (o.u.list.born_ms, 99);
   assert_int_equal (o.u.list.lease_left_ms, 5000);
   assert_int_equal (o.u.list.order, 3);
+  assert_int_equal (o.u.list.halt, 8);
   assert_true (o.u.list.ended_cut);
   assert_int_equal (o.u.list.n_running, 1);
   assert_true (kq_str_eq (o.u.list.running[0].task, KQ_STR ("j.0.1.2")));
@@ -104,7 +105,11 @@
   assert_int_equal (o.u.order.u.seen.ends, 12);
   assert_int_equal (o.u.order.u.seen.born_ms, 34);
   assert_true (o.u.order.u.seen.watched);
-  for (int k = KQ_ORDER_TAKE; k <= KQ_ORDER_SEEN; k++)
+  i.u.order.kind = KQ_ORDER_RENEW;
+  i.u.order.u.renew.halt = 56;
+  o = pass (&i, &b);
+  assert_int_equal (o.u.order.u.renew.halt, 56);
+  for (int k = KQ_ORDER_TAKE; k <= KQ_ORDER_RENEW; k++)
     {
       memset (&i.u.order.u, 0, sizeof i.u.order.u);
       i.u.order.kind = (KqOrderKind)k;
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -197,6 +197,16 @@
     }
 }
 
+/* The agent has waited for this: a lease that is extended before the leader has heard
+ * from the runner again would outlive the end that the leader was told. */
+static void
+allow_renewals (KqSched *s, const KqRunnerState *r, uint64_t halt)
+{
+  KqOrder o = { .kind = KQ_ORDER_RENEW, .runner = kq_str (r->id) };
+  o.u.renew.halt = halt;
+  s->config.order (s->config.arg, r->agent, &o);
+}
+
 void
 kq_sched_list (KqSched *s, int agent, KqStr runner, const KqRunnerList *l, KqTime now)
 {
@@ -236,6 +246,8 @@
     drop_unlisted (s, r, l->order, now);
   if (r->n_serving > 0)
     kq_pace_runner (s, r, now);
+  if (l->halt != 0)
+    allow_renewals (s, r, l->halt);
   s->work = true;
 }
 
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -92,6 +92,21 @@
   assert_string_not_equal (d->runner, runner);
 }
 
+/* A runner that was silent for a moment loses all its work: nobody renews its lease. */
+static void
+test_list_after_silence_lets_its_agent_renew (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqRunnerList l = { .born_ms = 1, .lease_left_ms = 300, .halt = 9 };
+  kq_sched_unreached (d->sched, d->agent, KQ_STR ("r0"), 500, d->now);
+  assert_int_equal (d->renewals, 0);
+  kq_sched_list (d->sched, d->agent, KQ_STR ("r0"), &l, d->now);
+  assert_int_equal (d->renewals, 1);
+  assert_int_equal (d->halt, 9);
+  kq_sched_desk_list (d, "r0", NULL, 0);
+  assert_int_equal (d->renewals, 1);
+}
+
 typedef struct
 {
   char runner[16];
@@ -218,6 +233,8 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_start_is_not_repeated_at_a_runner_that_leaves,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_list_after_silence_lets_its_agent_renew,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_rough_reports_about_the_target,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_lost_lasting_task_gets_the_next_room,
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -41,8 +41,9 @@
   KQ_ORDER_START, /* begin a run */
   KQ_ORDER_STOP,
   KQ_ORDER_PACE,
-  KQ_ORDER_SEEN,  /* ends up to a number are in the store */
-  KQ_ORDER_ADVISE /* ask the advice service about a step; runner is "" */
+  KQ_ORDER_SEEN,   /* ends up to a number are in the store */
+  KQ_ORDER_ADVISE, /* ask the advice service about a step; runner is "" */
+  KQ_ORDER_RENEW   /* the list with that halt has been taken in: grant leases again */
 } KqOrderKind;
 
 typedef struct
@@ -86,6 +87,10 @@
       const KqStr *runners; /* ids */
       size_t n_runners;
     } advise;
+    struct
+    {
+      uint64_t halt; /* as listed */
+    } renew;
   } u;
 } KqOrder;
 
@@ -112,6 +117,7 @@
   int64_t born_ms;
   int64_t lease_left_ms; /* until the lease granted ends, on a sound clock's time */
   uint64_t order;        /* results given before the question for this list left */
+  uint64_t halt;         /* not 0: no lease is granted until an order RENEW says so */
   const KqRunRow *running;
   size_t n_running;
   const KqEndRow *ended;
