--- /dev/null
+++ b/src/sched/repeat_test.c
@@ -0,0 +1,95 @@
+#include "bench/sched_desk.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+typedef struct
+{
+  char runner[16];
+  char task[96];
+  uint32_t run;
+} Start;
+
+/* A start without an answer has been sent again, and the runner lists its run. */
+static void
+repeat_start (KqSchedDesk *d, bool lasting, Start *out)
+{
+  KqRunRow row = { .checkpoint = KQ_STR (""), .percent = 10 };
+  KqStep step = kq_sched_desk_step ();
+  step.lasting = lasting;
+  kq_sched_desk_submit (d, "aa", step, false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  memcpy (out->runner, d->runner, sizeof out->runner);
+  memcpy (out->task, d->task, sizeof out->task);
+  out->run = d->run;
+  kq_sched_desk_outcome (d, KQ_ORDER_START, out->runner, out->task, out->run,
+                         KQ_ORDER_UNKNOWN);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+  assert_int_equal (d->run, out->run);
+  row.task = kq_str (out->task);
+  row.run = out->run;
+  kq_sched_desk_list_runs (d, out->runner, &row, 1);
+}
+
+/* A task runs twice: the repeat of a start is refused, and the first has been taken. */
+static void
+test_refused_repeat_of_a_listed_run (void **state)
+{
+  static const KqOrderResult refusals[]
+      = { KQ_ORDER_UNHEALTHY, KQ_ORDER_NO_ROOM, KQ_ORDER_BAD };
+  KqSchedDesk *d = *state;
+  Start s;
+  repeat_start (d, false, &s);
+  for (size_t i = 0; i < sizeof refusals / sizeof refusals[0]; i++)
+    {
+      kq_sched_desk_outcome (d, KQ_ORDER_START, s.runner, s.task, s.run, refusals[i]);
+      kq_sched_desk_run (d, 300 * KQ_MS);
+      assert_int_equal (d->starts, 2);
+      assert_int_equal (d->stops, 0);
+    }
+}
+
+/* A task runs twice: the repeat of a start is refused while its run is being stopped. */
+static void
+test_refused_repeat_of_a_stopped_run (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqRunnerEntry e = { .service = KQ_STR ("desk"),
+                      .address = KQ_STR ("127.0.0.1:1"),
+                      .draining = true,
+                      .left_ms = 100,
+                      .room = { 4000, 16000, 0 } };
+  Start s;
+  repeat_start (d, true, &s);
+  e.id = kq_str (s.runner);
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->stops, 1);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, s.runner, s.task, s.run, KQ_ORDER_UNHEALTHY);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+  kq_sched_desk_outcome (d, KQ_ORDER_STOP, s.runner, s.task, s.run, KQ_ORDER_OK);
+  kq_sched_desk_list (d, s.runner, NULL, 0);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 3);
+  assert_string_not_equal (d->runner, s.runner);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_refused_repeat_of_a_listed_run,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_refused_repeat_of_a_stopped_run,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
