A refused repeat of a start doesn't end a run that its runner has listed

Cause: a start without an answer is sent again. While the repeat is under way the runner lists the run, so the first sending has been taken and the run counts as running and as sure. The repeat then fails to leave (on a congested link connections aren't opened in time) or is refused; start_refused looked only at whether an earlier sending was unsure, which the list had settled, took the run for one that had never begun and gave its task to another runner at once. The same with a run whose stop was under way.

Change: a refusal decides only about a run of which nothing but sendings is known.

Why this is enough: what is listed ends by the runner's list, its stop or its lease, and what was never listed and had an unanswered sending is stopped first, as before.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -256,12 +256,16 @@
 {
   KqRunnerState *r = run->runner;
   KqTaskState *t = kq_book_state (run);
-  if (t != NULL)
-    t->avoid = r;
   if (result == KQ_ORDER_UNHEALTHY)
     kq_runners_score (r, false, now);
   if (result == KQ_ORDER_NO_ROOM)
     ++*s->no_room;
+  /* Only this sending has been refused: an earlier one was taken, the run is listed or
+   * its stop is under way. */
+  if (run->phase != KQ_RUN_SENDING)
+    return;
+  if (t != NULL)
+    t->avoid = r;
   if (result == KQ_ORDER_NO_TICKET)
     {
       run->job->spec.advised = true; /* the queue has become so since */
