Log lines that tell why a run is counted as over

Now, one line a decision: - sched "Order not carried out" has believed= and unsure=; - agent "Order came to nothing" (for unhealthy) has unsent=, and "Runner doesn't answer" names the result; - agent "Runner answers again" with the lease left before the renewal; - sched "Runner answers again" with runs believed and listed and the lease left by the leader; "Runs are over without a word" with agent, age of the last list, and lease_from=; debug lines for each lost and each adopted run; - sched "Runner has another agent", "A word of an earlier agent is passed over" (the first of each change of agent).

No decision changes.

--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -252,10 +252,15 @@
   switch (r->result)
     {
     case KQ_ORDER_OK:
+      note_clock (h, r, now);
+      if (h->failures >= SILENT_AFTER)
+        kq_log (
+            KQ_LOG_INFO, PART,
+            "Runner answers again. runner=%s failures=%d running=%zu lease_left_ms=%lld",
+            h->id, h->failures, r->n_running, (long long)lease_left (h, now));
       h->failures = 0;
       h->told_at = 0;
       h->quiet = r->n_running == 0;
-      note_clock (h, r, now);
       h->listed_at = now;
       h->ends_told = r->n_ended > 0 ? r->ended[r->n_ended - 1].number : 0;
       tell_list (h, r, c->order, now);
@@ -276,8 +281,9 @@
       h->failures++;
       if (h->failures == SILENT_AFTER)
         kq_log (KQ_LOG_WARN, PART,
-                "Runner doesn't answer. runner=%s result=%d lease_left_ms=%lld", h->id,
-                r->result, (long long)lease_left (h, now));
+                "Runner doesn't answer. runner=%s result=%s unsent=%d lease_left_ms=%lld",
+                h->id, kq_order_result_name (r->result), r->unsent,
+                (long long)lease_left (h, now));
       if (h->failures >= SILENT_AFTER || r->result == KQ_ORDER_OTHER_LIFE)
         tell_unreached (h, r->result == KQ_ORDER_OTHER_LIFE, now);
       h = held_of (c);
@@ -340,6 +346,12 @@
   if (h != NULL)
     {
       note_clock (h, r, now);
+      if (r->result == KQ_ORDER_UNHEALTHY)
+        kq_log (KQ_LOG_INFO, PART,
+                "Order came to nothing. task=%s run=%u runner=%s order=%s unsent=%d "
+                "took_ms=%lld",
+                c->task, c->run, h->id, kq_order_kind_name (c->kind), r->unsent,
+                (long long)((now - r->sent_at) / KQ_MS));
       i.u.outcome = (KqOrderOutcome){ .kind = c->kind,
                                       .task = kq_str (c->task),
                                       .run = c->run,
--- a/src/port/runner.h
+++ b/src/port/runner.h
@@ -92,6 +92,7 @@
   const KqEndRow *ended;
   size_t n_ended;
   bool ended_cut; /* more ends wait behind those listed */
+  bool unsent;    /* UNHEALTHY as the call never left; else the runner said so */
   KqTime sent_at;
 } KqRunnerReply;
 
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -34,6 +34,13 @@
     state->last_run = number;
   if (!wanted)
     kq_run_stop (s, run, "not wanted", now);
+  else
+    {
+      char name[96];
+      kq_book_task_name (run, name);
+      kq_log (KQ_LOG_DEBUG, PART, "Run is taken over. task=%s run=%u runner=%s", name,
+              number, r->id);
+    }
   return run;
 }
 
@@ -202,7 +209,7 @@
 {
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTime lease = now + l->lease_left_ms * KQ_MS;
-  if (r == NULL || r->agent != agent)
+  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, "list"))
     return;
   if (l->born_ms != 0 && r->born_ms != 0 && l->born_ms != r->born_ms)
     {
@@ -214,12 +221,16 @@
   if (l->born_ms != 0)
     r->born_ms = l->born_ms;
   if (r->silent)
-    kq_log (KQ_LOG_INFO, PART, "Runner answers again. runner=%s", r->id);
+    kq_log (KQ_LOG_INFO, PART,
+            "Runner answers again. runner=%s runs=%d listed=%zu ended=%zu "
+            "heard_ms_ago=%lld lease_left_ms=%lld",
+            r->id, r->n_runs, l->n_running, l->n_ended,
+            (long long)((now - r->heard_at) / KQ_MS),
+            (long long)((r->lease_ends - now) / KQ_MS));
   r->listed = true;
   r->silent = false;
   r->heard_at = now;
-  if (lease > r->lease_ends)
-    r->lease_ends = lease;
+  kq_runners_extend (r, lease, "list");
   for (size_t i = 0; i < l->n_ended; i++)
     if (l->ended[i].number > r->ends_seen)
       {
@@ -310,11 +321,19 @@
     }
 }
 
+const char *
+kq_order_kind_name (KqOrderKind k)
+{
+  static const char *const names[]
+      = { "take", "drop", "start", "stop", "pace", "seen", "advise" };
+  return names[k];
+}
+
 static const char *
-order_name (KqOrderKind kind)
+believed (const KqRun *run)
 {
-  static const char *const names[] = { "take", "drop", "start", "stop", "pace", "seen" };
-  return names[kind];
+  static const char *const names[] = { "sending", "running", "stopping" };
+  return run != NULL ? names[run->phase] : "over";
 }
 
 void
@@ -324,15 +343,17 @@
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTaskRef t;
   KqRun *run;
-  if (r == NULL || r->agent != agent || !kq_book_task (s, o->task, &t))
+  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, "outcome")
+      || !kq_book_task (s, o->task, &t))
     return;
   ++*s->results[o->result];
+  run = find_run (r, &t, o->run);
   if (o->result != KQ_ORDER_OK)
     kq_log (KQ_LOG_INFO, PART,
-            "Order not carried out. task=%.*s run=%u runner=%s order=%s result=%s",
-            KQ_STR_ARG (o->task), o->run, r->id, order_name (o->kind),
-            kq_order_result_name (o->result));
-  run = find_run (r, &t, o->run);
+            "Order not carried out. task=%.*s run=%u runner=%s order=%s result=%s "
+            "believed=%s unsure=%d",
+            KQ_STR_ARG (o->task), o->run, r->id, kq_order_kind_name (o->kind),
+            kq_order_result_name (o->result), believed (run), run != NULL && run->unsure);
   if (run == NULL || o->kind == KQ_ORDER_PACE)
     return;
   run->waiting = false;
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -68,6 +68,40 @@
          + s->config.lease_ms * KQ_MS * (100 + CLOCK_SLOW_PERCENT) / 100;
 }
 
+/* The agent's node. */
+static KqStr
+agent_node (const KqSched *s, int agent)
+{
+  return agent >= 0 ? kq_name_str (&s->agents.list[agent].info.name) : KQ_STR ("");
+}
+
+void
+kq_runners_extend (KqRunnerState *r, KqTime ends, const char *from)
+{
+  if (ends <= r->lease_ends)
+    return;
+  r->lease_ends = ends;
+  r->lease_from = from;
+}
+
+bool
+kq_runners_heard_of_by (const KqSched *s, KqRunnerState *r, int agent, const char *what)
+{
+  if (r->agent == agent)
+    return true;
+  if (!r->passed_over)
+    {
+      KqStr from = agent_node (s, agent);
+      KqStr now_of = agent_node (s, r->agent);
+      kq_log (KQ_LOG_INFO, PART,
+              "A word of an earlier agent is passed over. runner=%s what=%s from=%.*s "
+              "agent=%.*s",
+              r->id, what, KQ_STR_ARG (from), KQ_STR_ARG (now_of));
+    }
+  r->passed_over = true;
+  return false;
+}
+
 static KqRunnerState *
 add (KqSched *s, KqStr id, KqTime now)
 {
@@ -83,6 +117,7 @@
   r->slowness = 1;
   r->score_at = r->heard_at = now;
   r->lease_ends = s->loaded ? now : blind_lease_end (s, now);
+  r->lease_from = s->loaded ? "entry" : "earlier leader";
   g_hash_table_insert (s->runners, r->id, r);
   g_ptr_array_add (s->runner_list, r);
   return r;
@@ -148,11 +183,20 @@
 static void
 lose (KqSched *s, KqRunnerState *r, const char *why, KqTime now)
 {
+  KqStr node = agent_node (s, r->agent);
   if (r->n_runs > 0)
-    kq_log (KQ_LOG_WARN, PART, "Runs are over without a word. runner=%s runs=%d why=%s",
-            r->id, r->n_runs, why);
+    kq_log (KQ_LOG_WARN, PART,
+            "Runs are over without a word. runner=%s runs=%d why=%s agent=%.*s "
+            "heard_ms_ago=%lld lease_over_ms=%lld lease_from=%s",
+            r->id, r->n_runs, why, KQ_STR_ARG (node),
+            (long long)((now - r->heard_at) / KQ_MS),
+            (long long)((now - r->lease_ends) / KQ_MS), r->lease_from);
   while (r->runs != NULL)
     {
+      char name[96];
+      kq_book_task_name (r->runs, name);
+      kq_log (KQ_LOG_DEBUG, PART, "Run is lost. task=%s run=%u runner=%s", name,
+              r->runs->number, r->id);
       ++*s->runs_lost;
       kq_run_over (s, r->runs, now);
     }
@@ -184,9 +228,19 @@
 }
 
 static void
-give_agent (KqSched *s, KqRunnerState *r, int agent)
+give_agent (KqSched *s, KqRunnerState *r, int agent, KqTime now)
 {
   KqOrder o = { .kind = KQ_ORDER_TAKE, .runner = kq_str (r->id) };
+  if (r->agent >= 0 || r->listed || r->silent)
+    {
+      KqStr node = agent_node (s, agent);
+      KqStr was = agent_node (s, r->agent);
+      kq_log (KQ_LOG_INFO, PART,
+              "Runner has another agent. runner=%s agent=%.*s was=%.*s runs=%d silent=%d "
+              "lease_left_ms=%lld",
+              r->id, KQ_STR_ARG (node), KQ_STR_ARG (was), r->n_runs, r->silent,
+              (long long)((r->lease_ends - now) / KQ_MS));
+    }
   if (r->agent >= 0)
     {
       KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
@@ -195,7 +249,7 @@
         s->config.order (s->config.arg, r->agent, &drop);
     }
   r->agent = agent;
-  r->watched = false;
+  r->watched = r->passed_over = false;
   r->listed = false; /* to this agent: it knows neither the runner's clock nor its runs */
   s->agents.list[agent].runners++;
   o.u.take.address = kq_str (r->address);
@@ -216,7 +270,6 @@
 kq_runners_assign (KqSched *s, KqTime now)
 {
   int total = 0;
-  (void)now;
   if (!s->loaded)
     return;
   for (guint i = 0; i < s->runner_list->len; i++)
@@ -231,7 +284,7 @@
         continue;
       agent = kq_agents_pick (&s->agents, kq_str (r->domain));
       if (agent >= 0 && agent != r->agent)
-        give_agent (s, r, agent);
+        give_agent (s, r, agent, now);
     }
 }
 
@@ -273,8 +326,7 @@
       if (r->agent != agent)
         continue;
       r->agent = -1;
-      if (ends > r->lease_ends)
-        r->lease_ends = ends;
+      kq_runners_extend (r, ends, "lost agent");
       for (KqRun *run = r->runs; run != NULL; run = run->next)
         {
           if (run->waiting)
@@ -295,6 +347,7 @@
   lose (s, r, "its host was taken down", now);
   r->over = true;
   r->lease_ends = now;
+  r->lease_from = "host taken down";
   s->known_dirty = true;
 }
 
@@ -315,14 +368,14 @@
 {
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTime ends = now + lease_left_ms * KQ_MS;
-  if (r == NULL || r->agent != agent || r->over)
+  if (r == NULL || r->over || !kq_runners_heard_of_by (s, r, agent, "silence"))
     return;
   if (!r->silent)
     kq_log (KQ_LOG_WARN, PART, "Runner is silent. runner=%s runs=%d lease_left_ms=%lld",
             r->id, r->n_runs, (long long)lease_left_ms);
   r->silent = true;
-  if (lease_left_ms >= 0 && ends > r->lease_ends)
-    r->lease_ends = ends;
+  if (lease_left_ms >= 0)
+    kq_runners_extend (r, ends, "silence");
   if (r->taken_down)
     end_life (s, r, now);
 }
@@ -331,12 +384,13 @@
 kq_sched_runner_over (KqSched *s, int agent, KqStr runner, KqTime now)
 {
   KqRunnerState *r = kq_runners_find (s, runner);
-  if (r == NULL || r->agent != agent)
+  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, "other runner"))
     return;
   lose (s, r, "another runner at its address", now);
   r->listed = false;
   r->silent = true;
   r->lease_ends = now;
+  r->lease_from = "other runner";
 }
 
 static void
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -45,6 +45,9 @@
   KQ_ORDER_ADVISE /* ask the advice service about a step; runner is "" */
 } KqOrderKind;
 
+/* For logs. */
+const char *kq_order_kind_name (KqOrderKind k);
+
 typedef struct
 {
   KqOrderKind kind;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -190,6 +190,8 @@
   bool silent;       /* the agent gets no answer */
   bool foreign;      /* lists a run of a job that nobody knows: its size is unknown */
   KqTime lease_ends; /* latest time at which something may still run there */
+  const char *lease_from; /* what that follows from, for logs */
+  bool passed_over;       /* a word of an earlier agent, and logged */
   KqTime heard_at;
   int agent; /* -1: none */
   uint64_t ends_seen;
@@ -344,6 +346,11 @@
 bool kq_runners_may_run (const KqRunnerState *r);
 /* Its host has been taken down, and no run of this life can go on. */
 void kq_runners_taken_down (KqSched *s, KqStr id, KqTime now);
+/* Something may run there until then, which follows from `from`. */
+void kq_runners_extend (KqRunnerState *r, KqTime ends, const char *from);
+/* Whether it is this agent's runner; the first word of an earlier one is logged. */
+bool kq_runners_heard_of_by (const KqSched *s, KqRunnerState *r, int agent,
+                             const char *what);
 void kq_runners_reborn (KqSched *s, KqRunnerState *r, KqTime now);
 void kq_runners_look (KqSched *s, KqTime now);
 void kq_runners_assign (KqSched *s, KqTime now);
