--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -46,6 +46,9 @@
   KQ_ORDER_RENEW   /* the list with that halt has been taken in: grant leases again */
 } KqOrderKind;
 
+/* For logs. */
+const char *kq_order_kind_name (KqOrderKind k);
+
 typedef struct
 {
   KqOrderKind kind;
