A call whose first write blocked isn't told as not sent

What callers saw: an order that its runner has taken would be told as refused without doing anything, and the scheduler starts the task elsewhere: one task runs twice.

Cause: CURLINFO_REQUEST_SIZE counts what libcurl's first write took. When that write would block, the whole request leaves later by the path for request bodies, and the figure stays 0; the client took 0 for 'no byte has left'.

Now the pre-request callback decides: a call that libcurl was about to send may have left. A call whose first write fails at once on a dead connection is told as broken instead of not sent, on the safe side.

Evidence: test_blocked_first_write_is_sent (the test's own send() finds a full socket once; GET and POST, fresh and reused connection, no answer and a closed connection). Before: GET, fresh, without an answer: NOT_SENT instead of SILENT (0x1 != 0x3, http_test.c:273). After: all eight cases, the server has the request once each (so libcurl's own repeat of a POST doesn't leave either).

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -57,7 +57,7 @@
   KqBuf head;     /* header lines of the answer as they come */
   int64_t length; /* Content-Length; -1 without */
   bool head_given;
-  bool issued; /* the request has begun to leave */
+  bool issued; /* the request may have left, in part or whole */
   bool opens;  /* a new connection was opened for it */
   KqTime opened_before;
 };
@@ -184,21 +184,13 @@
   free (c);
 }
 
-/* Whether any byte of the request may have left this process. */
-static bool
-sent_any (const KqHttpCall *c)
-{
-  long n = 0;
-  curl_easy_getinfo (c->easy, CURLINFO_REQUEST_SIZE, &n);
-  return n > 0;
-}
-
 static KqHttpEnd
 end_of (const KqHttpCall *c, CURLcode code)
 {
   if (code == CURLE_OK)
     return KQ_HTTP_DONE;
-  if (!sent_any (c))
+  /* What libcurl counts as sent lacks requests whose first write would block. */
+  if (!c->issued)
     return KQ_HTTP_NOT_SENT;
   return c->silent || code == CURLE_OPERATION_TIMEDOUT ? KQ_HTTP_SILENT : KQ_HTTP_BROKEN;
 }
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -4,17 +4,35 @@
 
 #include <ev.h>
 
+#include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <cmocka.h>
 
 #define BIG (3 * 1024 * 1024)
 
+/* The first write of the next request finds the socket's buffer full. */
+static bool full_once;
+
+ssize_t
+send (int fd, const void *bytes, size_t n, int flags)
+{
+  if (full_once && n > 4
+      && (memcmp (bytes, "GET ", 4) == 0 || memcmp (bytes, "POST", 4) == 0))
+    {
+      full_once = false;
+      errno = EAGAIN;
+      return -1;
+    }
+  return sendto (fd, bytes, n, flags, NULL, 0);
+}
+
 /* A server that echoes bodies, and a client, on one loop. */
 typedef struct
 {
@@ -232,6 +250,45 @@
   assert_int_equal (p->end, KQ_HTTP_BROKEN);
 }
 
+/* A request leaves by a later write and has no answer: the target has it. */
+static void
+expect_sent (Pair *p, const KqHttpRequest *request, const char *path, bool reused,
+             KqHttpEnd end)
+{
+  KqHttpRequest r = *request;
+  if (reused)
+    {
+      start (p, "/plain", &(KqHttpRequest){ .method = "GET" });
+      run (p);
+      assert_int_equal (p->end, KQ_HTTP_DONE);
+    }
+  p->begun = 0;
+  full_once = true;
+  r.total_ms = 300;
+  start (p, path, &r);
+  run (p);
+  assert_true (p->done);
+  assert_false (full_once);
+  assert_int_equal (p->begun, 1);
+  assert_int_equal (p->end, end);
+}
+
+/* One task runs twice: a call whose first write blocked was told as not sent. */
+static void
+test_blocked_first_write_is_sent (void **state)
+{
+  Pair *p = *state;
+  KqHttpRequest get = { .method = "GET" };
+  KqHttpRequest post = { .method = "POST", .body = KQ_STR ("abc") };
+  for (int reused = 0; reused < 2; reused++)
+    {
+      expect_sent (p, &get, "/never", reused, KQ_HTTP_SILENT);
+      expect_sent (p, &post, "/never", reused, KQ_HTTP_SILENT);
+      expect_sent (p, &get, "/drop", reused, KQ_HTTP_BROKEN);
+      expect_sent (p, &post, "/drop", reused, KQ_HTTP_BROKEN);
+    }
+}
+
 /* An acknowledgement is meant for the process that was heard before. It died and another
  * one listens at its address: a call on a new connection would reach that one, which
  * would take the acknowledgement for its own. So the call must not leave, and say so;
@@ -348,6 +405,7 @@
     cmocka_unit_test_setup_teardown (test_cut_answer_is_broken, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_no_repeat_on_reused_connection, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_blocked_first_write_is_sent, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_call_keeps_to_an_old_connection, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_silent_target, set_up, tear_down),
