A runner's lease outlives the agent that it is taken from

What callers saw: one task can run twice. The leader gives a runner to another agent (hosts came or went), or its entry has a new address; the next agent doesn't reach it, and the tasks there are started elsewhere while they run.

Cause: the leader knew the lease's end as the first agent's last list told it. That agent may have granted since, and does so until DROP arrives or until it counts the leader as lost. After a new address no DROP was sent at all, so that it granted on for good. A new agent that never heard the runner's clock knows nothing of the lease (lease_left_ms -1).

Now the lease of such a runner counts as lasting for blind_ms and a lease more, as when its agent is lost, and DROP is sent in both cases.

Evidence: test_lease_of_a_runner_given_to_another_agent and test_lease_of_a_runner_with_a_new_address (orders_test). Before: the next run is started within 8.5 s (starts 2 != 1, line 250), in both. After: it is started when 9.1 s and the margin are over. sched, random, maintenance, tickets, room and fleet_live tests pass.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -12,6 +12,8 @@
   (void)agent;
   if (o->kind == KQ_ORDER_STOP)
     d->stops++;
+  if (o->kind == KQ_ORDER_DROP)
+    d->drops++;
   if (o->kind == KQ_ORDER_PACE && o->u.pace.percent < 100)
     d->slowed++;
   if (o->kind == KQ_ORDER_ADVISE)
@@ -90,6 +92,13 @@
   kq_sched_outcome (d->sched, d->agent, kq_str (runner), &o, d->now);
 }
 
+void
+kq_sched_desk_unreached (KqSchedDesk *d, int agent, const char *runner,
+                         int64_t lease_left_ms)
+{
+  kq_sched_unreached (d->sched, agent, kq_str (runner), lease_left_ms, d->now);
+}
+
 void
 kq_sched_desk_advise (KqSchedDesk *d, const char *step, KqAdviceResult result,
                       const char *runner, const char *ticket, int64_t valid_ms)
--- a/bench/sched_desk.h
+++ b/bench/sched_desk.h
@@ -26,6 +26,7 @@
   int went_down;       /* hosts ordered down so far */
   char last_down[16];  /* the last of them */
   uint64_t results;
+  int drops; /* orders to look after a runner no longer, so far */
 } KqSchedDesk;
 
 /* cmocka's set-up and tear-down; *state is the desk. */
@@ -44,6 +45,9 @@
                               size_t n);
 void kq_sched_desk_outcome (KqSchedDesk *d, KqOrderKind kind, const char *runner,
                             const char *task, uint32_t run, KqOrderResult result);
+/* The agent gets no answer from the runner. */
+void kq_sched_desk_unreached (KqSchedDesk *d, int agent, const char *runner,
+                              int64_t lease_left_ms);
 /* The advice service names one runner, or none with ticket NULL. */
 void kq_sched_desk_advise (KqSchedDesk *d, const char *step, KqAdviceResult result,
                            const char *runner, const char *ticket, int64_t valid_ms);
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -208,6 +208,81 @@
   assert_true (turn > 2); /* not before: jobs in time have the first claim */
 }
 
+/* A task runs on r0 under agent d->agent, and r1 is there to take it over. */
+static void
+run_on_r0 (KqSchedDesk *d)
+{
+  KqRunnerEntry r1 = { .id = KQ_STR ("r1"),
+                       .service = KQ_STR ("desk"),
+                       .address = KQ_STR ("127.0.0.1:1"),
+                       .draining = true,
+                       .left_ms = 60000,
+                       .room = { 4000, 16000, 0 } };
+  KqRunRow row = { .run = 1, .checkpoint = KQ_STR (""), .percent = 1 };
+  KqStep step = kq_sched_desk_step ();
+  KqBuf known = { 0 };
+  step.estimate_ms = 60000;
+  kq_sched_entry (d->sched, &r1, d->now);
+  kq_sched_desk_submit (d, "aa", step, false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  assert_string_equal (d->runner, "r0");
+  row.task = kq_str (d->task);
+  row.run = d->run;
+  kq_sched_desk_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+  kq_sched_desk_list_runs (d, "r0", &row, 1);
+  r1.draining = false;
+  kq_sched_entry (d->sched, &r1, d->now);
+  kq_sched_known_pack (d->sched, &known);
+  kq_buf_free (&known);
+  kq_sched_known_stored (d->sched);
+  kq_sched_desk_run (d, 2 * KQ_SEC);
+}
+
+/* The agent that held r0 was told to drop it just now: its last grant may be on its way
+ * to the leader, and until the order arrives, or it counts the leader as lost, it grants
+ * more. */
+static void
+expect_wait_for_the_earlier_agent (KqSchedDesk *d, int agent)
+{
+  kq_sched_desk_unreached (d, agent, "r0", -1);
+  kq_sched_desk_run (d, 8500 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  kq_sched_desk_run (d, 1500 * KQ_MS); /* blind_ms and a lease are over */
+  assert_int_equal (d->starts, 2);
+  assert_int_equal (d->drops, 1);
+  assert_string_equal (d->runner, "r1");
+}
+
+/* One task runs twice: grants of an earlier agent of its runner weren't waited for. */
+static void
+test_lease_of_a_runner_given_to_another_agent (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqAgentInfo strong = { .name = kq_name (KQ_STR ("b")), .share_milli = 9000 };
+  int b;
+  run_on_r0 (d);
+  b = kq_sched_agent_up (d->sched, &strong, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  expect_wait_for_the_earlier_agent (d, b);
+}
+
+/* One task runs twice: an agent went on renewing at an address that the entry has left.
+ */
+static void
+test_lease_of_a_runner_with_a_new_address (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqRunnerEntry e = { .id = KQ_STR ("r0"),
+                      .service = KQ_STR ("desk"),
+                      .address = KQ_STR ("127.0.0.1:2"),
+                      .room = { 4000, 16000, 0 } };
+  run_on_r0 (d);
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  expect_wait_for_the_earlier_agent (d, d->agent);
+}
+
 int
 main (void)
 {
@@ -224,6 +299,10 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_nothing_fills_beside_a_task_over_its_target,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_lease_of_a_runner_given_to_another_agent,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_lease_of_a_runner_with_a_new_address,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -68,6 +68,21 @@
          + s->config.lease_ms * KQ_MS * (100 + CLOCK_SLOW_PERCENT) / 100;
 }
 
+/* The agent grants on until it hears of this or counts us as lost, and its last lists may
+ * be under way. */
+static void
+drop_agent (KqSched *s, KqRunnerState *r, KqTime now)
+{
+  KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
+  KqTime ends = blind_lease_end (s, now);
+  s->agents.list[r->agent].runners--;
+  if (s->agents.list[r->agent].up)
+    s->config.order (s->config.arg, r->agent, &drop);
+  r->agent = -1;
+  if (ends > r->lease_ends)
+    r->lease_ends = ends;
+}
+
 static KqRunnerState *
 add (KqSched *s, KqStr id, KqTime now)
 {
@@ -125,10 +140,7 @@
   if (!r->known_stored)
     s->known_dirty = true;
   if (moved && r->agent >= 0)
-    {
-      s->agents.list[r->agent].runners--;
-      r->agent = -1;
-    }
+    drop_agent (s, r, now);
   s->work = true;
 }
 
@@ -184,16 +196,11 @@
 }
 
 static void
-give_agent (KqSched *s, KqRunnerState *r, int agent)
+give_agent (KqSched *s, KqRunnerState *r, int agent, KqTime now)
 {
   KqOrder o = { .kind = KQ_ORDER_TAKE, .runner = kq_str (r->id) };
   if (r->agent >= 0)
-    {
-      KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
-      s->agents.list[r->agent].runners--;
-      if (s->agents.list[r->agent].up)
-        s->config.order (s->config.arg, r->agent, &drop);
-    }
+    drop_agent (s, r, now);
   r->agent = agent;
   r->watched = false;
   r->listed = false; /* to this agent: it knows neither the runner's clock nor its runs */
@@ -216,7 +223,6 @@
 kq_runners_assign (KqSched *s, KqTime now)
 {
   int total = 0;
-  (void)now;
   if (!s->loaded)
     return;
   for (guint i = 0; i < s->runner_list->len; i++)
@@ -231,7 +237,7 @@
         continue;
       agent = kq_agents_pick (&s->agents, kq_str (r->domain));
       if (agent >= 0 && agent != r->agent)
-        give_agent (s, r, agent);
+        give_agent (s, r, agent, now);
     }
 }
 
