What an agent tells of an earlier taking of a runner counts for nothing

What callers saw: one task can run twice, or stand still. A runner is taken from an agent and given to it again (A, B, A within the way of a message, or its entry has a new address), while a list, an outcome or an UNREACHED of the earlier taking is under way.

Cause: items were told apart by agent and runner only, and the counts by which a list and an outcome are put in order begin anew with each taking. So a list made before a start counted as made after it (the run 'has vanished' and is started elsewhere), an outcome with a high count kept a vanished run alive, and 'another runner at its address', said of the address that was left, ended the runs at the new one.

Now TAKE has a number, LIST, OUTCOME and UNREACHED bring it back, and the leader passes over what doesn't carry the present one.

Evidence: test_list_of_an_earlier_taking and test_outcome_of_an_earlier_taking (orders_test), run with the number on the way but not looked at. Before: starts 2 != 1 (line 316), 1 != 2 (line 342). After: both pass; test_words_name_their_taking (agent_test) and frame_test for the way there. The check of UNREACHED (fleet/leader.c) has no test of its own: there is no test that plays a node to kq_leader_item. sched_random, sched, maintenance and fleet_live tests pass.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -5,6 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+static uint64_t *
+taking (KqSchedDesk *d, KqStr runner)
+{
+  return &d->taking[(size_t)(runner.ptr[1] - '0') % 3];
+}
+
 static void
 on_order (void *arg, int agent, const KqOrder *o)
 {
@@ -14,6 +20,8 @@
     d->stops++;
   if (o->kind == KQ_ORDER_DROP)
     d->drops++;
+  if (o->kind == KQ_ORDER_TAKE)
+    *taking (d, o->runner) = o->u.take.taking;
   if (o->kind == KQ_ORDER_PACE && o->u.pace.percent < 100)
     d->slowed++;
   if (o->kind == KQ_ORDER_ADVISE)
@@ -53,6 +61,7 @@
   l.born_ms = 1;
   l.lease_left_ms = 5000;
   l.order = d->results;
+  l.taking = *taking (d, kq_str (runner));
   kq_sched_list (d->sched, d->agent, kq_str (runner), &l, d->now);
 }
 
@@ -86,9 +95,12 @@
 kq_sched_desk_outcome (KqSchedDesk *d, KqOrderKind kind, const char *runner,
                        const char *task, uint32_t n, KqOrderResult result)
 {
-  KqOrderOutcome o = {
-    .kind = kind, .task = kq_str (task), .run = n, .result = result, .order = ++d->results
-  };
+  KqOrderOutcome o = { .kind = kind,
+                       .task = kq_str (task),
+                       .run = n,
+                       .result = result,
+                       .order = ++d->results,
+                       .taking = *taking (d, kq_str (runner)) };
   kq_sched_outcome (d->sched, d->agent, kq_str (runner), &o, d->now);
 }
 
--- a/bench/sched_desk.h
+++ b/bench/sched_desk.h
@@ -26,7 +26,8 @@
   int went_down;       /* hosts ordered down so far */
   char last_down[16];  /* the last of them */
   uint64_t results;
-  int drops; /* orders to look after a runner no longer, so far */
+  uint64_t taking[3]; /* of r0 to r2, as ordered last */
+  int drops;          /* orders to look after a runner no longer, so far */
 } KqSchedDesk;
 
 /* cmocka's set-up and tear-down; *state is the desk. */
--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -115,6 +115,7 @@
   if (o->kind == KQ_ORDER_TAKE)
     {
       g->held = true;
+      g->taking = o->u.take.taking;
       g->ask_at = r->now;
       g->results = 0;
       g->failures = 0;
@@ -207,6 +208,7 @@
   kq_sched_rig_trace (r, e->outcome.task.ptr, "outcome", g->id, e->outcome.run,
                       e->outcome.result);
   e->outcome.order = ++g->results;
+  e->outcome.taking = g->taking;
   kq_sched_outcome (r->sched, r->agent, kq_str (g->id), &e->outcome, r->now);
 }
 
@@ -270,6 +272,7 @@
     }
   i.u.list = (KqRunnerList){ .born_ms = g->born_ms,
                              .order = g->results,
+                             .taking = g->taking,
                              .running = rows,
                              .n_running = g->runs->len,
                              .ended = ends,
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -53,6 +53,7 @@
   GHashTable *highest; /* task -> highest run stopped or ended */
   /* The agent's side. */
   bool held;
+  uint64_t taking;
   KqTime ask_at;
   uint64_t seen;
   uint64_t results;
--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -39,6 +39,7 @@
   char *address;
   uint64_t epoch;
   uint64_t serial; /* of this taking: answers to calls of an earlier one are dropped */
+  uint64_t taking; /* the leader's number of it */
   ev_timer next;
   bool asking;
   bool watched;
@@ -222,6 +223,7 @@
   h->told_at = now;
   i.u.unreached.lease_left_ms = lease_left (h, now);
   i.u.unreached.gone = gone;
+  i.u.unreached.taking = h->taking;
   tell (h, &i);
 }
 
@@ -232,6 +234,7 @@
   i.u.list = (KqRunnerList){ .born_ms = r->born_ms,
                              .lease_left_ms = lease_left (h, now),
                              .order = order,
+                             .taking = h->taking,
                              .running = r->running,
                              .n_running = r->n_running,
                              .ended = r->ended,
@@ -344,7 +347,8 @@
                                       .task = kq_str (c->task),
                                       .run = c->run,
                                       .result = r->result,
-                                      .order = ++h->results };
+                                      .order = ++h->results,
+                                      .taking = h->taking };
       tell (h, &i);
     }
   free_call (c);
@@ -407,6 +411,7 @@
   h->address = kq_str_dup (o->u.take.address);
   h->epoch = epoch;
   h->serial = ++a->serial;
+  h->taking = o->u.take.taking;
   h->clock_ms = -1;
   ev_timer_init (&h->next, on_next, 0, 0);
   h->next.data = h;
--- a/src/crew/agent_test.c
+++ b/src/crew/agent_test.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 
 #include <cmocka.h>
 
@@ -18,6 +19,14 @@
   int renewals;
   KqRunnerCallback cb;
 } runner;
+static KqRunnerCallback started; /* the last start */
+
+/* What the agent has told last. */
+static struct
+{
+  KqCrewKind kind;
+  uint64_t taking;
+} told;
 
 void
 kq_runner_renew (KqRunnerCalls *c, const KqRunnerAim *a, int64_t lease_end_ms,
@@ -45,7 +54,7 @@
   (void)checkpoint;
   (void)ticket;
   (void)lease_end_ms;
-  (void)cb;
+  started = cb;
 }
 
 void
@@ -67,7 +76,13 @@
 {
   (void)arg;
   (void)epoch;
-  (void)i;
+  told.kind = i->kind;
+  if (i->kind == KQ_CREW_LIST)
+    told.taking = i->u.list.taking;
+  else if (i->kind == KQ_CREW_OUTCOME)
+    told.taking = i->u.outcome.taking;
+  else if (i->kind == KQ_CREW_UNREACHED)
+    told.taking = i->u.unreached.taking;
 }
 
 static void
@@ -132,15 +147,87 @@
   kq_crew_agent_order (a, EPOCH, &take, kq_time_now ());
   pass_time (loop);
   assert_int_equal (runner.renewals, before + 1);
+  answer (kq_time_now ());
   kq_crew_agent_free (a);
   kq_counters_free (counters);
   kq_loop_free (loop);
 }
 
+typedef struct
+{
+  KqLoop *loop;
+  KqCounters *counters;
+  KqCrewAgent *agent;
+} Bench;
+
+static int
+set_up (void **state)
+{
+  Bench *b = kq_alloc (sizeof *b);
+  KqCrewAgentConfig c = { .lease_ms = 5000, .blind_ms = 4000, .notice = on_notice };
+  kq_log_set_level (KQ_LOG_ERROR);
+  b->loop = c.loop = kq_loop_new ();
+  b->counters = c.counters = kq_counters_new ();
+  b->agent = kq_crew_agent_new (&c);
+  *state = b;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  Bench *b = *state;
+  kq_crew_agent_free (b->agent);
+  kq_counters_free (b->counters);
+  kq_loop_free (b->loop);
+  free (b);
+  return 0;
+}
+
+static void
+take (Bench *b, uint64_t taking)
+{
+  KqOrder o = { .kind = KQ_ORDER_TAKE, .runner = KQ_STR ("r") };
+  o.u.take.address = KQ_STR ("127.0.0.1:1");
+  o.u.take.taking = taking;
+  kq_crew_agent_order (b->agent, EPOCH, &o, kq_time_now ());
+  pass_time (b->loop);
+}
+
+static void
+answer_none (KqOrderResult result)
+{
+  KqRunnerReply r = { .result = result, .clock_ms = -1 };
+  runner.cb.done (runner.cb.arg, &r, kq_time_now ());
+}
+
+/* One task runs twice: what is told of an earlier taking of its runner counts. */
+static void
+test_words_name_their_taking (void **state)
+{
+  Bench *b = *state;
+  KqOrder start = { .kind = KQ_ORDER_START, .runner = KQ_STR ("r") };
+  start.u.start.task = KQ_STR ("aa.0.0.0");
+  take (b, 8);
+  answer (kq_time_now ());
+  assert_int_equal (told.kind, KQ_CREW_LIST);
+  assert_int_equal (told.taking, 8);
+  take (b, 9);
+  answer_none (KQ_ORDER_OTHER_LIFE);
+  assert_int_equal (told.kind, KQ_CREW_UNREACHED);
+  assert_int_equal (told.taking, 9);
+  kq_crew_agent_order (b->agent, EPOCH, &start, kq_time_now ());
+  started.done (started.arg, &(KqRunnerReply){ .clock_ms = -1 }, kq_time_now ());
+  assert_int_equal (told.kind, KQ_CREW_OUTCOME);
+  assert_int_equal (told.taking, 9);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_new_connection_ends_renewals) };
+      = { cmocka_unit_test (test_new_connection_ends_renewals),
+          cmocka_unit_test_setup_teardown (test_words_name_their_taking, set_up,
+                                           tear_down) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -17,6 +17,7 @@
     {
     case KQ_ORDER_TAKE:
       kq_pack_str (p, o->u.take.address);
+      kq_pack_u64 (p, o->u.take.taking);
       break;
     case KQ_ORDER_DROP:
       break;
@@ -80,6 +81,7 @@
     {
     case KQ_ORDER_TAKE:
       o->u.take.address = kq_read_str (r);
+      o->u.take.taking = kq_read_u64 (r);
       return;
     case KQ_ORDER_DROP:
       return;
@@ -117,6 +119,7 @@
   kq_pack_i64 (p, l->born_ms);
   kq_pack_i64 (p, l->lease_left_ms);
   kq_pack_u64 (p, l->order);
+  kq_pack_u64 (p, l->taking);
   kq_pack_bool (p, l->ended_cut);
   kq_pack_array (p, l->n_running);
   for (size_t i = 0; i < l->n_running; i++)
@@ -211,6 +214,7 @@
   kq_pack_u64 (p, o->run);
   kq_pack_i64 (p, o->result);
   kq_pack_u64 (p, o->order);
+  kq_pack_u64 (p, o->taking);
 }
 
 static void
@@ -225,6 +229,7 @@
     r->bad = true;
   o->result = (KqOrderResult)result;
   o->order = kq_read_u64 (r);
+  o->taking = kq_read_u64 (r);
 }
 
 static void
@@ -298,6 +303,7 @@
     case KQ_CREW_UNREACHED:
       kq_pack_i64 (p, i->u.unreached.lease_left_ms);
       kq_pack_bool (p, i->u.unreached.gone);
+      kq_pack_u64 (p, i->u.unreached.taking);
       break;
     case KQ_CREW_ASK:
       kq_pack_u64 (p, i->u.ask.call);
@@ -345,6 +351,7 @@
       i->u.list.born_ms = kq_read_i64 (r);
       i->u.list.lease_left_ms = kq_read_i64 (r);
       i->u.list.order = kq_read_u64 (r);
+      i->u.list.taking = kq_read_u64 (r);
       i->u.list.ended_cut = kq_read_bool (r);
       read_running (r, &i->u.list);
       read_ended (r, &i->u.list);
@@ -355,6 +362,7 @@
     case KQ_CREW_UNREACHED:
       i->u.unreached.lease_left_ms = kq_read_i64 (r);
       i->u.unreached.gone = kq_read_bool (r);
+      i->u.unreached.taking = kq_read_u64 (r);
       return;
     case KQ_CREW_ASK:
       i->u.ask.call = kq_read_u64 (r);
@@ -382,8 +390,8 @@
 static size_t
 n_fields (const KqCrewItem *i)
 {
-  static const uint8_t of_kind[] = { 0, 0, 3, 0, 3, 1, 6, 5, 2, 0, 3, 2, 1, 4 };
-  static const uint8_t of_order[] = { 3, 2, 7, 4, 5, 5, 4 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 0, 3, 1, 7, 6, 3, 0, 3, 2, 1, 4 };
+  static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4 };
   if (i->kind == KQ_CREW_ORDER)
     return of_order[i->u.order.kind];
   return of_kind[i->kind];
--- a/src/crew/frame.h
+++ b/src/crew/frame.h
@@ -56,6 +56,7 @@
     {
       int64_t lease_left_ms;
       bool gone; /* another runner answers at that address */
+      uint64_t taking;
     } unreached;
     struct
     {
--- a/src/crew/frame_test.c
+++ b/src/crew/frame_test.c
@@ -34,11 +34,12 @@
   KqBuf b = { 0 };
   KqCrewItem o;
   (void)state;
-  i.u.list = (KqRunnerList){ 99, 5000, 3, running, 1, ended, 1, true };
+  i.u.list = (KqRunnerList){ 99, 5000, 3, 4, running, 1, ended, 1, true };
   o = pass (&i, &b);
   assert_int_equal (o.u.list.born_ms, 99);
   assert_int_equal (o.u.list.lease_left_ms, 5000);
   assert_int_equal (o.u.list.order, 3);
+  assert_int_equal (o.u.list.taking, 4);
   assert_true (o.u.list.ended_cut);
   assert_int_equal (o.u.list.n_running, 1);
   assert_true (kq_str_eq (o.u.list.running[0].task, KQ_STR ("j.0.1.2")));
@@ -96,6 +97,11 @@
   o = pass (&i, &b);
   assert_int_equal (o.u.order.u.start.run, 1001);
   assert_true (kq_str_eq (o.u.order.u.start.checkpoint, KQ_STR ("cp")));
+  i.u.order.kind = KQ_ORDER_TAKE;
+  i.u.order.u.take.address = KQ_STR ("127.0.0.1:1");
+  i.u.order.u.take.taking = 5;
+  o = pass (&i, &b);
+  assert_int_equal (o.u.order.u.take.taking, 5);
   i.u.order.kind = KQ_ORDER_SEEN;
   i.u.order.u.seen.ends = 12;
   i.u.order.u.seen.born_ms = 34;
@@ -114,6 +120,29 @@
   kq_buf_free (&b);
 }
 
+static void
+test_words_of_a_runner_pass_whole (void **state)
+{
+  KqBuf b = { 0 };
+  KqCrewItem i = { .kind = KQ_CREW_OUTCOME };
+  KqCrewItem o;
+  (void)state;
+  i.u.outcome = (KqOrderOutcome){ .result = KQ_ORDER_OLD_RUN, .order = 3, .taking = 4 };
+  o = pass (&i, &b);
+  assert_int_equal (o.u.outcome.result, KQ_ORDER_OLD_RUN);
+  assert_int_equal (o.u.outcome.order, 3);
+  assert_int_equal (o.u.outcome.taking, 4);
+  i = (KqCrewItem){ .kind = KQ_CREW_UNREACHED };
+  i.u.unreached.lease_left_ms = -1;
+  i.u.unreached.gone = true;
+  i.u.unreached.taking = 6;
+  o = pass (&i, &b);
+  assert_int_equal (o.u.unreached.lease_left_ms, -1);
+  assert_true (o.u.unreached.gone);
+  assert_int_equal (o.u.unreached.taking, 6);
+  kq_buf_free (&b);
+}
+
 static void
 test_every_kind_passes (void **state)
 {
@@ -156,10 +185,12 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_list_passes_whole),
-                                      cmocka_unit_test (test_orders_pass_whole),
-                                      cmocka_unit_test (test_advice_passes_whole),
-                                      cmocka_unit_test (test_every_kind_passes),
-                                      cmocka_unit_test (test_damaged_bytes_are_refused) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_list_passes_whole),
+          cmocka_unit_test (test_orders_pass_whole),
+          cmocka_unit_test (test_advice_passes_whole),
+          cmocka_unit_test (test_words_of_a_runner_pass_whole),
+          cmocka_unit_test (test_every_kind_passes),
+          cmocka_unit_test (test_damaged_bytes_are_refused) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -528,6 +528,8 @@
         l->config.deposed (l->config.arg, "a runner has seen a higher epoch", now);
       break;
     case KQ_CREW_UNREACHED:
+      if (!kq_sched_takes (l->sched, agent, i->runner, i->u.unreached.taking))
+        break;
       if (i->u.unreached.gone)
         kq_sched_runner_over (l->sched, agent, i->runner, now);
       else
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -202,7 +202,7 @@
 {
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTime lease = now + l->lease_left_ms * KQ_MS;
-  if (r == NULL || r->agent != agent)
+  if (r == NULL || !kq_sched_takes (s, agent, runner, l->taking))
     return;
   if (l->born_ms != 0 && r->born_ms != 0 && l->born_ms != r->born_ms)
     {
@@ -324,7 +324,8 @@
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTaskRef t;
   KqRun *run;
-  if (r == NULL || r->agent != agent || !kq_book_task (s, o->task, &t))
+  if (r == NULL || !kq_sched_takes (s, agent, runner, o->taking)
+      || !kq_book_task (s, o->task, &t))
     return;
   ++*s->results[o->result];
   if (o->result != KQ_ORDER_OK)
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -283,6 +283,63 @@
   expect_wait_for_the_earlier_agent (d, d->agent);
 }
 
+/* The entry of r0 has a new address, and the same agent takes it again. */
+static void
+take_r0_again (KqSchedDesk *d)
+{
+  KqRunnerEntry e = { .id = KQ_STR ("r0"),
+                      .service = KQ_STR ("desk"),
+                      .address = KQ_STR ("127.0.0.1:2"),
+                      .room = { 4000, 16000, 0 } };
+  uint64_t before = d->taking[0];
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_true (d->taking[0] > before);
+}
+
+/* One task runs twice: a list of an earlier taking, made before its start, counts. */
+static void
+test_list_of_an_earlier_taking (void **state)
+{
+  KqSchedDesk *d = *state;
+  uint64_t early = d->results;
+  uint64_t taking = d->taking[0];
+  uint64_t now;
+  run_on_r0 (d);
+  take_r0_again (d);
+  now = d->taking[0];
+  d->taking[0] = taking;
+  d->results = early;
+  kq_sched_desk_list (d, "r0", NULL, 0);
+  kq_sched_desk_run (d, KQ_SEC);
+  assert_int_equal (d->starts, 1);
+  d->taking[0] = now;
+  d->results = 0;
+  kq_sched_desk_list (d, "r0", NULL, 0); /* and the present one's counts */
+  kq_sched_desk_run (d, KQ_SEC);
+  assert_int_equal (d->starts, 2);
+}
+
+/* A task stands still: an outcome of an earlier taking keeps a vanished run alive. */
+static void
+test_outcome_of_an_earlier_taking (void **state)
+{
+  KqSchedDesk *d = *state;
+  uint64_t taking = d->taking[0];
+  uint64_t now;
+  run_on_r0 (d);
+  take_r0_again (d);
+  now = d->taking[0];
+  d->taking[0] = taking;
+  d->results = 20;
+  kq_sched_desk_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+  d->taking[0] = now;
+  d->results = 0;
+  kq_sched_desk_list (d, "r0", NULL, 0);
+  kq_sched_desk_run (d, KQ_SEC);
+  assert_int_equal (d->starts, 2);
+}
+
 int
 main (void)
 {
@@ -299,6 +356,10 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_nothing_fills_beside_a_task_over_its_target,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_list_of_an_earlier_taking, kq_sched_desk_set_up,
+                                     kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_outcome_of_an_earlier_taking,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_lease_of_a_runner_given_to_another_agent,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_lease_of_a_runner_with_a_new_address,
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -205,7 +205,9 @@
   r->watched = false;
   r->listed = false; /* to this agent: it knows neither the runner's clock nor its runs */
   s->agents.list[agent].runners++;
+  r->taking = ++s->takings;
   o.u.take.address = kq_str (r->address);
+  o.u.take.taking = r->taking;
   s->config.order (s->config.arg, agent, &o);
   /* What the earlier agent was asked is not known to the new one. */
   for (KqRun *run = r->runs; run != NULL; run = run->next)
@@ -219,6 +221,13 @@
     }
 }
 
+bool
+kq_sched_takes (const KqSched *s, int agent, KqStr runner, uint64_t taking)
+{
+  const KqRunnerState *r = kq_runners_find (s, runner);
+  return r != NULL && r->agent == agent && r->taking == taking;
+}
+
 void
 kq_runners_assign (KqSched *s, KqTime now)
 {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -54,6 +54,7 @@
     struct
     {
       KqStr address;
+      uint64_t taking; /* what the agent tells of the runner carries it */
     } take;
     struct
     {
@@ -105,6 +106,7 @@
   uint32_t run;
   KqOrderResult result;
   uint64_t order;
+  uint64_t taking; /* of the order TAKE; `order` counts anew with each */
 } KqOrderOutcome;
 
 typedef struct
@@ -112,6 +114,7 @@
   int64_t born_ms;
   int64_t lease_left_ms; /* until the lease granted ends, on a sound clock's time */
   uint64_t order;        /* results given before the question for this list left */
+  uint64_t taking;
   const KqRunRow *running;
   size_t n_running;
   const KqEndRow *ended;
@@ -162,6 +165,10 @@
 int kq_sched_agent_find (const KqSched *s, KqStr name);
 void kq_sched_agent_down (KqSched *s, int agent, KqTime now);
 
+/* Whether an agent speaks of its present taking of the runner. What it says of an earlier
+ * one may arrive later, and counts for nothing: lists and outcomes are checked by the two
+ * functions that take them. */
+bool kq_sched_takes (const KqSched *s, int agent, KqStr runner, uint64_t taking);
 void kq_sched_list (KqSched *s, int agent, KqStr runner, const KqRunnerList *l,
                     KqTime now);
 void kq_sched_outcome (KqSched *s, int agent, KqStr runner, const KqOrderOutcome *o,
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -191,7 +191,8 @@
   bool foreign;      /* lists a run of a job that nobody knows: its size is unknown */
   KqTime lease_ends; /* latest time at which something may still run there */
   KqTime heard_at;
-  int agent; /* -1: none */
+  int agent;       /* -1: none */
+  uint64_t taking; /* the agent's, as ordered last */
   uint64_t ends_seen;
   uint64_t ends_batch;
   uint64_t ends_stored;
@@ -254,7 +255,8 @@
   GPtrArray *runner_list;
   GPtrArray *pools; /* KqPool */
   KqAgents agents;
-  KqJob *open; /* jobs that aren't ended, and ended ones with runs alive */
+  uint64_t takings; /* given out */
+  KqJob *open;      /* jobs that aren't ended, and ended ones with runs alive */
   bool loaded;
   bool settled; /* no run of an earlier leader can be unknown to us */
   bool work;    /* something changed that a placing pass could use */
