A start answered while its runner starts anew isn't begun elsewhere

What callers saw: one task can run twice. A runner starts anew; its first list is made, then a start reaches the new life and is answered, and the answer overtakes the list on its way.

Cause: kq_runners_reborn ended each run with no order under way. The run was answered, so it was neither unsure nor waiting, and was started elsewhere at once. Outcomes don't say which life answered. drop_unlisted knows the case: what was confirmed after the question for a list left needn't be in it.

Now such a run is left as it is, and the next list tells whether it is there.

Evidence: test_start_in_a_new_life (orders_test). Before: starts 2 != 1 (line 257). After: passes, and test_start_in_the_life_before, its counterpart, in which the start had reached the old life and goes elsewhere after the next list. sched_random, sched, maintenance, fleet_live tests pass.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -58,7 +58,7 @@
 static void
 list (KqSchedDesk *d, const char *runner, KqRunnerList l)
 {
-  l.born_ms = 1;
+  l.born_ms = d->born_ms;
   l.lease_left_ms = 5000;
   l.order = d->results;
   l.taking = *taking (d, kq_str (runner));
@@ -165,6 +165,7 @@
   KqBuf known = { 0 };
   kq_log_set_level (KQ_LOG_ERROR);
   d->now = 100 * KQ_SEC;
+  d->born_ms = 1;
   d->counters = c.counters = kq_counters_new ();
   d->sched = kq_sched_new (&c, d->now);
   kq_sched_run (d->sched, d->now, d->now / KQ_MS);
--- a/bench/sched_desk.h
+++ b/bench/sched_desk.h
@@ -27,6 +27,7 @@
   char last_down[16];  /* the last of them */
   uint64_t results;
   uint64_t taking[3]; /* of r0 to r2, as ordered last */
+  int64_t born_ms;    /* of the life that lists come from; 1 at first */
   int drops;          /* orders to look after a runner no longer, so far */
 } KqSchedDesk;
 
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -239,6 +239,51 @@
   kq_sched_desk_run (d, 2 * KQ_SEC);
 }
 
+/* A start on r0 has been answered; then a list of r0's next life comes, whose question
+ * left before that answer. */
+static void
+start_across_two_lives (KqSchedDesk *d)
+{
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+  d->born_ms = 2;
+  d->results--;
+  kq_sched_desk_list (d, "r0", NULL, 0);
+  d->results++;
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  assert_int_equal (d->stops, 0);
+}
+
+/* One task runs twice: its start reached a new life after that life's first list. */
+static void
+test_start_in_a_new_life (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqRunRow row = { .checkpoint = KQ_STR (""), .percent = 1 };
+  start_across_two_lives (d);
+  row.task = kq_str (d->task);
+  row.run = d->run;
+  kq_sched_desk_list_runs (d, "r0", &row, 1);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  assert_int_equal (d->stops, 0);
+}
+
+/* A task stands still: its start had reached the life before, and that life is over. */
+static void
+test_start_in_the_life_before (void **state)
+{
+  KqSchedDesk *d = *state;
+  start_across_two_lives (d);
+  kq_sched_desk_list (d, "r0", NULL, 0);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+}
+
 /* The agent that held r0 was told to drop it just now: its last grant may be on its way
  * to the leader, and until the order arrives, or it counts the leader as lost, it grants
  * more. */
@@ -356,6 +401,10 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_nothing_fills_beside_a_task_over_its_target,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_start_in_a_new_life, kq_sched_desk_set_up,
+                                     kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_start_in_the_life_before, kq_sched_desk_set_up,
+                                     kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_list_of_an_earlier_taking, kq_sched_desk_set_up,
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_outcome_of_an_earlier_taking,
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -174,9 +174,10 @@
 /* All that ran in the earlier life is over. But a start that nobody has answered may
  * still reach the new life, which knows nothing of run numbers or fencing tokens: it is
  * stopped there first, which makes the runner refuse it, and only then started elsewhere.
- */
+ * And one that was answered after the question for this list left may run in the new
+ * life: the next list tells. */
 void
-kq_runners_reborn (KqSched *s, KqRunnerState *r, KqTime now)
+kq_runners_reborn (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now)
 {
   KqRun *next;
   kq_log (KQ_LOG_WARN, PART, "Runner has started anew. runner=%s runs=%d", r->id,
@@ -185,6 +186,8 @@
     {
       bool under_way = run->unsure || run->waiting;
       next = run->next;
+      if (!under_way && run->confirmed > order + 1)
+        continue;
       run->confirmed = 0;
       ++*s->runs_lost;
       if (under_way && run->phase != KQ_RUN_STOPPING)
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -342,11 +342,11 @@
 
 /* runners.c */
 KqRunnerState *kq_runners_find (const KqSched *s, KqStr id);
-/* The runner is alive, in a new life. */
 bool kq_runners_may_run (const KqRunnerState *r);
 /* Its host has been taken down, and no run of this life can go on. */
 void kq_runners_taken_down (KqSched *s, KqStr id, KqTime now);
-void kq_runners_reborn (KqSched *s, KqRunnerState *r, KqTime now);
+/* The runner is alive, in a new life, by a list with that count of results. */
+void kq_runners_reborn (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now);
 void kq_runners_look (KqSched *s, KqTime now);
 void kq_runners_assign (KqSched *s, KqTime now);
 void kq_runners_settle (KqSched *s, KqTime now);
