A runner's new life is granted leases by its own clock

What callers saw: one task can run twice. A runner that has lived for a few seconds starts anew; its agent grants leases by the earlier life's clock, up to a whole lease further than it believes and tells the leader, which counts the lease as over too early.

Cause: note_clock began a new clock only when the clock told was a whole lease behind; a new life that only born_ms showed kept the old clock, as its own was taken for an answer that had been overtaken. Also, born_ms wasn't kept when the runner was taken again, and a late answer of the earlier life (answers to starts don't say which life gave them) put the clock ahead again.

Now a changed born_ms begins a new clock, born_ms is kept with the clock, and answers without born_ms to calls that left before the new life was heard don't count for the clock.

Evidence: test_clock_of_a_new_life, ..._taken_again (agent_test). Before: lease_left told 4722 instead of 5103 ms (line 265); lease granted to 8490 instead of 5100 on the runner's clock (line 282).

--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -48,6 +48,8 @@
   KqTime listed_at;     /* when the last list came */
   uint64_t results;     /* outcomes told */
   int64_t born_ms;      /* of the life that was heard last; 0: never */
+  KqTime life_at;       /* when that was first heard, if there was one before it: answers
+                           to earlier calls may come from that one */
   int64_t clock_ms;     /* the runner's clock, as last told; -1: never */
   KqTime clock_at;      /* when that was received */
   int64_t lease_end_ms; /* the latest granted, on the runner's clock */
@@ -165,22 +167,21 @@
 note_clock (Held *h, const KqRunnerReply *r, KqTime now)
 {
   bool first = h->clock_ms < 0;
-  if (r->clock_ms < 0)
+  bool told_born = r->born_ms != 0 && h->born_ms != 0 && r->born_ms != h->born_ms;
+  if (r->clock_ms < 0 || (r->born_ms == 0 && r->sent_at < h->life_at))
     return;
-  if (!first && r->clock_ms < clock_now (h, now) - h->agent->config.lease_ms)
+  if (!first
+      && (told_born || r->clock_ms < clock_now (h, now) - h->agent->config.lease_ms))
     {
       /* A new life: its clock and its ends count anew. An acknowledgement of the earlier
        * life's ends would make it forget ends that nobody has seen. */
       first = true;
       h->ends_seen = 0;
       h->born_ms = 0;
+      h->life_at = now;
     }
-  if (r->born_ms != 0 && r->born_ms != h->born_ms)
-    {
-      if (h->born_ms != 0)
-        h->ends_seen = 0;
-      h->born_ms = r->born_ms;
-    }
+  if (r->born_ms != 0)
+    h->born_ms = r->born_ms;
   if (!first && r->clock_ms < h->clock_ms)
     return; /* overtaken by a newer answer */
   h->clock_ms = r->clock_ms;
@@ -418,6 +419,8 @@
   old = g_hash_table_lookup (a->held, h->id);
   if (old != NULL && strcmp (old->address, h->address) == 0 && old->clock_ms >= 0)
     {
+      h->born_ms = old->born_ms;
+      h->life_at = old->life_at;
       h->clock_ms = old->clock_ms;
       h->clock_at = old->clock_at;
       h->lease_end_ms = old->lease_end_ms;
--- a/src/crew/agent_test.c
+++ b/src/crew/agent_test.c
@@ -19,13 +19,15 @@
   int renewals;
   KqRunnerCallback cb;
 } runner;
-static KqRunnerCallback started; /* the last start */
+static KqRunnerCallback started; /* the last start, and the lease that came along */
+static int64_t started_lease_end_ms;
 
 /* What the agent has told last. */
 static struct
 {
   KqCrewKind kind;
   uint64_t taking;
+  int64_t lease_left_ms;
 } told;
 
 void
@@ -53,7 +55,7 @@
   (void)spec;
   (void)checkpoint;
   (void)ticket;
-  (void)lease_end_ms;
+  started_lease_end_ms = lease_end_ms;
   started = cb;
 }
 
@@ -78,7 +80,10 @@
   (void)epoch;
   told.kind = i->kind;
   if (i->kind == KQ_CREW_LIST)
-    told.taking = i->u.list.taking;
+    {
+      told.taking = i->u.list.taking;
+      told.lease_left_ms = i->u.list.lease_left_ms;
+    }
   else if (i->kind == KQ_CREW_OUTCOME)
     told.taking = i->u.outcome.taking;
   else if (i->kind == KQ_CREW_UNREACHED)
@@ -222,12 +227,71 @@
   assert_int_equal (told.taking, 9);
 }
 
+static void
+answer_from (int64_t born_ms, int64_t clock_ms, KqTime now)
+{
+  KqRunnerReply r = { .result = KQ_ORDER_OK, .clock_ms = clock_ms, .born_ms = born_ms };
+  runner.cb.done (runner.cb.arg, &r, now);
+}
+
+/* The end of the lease, on the runner's clock, that a start grants. */
+static int64_t
+grant (Bench *b, KqTime now)
+{
+  KqOrder start = { .kind = KQ_ORDER_START, .runner = KQ_STR ("r") };
+  start.u.start.task = KQ_STR ("aa.0.0.0");
+  kq_crew_agent_order (b->agent, EPOCH, &start, now);
+  return started_lease_end_ms;
+}
+
+static void
+answer_start (int64_t clock_ms, KqTime sent_at, KqTime now)
+{
+  KqRunnerReply r = { .result = KQ_ORDER_OK, .clock_ms = clock_ms, .sent_at = sent_at };
+  started.done (started.arg, &r, now);
+}
+
+/* One task runs twice: a lease is granted by the clock of a runner's earlier life. */
+static void
+test_clock_of_a_new_life (void **state)
+{
+  Bench *b = *state;
+  KqTime t = kq_time_now ();
+  take (b, 1);
+  answer_from (1, 3000, t);
+  pass_time (b->loop);
+  grant (b, t + 100 * KQ_MS);
+  answer_from (2, 100, t + 500 * KQ_MS);
+  assert_int_equal (told.lease_left_ms, 5000 * 100 / 98 + 1);
+  /* The earlier life's answer to a start, on its way until now. */
+  answer_start (3200, t + 100 * KQ_MS, t + 500 * KQ_MS);
+  assert_int_equal (grant (b, t + 500 * KQ_MS), 5100);
+  answer_start (100, t + 500 * KQ_MS, t + 500 * KQ_MS);
+}
+
+/* As above, where the runner is taken again between the two lives. */
+static void
+test_clock_of_a_new_life_taken_again (void **state)
+{
+  Bench *b = *state;
+  KqTime t = kq_time_now ();
+  take (b, 1);
+  answer_from (1, 3000, t);
+  take (b, 2);
+  answer_from (2, 100, t + 500 * KQ_MS);
+  assert_int_equal (grant (b, t + 500 * KQ_MS), 5100);
+  answer_start (100, t + 500 * KQ_MS, t + 500 * KQ_MS);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_new_connection_ends_renewals),
           cmocka_unit_test_setup_teardown (test_words_name_their_taking, set_up,
+                                           tear_down),
+          cmocka_unit_test_setup_teardown (test_clock_of_a_new_life, set_up, tear_down),
+          cmocka_unit_test_setup_teardown (test_clock_of_a_new_life_taken_again, set_up,
                                            tear_down) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
