Leases are granted only while the leader is known to count on the agent

What callers saw: one task can run twice. A leader loses an agent (full link, suspended host), gives its runners to others and waits blind_ms and a lease for the one that nobody reaches. The agent, which can't connect again, counts blind_ms from the moment in which it read the leader's last ping or order. That one may have lain in a queue, or in the socket of a suspended node, for seconds: by so much the agent's last grant outlasts what the leader waits for; the margin is 0.3 s.

Cause: receiving an item was taken for the leader's word of now. (Both sides' clocks go on during a suspension: kq_time_now reads CLOCK_BOOTTIME.)

Now a beat carries the time of its sending by the node's clock, a ping brings back that of the last beat, and nothing is granted later than blind_ms after that. The beat was heard by the leader before it gave the agent up, or sent a DROP that is still behind the ping, so what the leader waits for is enough however late words come. A start that is ordered later carries the end of the lease as granted. Letting go of runners without a leader stays as it was.

Price: without a leader grants end up to two beats and a way there and back earlier than before (0.6 s on a sound link).

Evidence: test_delayed_words_grant_nothing (agent_test): before, a start 4.2 s after the last beat is given a lease to 10116 on the runner's clock instead of 6000. After: passes. link_test (new): a node that stood still gets old pings and is told of beats from before that. frame and fleet_live tests pass; asan agent, link and frame tests pass.

--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -65,6 +65,7 @@
   uint64_t epoch;
   uint64_t serial;
   KqTime heard_at;
+  KqTime counted_at; /* the leader counts us as there then, or later */
   uint64_t *renewals;
   uint64_t *renewals_failed;
 };
@@ -200,6 +201,13 @@
                         .timeout_ms = timeout_ms };
 }
 
+/* Beyond this the leader may have given the lease up, however late its words come. */
+static bool
+counts_on_us (const KqCrewAgent *a, KqTime now)
+{
+  return now - a->counted_at <= a->config.blind_ms * KQ_MS;
+}
+
 /* What is granted now; a later grant never ends sooner. Nothing more is granted to a
  * runner that doesn't answer: it may hear us all the same, and its lease must end some
  * time, or its tasks could never be started elsewhere. */
@@ -207,7 +215,7 @@
 grant (Held *h, KqTime now)
 {
   int64_t end;
-  if (h->clock_ms < 0 || h->failures > 0)
+  if (h->clock_ms < 0 || h->failures > 0 || !counts_on_us (h->agent, now))
     return -1;
   end = clock_now (h, now) + h->agent->config.lease_ms;
   if (end > h->lease_end_ms)
@@ -505,6 +513,16 @@
   a->heard_at = now;
 }
 
+void
+kq_crew_agent_counted (KqCrewAgent *a, uint64_t epoch, KqTime at)
+{
+  if (epoch < a->epoch || at <= a->counted_at)
+    return;
+  a->counted_at = at;
+  if (at > a->heard_at)
+    kq_crew_agent_heard (a, epoch, at);
+}
+
 /* Renewing on, unknown to the leader, kept a runner alive whose lease the leader counted
  * as over: nine tasks ran twice (a node whose connections were reset, and 13 s later a
  * runner that its next agent didn't reach). */
@@ -523,6 +541,7 @@
 {
   KqCrewAgent *a = kq_alloc (sizeof *a);
   a->config = *c;
+  a->counted_at = kq_time_now (); /* nothing is held yet */
   a->held = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_held);
   a->renewals = kq_counter (c->counters, "kq_runner_renewals_total", "",
                             "Renewals of runners' leases asked for.");
--- a/src/crew/agent.h
+++ b/src/crew/agent.h
@@ -29,6 +29,11 @@
 void kq_crew_agent_order (KqCrewAgent *a, uint64_t epoch, const KqOrder *o, KqTime now);
 /* A sign of life of the leader of that epoch. */
 void kq_crew_agent_heard (KqCrewAgent *a, uint64_t epoch, KqTime now);
+/* A leader of that epoch counts us as there at `at` or later: it has a beat that left
+ * then, or a connection is new. What comes in may have been on its way for long, so only
+ * this tells how long the leader waits for leases that we grant: blind_ms from then. Also
+ * a sign of life. */
+void kq_crew_agent_counted (KqCrewAgent *a, uint64_t epoch, KqTime at);
 /* The connection to a leader is new, or this node leads from now on: whatever leader gave
  * the runners has given them to others by now, or will give them again. */
 void kq_crew_agent_released (KqCrewAgent *a);
--- a/src/crew/agent_test.c
+++ b/src/crew/agent_test.c
@@ -283,15 +283,33 @@
   answer_start (100, t + 500 * KQ_MS, t + 500 * KQ_MS);
 }
 
+/* One task runs twice: a lease is granted on the word of a leader that is long gone. */
+static void
+test_delayed_words_grant_nothing (void **state)
+{
+  Bench *b = *state;
+  KqTime t = kq_time_now ();
+  KqTime later = t + 4200 * KQ_MS;
+  take (b, 1);
+  answer_from (1, 1000, t);
+  kq_crew_agent_heard (b->agent, EPOCH, later);
+  assert_int_equal (grant (b, later), 6000);
+  answer_start (-1, later, later);
+  kq_crew_agent_counted (b->agent, EPOCH, later - KQ_SEC);
+  assert_int_equal (grant (b, later), 1000 + 4200 * 98 / 100 + 5000);
+  answer_start (-1, later, later);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_new_connection_ends_renewals),
-          cmocka_unit_test_setup_teardown (test_words_name_their_taking, set_up,
-                                           tear_down),
-          cmocka_unit_test_setup_teardown (test_clock_of_a_new_life, set_up, tear_down),
-          cmocka_unit_test_setup_teardown (test_clock_of_a_new_life_taken_again, set_up,
-                                           tear_down) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_new_connection_ends_renewals),
+    cmocka_unit_test_setup_teardown (test_words_name_their_taking, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_delayed_words_grant_nothing, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_clock_of_a_new_life, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_clock_of_a_new_life_taken_again, set_up,
+                                     tear_down)
+  };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -293,6 +293,7 @@
       break;
     case KQ_CREW_BEAT:
       kq_pack_i64 (p, i->u.beat.store_age_ms);
+      kq_pack_i64 (p, i->u.beat.sent_at);
       break;
     case KQ_CREW_LIST:
       pack_list (p, &i->u.list);
@@ -321,6 +322,8 @@
       pack_advice (p, &i->u.advice);
       break;
     case KQ_CREW_PING:
+      kq_pack_i64 (p, i->u.ping.beat_sent_at);
+      break;
     case KQ_CREW_FENCED:
       break;
     }
@@ -346,6 +349,7 @@
       return;
     case KQ_CREW_BEAT:
       i->u.beat.store_age_ms = kq_read_i64 (r);
+      i->u.beat.sent_at = kq_read_i64 (r);
       return;
     case KQ_CREW_LIST:
       i->u.list.born_ms = kq_read_i64 (r);
@@ -380,6 +384,8 @@
       read_advice (r, &i->u.advice);
       return;
     case KQ_CREW_PING:
+      i->u.ping.beat_sent_at = kq_read_i64 (r);
+      return;
     case KQ_CREW_FENCED:
       return;
     }
@@ -390,7 +396,7 @@
 static size_t
 n_fields (const KqCrewItem *i)
 {
-  static const uint8_t of_kind[] = { 0, 0, 3, 0, 3, 1, 7, 6, 3, 0, 3, 2, 1, 4 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 1, 3, 2, 7, 6, 3, 0, 3, 2, 1, 4 };
   static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4 };
   if (i->kind == KQ_CREW_ORDER)
     return of_order[i->u.order.kind];
--- a/src/crew/frame.h
+++ b/src/crew/frame.h
@@ -48,7 +48,12 @@
     struct
     {
       int64_t store_age_ms; /* since the last answer of the store; -1: never */
+      KqTime sent_at;       /* by the node's clock */
     } beat;
+    struct
+    {
+      KqTime beat_sent_at; /* of the node's last BEAT; 0: none has come */
+    } ping;
     KqRunnerList list;
     KqOrderOutcome outcome;
     KqStepAdvice advice;
--- a/src/crew/frame_test.c
+++ b/src/crew/frame_test.c
@@ -143,6 +143,22 @@
   kq_buf_free (&b);
 }
 
+static void
+test_signs_of_life_pass_whole (void **state)
+{
+  KqBuf b = { 0 };
+  KqCrewItem i = { .kind = KQ_CREW_BEAT };
+  (void)state;
+  i.u.beat.store_age_ms = -1;
+  i.u.beat.sent_at = 12;
+  assert_int_equal (pass (&i, &b).u.beat.store_age_ms, -1);
+  assert_int_equal (pass (&i, &b).u.beat.sent_at, 12);
+  i = (KqCrewItem){ .kind = KQ_CREW_PING };
+  i.u.ping.beat_sent_at = 13;
+  assert_int_equal (pass (&i, &b).u.ping.beat_sent_at, 13);
+  kq_buf_free (&b);
+}
+
 static void
 test_every_kind_passes (void **state)
 {
@@ -190,6 +206,7 @@
           cmocka_unit_test (test_orders_pass_whole),
           cmocka_unit_test (test_advice_passes_whole),
           cmocka_unit_test (test_words_of_a_runner_pass_whole),
+          cmocka_unit_test (test_signs_of_life_pass_whole),
           cmocka_unit_test (test_every_kind_passes),
           cmocka_unit_test (test_damaged_bytes_are_refused) };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -202,7 +202,7 @@
                        .answered = on_answered };
   kq_link_lead (f->link, epoch, now);
   kq_crew_agent_released (f->agent);
-  kq_crew_agent_heard (f->agent, epoch, now);
+  kq_crew_agent_counted (f->agent, epoch, now);
   f->peers_reach_store_at = 0;
   f->yield.other_milli = 0;
   f->leader = kq_leader_new (&c, now);
@@ -292,16 +292,17 @@
 on_connected (void *arg, KqTime now)
 {
   KqFleet *f = arg;
-  (void)now;
   kq_crew_agent_released (f->agent);
+  kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, now);
 }
 
 static void
 on_from_leader (void *arg, uint64_t epoch, const KqCrewItem *i, KqTime now)
 {
   KqFleet *f = arg;
+  kq_crew_agent_heard (f->agent, epoch, now);
   if (i->kind == KQ_CREW_PING)
-    kq_crew_agent_heard (f->agent, epoch, now);
+    kq_crew_agent_counted (f->agent, epoch, i->u.ping.beat_sent_at);
   else if (i->kind == KQ_CREW_ORDER)
     kq_crew_agent_order (f->agent, epoch, &i->u.order, now);
   else if (i->kind == KQ_CREW_ANSWER)
@@ -449,7 +450,7 @@
     }
   look_at_lead (f, now);
   if (f->leader != NULL)
-    kq_crew_agent_heard (f->agent, kq_lead_record (f->lead)->epoch, now);
+    kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, now);
   if (f->leaving)
     look_at_stop (f, now);
   kq_log_flush ();
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -26,6 +26,7 @@
   KqConn *conn;
   int agent;
   bool joined;
+  KqTime beat_sent_at; /* of its last beat, by its clock */
   KqBuf out;
 };
 
@@ -71,7 +72,9 @@
       p->joined = true;
       l->config.owner.joined (l->config.owner.arg, p, &i->u.hello, now);
     }
-  else if (p->joined)
+  if (i->kind == KQ_CREW_BEAT)
+    p->beat_sent_at = i->u.beat.sent_at;
+  if (i->kind != KQ_CREW_HELLO && p->joined)
     l->config.owner.from_node (l->config.owner.arg, p, epoch, i, now);
 }
 
@@ -264,6 +267,7 @@
     open_up (l, now);
   if (!l->up_ready)
     return;
+  i.u.beat.sent_at = now;
   i.u.beat.store_age_ms = l->config.owner.store_age_ms (l->config.owner.arg, now);
   kq_link_send (l, l->leader_epoch, &i);
 }
@@ -278,6 +282,7 @@
       KqPeer *p = g_ptr_array_index (l->peers, n);
       if (now - kq_conn_heard_at (p->conn) <= SILENT)
         {
+          i.u.ping.beat_sent_at = p->beat_sent_at;
           kq_link_send_peer (p, &i);
           n++;
           continue;
--- /dev/null
+++ b/src/fleet/link_test.c
@@ -0,0 +1,155 @@
+#include "base/log.h"
+#include "bench/guard.h"
+#include "fleet/link.h"
+
+#include <ev.h>
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define EPOCH 7
+
+/* A leader and a node, each on its own loop: one that isn't run stands still while the
+ * other's words wait at its socket. */
+typedef struct
+{
+  KqLoop *leader_loop;
+  KqLoop *node_loop;
+  KqLink *leader;
+  KqLink *node;
+  int pings;         /* seen by the node */
+  KqTime counted_at; /* the latest that a ping told */
+  int until_pings;
+} Pair;
+
+static void
+on_joined (void *arg, KqPeer *p, const KqAgentInfo *info, KqTime now)
+{
+  (void)arg;
+  (void)p;
+  (void)info;
+  (void)now;
+}
+
+static void
+on_left (void *arg, KqPeer *p, KqTime now)
+{
+  (void)arg;
+  (void)p;
+  (void)now;
+}
+
+static void
+on_connected (void *arg, KqTime now)
+{
+  (void)arg;
+  (void)now;
+}
+
+static void
+on_from_node (void *arg, KqPeer *p, uint64_t epoch, const KqCrewItem *i, KqTime now)
+{
+  (void)arg;
+  (void)p;
+  (void)epoch;
+  (void)i;
+  (void)now;
+}
+
+static void
+on_from_leader (void *arg, uint64_t epoch, const KqCrewItem *i, KqTime now)
+{
+  Pair *t = arg;
+  (void)epoch;
+  (void)now;
+  if (i->kind != KQ_CREW_PING)
+    return;
+  t->pings++;
+  if (i->u.ping.beat_sent_at > t->counted_at)
+    t->counted_at = i->u.ping.beat_sent_at;
+  if (t->pings >= t->until_pings)
+    kq_loop_stop (t->node_loop);
+}
+
+static int64_t
+store_age_ms (void *arg, KqTime now)
+{
+  (void)arg;
+  (void)now;
+  return 0;
+}
+
+static KqLink *
+new_link (Pair *t, KqLoop *loop)
+{
+  KqLinkConfig c = { .loop = loop, .ip = "127.0.0.1" };
+  c.owner = (KqLinkOwner){
+    t, on_joined, on_left, on_from_node, on_connected, on_from_leader, store_age_ms
+  };
+  return kq_link_new (&c);
+}
+
+static int
+set_up (void **state)
+{
+  Pair *t = kq_alloc (sizeof *t);
+  char address[32];
+  kq_log_set_level (KQ_LOG_ERROR);
+  t->leader_loop = kq_loop_new ();
+  t->node_loop = kq_loop_new ();
+  t->leader = new_link (t, t->leader_loop);
+  t->node = new_link (t, t->node_loop);
+  kq_link_lead (t->leader, EPOCH, kq_time_now ());
+  snprintf (address, sizeof address, "127.0.0.1:%d", kq_link_port (t->leader));
+  kq_link_leader (t->node, kq_str (address), EPOCH, kq_time_now ());
+  *state = t;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  Pair *t = *state;
+  kq_link_free (t->node);
+  kq_link_free (t->leader);
+  kq_loop_free (t->node_loop);
+  kq_loop_free (t->leader_loop);
+  free (t);
+  return 0;
+}
+
+/* One task runs twice: after standing still a node takes old pings for the word of now.
+ */
+static void
+test_pings_tell_which_beat_was_heard (void **state)
+{
+  Pair *t = *state;
+  KqTime stood_still_at;
+  t->until_pings = 1;
+  for (int i = 0; i < 100 && t->counted_at == 0; i++)
+    {
+      guard_run (t->node_loop, 0.02);
+      guard_run (t->leader_loop, 0.02);
+    }
+  assert_true (t->counted_at > 0);
+  stood_still_at = kq_time_now ();
+  guard_run (t->leader_loop, 0.7); /* pings go out */
+  t->until_pings = t->pings + 1;
+  guard_run (t->node_loop, 20);
+  assert_true (t->pings >= t->until_pings);
+  assert_true (t->counted_at < stood_still_at);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test_setup_teardown (
+      test_pings_tell_which_beat_was_heard, set_up, tear_down) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
