A leader that can't renew its lead counts no lease as over

Cause: a leader without the store goes on for up to 9 s while it hears no node that reaches the store. Cut off with its zone, it lost its agents elsewhere, and after 5 s counted the leases of the runners there as over and began their tasks anew in its own zone. The other zones had elected a leader by then, which went on renewing these leases. No epoch helps: the two runs are on different runners.

Now the scheduler is told until when the lead is certain, and beyond that no lease counts as over and earlier runs aren't taken for known. Work goes on with the runners that answer. When the lead is renewed, it never was another's, and the same leases count as over then.

Evidence: test_lease_of_a_runner_that_another_may_renew (orders_test): before, starts 2 != 1 (line 397).

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -408,12 +408,10 @@
   KqTime until = kq_lead_valid_until (f->lead);
   if (f->leader == NULL)
     return;
+  kq_leader_lead_until (f->leader, until);
   if (now < until)
-    {
-      look_at_stronger (f, now);
-      return;
-    }
-  if (now - until > BLIND_MAX)
+    look_at_stronger (f, now);
+  else if (now - until > BLIND_MAX)
     kq_lead_resign (f->lead, "not renewed for too long", !f->leaving, now);
   else if (f->peers_reach_store_at > until - lead_ttl_ms (f) / 2 * KQ_MS
            && now - f->peers_reach_store_at < 3 * REACHES_MS * KQ_MS)
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -558,6 +558,12 @@
     }
 }
 
+void
+kq_leader_lead_until (KqLeader *l, KqTime until)
+{
+  kq_sched_lead_until (l->sched, until);
+}
+
 int64_t
 kq_leader_ask (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text)
 {
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -385,6 +385,21 @@
   assert_int_equal (d->starts, 2);
 }
 
+/* One task runs twice: a leader counts a lease as over that the next leader renews. */
+static void
+test_lease_of_a_runner_that_another_may_renew (void **state)
+{
+  KqSchedDesk *d = *state;
+  run_on_r0 (d);
+  kq_sched_lead_until (d->sched, d->now + KQ_SEC);
+  kq_sched_desk_unreached (d, d->agent, "r0", 2000);
+  kq_sched_desk_run (d, 20 * KQ_SEC);
+  assert_int_equal (d->starts, 1);
+  kq_sched_lead_until (d->sched, d->now + KQ_SEC);
+  kq_sched_desk_run (d, 500 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+}
+
 int
 main (void)
 {
@@ -405,6 +420,8 @@
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_start_in_the_life_before, kq_sched_desk_set_up,
                                      kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_lease_of_a_runner_that_another_may_renew,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_list_of_an_earlier_taking, kq_sched_desk_set_up,
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_outcome_of_an_earlier_taking,
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -410,7 +410,7 @@
       bool unheard = r->agent < 0 || r->silent;
       if (r->known_sent && !kq_runners_may_run (r))
         s->known_dirty = true;
-      if (!unheard || now < r->lease_ends + LEASE_MARGIN)
+      if (!unheard || now < r->lease_ends + LEASE_MARGIN || now >= s->lead_until)
         continue;
       if (r->n_runs > 0)
         {
@@ -450,7 +450,7 @@
 void
 kq_runners_settle (KqSched *s, KqTime now)
 {
-  if (s->settled || !s->loaded)
+  if (s->settled || !s->loaded || now >= s->lead_until)
     return;
   for (guint i = 0; i < s->runner_list->len; i++)
     {
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -96,7 +96,7 @@
   s->batch = g_ptr_array_new ();
   s->waves = kq_maintenance_new_waves ();
   s->started_at = s->look_at = s->stored_at = now;
-  s->store_due = KQ_TIME_NEVER;
+  s->store_due = s->lead_until = KQ_TIME_NEVER;
   s->slowness_mean = 1;
   s->disturb = kq_disturb_new ();
   make_counters (s);
@@ -118,6 +118,12 @@
   free (s);
 }
 
+void
+kq_sched_lead_until (KqSched *s, KqTime until)
+{
+  s->lead_until = until;
+}
+
 static void
 place_images (KqSched *s, KqJob *j)
 {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -154,6 +154,10 @@
 /* Everything stored has been told: decisions may begin. */
 void kq_sched_loaded (KqSched *s, KqTime now);
 
+/* Nobody else can lead until then; KQ_TIME_NEVER at first. Later, another leader may
+ * renew leases whose end we have heard of, so none is counted as over. */
+void kq_sched_lead_until (KqSched *s, KqTime until);
+
 void kq_sched_entry (KqSched *s, const KqRunnerEntry *e, KqTime now);
 void kq_sched_entry_gone (KqSched *s, KqStr id, KqTime now);
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -263,8 +263,9 @@
   bool known_dirty;
   int64_t wall_minus_now_ms;
   KqTime started_at;
-  KqTime work_at; /* a placing pass is due then also without news; 0: no */
-  KqTime look_at; /* next look at progress, leases, pace */
+  KqTime lead_until; /* nobody else can lead until then */
+  KqTime work_at;    /* a placing pass is due then also without news; 0: no */
+  KqTime look_at;    /* next look at progress, leases, pace */
   KqTime store_due;
   KqTime stored_at;
   bool batch_open;
