A leader that has lost a node doesn't go on without the store

Cause: a leader that can't renew goes on for up to 9 s while no node that it hears reaches the store. Nodes that are cut off from it do reach the store and elect another leader, which waits blind_ms and a lease for runners that don't answer; but the earlier one and its agents grant until 9 s and blind_ms after the cut. By then the other has started the same tasks (14.7 s, the first breach).

Now such a leader gives up as soon as a node that had joined isn't there, and while its lead is in doubt its pings tell of beats from 2 s before (silence 1.4 s, beat 0.3 s, look 0.2 s), so that its agents grant no longer than if it had stopped at the cut.

Price: after a node has left for good, or while one is down, a leader doesn't outlive its lease when the store is away.

--- a/src/crew/frame.h
+++ b/src/crew/frame.h
@@ -52,7 +52,7 @@
     } beat;
     struct
     {
-      KqTime beat_sent_at; /* of the node's last BEAT; 0: none has come */
+      KqTime beat_sent_at; /* of a BEAT of the node that has come */
     } ping;
     KqRunnerList list;
     KqOrderOutcome outcome;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -14,6 +14,7 @@
 #include "port/source.h"
 
 #include <ev.h>
+#include <glib.h>
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -400,8 +401,8 @@
 }
 
 /* Without the store nobody else can be elected, so work in hand goes on; once another
- * node reaches the store, our lease may have lapsed there and that node may elect a
- * leader. */
+ * node reaches the store, or one that was there isn't heard and may reach it, our lease
+ * may have lapsed there and that node may be elected. */
 static void
 look_at_lead (KqFleet *f, KqTime now)
 {
@@ -409,6 +410,8 @@
   if (f->leader == NULL)
     return;
   kq_leader_lead_until (f->leader, until);
+  kq_link_lead_until (f->link, until);
+  kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, MIN (now, until));
   if (now < until)
     look_at_stronger (f, now);
   else if (now - until > BLIND_MAX)
@@ -417,8 +420,8 @@
            && now - f->peers_reach_store_at < 3 * REACHES_MS * KQ_MS)
     kq_lead_resign (f->lead, "not renewed while other nodes reach the store", !f->leaving,
                     now);
-  else if (kq_link_peers (f->link) == 0)
-    kq_lead_resign (f->lead, "not renewed and no other node heard", !f->leaving, now);
+  else if (kq_link_peers (f->link) == 0 || kq_leader_lost_nodes (f->leader))
+    kq_lead_resign (f->lead, "not renewed and not all nodes heard", !f->leaving, now);
 }
 
 static void
@@ -447,8 +450,6 @@
               (long long)((now - f->store_at) / KQ_MS));
     }
   look_at_lead (f, now);
-  if (f->leader != NULL)
-    kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, now);
   if (f->leaving)
     look_at_stop (f, now);
   kq_log_flush ();
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -558,6 +558,12 @@
     }
 }
 
+bool
+kq_leader_lost_nodes (const KqLeader *l)
+{
+  return kq_sched_agents_lost (l->sched);
+}
+
 void
 kq_leader_lead_until (KqLeader *l, KqTime until)
 {
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -18,6 +18,8 @@
 #define BEAT_S 0.3
 /* Several beats may be late: hosts are slow at times, and links between regions queue. */
 #define SILENT (1400 * KQ_MS)
+/* More than SILENT, a beat and the time to give the lead up. */
+#define DOUBT (2 * KQ_SEC)
 #define RECONNECT (150 * KQ_MS)
 
 struct KqPeer
@@ -40,6 +42,7 @@
   ev_prepare before_poll;
   GPtrArray *peers;
   uint64_t lead_epoch; /* we lead with it; 0: we don't */
+  KqTime lead_until;   /* nobody else can lead until then */
   KqConn *up;          /* to the leader */
   bool up_ready;
   KqName leader;
@@ -282,7 +285,7 @@
       KqPeer *p = g_ptr_array_index (l->peers, n);
       if (now - kq_conn_heard_at (p->conn) <= SILENT)
         {
-          i.u.ping.beat_sent_at = p->beat_sent_at;
+          i.u.ping.beat_sent_at = p->beat_sent_at - (now < l->lead_until ? 0 : DOUBT);
           kq_link_send_peer (p, &i);
           n++;
           continue;
@@ -308,11 +311,18 @@
 {
   close_up (l, "we lead");
   l->lead_epoch = epoch;
+  l->lead_until = 0;
   l->leader.len = 0;
   while (l->peers->len > 0)
     end_peer (g_ptr_array_steal_index_fast (l->peers, 0), "no longer this leader", now);
 }
 
+void
+kq_link_lead_until (KqLink *l, KqTime until)
+{
+  l->lead_until = until;
+}
+
 void
 kq_peer_set_agent (KqPeer *p, int agent)
 {
--- a/src/sched/agents.c
+++ b/src/sched/agents.c
@@ -9,10 +9,22 @@
  * runners back and forth when hosts come and go. */
 #define OVERFULL_PERCENT 150
 
+static void
+forget_loss (KqAgents *a, const KqName *name)
+{
+  for (int i = 0; i < a->n_lost; i++)
+    if (kq_str_eq (kq_name_str (&a->lost[i]), kq_name_str (name)))
+      {
+        a->lost[i] = a->lost[--a->n_lost];
+        return;
+      }
+}
+
 int
 kq_agents_up (KqAgents *a, const KqAgentInfo *info)
 {
   int at = -1;
+  forget_loss (a, &info->name);
   for (int i = 0; i < a->n; i++)
     if (!a->list[i].up && a->list[i].runners == 0)
       at = i;
@@ -30,6 +42,8 @@
 kq_agents_down (KqAgents *a, int agent)
 {
   a->list[agent].up = false;
+  if (a->n_lost < KQ_AGENTS_MAX)
+    a->lost[a->n_lost++] = a->list[agent].info.name;
 }
 
 static int
--- a/src/sched/agents.h
+++ b/src/sched/agents.h
@@ -33,6 +33,8 @@
 {
   KqAgentState list[KQ_AGENTS_MAX];
   int n;
+  KqName lost[KQ_AGENTS_MAX]; /* down and not up again since */
+  int n_lost;
 } KqAgents;
 
 int kq_agents_up (KqAgents *a, const KqAgentInfo *info);
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -400,6 +400,22 @@
   assert_int_equal (d->starts, 2);
 }
 
+/* Tasks run twice: a leader without the store goes on beside one that it has lost. */
+static void
+test_lost_agents_are_known (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqAgentInfo b = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
+  KqAgentInfo c = { .name = kq_name (KQ_STR ("c")), .share_milli = 1000 };
+  int n = kq_sched_agent_up (d->sched, &b, d->now);
+  assert_false (kq_sched_agents_lost (d->sched));
+  kq_sched_agent_down (d->sched, n, d->now);
+  kq_sched_agent_up (d->sched, &c, d->now);
+  assert_true (kq_sched_agents_lost (d->sched));
+  kq_sched_agent_up (d->sched, &b, d->now);
+  assert_false (kq_sched_agents_lost (d->sched));
+}
+
 int
 main (void)
 {
@@ -422,6 +438,8 @@
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_lease_of_a_runner_that_another_may_renew,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_lost_agents_are_known, kq_sched_desk_set_up,
+                                     kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_list_of_an_earlier_taking, kq_sched_desk_set_up,
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_outcome_of_an_earlier_taking,
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -305,6 +305,12 @@
   s->work = true;
 }
 
+bool
+kq_sched_agents_lost (const KqSched *s)
+{
+  return s->agents.n_lost > 0;
+}
+
 /* The leases that its runs had needn't be waited for, by this leader or a later one: with
  * 18 hosts down and a change of leader nothing of earlier jobs started for 9 s. */
 static void
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -168,6 +168,8 @@
 int kq_sched_agent_share (const KqSched *s, int agent);
 int kq_sched_agent_find (const KqSched *s, KqStr name);
 void kq_sched_agent_down (KqSched *s, int agent, KqTime now);
+/* Some agent has gone down in our time and isn't up again. */
+bool kq_sched_agents_lost (const KqSched *s);
 
 /* Whether an agent speaks of its present taking of the runner. What it says of an earlier
  * one may arrive later, and counts for nothing: lists and outcomes are checked by the two
