A job that is heard of while the lead is in doubt waits

What callers saw: a task can run twice.

Cause: a leader starts jobs stored after its epoch at once, as no earlier leader can have them. But a leader whose lease has lapsed hears of such jobs until it notices (from a node that is still connected to it, from its own watch), and started them too.

Now a job that is heard of later than the lead was certain starts when it is certain again; until then nobody else has led.

Evidence: test_job_learned_in_doubt_waits (orders_test): before, starts 1 != 0 (line 411). After: passes; sched, random, maintenance, tickets, fleet_live tests pass.

--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -400,6 +400,20 @@
   assert_int_equal (d->starts, 2);
 }
 
+/* A task runs twice: the next leader has taken its job for one that nobody knows. */
+static void
+test_job_learned_in_doubt_waits (void **state)
+{
+  KqSchedDesk *d = *state;
+  kq_sched_lead_until (d->sched, d->now);
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  kq_sched_desk_run (d, KQ_SEC);
+  assert_int_equal (d->starts, 0);
+  kq_sched_lead_until (d->sched, d->now + KQ_SEC);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+}
+
 /* Tasks run twice: a leader without the store goes on beside one that it has lost. */
 static void
 test_lost_agents_are_known (void **state)
@@ -438,6 +452,8 @@
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_lease_of_a_runner_that_another_may_renew,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_job_learned_in_doubt_waits,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_lost_agents_are_known, kq_sched_desk_set_up,
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_list_of_an_earlier_taking, kq_sched_desk_set_up,
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -100,12 +100,22 @@
   st->lost_at = st->waits_since = 0;
 }
 
+/* A job that we hear of while another may lead can be stored after its epoch: it takes
+ * the job for one that nobody else knows, and starts it. */
+static bool
+must_wait (KqSched *s, const KqJob *j)
+{
+  bool in_doubt = j->learned_at >= s->lead_until;
+  s->held_back = s->held_back || in_doubt;
+  return in_doubt || (!s->settled && j->revision < s->config.epoch);
+}
+
 static void
 collect (KqSched *s, GArray *turns, KqTime now)
 {
   for (KqJob *j = s->open; j != NULL; j = j->next)
     {
-      if (j->state >= KQ_JOB_COMPLETED || (!s->settled && j->revision < s->config.epoch))
+      if (j->state >= KQ_JOB_COMPLETED || must_wait (s, j))
         continue;
       for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
         for (int32_t i = 0; i < j->spec.n_steps; i++)
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -122,6 +122,8 @@
 kq_sched_lead_until (KqSched *s, KqTime until)
 {
   s->lead_until = until;
+  s->work = s->work || s->held_back;
+  s->held_back = false;
 }
 
 static void
@@ -187,6 +189,7 @@
       return true;
     }
   j->revision = revision;
+  j->learned_at = now;
   place_images (s, j);
   age = wall - j->spec.accepted_ms;
   j->accepted_at = now - (age > 0 && s->wall_minus_now_ms != 0 ? age : 0) * KQ_MS;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -85,6 +85,7 @@
   KqSpec spec;
   KqBuf stored;      /* what spec's strings point into */
   uint64_t revision; /* of its key in the store */
+  KqTime learned_at;
   KqJobState state;
   KqJobState shown; /* the last state that is in the store */
   bool begun;       /* some task has been started */
@@ -264,6 +265,7 @@
   int64_t wall_minus_now_ms;
   KqTime started_at;
   KqTime lead_until; /* nobody else can lead until then */
+  bool held_back;    /* a job waits for the lead to be certain again */
   KqTime work_at;    /* a placing pass is due then also without news; 0: no */
   KqTime look_at;    /* next look at progress, leases, pace */
   KqTime store_due;
