A runner with a late run stands in the stored list again

What callers saw: a task can run twice after a change of leader.

Cause: a runner that drains and is empty is taken off the stored list. If it then lists a run (a start carried out late), the leader takes the run as its own, but wrote the list again only when a runner was to leave it, not when one was to come back. The next leader waits only for runners in the list.

Evidence: test_a_late_run_puts_its_runner_into_the_list (orders_test): before, nothing is due to be stored (line 421). After: passes.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -72,6 +72,12 @@
   list (d, runner, (KqRunnerList){ .ended = ends, .n_ended = n_ends });
 }
 
+void
+kq_sched_desk_list_cut (KqSchedDesk *d, const char *runner, const KqEndRow *end)
+{
+  list (d, runner, (KqRunnerList){ .ended = end, .n_ended = 1, .ended_cut = true });
+}
+
 void
 kq_sched_desk_list_runs (KqSchedDesk *d, const char *runner, const KqRunRow *rows,
                          size_t n)
@@ -148,29 +154,28 @@
   kq_buf_free (&b);
 }
 
-int
-kq_sched_desk_set_up (void **state)
+static void
+new_sched (KqSchedDesk *d, uint64_t epoch)
 {
-  KqSchedDesk *d = calloc (1, sizeof *d);
-  KqSchedConfig c = { .epoch = 5,
+  KqSchedConfig c = { .epoch = epoch,
                       .term = 1,
                       .lease_ms = 5000,
                       .blind_ms = 4000,
                       .keep_ms = 60000,
+                      .counters = d->counters,
                       .order = on_order,
                       .maintenance = on_maintenance,
                       .maintenance_ms = 2000,
                       .arg = d };
   KqAgentInfo agent = { .name = kq_name (KQ_STR ("a")), .share_milli = 1000 };
-  KqBuf known = { 0 };
-  kq_log_set_level (KQ_LOG_ERROR);
-  d->now = 100 * KQ_SEC;
-  d->born_ms = 1;
-  d->counters = c.counters = kq_counters_new ();
   d->sched = kq_sched_new (&c, d->now);
   kq_sched_run (d->sched, d->now, d->now / KQ_MS);
   d->agent = kq_sched_agent_up (d->sched, &agent, d->now);
-  kq_sched_loaded (d->sched, d->now);
+}
+
+static void
+tell_entries (KqSchedDesk *d)
+{
   for (int i = 0; i < 2; i++)
     {
       KqRunnerEntry e = { .id = kq_str (i == 0 ? "r0" : "r1"),
@@ -180,9 +185,38 @@
                           .room = { 4000, 16000, 0 } };
       kq_sched_entry (d->sched, &e, d->now);
     }
-  kq_sched_known_pack (d->sched, &known);
-  kq_buf_free (&known);
+}
+
+void
+kq_sched_desk_store_known (KqSchedDesk *d)
+{
+  kq_buf_clear (&d->known);
+  kq_sched_known_pack (d->sched, &d->known);
   kq_sched_known_stored (d->sched);
+}
+
+void
+kq_sched_desk_next_leader (KqSchedDesk *d)
+{
+  kq_sched_free (d->sched);
+  d->results = 0;
+  new_sched (d, 20);
+  kq_sched_known (d->sched, kq_buf_str (&d->known), d->now);
+  tell_entries (d);
+}
+
+int
+kq_sched_desk_set_up (void **state)
+{
+  KqSchedDesk *d = calloc (1, sizeof *d);
+  kq_log_set_level (KQ_LOG_ERROR);
+  d->now = 100 * KQ_SEC;
+  d->born_ms = 1;
+  d->counters = kq_counters_new ();
+  new_sched (d, 5);
+  kq_sched_loaded (d->sched, d->now);
+  tell_entries (d);
+  kq_sched_desk_store_known (d);
   kq_sched_desk_run (d, 100 * KQ_MS);
   kq_sched_desk_list (d, "r0", NULL, 0);
   kq_sched_desk_list (d, "r1", NULL, 0);
@@ -196,6 +230,7 @@
   KqSchedDesk *d = *state;
   kq_sched_free (d->sched);
   kq_counters_free (d->counters);
+  kq_buf_free (&d->known);
   free (d);
   return 0;
 }
--- a/bench/sched_desk.h
+++ b/bench/sched_desk.h
@@ -27,6 +27,7 @@
   char last_down[16];  /* the last of them */
   uint64_t results;
   uint64_t taking[3]; /* of r0 to r2, as ordered last */
+  KqBuf known;        /* the stored list of runners */
   int64_t born_ms;    /* of the life that lists come from; 1 at first */
   int drops;          /* orders to look after a runner no longer, so far */
 } KqSchedDesk;
@@ -34,11 +35,17 @@
 /* cmocka's set-up and tear-down; *state is the desk. */
 int kq_sched_desk_set_up (void **state);
 int kq_sched_desk_tear_down (void **state);
+/* The list of runners in use reaches the store. */
+void kq_sched_desk_store_known (KqSchedDesk *d);
+/* Another leader takes over by that list; its jobs and kq_sched_loaded are due next. */
+void kq_sched_desk_next_leader (KqSchedDesk *d);
 /* Lets the scheduler decide until the span has passed. */
 void kq_sched_desk_run (KqSchedDesk *d, KqTime span);
 /* The runner lists these ends and no run. */
 void kq_sched_desk_list (KqSchedDesk *d, const char *runner, const KqEndRow *ends,
                          size_t n_ends);
+/* The runner lists this end, and more wait behind it. */
+void kq_sched_desk_list_cut (KqSchedDesk *d, const char *runner, const KqEndRow *end);
 /* The runner lists one run, a serving task with this latency tail. */
 void kq_sched_desk_list_serving (KqSchedDesk *d, const char *runner, const char *task,
                                  uint32_t run, int tail_ms);
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -220,7 +220,6 @@
                        .room = { 4000, 16000, 0 } };
   KqRunRow row = { .run = 1, .checkpoint = KQ_STR (""), .percent = 1 };
   KqStep step = kq_sched_desk_step ();
-  KqBuf known = { 0 };
   step.estimate_ms = 60000;
   kq_sched_entry (d->sched, &r1, d->now);
   kq_sched_desk_submit (d, "aa", step, false);
@@ -233,9 +232,7 @@
   kq_sched_desk_list_runs (d, "r0", &row, 1);
   r1.draining = false;
   kq_sched_entry (d->sched, &r1, d->now);
-  kq_sched_known_pack (d->sched, &known);
-  kq_buf_free (&known);
-  kq_sched_known_stored (d->sched);
+  kq_sched_desk_store_known (d);
   kq_sched_desk_run (d, 2 * KQ_SEC);
 }
 
@@ -400,6 +397,30 @@
   assert_int_equal (d->starts, 2);
 }
 
+/* A task runs twice: a runner that was empty has a run, and no later leader knows it. */
+static void
+test_a_late_run_puts_its_runner_into_the_list (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqRunnerEntry e = { .id = KQ_STR ("r0"),
+                      .service = KQ_STR ("desk"),
+                      .address = KQ_STR ("127.0.0.1:1"),
+                      .draining = true,
+                      .left_ms = 60000,
+                      .room = { 4000, 16000, 0 } };
+  KqRunRow row = { .run = 7, .checkpoint = KQ_STR (""), .percent = 1 };
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_true (kq_sched_known_pending (d->sched));
+  kq_sched_desk_store_known (d);
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  row.task = KQ_STR ("aa.0.0.0");
+  kq_sched_desk_list_runs (d, "r0", &row, 1);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_true (kq_sched_known_pending (d->sched));
+}
+
 /* A task runs twice: the next leader has taken its job for one that nobody knows. */
 static void
 test_job_learned_in_doubt_waits (void **state)
@@ -454,6 +475,8 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_job_learned_in_doubt_waits,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_a_late_run_puts_its_runner_into_the_list,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_lost_agents_are_known, kq_sched_desk_set_up,
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_list_of_an_earlier_taking, kq_sched_desk_set_up,
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -414,7 +414,7 @@
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       /* An agent that hasn't spoken yet may be renewing the lease. */
       bool unheard = r->agent < 0 || r->silent;
-      if (r->known_sent && !kq_runners_may_run (r))
+      if (r->known_sent != kq_runners_may_run (r))
         s->known_dirty = true;
       if (!unheard || now < r->lease_ends + LEASE_MARGIN || now >= s->lead_until)
         continue;
