A list that is cut doesn't tell all that a runner knows

What callers saw: a task that is done can run again after a change of leader, where a runner keeps more than 500 ends that nobody has acknowledged (the store was away for long).

Cause: any list counted as the runner's word on all earlier runs, so that the new leader took tasks whose ends wait behind the first 500 for lost. Now only a list that isn't cut does; the next one comes as soon as ends are acknowledged.

Evidence: test_a_cut_list_settles_nothing (orders_test): before, starts 1 != 0 (line 439). After: passes; sched, random, maintenance, tickets, fleet_live tests pass.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -215,7 +215,8 @@
     r->born_ms = l->born_ms;
   if (r->silent)
     kq_log (KQ_LOG_INFO, PART, "Runner answers again. runner=%s", r->id);
-  r->listed = true;
+  if (!l->ended_cut)
+    r->listed = true;
   r->silent = false;
   r->heard_at = now;
   if (lease > r->lease_ends)
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -421,6 +421,30 @@
   assert_true (kq_sched_known_pending (d->sched));
 }
 
+/* A task that is done runs again: its end waits behind a list that is cut. */
+static void
+test_a_cut_list_settles_nothing (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqEndRow end = { 1, KQ_STR ("zz.0.0.0"), 1, KQ_END_DONE, KQ_STR ("") };
+  KqEndRow done = { 2, KQ_STR ("aa.0.0.0"), 1, KQ_END_DONE, KQ_STR ("") };
+  KqProgress rows[4];
+  kq_sched_desk_next_leader (d);
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  kq_sched_loaded (d->sched, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  kq_sched_desk_list (d, "r0", NULL, 0);
+  kq_sched_desk_list_cut (d, "r1", &end);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 0);
+  kq_sched_desk_list (d, "r1", &done, 1);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 0);
+  kq_sched_store_begin (d->sched, rows, 4, d->now);
+  kq_sched_stored (d->sched, true, d->now);
+  assert_int_equal (kq_sched_state (d->sched, KQ_STR ("aa")), KQ_JOB_COMPLETED);
+}
+
 /* A task runs twice: the next leader has taken its job for one that nobody knows. */
 static void
 test_job_learned_in_doubt_waits (void **state)
@@ -477,6 +501,8 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_a_late_run_puts_its_runner_into_the_list,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_a_cut_list_settles_nothing,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_lost_agents_are_known, kq_sched_desk_set_up,
                                      kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_list_of_an_earlier_taking, kq_sched_desk_set_up,
