--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -39,6 +39,7 @@
   char *address;
   uint64_t epoch;
   uint64_t serial; /* of this taking: answers to calls of an earlier one are dropped */
+  uint64_t taking; /* the leader's number of it */
   ev_timer next;
   bool asking;
   bool watched;
@@ -47,6 +48,8 @@
   KqTime listed_at;     /* when the last list came */
   uint64_t results;     /* outcomes told */
   int64_t born_ms;      /* of the life that was heard last; 0: never */
+  KqTime life_at;       /* when that was first heard, if there was one before it: answers
+                           to earlier calls may come from that one */
   int64_t clock_ms;     /* the runner's clock, as last told; -1: never */
   KqTime clock_at;      /* when that was received */
   int64_t lease_end_ms; /* the latest granted, on the runner's clock */
@@ -63,6 +66,7 @@
   uint64_t epoch;
   uint64_t serial;
   KqTime heard_at;
+  KqTime counted_at; /* the leader counts us as there then, or later */
   uint64_t *renewals;
   uint64_t *renewals_failed;
 };
@@ -165,22 +169,21 @@
 note_clock (Held *h, const KqRunnerReply *r, KqTime now)
 {
   bool first = h->clock_ms < 0;
-  if (r->clock_ms < 0)
+  bool told_born = r->born_ms != 0 && h->born_ms != 0 && r->born_ms != h->born_ms;
+  if (r->clock_ms < 0 || (r->born_ms == 0 && r->sent_at < h->life_at))
     return;
-  if (!first && r->clock_ms < clock_now (h, now) - h->agent->config.lease_ms)
+  if (!first
+      && (told_born || r->clock_ms < clock_now (h, now) - h->agent->config.lease_ms))
     {
       /* A new life: its clock and its ends count anew. An acknowledgement of the earlier
        * life's ends would make it forget ends that nobody has seen. */
       first = true;
       h->ends_seen = 0;
       h->born_ms = 0;
+      h->life_at = now;
     }
-  if (r->born_ms != 0 && r->born_ms != h->born_ms)
-    {
-      if (h->born_ms != 0)
-        h->ends_seen = 0;
-      h->born_ms = r->born_ms;
-    }
+  if (r->born_ms != 0)
+    h->born_ms = r->born_ms;
   if (!first && r->clock_ms < h->clock_ms)
     return; /* overtaken by a newer answer */
   h->clock_ms = r->clock_ms;
@@ -199,6 +202,13 @@
                         .timeout_ms = timeout_ms };
 }
 
+/* Beyond this the leader may have given the lease up, however late its words come. */
+static bool
+counts_on_us (const KqCrewAgent *a, KqTime now)
+{
+  return now - a->counted_at <= a->config.blind_ms * KQ_MS;
+}
+
 /* What is granted now; a later grant never ends sooner. Nothing more is granted to a
  * runner that doesn't answer: it may hear us all the same, and its lease must end some
  * time, or its tasks could never be started elsewhere. Nor before the leader has heard of
@@ -207,7 +217,7 @@
 grant (Held *h, KqTime now)
 {
   int64_t end;
-  if (h->clock_ms < 0 || h->failures > 0 || h->halt != 0)
+  if (h->clock_ms < 0 || h->failures > 0 || h->halt != 0 || !counts_on_us (h->agent, now))
     return -1;
   end = clock_now (h, now) + h->agent->config.lease_ms;
   if (end > h->lease_end_ms)
@@ -225,6 +235,7 @@
   h->halt = ++h->agent->serial;
   i.u.unreached.lease_left_ms = lease_left (h, now);
   i.u.unreached.gone = gone;
+  i.u.unreached.taking = h->taking;
   tell (h, &i);
 }
 
@@ -236,6 +247,7 @@
                              .lease_left_ms = lease_left (h, now),
                              .order = order,
                              .halt = h->halt,
+                             .taking = h->taking,
                              .running = r->running,
                              .n_running = r->n_running,
                              .ended = r->ended,
@@ -369,7 +381,8 @@
                                       .task = kq_str (c->task),
                                       .run = c->run,
                                       .result = r->result,
-                                      .order = ++h->results };
+                                      .order = ++h->results,
+                                      .taking = h->taking };
       tell (h, &i);
     }
   free_call (c);
@@ -432,12 +445,15 @@
   h->address = kq_str_dup (o->u.take.address);
   h->epoch = epoch;
   h->serial = h->halt = ++a->serial;
+  h->taking = o->u.take.taking;
   h->clock_ms = -1;
   ev_timer_init (&h->next, on_next, 0, 0);
   h->next.data = h;
   old = g_hash_table_lookup (a->held, h->id);
   if (old != NULL && strcmp (old->address, h->address) == 0 && old->clock_ms >= 0)
     {
+      h->born_ms = old->born_ms;
+      h->life_at = old->life_at;
       h->clock_ms = old->clock_ms;
       h->clock_at = old->clock_at;
       h->lease_end_ms = old->lease_end_ms;
@@ -529,6 +545,16 @@
   a->heard_at = now;
 }
 
+void
+kq_crew_agent_counted (KqCrewAgent *a, uint64_t epoch, KqTime at)
+{
+  if (epoch < a->epoch || at <= a->counted_at)
+    return;
+  a->counted_at = at;
+  if (at > a->heard_at)
+    kq_crew_agent_heard (a, epoch, at);
+}
+
 /* Renewing on, unknown to the leader, kept a runner alive whose lease the leader counted
  * as over: nine tasks ran twice (a node whose connections were reset, and 13 s later a
  * runner that its next agent didn't reach). */
@@ -547,6 +573,7 @@
 {
   KqCrewAgent *a = kq_alloc (sizeof *a);
   a->config = *c;
+  a->counted_at = kq_time_now (); /* nothing is held yet */
   a->held = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_held);
   a->renewals = kq_counter (c->counters, "kq_runner_renewals_total", "",
                             "Renewals of runners' leases asked for.");
--- a/src/crew/agent_test.c
+++ b/src/crew/agent_test.c
@@ -12,18 +12,33 @@
 #include <cmocka.h>
 
 #define EPOCH 7
+#define LEASE_MS 5000
+#define BLIND_MS 4000
 
-/* The runner and the leader, played by the test. */
+/* An agent; its runner and its leader are played by the test. */
 static struct
 {
+  KqLoop *loop;
+  KqCounters *counters;
   KqCrewAgent *agent;
   int renewals;
   int64_t lease_end_ms; /* the latest that a call has carried */
   KqRunnerCallback question;
-  bool answers;  /* the leader answers lists */
-  uint64_t halt; /* of the last list */
-  int reports;   /* of silence */
-} seen;
+  KqRunnerCallback start;
+  bool confirms; /* the leader answers lists */
+  KqCrewKind told;
+  uint64_t taking;
+  uint64_t halt;
+  int64_t lease_left_ms;
+  int silences;
+} t;
+
+static void
+note_lease (int64_t lease_end_ms)
+{
+  if (lease_end_ms > t.lease_end_ms)
+    t.lease_end_ms = lease_end_ms;
+}
 
 void
 kq_runner_renew (KqRunnerCalls *c, const KqRunnerAim *a, int64_t lease_end_ms,
@@ -33,10 +48,9 @@
   (void)a;
   (void)ends_seen;
   (void)wait_ms;
-  seen.renewals++;
-  if (lease_end_ms > seen.lease_end_ms)
-    seen.lease_end_ms = lease_end_ms;
-  seen.question = cb;
+  t.renewals++;
+  note_lease (lease_end_ms);
+  t.question = cb;
 }
 
 void
@@ -44,7 +58,6 @@
                  KqStr spec, KqStr checkpoint, KqStr ticket, int64_t lease_end_ms,
                  KqRunnerCallback cb)
 {
-  KqRunnerReply r = { .result = KQ_ORDER_UNKNOWN, .clock_ms = -1 };
   (void)c;
   (void)a;
   (void)task;
@@ -52,16 +65,15 @@
   (void)spec;
   (void)checkpoint;
   (void)ticket;
-  if (lease_end_ms > seen.lease_end_ms)
-    seen.lease_end_ms = lease_end_ms;
-  cb.done (cb.arg, &r, kq_time_now ());
+  note_lease (lease_end_ms);
+  t.start = cb;
 }
 
 void
 kq_runner_stop (KqRunnerCalls *c, const KqRunnerAim *a, KqStr task, uint32_t run,
                 KqRunnerCallback cb)
 {
-  kq_runner_start (c, a, task, run, KQ_STR (""), KQ_STR (""), KQ_STR (""), 0, cb);
+  kq_runner_start (c, a, task, run, KQ_STR (""), KQ_STR (""), KQ_STR (""), -1, cb);
 }
 
 void
@@ -69,7 +81,7 @@
                 int percent, KqRunnerCallback cb)
 {
   (void)percent;
-  kq_runner_start (c, a, task, run, KQ_STR (""), KQ_STR (""), KQ_STR (""), 0, cb);
+  kq_runner_start (c, a, task, run, KQ_STR (""), KQ_STR (""), KQ_STR (""), -1, cb);
 }
 
 static void
@@ -77,7 +89,7 @@
 {
   KqOrder o = { .kind = KQ_ORDER_RENEW, .runner = KQ_STR ("r") };
   o.u.renew.halt = halt;
-  kq_crew_agent_order (seen.agent, EPOCH, &o, kq_time_now ());
+  kq_crew_agent_order (t.agent, EPOCH, &o, kq_time_now ());
 }
 
 static void
@@ -85,12 +97,22 @@
 {
   (void)arg;
   (void)epoch;
-  seen.reports += i->kind == KQ_CREW_UNREACHED;
-  if (i->kind != KQ_CREW_LIST)
-    return;
-  seen.halt = i->u.list.halt;
-  if (seen.answers && seen.halt != 0)
-    renew (seen.halt);
+  t.told = i->kind;
+  if (i->kind == KQ_CREW_OUTCOME)
+    t.taking = i->u.outcome.taking;
+  else if (i->kind == KQ_CREW_UNREACHED)
+    {
+      t.taking = i->u.unreached.taking;
+      t.silences++;
+    }
+  else if (i->kind == KQ_CREW_LIST)
+    {
+      t.taking = i->u.list.taking;
+      t.halt = i->u.list.halt;
+      t.lease_left_ms = i->u.list.lease_left_ms;
+      if (t.confirms && t.halt != 0)
+        renew (t.halt);
+    }
 }
 
 static void
@@ -101,132 +123,148 @@
   ev_break (ev, EVBREAK_ALL);
 }
 
+/* Longer than the agent waits before a question where nothing holds it up. */
 static void
-pass_time (KqLoop *loop)
+pass_time (void)
 {
   ev_timer wait;
   ev_timer_init (&wait, on_time, 0.1, 0);
-  ev_timer_start (kq_loop_ev (loop), &wait);
-  ev_run (kq_loop_ev (loop), 0);
+  ev_timer_start (kq_loop_ev (t.loop), &wait);
+  ev_run (kq_loop_ev (t.loop), 0);
 }
 
-/* Lets the agent ask, and the runner answer. */
 static void
-exchange (KqLoop *loop, KqOrderResult result)
+take (uint64_t taking)
 {
-  KqRunnerReply r = { .result = result, .clock_ms = -1 };
-  KqRunnerCallback cb;
-  for (int i = 0; i < 50 && seen.question.done == NULL; i++)
-    pass_time (loop);
-  cb = seen.question;
+  KqOrder o = { .kind = KQ_ORDER_TAKE, .runner = KQ_STR ("r") };
+  o.u.take.address = KQ_STR ("127.0.0.1:1");
+  o.u.take.taking = taking;
+  kq_crew_agent_order (t.agent, EPOCH, &o, kq_time_now ());
+  pass_time ();
+}
+
+static void
+answer (KqOrderResult result, int64_t born_ms, int64_t clock_ms, KqTime now)
+{
+  KqRunnerReply r = { .result = result, .clock_ms = clock_ms, .born_ms = born_ms };
+  KqRunnerCallback cb = t.question;
   assert_non_null (cb.done);
-  seen.question = (KqRunnerCallback){ 0 };
-  if (result == KQ_ORDER_OK)
-    {
-      r.clock_ms = kq_time_now () / KQ_MS;
-      r.born_ms = 1;
-    }
-  cb.done (cb.arg, &r, kq_time_now ());
+  t.question = (KqRunnerCallback){ 0 };
+  cb.done (cb.arg, &r, now);
 }
 
-static KqCrewAgentConfig
-config (void)
+/* Lets the agent ask; the runner's clock is the test's. */
+static void
+exchange (KqOrderResult result)
 {
-  return (KqCrewAgentConfig){ .loop = kq_loop_new (),
-                              .lease_ms = 5000,
-                              .blind_ms = 4000,
-                              .counters = kq_counters_new (),
-                              .notice = on_notice };
+  KqTime now;
+  for (int i = 0; i < 50 && t.question.done == NULL; i++)
+    pass_time ();
+  now = kq_time_now ();
+  answer (result, 1, result == KQ_ORDER_OK ? now / KQ_MS : -1, now);
 }
 
 static void
-take_runner (void)
+begin_run (KqTime now)
 {
-  KqOrder take = { .kind = KQ_ORDER_TAKE, .runner = KQ_STR ("r") };
-  take.u.take.address = KQ_STR ("127.0.0.1:1");
-  kq_crew_agent_order (seen.agent, EPOCH, &take, kq_time_now ());
+  KqOrder o = { .kind = KQ_ORDER_START, .runner = KQ_STR ("r") };
+  o.u.start.task = KQ_STR ("j.0.0.0");
+  o.u.start.run = 1;
+  kq_crew_agent_order (t.agent, EPOCH, &o, now);
 }
 
 static void
-begin (const KqCrewAgentConfig *c)
+answer_start (int64_t clock_ms, KqTime sent_at, KqTime now)
+{
+  KqRunnerReply r = { .result = KQ_ORDER_OK, .clock_ms = clock_ms, .sent_at = sent_at };
+  t.start.done (t.start.arg, &r, now);
+}
+
+/* The end of the lease, on the runner's clock, that a start grants. */
+static int64_t
+grant (KqTime now)
 {
+  t.lease_end_ms = -1;
+  begin_run (now);
+  return t.lease_end_ms;
+}
+
+static int
+set_up (void **state)
+{
+  KqCrewAgentConfig c
+      = { .lease_ms = LEASE_MS, .blind_ms = BLIND_MS, .notice = on_notice };
+  (void)state;
   kq_log_set_level (KQ_LOG_ERROR);
-  memset (&seen, 0, sizeof seen);
-  seen.answers = true;
-  seen.lease_end_ms = -1;
-  seen.agent = kq_crew_agent_new (c);
-  take_runner ();
+  memset (&t, 0, sizeof t);
+  t.confirms = true;
+  t.lease_end_ms = -1;
+  t.loop = c.loop = kq_loop_new ();
+  t.counters = c.counters = kq_counters_new ();
+  t.agent = kq_crew_agent_new (&c);
+  return 0;
 }
 
-static void
-end (const KqCrewAgentConfig *c)
+static int
+tear_down (void **state)
 {
-  kq_crew_agent_free (seen.agent);
-  kq_counters_free (c->counters);
-  kq_loop_free (c->loop);
+  (void)state;
+  if (t.question.done != NULL)
+    answer (KQ_ORDER_UNKNOWN, 0, -1, kq_time_now ());
+  kq_crew_agent_free (t.agent);
+  kq_counters_free (t.counters);
+  kq_loop_free (t.loop);
+  return 0;
 }
 
 /* A task runs twice: a node that is back renews leases of runners given to others. */
 static void
 test_new_connection_ends_renewals (void **state)
 {
-  KqCrewAgentConfig c = config ();
   int before;
   (void)state;
-  begin (&c);
-  exchange (c.loop, KQ_ORDER_OK);
-  exchange (c.loop, KQ_ORDER_OK);
-  pass_time (c.loop);
-  assert_true (seen.renewals >= 2);
-  kq_crew_agent_released (seen.agent);
-  assert_int_equal (kq_crew_agent_runners (seen.agent), 0);
-  before = seen.renewals;
-  kq_crew_agent_heard (seen.agent, EPOCH, kq_time_now ());
-  pass_time (c.loop);
-  assert_int_equal (seen.renewals, before);
-  take_runner ();
-  pass_time (c.loop);
-  assert_int_equal (seen.renewals, before + 1);
-  end (&c);
-}
-
-static void
-start_run (void)
-{
-  KqOrder o = { .kind = KQ_ORDER_START, .runner = KQ_STR ("r") };
-  o.u.start.task = KQ_STR ("j.0.0.0");
-  o.u.start.run = 1;
-  kq_crew_agent_order (seen.agent, EPOCH, &o, kq_time_now ());
+  take (1);
+  assert_int_equal (t.renewals, 1);
+  exchange (KQ_ORDER_OK);
+  exchange (KQ_ORDER_OK);
+  assert_true (t.renewals >= 2);
+  kq_crew_agent_released (t.agent);
+  assert_int_equal (kq_crew_agent_runners (t.agent), 0);
+  before = t.renewals;
+  kq_crew_agent_heard (t.agent, EPOCH, kq_time_now ());
+  pass_time ();
+  assert_int_equal (t.renewals, before);
+  take (2);
+  assert_int_equal (t.renewals, before + 1);
 }
 
 /* A task runs twice: its runner's lease is extended after the leader was told its end. */
 static void
 test_reported_lease_end_stands (void **state)
 {
-  KqCrewAgentConfig c = config ();
   int64_t reported;
-  uint64_t first;
+  uint64_t earlier;
   (void)state;
-  begin (&c);
-  exchange (c.loop, KQ_ORDER_OK);
-  first = seen.halt;
-  exchange (c.loop, KQ_ORDER_OK);
-  while (seen.reports == 0)
-    exchange (c.loop, KQ_ORDER_UNKNOWN);
-  reported = seen.lease_end_ms;
+  take (1);
+  exchange (KQ_ORDER_OK);
+  earlier = t.halt;
+  exchange (KQ_ORDER_OK);
+  while (t.silences == 0)
+    exchange (KQ_ORDER_UNKNOWN);
+  reported = t.lease_end_ms;
   assert_true (reported > 0);
-  seen.answers = false;
-  exchange (c.loop, KQ_ORDER_OK);
-  renew (first); /* meant for an earlier list */
-  exchange (c.loop, KQ_ORDER_OK);
-  start_run ();
-  exchange (c.loop, KQ_ORDER_OK);
-  assert_int_equal (seen.lease_end_ms, reported);
-  renew (seen.halt);
-  exchange (c.loop, KQ_ORDER_OK);
-  exchange (c.loop, KQ_ORDER_OK);
-  assert_true (seen.lease_end_ms > reported);
-  end (&c);
+  t.confirms = false;
+  exchange (KQ_ORDER_OK);
+  renew (earlier);
+  exchange (KQ_ORDER_OK);
+  begin_run (kq_time_now ());
+  answer_start (-1, kq_time_now (), kq_time_now ());
+  exchange (KQ_ORDER_OK);
+  assert_int_equal (t.lease_end_ms, reported);
+  renew (t.halt);
+  exchange (KQ_ORDER_OK);
+  exchange (KQ_ORDER_OK);
+  assert_true (t.lease_end_ms > reported);
 }
 
 /* A task runs twice: a node that takes a runner over extends its lease before the leader
@@ -234,27 +272,104 @@
 static void
 test_taken_runner_waits_for_the_leader (void **state)
 {
-  KqCrewAgentConfig c = config ();
   (void)state;
-  begin (&c);
-  seen.answers = false;
-  exchange (c.loop, KQ_ORDER_OK);
-  exchange (c.loop, KQ_ORDER_OK);
-  exchange (c.loop, KQ_ORDER_OK);
-  assert_int_equal (seen.lease_end_ms, -1);
-  renew (seen.halt);
-  exchange (c.loop, KQ_ORDER_OK);
-  exchange (c.loop, KQ_ORDER_OK);
-  assert_true (seen.lease_end_ms > 0);
-  end (&c);
+  t.confirms = false;
+  take (1);
+  exchange (KQ_ORDER_OK);
+  exchange (KQ_ORDER_OK);
+  exchange (KQ_ORDER_OK);
+  assert_int_equal (t.lease_end_ms, -1);
+  renew (t.halt);
+  exchange (KQ_ORDER_OK);
+  exchange (KQ_ORDER_OK);
+  assert_true (t.lease_end_ms > 0);
+}
+
+/* A task runs twice: what is told of an earlier taking of its runner counts. */
+static void
+test_words_name_their_taking (void **state)
+{
+  KqTime now = kq_time_now ();
+  (void)state;
+  take (8);
+  answer (KQ_ORDER_OK, 1, 1000, now);
+  assert_int_equal (t.told, KQ_CREW_LIST);
+  assert_int_equal (t.taking, 8);
+  take (9);
+  answer (KQ_ORDER_OTHER_LIFE, 0, -1, now);
+  assert_int_equal (t.told, KQ_CREW_UNREACHED);
+  assert_int_equal (t.taking, 9);
+  begin_run (now);
+  answer_start (-1, now, now);
+  assert_int_equal (t.told, KQ_CREW_OUTCOME);
+  assert_int_equal (t.taking, 9);
+}
+
+/* A task runs twice: a lease is granted by the clock of a runner's earlier life. */
+static void
+test_clock_of_a_new_life (void **state)
+{
+  KqTime now = kq_time_now ();
+  KqTime later = now + 500 * KQ_MS;
+  (void)state;
+  take (1);
+  answer (KQ_ORDER_OK, 1, 3000, now);
+  pass_time ();
+  grant (now + 100 * KQ_MS);
+  answer (KQ_ORDER_OK, 2, 100, later);
+  assert_int_equal (t.lease_left_ms, LEASE_MS * 100 / 98 + 1);
+  /* The earlier life's answer to a start, on its way until now. */
+  answer_start (3200, now + 100 * KQ_MS, later);
+  assert_int_equal (grant (later), 100 + LEASE_MS);
+  answer_start (100, later, later);
+}
+
+/* As above, where the runner is taken again between the two lives. */
+static void
+test_clock_of_a_new_life_taken_again (void **state)
+{
+  KqTime now = kq_time_now ();
+  KqTime later = now + 500 * KQ_MS;
+  (void)state;
+  take (1);
+  answer (KQ_ORDER_OK, 1, 3000, now);
+  take (2);
+  answer (KQ_ORDER_OK, 2, 100, later);
+  assert_int_equal (grant (later), 100 + LEASE_MS);
+  answer_start (100, later, later);
+}
+
+/* A task runs twice: a lease is granted on the word of a leader that is long gone. */
+static void
+test_delayed_words_grant_nothing (void **state)
+{
+  KqTime now = kq_time_now ();
+  KqTime later = now + (BLIND_MS + 200) * KQ_MS;
+  (void)state;
+  take (1);
+  answer (KQ_ORDER_OK, 1, 1000, now);
+  kq_crew_agent_heard (t.agent, EPOCH, later);
+  assert_int_equal (grant (later), 1000 + LEASE_MS);
+  answer_start (-1, later, later);
+  kq_crew_agent_counted (t.agent, EPOCH, later - KQ_SEC);
+  assert_int_equal (grant (later), 1000 + (BLIND_MS + 200) * 98 / 100 + LEASE_MS);
+  answer_start (-1, later, later);
 }
 
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_new_connection_ends_renewals),
-          cmocka_unit_test (test_reported_lease_end_stands),
-          cmocka_unit_test (test_taken_runner_waits_for_the_leader) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_new_connection_ends_renewals, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_reported_lease_end_stands, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_taken_runner_waits_for_the_leader, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_words_name_their_taking, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_delayed_words_grant_nothing, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_clock_of_a_new_life, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_clock_of_a_new_life_taken_again, set_up,
+                                     tear_down),
+  };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -17,6 +17,7 @@
     {
     case KQ_ORDER_TAKE:
       kq_pack_str (p, o->u.take.address);
+      kq_pack_u64 (p, o->u.take.taking);
       break;
     case KQ_ORDER_DROP:
       break;
@@ -83,6 +84,7 @@
     {
     case KQ_ORDER_TAKE:
       o->u.take.address = kq_read_str (r);
+      o->u.take.taking = kq_read_u64 (r);
       return;
     case KQ_ORDER_DROP:
       return;
@@ -123,6 +125,7 @@
   kq_pack_i64 (p, l->born_ms);
   kq_pack_i64 (p, l->lease_left_ms);
   kq_pack_u64 (p, l->order);
+  kq_pack_u64 (p, l->taking);
   kq_pack_u64 (p, l->halt);
   kq_pack_bool (p, l->ended_cut);
   kq_pack_array (p, l->n_running);
@@ -218,6 +221,7 @@
   kq_pack_u64 (p, o->run);
   kq_pack_i64 (p, o->result);
   kq_pack_u64 (p, o->order);
+  kq_pack_u64 (p, o->taking);
 }
 
 static void
@@ -232,6 +236,7 @@
     r->bad = true;
   o->result = (KqOrderResult)result;
   o->order = kq_read_u64 (r);
+  o->taking = kq_read_u64 (r);
 }
 
 static void
@@ -295,6 +300,7 @@
       break;
     case KQ_CREW_BEAT:
       kq_pack_i64 (p, i->u.beat.store_age_ms);
+      kq_pack_i64 (p, i->u.beat.sent_at);
       break;
     case KQ_CREW_LIST:
       pack_list (p, &i->u.list);
@@ -305,6 +311,7 @@
     case KQ_CREW_UNREACHED:
       kq_pack_i64 (p, i->u.unreached.lease_left_ms);
       kq_pack_bool (p, i->u.unreached.gone);
+      kq_pack_u64 (p, i->u.unreached.taking);
       break;
     case KQ_CREW_ASK:
       kq_pack_u64 (p, i->u.ask.call);
@@ -322,6 +329,8 @@
       pack_advice (p, &i->u.advice);
       break;
     case KQ_CREW_PING:
+      kq_pack_i64 (p, i->u.ping.beat_sent_at);
+      break;
     case KQ_CREW_FENCED:
       break;
     }
@@ -347,11 +356,13 @@
       return;
     case KQ_CREW_BEAT:
       i->u.beat.store_age_ms = kq_read_i64 (r);
+      i->u.beat.sent_at = kq_read_i64 (r);
       return;
     case KQ_CREW_LIST:
       i->u.list.born_ms = kq_read_i64 (r);
       i->u.list.lease_left_ms = kq_read_i64 (r);
       i->u.list.order = kq_read_u64 (r);
+      i->u.list.taking = kq_read_u64 (r);
       i->u.list.halt = kq_read_u64 (r);
       i->u.list.ended_cut = kq_read_bool (r);
       read_running (r, &i->u.list);
@@ -363,6 +374,7 @@
     case KQ_CREW_UNREACHED:
       i->u.unreached.lease_left_ms = kq_read_i64 (r);
       i->u.unreached.gone = kq_read_bool (r);
+      i->u.unreached.taking = kq_read_u64 (r);
       return;
     case KQ_CREW_ASK:
       i->u.ask.call = kq_read_u64 (r);
@@ -380,6 +392,8 @@
       read_advice (r, &i->u.advice);
       return;
     case KQ_CREW_PING:
+      i->u.ping.beat_sent_at = kq_read_i64 (r);
+      return;
     case KQ_CREW_FENCED:
       return;
     }
@@ -390,8 +404,8 @@
 static size_t
 n_fields (const KqCrewItem *i)
 {
-  static const uint8_t of_kind[] = { 0, 0, 3, 0, 3, 1, 7, 5, 2, 0, 3, 2, 1, 4 };
-  static const uint8_t of_order[] = { 3, 2, 7, 4, 5, 5, 4, 3 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 1, 3, 2, 8, 6, 3, 0, 3, 2, 1, 4 };
+  static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_CREW_ORDER)
     return of_order[i->u.order.kind];
   return of_kind[i->kind];
--- a/src/crew/frame.h
+++ b/src/crew/frame.h
@@ -48,7 +48,12 @@
     struct
     {
       int64_t store_age_ms; /* since the last answer of the store; -1: never */
+      KqTime sent_at;       /* by the node's clock */
     } beat;
+    struct
+    {
+      KqTime beat_sent_at; /* of a BEAT of the node that has come */
+    } ping;
     KqRunnerList list;
     KqOrderOutcome outcome;
     KqStepAdvice advice;
@@ -56,6 +61,7 @@
     {
       int64_t lease_left_ms;
       bool gone; /* another runner answers at that address */
+      uint64_t taking;
     } unreached;
     struct
     {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -14,6 +14,7 @@
 #include "port/source.h"
 
 #include <ev.h>
+#include <glib.h>
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -202,7 +203,7 @@
                        .answered = on_answered };
   kq_link_lead (f->link, epoch, now);
   kq_crew_agent_released (f->agent);
-  kq_crew_agent_heard (f->agent, epoch, now);
+  kq_crew_agent_counted (f->agent, epoch, now);
   f->peers_reach_store_at = 0;
   f->yield.other_milli = 0;
   f->leader = kq_leader_new (&c, now);
@@ -292,16 +293,17 @@
 on_connected (void *arg, KqTime now)
 {
   KqFleet *f = arg;
-  (void)now;
   kq_crew_agent_released (f->agent);
+  kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, now);
 }
 
 static void
 on_from_leader (void *arg, uint64_t epoch, const KqCrewItem *i, KqTime now)
 {
   KqFleet *f = arg;
+  kq_crew_agent_heard (f->agent, epoch, now);
   if (i->kind == KQ_CREW_PING)
-    kq_crew_agent_heard (f->agent, epoch, now);
+    kq_crew_agent_counted (f->agent, epoch, i->u.ping.beat_sent_at);
   else if (i->kind == KQ_CREW_ORDER)
     kq_crew_agent_order (f->agent, epoch, &i->u.order, now);
   else if (i->kind == KQ_CREW_ANSWER)
@@ -399,27 +401,27 @@
 }
 
 /* Without the store nobody else can be elected, so work in hand goes on; once another
- * node reaches the store, our lease may have lapsed there and that node may elect a
- * leader. */
+ * node reaches the store, or one that was there isn't heard and may reach it, our lease
+ * may have lapsed there and that node may be elected. */
 static void
 look_at_lead (KqFleet *f, KqTime now)
 {
   KqTime until = kq_lead_valid_until (f->lead);
   if (f->leader == NULL)
     return;
+  kq_leader_lead_until (f->leader, until);
+  kq_link_lead_until (f->link, until);
+  kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, MIN (now, until));
   if (now < until)
-    {
-      look_at_stronger (f, now);
-      return;
-    }
-  if (now - until > BLIND_MAX)
+    look_at_stronger (f, now);
+  else if (now - until > BLIND_MAX)
     kq_lead_resign (f->lead, "not renewed for too long", !f->leaving, now);
   else if (f->peers_reach_store_at > until - lead_ttl_ms (f) / 2 * KQ_MS
            && now - f->peers_reach_store_at < 3 * REACHES_MS * KQ_MS)
     kq_lead_resign (f->lead, "not renewed while other nodes reach the store", !f->leaving,
                     now);
-  else if (kq_link_peers (f->link) == 0)
-    kq_lead_resign (f->lead, "not renewed and no other node heard", !f->leaving, now);
+  else if (kq_link_peers (f->link) == 0 || kq_leader_lost_nodes (f->leader))
+    kq_lead_resign (f->lead, "not renewed and not all nodes heard", !f->leaving, now);
 }
 
 static void
@@ -448,8 +450,6 @@
               (long long)((now - f->store_at) / KQ_MS));
     }
   look_at_lead (f, now);
-  if (f->leader != NULL)
-    kq_crew_agent_heard (f->agent, kq_lead_record (f->lead)->epoch, now);
   if (f->leaving)
     look_at_stop (f, now);
   kq_log_flush ();
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -529,10 +529,10 @@
       break;
     case KQ_CREW_UNREACHED:
       if (i->u.unreached.gone)
-        kq_sched_runner_over (l->sched, agent, i->runner, now);
+        kq_sched_runner_over (l->sched, agent, i->runner, i->u.unreached.taking, now);
       else
-        kq_sched_unreached (l->sched, agent, i->runner, i->u.unreached.lease_left_ms,
-                            now);
+        kq_sched_unreached (l->sched, agent, i->runner, i->u.unreached.taking,
+                            i->u.unreached.lease_left_ms, now);
       break;
     case KQ_CREW_FENCED:
       l->config.deposed (l->config.arg, "a runner has seen a higher epoch", now);
@@ -556,6 +556,18 @@
     }
 }
 
+bool
+kq_leader_lost_nodes (const KqLeader *l)
+{
+  return kq_sched_agents_lost (l->sched);
+}
+
+void
+kq_leader_lead_until (KqLeader *l, KqTime until)
+{
+  kq_sched_lead_until (l->sched, until);
+}
+
 int64_t
 kq_leader_ask (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text)
 {
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -219,11 +219,11 @@
 {
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTime lease = now + l->lease_left_ms * KQ_MS;
-  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, "list"))
+  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, l->taking, "list"))
     return;
   if (l->born_ms != 0 && r->born_ms != 0 && l->born_ms != r->born_ms)
     {
-      kq_runners_reborn (s, r, now);
+      kq_runners_reborn (s, r, l->order, now);
       r->ends_seen = r->ends_stored = r->ends_batch = 0;
       r->fails = r->dones = 0;
       r->suspect_until = 0;
@@ -237,7 +237,8 @@
             r->id, r->n_runs, l->n_running, l->n_ended,
             (long long)((now - r->heard_at) / KQ_MS),
             (long long)((r->lease_ends - now) / KQ_MS));
-  r->listed = true;
+  if (!l->ended_cut)
+    r->listed = true;
   r->silent = false;
   r->heard_at = now;
   kq_runners_extend (r, lease, "list");
@@ -359,7 +360,7 @@
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTaskRef t;
   KqRun *run;
-  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, "outcome")
+  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, o->taking, "outcome")
       || !kq_book_task (s, o->task, &t))
     return;
   ++*s->results[o->result];
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -264,7 +264,7 @@
   assert_int_equal (d->starts, 1);
   ended (d, d->last_down, KQ_MAINTENANCE_OK);
   assert_int_equal (d->starts, 1); /* it may have been done before, and run on */
-  kq_sched_unreached (d->sched, d->agent, kq_str (runner), 4500, d->now);
+  kq_sched_desk_unreached (d, d->agent, runner, 4500);
   kq_sched_desk_run (d, 100 * KQ_MS);
   assert_int_equal (d->starts, 2);
   assert_string_equal (d->runner, "r2");
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -85,9 +85,10 @@
 }
 
 bool
-kq_runners_heard_of_by (const KqSched *s, KqRunnerState *r, int agent, const char *what)
+kq_runners_heard_of_by (const KqSched *s, KqRunnerState *r, int agent, uint64_t taking,
+                        const char *what)
 {
-  if (r->agent == agent)
+  if (r->agent == agent && r->taking == taking)
     return true;
   if (!r->passed_over)
     {
@@ -102,6 +103,20 @@
   return false;
 }
 
+/* The agent grants on until it hears of this or counts us as lost, and its last lists may
+ * be under way. */
+static void
+drop_agent (KqSched *s, KqRunnerState *r, KqTime now)
+{
+  KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
+  KqTime ends = blind_lease_end (s, now);
+  s->agents.list[r->agent].runners--;
+  if (s->agents.list[r->agent].up)
+    s->config.order (s->config.arg, r->agent, &drop);
+  r->agent = -1;
+  kq_runners_extend (r, ends, "agent changed");
+}
+
 static KqRunnerState *
 add (KqSched *s, KqStr id, KqTime now)
 {
@@ -160,10 +175,7 @@
   if (!r->known_stored)
     s->known_dirty = true;
   if (moved && r->agent >= 0)
-    {
-      s->agents.list[r->agent].runners--;
-      r->agent = -1;
-    }
+    drop_agent (s, r, now);
   s->work = true;
 }
 
@@ -206,9 +218,10 @@
 /* All that ran in the earlier life is over. But a start that nobody has answered may
  * still reach the new life, which knows nothing of run numbers or fencing tokens: it is
  * stopped there first, which makes the runner refuse it, and only then started elsewhere.
- */
+ * And one that was answered after the question for this list left may run in the new
+ * life: the next list tells. */
 void
-kq_runners_reborn (KqSched *s, KqRunnerState *r, KqTime now)
+kq_runners_reborn (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now)
 {
   KqRun *next;
   kq_log (KQ_LOG_WARN, PART, "Runner has started anew. runner=%s runs=%d", r->id,
@@ -217,6 +230,8 @@
     {
       bool under_way = run->unsure || run->waiting;
       next = run->next;
+      if (!under_way && run->confirmed > order + 1)
+        continue;
       run->confirmed = 0;
       ++*s->runs_lost;
       if (under_way && run->phase != KQ_RUN_STOPPING)
@@ -242,17 +257,14 @@
               (long long)((r->lease_ends - now) / KQ_MS));
     }
   if (r->agent >= 0)
-    {
-      KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
-      s->agents.list[r->agent].runners--;
-      if (s->agents.list[r->agent].up)
-        s->config.order (s->config.arg, r->agent, &drop);
-    }
+    drop_agent (s, r, now);
   r->agent = agent;
   r->watched = r->passed_over = false;
   r->listed = false; /* to this agent: it knows neither the runner's clock nor its runs */
   s->agents.list[agent].runners++;
+  r->taking = ++s->takings;
   o.u.take.address = kq_str (r->address);
+  o.u.take.taking = r->taking;
   s->config.order (s->config.arg, agent, &o);
   /* What the earlier agent was asked is not known to the new one. */
   for (KqRun *run = r->runs; run != NULL; run = run->next)
@@ -339,6 +351,12 @@
   s->work = true;
 }
 
+bool
+kq_sched_agents_lost (const KqSched *s)
+{
+  return s->agents.n_lost > 0;
+}
+
 /* The leases that its runs had needn't be waited for, by this leader or a later one: with
  * 18 hosts down and a change of leader nothing of earlier jobs started for 9 s. */
 static void
@@ -363,12 +381,12 @@
 }
 
 void
-kq_sched_unreached (KqSched *s, int agent, KqStr runner, int64_t lease_left_ms,
-                    KqTime now)
+kq_sched_unreached (KqSched *s, int agent, KqStr runner, uint64_t taking,
+                    int64_t lease_left_ms, KqTime now)
 {
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTime ends = now + lease_left_ms * KQ_MS;
-  if (r == NULL || r->over || !kq_runners_heard_of_by (s, r, agent, "silence"))
+  if (r == NULL || r->over || !kq_runners_heard_of_by (s, r, agent, taking, "silence"))
     return;
   if (!r->silent)
     kq_log (KQ_LOG_WARN, PART, "Runner is silent. runner=%s runs=%d lease_left_ms=%lld",
@@ -381,10 +399,10 @@
 }
 
 void
-kq_sched_runner_over (KqSched *s, int agent, KqStr runner, KqTime now)
+kq_sched_runner_over (KqSched *s, int agent, KqStr runner, uint64_t taking, KqTime now)
 {
   KqRunnerState *r = kq_runners_find (s, runner);
-  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, "other runner"))
+  if (r == NULL || !kq_runners_heard_of_by (s, r, agent, taking, "other runner"))
     return;
   lose (s, r, "another runner at its address", now);
   r->listed = false;
@@ -444,9 +462,9 @@
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       /* An agent that hasn't spoken yet may be renewing the lease. */
       bool unheard = r->agent < 0 || r->silent;
-      if (r->known_sent && !kq_runners_may_run (r))
+      if (r->known_sent != kq_runners_may_run (r))
         s->known_dirty = true;
-      if (!unheard || now < r->lease_ends + LEASE_MARGIN)
+      if (!unheard || now < r->lease_ends + LEASE_MARGIN || now >= s->lead_until)
         continue;
       if (r->n_runs > 0)
         {
@@ -486,7 +504,7 @@
 void
 kq_runners_settle (KqSched *s, KqTime now)
 {
-  if (s->settled || !s->loaded)
+  if (s->settled || !s->loaded || now >= s->lead_until)
     return;
   for (guint i = 0; i < s->runner_list->len; i++)
     {
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -96,7 +96,7 @@
   s->batch = g_ptr_array_new ();
   s->waves = kq_maintenance_new_waves ();
   s->started_at = s->look_at = s->stored_at = now;
-  s->store_due = KQ_TIME_NEVER;
+  s->store_due = s->lead_until = KQ_TIME_NEVER;
   s->slowness_mean = 1;
   s->disturb = kq_disturb_new ();
   make_counters (s);
@@ -118,6 +118,14 @@
   free (s);
 }
 
+void
+kq_sched_lead_until (KqSched *s, KqTime until)
+{
+  s->lead_until = until;
+  s->work = s->work || s->held_back;
+  s->held_back = false;
+}
+
 static void
 place_images (KqSched *s, KqJob *j)
 {
@@ -181,6 +189,7 @@
       return true;
     }
   j->revision = revision;
+  j->learned_at = now;
   place_images (s, j);
   age = wall - j->spec.accepted_ms;
   j->accepted_at = now - (age > 0 && s->wall_minus_now_ms != 0 ? age : 0) * KQ_MS;
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -58,6 +58,7 @@
     struct
     {
       KqStr address;
+      uint64_t taking; /* what the agent tells of the runner carries it */
     } take;
     struct
     {
@@ -113,6 +114,7 @@
   uint32_t run;
   KqOrderResult result;
   uint64_t order;
+  uint64_t taking; /* of the order TAKE; `order` counts anew with each */
 } KqOrderOutcome;
 
 typedef struct
@@ -120,7 +122,8 @@
   int64_t born_ms;
   int64_t lease_left_ms; /* until the lease granted ends, on a sound clock's time */
   uint64_t order;        /* results given before the question for this list left */
-  uint64_t halt;         /* not 0: no lease is granted until an order RENEW says so */
+  uint64_t taking;
+  uint64_t halt; /* not 0: no lease is granted until an order RENEW says so */
   const KqRunRow *running;
   size_t n_running;
   const KqEndRow *ended;
@@ -160,6 +163,10 @@
 /* Everything stored has been told: decisions may begin. */
 void kq_sched_loaded (KqSched *s, KqTime now);
 
+/* Nobody else can lead until then; KQ_TIME_NEVER at first. Later, another leader may
+ * renew leases whose end we have heard of, so none is counted as over. */
+void kq_sched_lead_until (KqSched *s, KqTime until);
+
 void kq_sched_entry (KqSched *s, const KqRunnerEntry *e, KqTime now);
 void kq_sched_entry_gone (KqSched *s, KqStr id, KqTime now);
 
@@ -170,20 +177,25 @@
 int kq_sched_agent_share (const KqSched *s, int agent);
 int kq_sched_agent_find (const KqSched *s, KqStr name);
 void kq_sched_agent_down (KqSched *s, int agent, KqTime now);
+/* Some agent has gone down in our time and isn't up again. */
+bool kq_sched_agents_lost (const KqSched *s);
 
+/* What an agent tells of a runner names its taking. Words of an earlier one may arrive
+ * late, and count for nothing. */
 void kq_sched_list (KqSched *s, int agent, KqStr runner, const KqRunnerList *l,
                     KqTime now);
 void kq_sched_outcome (KqSched *s, int agent, KqStr runner, const KqOrderOutcome *o,
                        KqTime now);
 /* The agent gets no answer; the lease it granted ends in lease_left_ms. */
-void kq_sched_unreached (KqSched *s, int agent, KqStr runner, int64_t lease_left_ms,
-                         KqTime now);
+void kq_sched_unreached (KqSched *s, int agent, KqStr runner, uint64_t taking,
+                         int64_t lease_left_ms, KqTime now);
 
 /* The answer to an order KQ_ORDER_ADVISE. */
 void kq_sched_advice (KqSched *s, int agent, const KqStepAdvice *a, KqTime now);
 
 /* Another runner answers at its address: that life is over, and all that ran in it. */
-void kq_sched_runner_over (KqSched *s, int agent, KqStr runner, KqTime now);
+void kq_sched_runner_over (KqSched *s, int agent, KqStr runner, uint64_t taking,
+                           KqTime now);
 
 /* A wave of maintenance that operators ask for; known ones are left alone. */
 void kq_sched_wave (KqSched *s, const KqWaveInfo *info, KqTime now);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -85,6 +85,7 @@
   KqSpec spec;
   KqBuf stored;      /* what spec's strings point into */
   uint64_t revision; /* of its key in the store */
+  KqTime learned_at;
   KqJobState state;
   KqJobState shown; /* the last state that is in the store */
   bool begun;       /* some task has been started */
@@ -193,7 +194,8 @@
   const char *lease_from; /* what that follows from, for logs */
   bool passed_over;       /* a word of an earlier agent, and logged */
   KqTime heard_at;
-  int agent; /* -1: none */
+  int agent;       /* -1: none */
+  uint64_t taking; /* the agent's, as ordered last */
   uint64_t ends_seen;
   uint64_t ends_batch;
   uint64_t ends_stored;
@@ -256,15 +258,18 @@
   GPtrArray *runner_list;
   GPtrArray *pools; /* KqPool */
   KqAgents agents;
-  KqJob *open; /* jobs that aren't ended, and ended ones with runs alive */
+  uint64_t takings; /* given out */
+  KqJob *open;      /* jobs that aren't ended, and ended ones with runs alive */
   bool loaded;
   bool settled; /* no run of an earlier leader can be unknown to us */
   bool work;    /* something changed that a placing pass could use */
   bool known_dirty;
   int64_t wall_minus_now_ms;
   KqTime started_at;
-  KqTime work_at; /* a placing pass is due then also without news; 0: no */
-  KqTime look_at; /* next look at progress, leases, pace */
+  KqTime lead_until; /* nobody else can lead until then */
+  bool held_back;    /* a job waits for the lead to be certain again */
+  KqTime work_at;    /* a placing pass is due then also without news; 0: no */
+  KqTime look_at;    /* next look at progress, leases, pace */
   KqTime store_due;
   KqTime stored_at;
   bool batch_open;
@@ -342,16 +347,17 @@
 
 /* runners.c */
 KqRunnerState *kq_runners_find (const KqSched *s, KqStr id);
-/* The runner is alive, in a new life. */
 bool kq_runners_may_run (const KqRunnerState *r);
 /* Its host has been taken down, and no run of this life can go on. */
 void kq_runners_taken_down (KqSched *s, KqStr id, KqTime now);
 /* Something may run there until then, which follows from `from`. */
 void kq_runners_extend (KqRunnerState *r, KqTime ends, const char *from);
-/* Whether it is this agent's runner; the first word of an earlier one is logged. */
+/* Whether the word is of the present taking of the runner by its agent. The first word of
+ * an earlier one is logged: it may arrive late, and counts for nothing. */
 bool kq_runners_heard_of_by (const KqSched *s, KqRunnerState *r, int agent,
-                             const char *what);
-void kq_runners_reborn (KqSched *s, KqRunnerState *r, KqTime now);
+                             uint64_t taking, const char *what);
+/* The runner is alive, in a new life, by a list with that count of results. */
+void kq_runners_reborn (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now);
 void kq_runners_look (KqSched *s, KqTime now);
 void kq_runners_assign (KqSched *s, KqTime now);
 void kq_runners_settle (KqSched *s, KqTime now);
