A long answer of the store is taken in at any pace, and given up after a silence

Cause: a list and a watch had a limit on their whole time (1.5 s, and 1.2 s beyond the wait). 22 nodes fetch a configuration of 1 MB (1.4 MB in base64) over one link of 60 Mbit/s, which takes about 4 s for all of them; each gave its half up and began again at once, so that none ever finished and the link stayed full.

Bytes of a 200 answer tell the node that the store is there.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -66,7 +66,7 @@
   KqFollow *config_keys;
   KqQueueTable *table;
   KqAgentInfo self;
-  KqTime store_at;             /* the store's last answer; 0: never */
+  KqTime store_at;             /* the store's last sign of life; 0: never */
   KqTime peers_reach_store_at; /* some node's, as told by it */
   KqYield yield;               /* the strongest node heard of since the election */
   bool store_lost;
@@ -90,6 +90,12 @@
   f->store_failures = 0;
 }
 
+static void
+on_store_alive (void *arg, KqTime now)
+{
+  on_answered (arg, 0, now);
+}
+
 static void
 on_store_failed (void *arg, KqTime now)
 {
@@ -157,13 +163,6 @@
           KQ_STR_ARG (key));
 }
 
-static void
-on_config_synced (void *arg, KqTime now)
-{
-  (void)arg;
-  (void)now;
-}
-
 static const KqQueueTable *
 table (void *arg)
 {
@@ -526,14 +525,15 @@
 kq_fleet_new (const KqFleetConfig *c)
 {
   KqFleet *f = kq_alloc (sizeof *f);
-  KqFollowOwner config = { f,           on_config_item, on_config_gone, on_config_synced,
-                           on_answered, on_store_failed };
+  KqFollowOwner config
+      = { f, on_config_item, on_config_gone, NULL, on_answered, on_store_failed };
+  KqStoreOwner store = { f, on_store_alive };
   f->config = *c;
   f->yield.own_milli = (int)c->settings->cpu_share_milli;
   f->self = (KqAgentInfo){ .name = c->settings->node,
                            .failure_domain = c->settings->failure_domain,
                            .share_milli = (int)c->settings->cpu_share_milli };
-  f->kv = kq_store_new (c->loop, kq_str (c->settings->store));
+  f->kv = kq_store_new (c->loop, kq_str (c->settings->store), &store);
   f->calls = kq_runners_new (c->loop);
   if (c->settings->advice[0] != '\0')
     f->advice = kq_advice_new (c->loop, kq_str (c->settings->advice));
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 
 #define PART "follow"
-#define LIST_TIMEOUT_MS 1500
+#define LIST_ANSWER_MS 1500
 /* After a failed call; doubled up to the bound, so that a store in trouble isn't pressed.
  */
 #define RETRY_MS 100
@@ -135,7 +135,7 @@
   drop_unlisted (f, now);
   g_hash_table_destroy (f->listed);
   f->listed = NULL;
-  if (!f->dead)
+  if (!f->dead && f->owner.synced != NULL)
     f->owner.synced (f->owner.arg, now);
 }
 
@@ -212,7 +212,7 @@
   int wait_ms = f->retry_ms == RETRY_MS ? f->wait_ms : 0;
   f->calling = true;
   if (f->listing)
-    kq_kv_range (f->kv, kq_str (f->prefix), kq_str (f->after), LIST_TIMEOUT_MS, cb);
+    kq_kv_range (f->kv, kq_str (f->prefix), kq_str (f->after), LIST_ANSWER_MS, cb);
   else
     kq_kv_watch (f->kv, kq_str (f->prefix), f->from, wait_ms, cb);
 }
--- a/src/fleet/follow_test.c
+++ b/src/fleet/follow_test.c
@@ -34,12 +34,12 @@
 }
 
 void
-kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int timeout_ms, KqKvCallback cb)
+kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int answer_ms, KqKvCallback cb)
 {
   (void)kv;
   (void)prefix;
   (void)after;
-  (void)timeout_ms;
+  (void)answer_ms;
   store.cb = cb;
 }
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -53,6 +53,7 @@
   bool cancelled;
   bool silent;
   KqTime last_byte;
+  KqTime limit_us; /* longest silence as of now */
   KqTime silent_us;
   KqBuf head;     /* header lines of the answer as they come */
   int64_t length; /* Content-Length; -1 without */
@@ -107,6 +108,7 @@
   KqStr s = kq_str_trim (kq_str_n (line, n));
   long status = 0;
   note_byte (c);
+  c->limit_us = c->silent_us;
   if (c->head_given)
     return n; /* trailers */
   if (kq_str_has_prefix (s, KQ_STR ("HTTP/")))
@@ -336,8 +338,8 @@
       next = c->next;
       if (c->cancelled)
         free_call (c);
-      else if (c->silent_us > 0 && !c->paused && !c->starved
-               && now - c->last_byte > c->silent_us)
+      else if (c->limit_us > 0 && !c->paused && !c->starved
+               && now - c->last_byte > c->limit_us)
         {
           c->silent = true;
           finish_call (c, CURLE_OPERATION_TIMEDOUT);
@@ -543,6 +545,7 @@
   c->easy = curl_easy_init ();
   assert (c->easy != NULL);
   c->silent_us = r->silent_ms * KQ_MS;
+  c->limit_us = r->answer_ms > 0 ? r->answer_ms * KQ_MS : c->silent_us;
   c->opened_before = r->opened_before;
   note_byte (c);
   set_options (c, r);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -19,7 +19,7 @@
   KQ_HTTP_DONE,     /* the answer is whole */
   KQ_HTTP_NOT_SENT, /* no byte of the request left: it provably did not run */
   KQ_HTTP_BROKEN,   /* sent in part or whole, the answer is missing or cut */
-  KQ_HTTP_SILENT    /* as BROKEN: nothing came for silent_ms, or total_ms passed */
+  KQ_HTTP_SILENT    /* as BROKEN: nothing came for too long, or total_ms passed */
 } KqHttpEnd;
 
 typedef struct
@@ -46,6 +46,7 @@
   int64_t body_length; /* of a streamed body; -1: unknown */
   int connect_ms;
   int silent_ms; /* no byte either way for so long ends the call; 0: never */
+  int answer_ms; /* the same until the answer's first byte; 0: silent_ms */
   int total_ms;  /* 0: no limit */
   bool once;     /* never reuse a connection: leaves at most once */
   /* Not 0: the call leaves only on a connection opened by then, and ends as NOT_SENT
--- a/src/lead/lead_test.c
+++ b/src/lead/lead_test.c
@@ -76,12 +76,12 @@
 }
 
 void
-kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int timeout_ms, KqKvCallback cb)
+kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int answer_ms, KqKvCallback cb)
 {
   (void)kv;
   (void)prefix;
   (void)after;
-  (void)timeout_ms;
+  (void)answer_ms;
   add (RANGE, cb, KQ_MS);
 }
 
--- a/src/port/kv.h
+++ b/src/port/kv.h
@@ -38,6 +38,7 @@
   const KqKvItem *items;
   size_t n_items;
   bool more;         /* range: continue behind the last item's key */
+  bool cut;          /* KQ_KV_UNKNOWN: the answer had begun */
   uint64_t revision; /* the store's revision; after a txn that of the write */
   uint64_t lease;    /* of a grant */
   int64_t ttl_ms;    /* of a grant or a renewal */
@@ -77,10 +78,12 @@
 
 void kq_kv_get (KqKv *kv, KqStr key, int timeout_ms, KqKvCallback cb);
 /* One page of the keys under prefix, behind the key `after` ("" for the first). Pages
- * don't make up a snapshot. */
-void kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int timeout_ms, KqKvCallback cb);
+ * don't make up a snapshot. The answer begins within answer_ms or is given up; once it
+ * has begun, it is taken in as long as it comes. */
+void kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int answer_ms, KqKvCallback cb);
 /* Changes under prefix with a revision above `after`, as soon as there is one; without
- * any for wait_ms the reply has no items. Go on from the reply's revision. */
+ * any for wait_ms the reply has no items. Go on from the reply's revision. An answer that
+ * has begun is taken in as that of a range is. */
 void kq_kv_watch (KqKv *kv, KqStr prefix, uint64_t after, int wait_ms, KqKvCallback cb);
 void kq_kv_txn (KqKv *kv, const KqKvTxn *t, int timeout_ms, KqKvCallback cb);
 void kq_kv_lease (KqKv *kv, int64_t ttl_ms, int timeout_ms, KqKvCallback cb);
