Cut downloads are repeated after growing pauses, spread at random

Cause: one pause for a store that doesn't answer and for a download that was cut. The former is asked often, as clients are refused until its return is noticed; the latter has used up the link in vain.

Change: an answer that had begun and wasn't whole is told as such (KqKvReply.cut); pauses double up to 3.2 s then, as before to 0.4 s where nothing came, and half of each is random.

Evidence: follow_test, with the former pauses put in: test_cut_downloads_are_repeated_apart fails at `longest >= shortest * 3 / 2`; after: 3 passed.

--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -13,6 +13,8 @@
  */
 #define RETRY_MS 100
 #define RETRY_MAX_MS 400
+/* A long answer that was cut has used up the link in vain: its repeats leave room. */
+#define CUT_RETRY_MAX_MS 3200
 
 struct KqFollow
 {
@@ -22,7 +24,8 @@
   char *prefix;
   int wait_ms;
   int pause_ms;
-  int retry_ms;
+  int failures; /* in a row */
+  KqRand rand;
   ev_timer timer;
   GHashTable *revisions; /* key -> revision, in the pointer */
   GHashTable *listed;    /* while listing: keys seen */
@@ -150,6 +153,17 @@
   f->listed = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
 }
 
+int
+kq_follow_retry_ms (KqRand *rand, int failures, bool cut)
+{
+  int most = cut ? CUT_RETRY_MAX_MS : RETRY_MAX_MS;
+  int ms = RETRY_MS;
+  for (int i = 1; i < failures && ms < most; i++)
+    ms *= 2;
+  ms = ms < most ? ms : most;
+  return ms / 2 + (int)kq_rand_below (rand, (uint64_t)(ms / 2) + 1);
+}
+
 static void
 on_reply (void *arg, const KqKvReply *r, KqTime now)
 {
@@ -165,7 +179,7 @@
   switch (r->result)
     {
     case KQ_KV_OK:
-      f->retry_ms = RETRY_MS;
+      f->failures = 0;
       f->owner.answered (f->owner.arg, r->sent_at, now);
       if (f->listing)
         take_page (f, r, now);
@@ -186,12 +200,11 @@
     default:
       if (f->owner.failed != NULL)
         f->owner.failed (f->owner.arg, now);
-      pause = f->retry_ms;
-      if (f->retry_ms == RETRY_MS)
+      if (f->failures++ == 0 || r->cut)
         kq_log (KQ_LOG_WARN, PART,
-                "The store doesn't answer. prefix=%s result=%d listing=%d", f->prefix,
-                r->result, f->listing);
-      f->retry_ms = f->retry_ms * 2 < RETRY_MAX_MS ? f->retry_ms * 2 : RETRY_MAX_MS;
+                "The store doesn't answer. prefix=%s result=%d listing=%d cut=%d",
+                f->prefix, r->result, f->listing, r->cut);
+      pause = kq_follow_retry_ms (&f->rand, f->failures, r->cut);
     }
   f->busy = false;
   if (f->dead)
@@ -209,7 +222,7 @@
 go (KqFollow *f)
 {
   KqKvCallback cb = { on_reply, f };
-  int wait_ms = f->retry_ms == RETRY_MS ? f->wait_ms : 0;
+  int wait_ms = f->failures == 0 ? f->wait_ms : 0;
   f->calling = true;
   if (f->listing)
     kq_kv_range (f->kv, kq_str (f->prefix), kq_str (f->after), LIST_ANSWER_MS, cb);
@@ -228,7 +241,7 @@
   f->prefix = kq_str_dup (prefix);
   f->wait_ms = wait_ms;
   f->pause_ms = pause_ms;
-  f->retry_ms = RETRY_MS;
+  f->rand = kq_rand (kq_rand_system ());
   f->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   ev_timer_init (&f->timer, on_timer, 0, 0);
   f->timer.data = f;
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -6,6 +6,7 @@
  * After a gap in the store's history the keys are listed anew, and what has gone
  * meanwhile is told as gone. A key is told once for each revision. */
 
+#include "base/rand.h"
 #include "port/kv.h"
 
 typedef struct KqFollow KqFollow;
@@ -29,4 +30,8 @@
 /* May be called from within the owner's functions. */
 void kq_follow_free (KqFollow *f);
 
+/* How long to wait after `failures` calls in a row that failed, 1 or more. cut: the last
+ * one's answer had begun. Spread at random, so that many nodes don't call at once. */
+int kq_follow_retry_ms (KqRand *rand, int failures, bool cut);
+
 #endif
--- a/src/fleet/follow_test.c
+++ b/src/fleet/follow_test.c
@@ -3,6 +3,7 @@
 
 #include <ev.h>
 
+#include <limits.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -50,6 +51,9 @@
   store.cb.done (store.cb.arg, &r, kq_time_now ());
 }
 
+#define NODES 22
+#define FAILURES 12
+
 static void
 on_item (void *arg, const KqKvItem *i, KqTime now)
 {
@@ -129,10 +133,50 @@
   kq_loop_free (loop);
 }
 
+/* Nodes whose downloads were cut together begin them again together, and fill the link
+ * again: the pauses grow, and differ. */
+static void
+test_cut_downloads_are_repeated_apart (void **state)
+{
+  KqRand rand = kq_rand (1);
+  int longest_before = 0;
+  (void)state;
+  for (int n = 1; n <= FAILURES; n++)
+    {
+      int shortest = INT_MAX;
+      int longest = 0;
+      for (int i = 0; i < NODES; i++)
+        {
+          int ms = kq_follow_retry_ms (&rand, n, true);
+          shortest = ms < shortest ? ms : shortest;
+          longest = ms > longest ? ms : longest;
+        }
+      assert_true (shortest > 0);
+      assert_true (longest >= shortest * 3 / 2);
+      assert_true (n > 6 || shortest >= longest_before);
+      longest_before = longest;
+    }
+  assert_true (longest_before > 2000);
+  assert_true (longest_before <= 3200);
+}
+
+/* A store that doesn't answer at all is asked at short intervals, however long it has
+ * been away: clients are refused until its return is noticed. */
+static void
+test_silent_store_is_asked_often (void **state)
+{
+  KqRand rand = kq_rand (1);
+  (void)state;
+  for (int n = 1; n <= FAILURES; n++)
+    assert_in_range (kq_follow_retry_ms (&rand, n, false), 50, 400);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_return_of_the_store_is_noticed_at_once) };
+      = { cmocka_unit_test (test_cut_downloads_are_repeated_apart),
+          cmocka_unit_test (test_silent_store_is_asked_often),
+          cmocka_unit_test (test_return_of_the_store_is_noticed_at_once) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
