A failed call that is older than the store's last sign of life doesn't count against it

What callers saw: 503 and failed readiness checks at nodes that hear the store: "The store is away" with since_ms 90 to 880, on a link that is full.

Cause: three failed calls in a row said that the store is away, whenever they had begun. On a full link answers of 0.9 s ago come in while calls of 0.9 s ago time out, and the latter outweighed the former.

Change: fleet/reach keeps the signs of life and the failures; a call counts only if it began after the last sign of life.

Evidence: reach_test, without the condition: test_old_calls_that_fail_do_not_outweigh_a_sign_of_life fails at line 22, `kq_reach_up (&r, START + 100 * KQ_MS)`; with it 3 passed.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,6 +8,7 @@
 #include "fleet/leader.h"
 #include "fleet/link.h"
 #include "fleet/metrics.h"
+#include "fleet/reach.h"
 #include "lead/lead.h"
 #include "lead/yield.h"
 #include "platform/platform.h"
@@ -29,12 +30,6 @@
 /* Without a leader, leases of runners are renewed for as long as an election may take:
  * the old leader's lease, then this. */
 #define ELECTION_MS 2500
-/* Watches answer at least every WATCH_MS; without an answer for this long the store is
- * taken for away. */
-#define STORE_AWAY (2600 * KQ_MS)
-/* So many calls in a row without an answer say the same sooner; one may be lost by
- * chance. */
-#define STORE_FAILURES 3
 /* A leader that can't renew goes on while no other node reaches the store either, but no
  * longer than this: silent runners are waited for about as long by a new leader. */
 #define BLIND_MAX (9 * KQ_SEC)
@@ -66,11 +61,10 @@
   KqFollow *config_keys;
   KqQueueTable *table;
   KqAgentInfo self;
-  KqTime store_at;             /* the store's last sign of life; 0: never */
+  KqReach store;
   KqTime peers_reach_store_at; /* some node's, as told by it */
   KqYield yield;               /* the strongest node heard of since the election */
   bool store_lost;
-  int store_failures; /* calls without an answer since the last one */
   bool leaving;
   bool stopped;
   KqTime leaving_at;
@@ -84,10 +78,9 @@
   (void)sent_at;
   if (f->store_lost)
     kq_log (KQ_LOG_INFO, PART, "The store answers again. away_ms=%lld",
-            (long long)((now - f->store_at) / KQ_MS));
+            (long long)((now - f->store.alive_at) / KQ_MS));
   f->store_lost = false;
-  f->store_at = now;
-  f->store_failures = 0;
+  kq_reach_alive (&f->store, now);
 }
 
 static void
@@ -97,19 +90,17 @@
 }
 
 static void
-on_store_failed (void *arg, KqTime now)
+on_store_failed (void *arg, KqTime sent_at)
 {
   KqFleet *f = arg;
-  (void)now;
-  f->store_failures++;
+  kq_reach_failed (&f->store, sent_at);
 }
 
 static bool
 store_up (void *arg, KqTime now)
 {
   const KqFleet *f = arg;
-  return f->store_at != 0 && now - f->store_at < STORE_AWAY
-         && f->store_failures < STORE_FAILURES;
+  return kq_reach_up (&f->store, now);
 }
 
 static int64_t
@@ -311,7 +302,7 @@
 store_age_ms (void *arg, KqTime now)
 {
   const KqFleet *f = arg;
-  return f->store_at == 0 ? -1 : (now - f->store_at) / KQ_MS;
+  return f->store.alive_at == 0 ? -1 : (now - f->store.alive_at) / KQ_MS;
 }
 
 static void
@@ -440,11 +431,11 @@
   KqTime now = kq_loop_now (f->config.loop);
   (void)ev;
   (void)events;
-  if (!f->store_lost && f->store_at != 0 && !store_up (f, now))
+  if (!f->store_lost && f->store.alive_at != 0 && !store_up (f, now))
     {
       f->store_lost = true;
       kq_log (KQ_LOG_WARN, PART, "The store is away. since_ms=%lld",
-              (long long)((now - f->store_at) / KQ_MS));
+              (long long)((now - f->store.alive_at) / KQ_MS));
     }
   look_at_lead (f, now);
   if (f->leader != NULL)
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -199,7 +199,7 @@
       break;
     default:
       if (f->owner.failed != NULL)
-        f->owner.failed (f->owner.arg, now);
+        f->owner.failed (f->owner.arg, r->sent_at);
       if (f->failures++ == 0 || r->cut)
         kq_log (KQ_LOG_WARN, PART,
                 "The store doesn't answer. prefix=%s result=%d listing=%d cut=%d",
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -21,7 +21,7 @@
   /* The store has answered. */
   void (*answered) (void *arg, KqTime sent_at, KqTime now);
   /* It has not, or has refused. May be NULL. */
-  void (*failed) (void *arg, KqTime now);
+  void (*failed) (void *arg, KqTime sent_at);
 } KqFollowOwner;
 
 /* pause_ms: changes are collected for so long before the next call; 0: none. */
--- a/src/fleet/follow_test.c
+++ b/src/fleet/follow_test.c
@@ -87,10 +87,10 @@
 }
 
 static void
-on_failed (void *arg, KqTime now)
+on_failed (void *arg, KqTime sent_at)
 {
   (void)arg;
-  (void)now;
+  (void)sent_at;
   store.failed++;
 }
 
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -157,7 +157,7 @@
   if (r->result != KQ_KV_UNKNOWN && r->result != KQ_KV_REFUSED)
     q->desk->config.answered (q->desk->config.arg, r->sent_at, now);
   else
-    q->desk->config.failed (q->desk->config.arg, now);
+    q->desk->config.failed (q->desk->config.arg, r->sent_at);
 }
 
 static void
--- a/src/fleet/front.h
+++ b/src/fleet/front.h
@@ -30,7 +30,7 @@
   /* Tells the leader of a job or a cancellation that is in the store now. */
   void (*tell) (void *arg, const KqCrewItem *i, KqTime now);
   void (*answered) (void *arg, KqTime sent_at, KqTime now);
-  void (*failed) (void *arg, KqTime now); /* a call to the store had no answer */
+  void (*failed) (void *arg, KqTime sent_at); /* a call to the store had no answer */
 } KqFrontDeskConfig;
 
 KqFrontDesk *kq_front_desk_new (const KqFrontDeskConfig *c);
--- /dev/null
+++ b/src/fleet/reach_test.c
@@ -0,0 +1,61 @@
+#include "fleet/reach.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#define START (100 * KQ_SEC)
+
+/* Clients are refused by a node that hears the store all the while: calls that time out
+ * say nothing about the time after the last sign of life. */
+static void
+test_old_calls_that_fail_do_not_outweigh_a_sign_of_life (void **state)
+{
+  KqReach r = { 0 };
+  (void)state;
+  kq_reach_alive (&r, START);
+  for (int i = 1; i <= 5; i++)
+    kq_reach_failed (&r, START - i * 100 * KQ_MS);
+  assert_true (kq_reach_up (&r, START + 100 * KQ_MS));
+}
+
+/* A store that went away would be waited for by each client: three calls tell. */
+static void
+test_later_calls_that_fail_tell (void **state)
+{
+  KqReach r = { 0 };
+  (void)state;
+  assert_false (kq_reach_up (&r, START));
+  kq_reach_alive (&r, START);
+  kq_reach_failed (&r, START);
+  kq_reach_failed (&r, START + 1);
+  assert_true (kq_reach_up (&r, START + KQ_SEC));
+  kq_reach_failed (&r, START + 2);
+  assert_false (kq_reach_up (&r, START + KQ_SEC));
+  kq_reach_alive (&r, START + KQ_SEC);
+  assert_true (kq_reach_up (&r, START + KQ_SEC));
+}
+
+/* Nothing fails and nothing comes: calls that hang tell only when they end. */
+static void
+test_silence_tells (void **state)
+{
+  KqReach r = { 0 };
+  (void)state;
+  kq_reach_alive (&r, START);
+  assert_true (kq_reach_up (&r, START + 2 * KQ_SEC));
+  assert_false (kq_reach_up (&r, START + 3 * KQ_SEC));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_old_calls_that_fail_do_not_outweigh_a_sign_of_life),
+          cmocka_unit_test (test_later_calls_that_fail_tell),
+          cmocka_unit_test (test_silence_tells) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
