--- a/src/http/client.c
+++ b/src/http/client.c
@@ -348,13 +348,14 @@
           return;
         }
     }
+  if (cl->first == NULL)
+    ev_timer_stop (ev, w); /* on again with the next call */
 }
 
 KqHttpClient *
 kq_http_client_new (KqLoop *loop, int host_connections, int idle_ms)
 {
   KqHttpClient *cl = kq_alloc (sizeof *cl);
-  struct ev_loop *ev = kq_loop_ev (loop);
   cl->loop = loop;
   cl->idle_s = idle_ms >= 1000 ? idle_ms / 1000 : 1;
   cl->opened_at = g_hash_table_new (NULL, NULL);
@@ -369,7 +370,6 @@
   ev_timer_init (&cl->timeout, on_timeout, 0, 0);
   ev_timer_init (&cl->silence, on_silence, SILENCE_CHECK_S, SILENCE_CHECK_S);
   cl->timeout.data = cl->silence.data = cl;
-  ev_timer_start (ev, &cl->silence);
   return cl;
 }
 
@@ -554,6 +554,8 @@
   if (cl->first != NULL)
     cl->first->prev = c;
   cl->first = c;
+  if (!ev_is_active (&cl->silence))
+    ev_timer_again (kq_loop_ev (cl->loop), &cl->silence);
   curl_multi_add_handle (cl->multi, c->easy);
   return c;
 }
