A leader that loads sleeps while it waits for the store

What callers would see: work goes on later after a change of leader, most of all with a weak leader.

Cause: until the sequence key has been read, the batch of progress is due at once, but it doesn't go before loading is over: the timer was set to zero again in each turn of the loop.

Change: the batch counts for the timer only once loading is done.

Evidence: leader_test, before: test_loading_leader_sleeps fails at `over` (1,000 turns of the loop had passed within 0.3 s); after: passed with 50 turns at most.

--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -127,7 +127,7 @@
 {
   struct ev_loop *ev = kq_loop_ev (l->config.loop);
   KqTime at = l->next_at;
-  KqTime batch = kq_batch_due (l->batch);
+  KqTime batch = l->phase == LOAD_DONE ? kq_batch_due (l->batch) : KQ_TIME_NEVER;
   if (batch < at)
     at = batch;
   ev_timer_stop (ev, &l->timer);
--- /dev/null
+++ b/src/fleet/leader_test.c
@@ -0,0 +1,177 @@
+#include "fleet/leader.h"
+
+#include "base/log.h"
+
+#include <ev.h>
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+/* The store, played by the test: calls are noted here and answered by answer (). */
+static struct
+{
+  int calls;
+  KqKvCallback cb;
+} store;
+
+static void
+note (KqKvCallback cb)
+{
+  store.calls++;
+  store.cb = cb;
+}
+
+void
+kq_kv_get (KqKv *kv, KqStr key, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)key;
+  (void)timeout_ms;
+  note (cb);
+}
+
+void
+kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int answer_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)prefix;
+  (void)after;
+  (void)answer_ms;
+  note (cb);
+}
+
+void
+kq_kv_watch (KqKv *kv, KqStr prefix, uint64_t after, int wait_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)prefix;
+  (void)after;
+  (void)wait_ms;
+  note (cb);
+}
+
+void
+kq_kv_txn (KqKv *kv, const KqKvTxn *t, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)t;
+  (void)timeout_ms;
+  note (cb);
+}
+
+void
+kq_kv_lease (KqKv *kv, int64_t ttl_ms, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)ttl_ms;
+  (void)timeout_ms;
+  note (cb);
+}
+
+void
+kq_kv_keep (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)lease;
+  (void)timeout_ms;
+  note (cb);
+}
+
+void
+kq_kv_lease_end (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)lease;
+  (void)timeout_ms;
+  note (cb);
+}
+
+static void
+answer (KqKvResult result)
+{
+  KqKvReply r = { .result = result, .revision = 7 };
+  store.cb.done (store.cb.arg, &r, kq_time_now ());
+}
+
+static void
+on_deposed (void *arg, const char *why, KqTime now)
+{
+  (void)arg;
+  (void)why;
+  (void)now;
+}
+
+static void
+on_answered (void *arg, KqTime sent_at, KqTime now)
+{
+  (void)arg;
+  (void)sent_at;
+  (void)now;
+}
+
+static KqLeader *
+new_leader (KqLoop *loop, KqCounters *counters)
+{
+  KqLeaderConfig c = { .loop = loop,
+                       .epoch = 3,
+                       .term = 1,
+                       .lease_ms = 5000,
+                       .blind_ms = 4000,
+                       .counters = counters,
+                       .deposed = on_deposed,
+                       .answered = on_answered };
+  kq_log_set_level (KQ_LOG_ERROR);
+  store.calls = 0;
+  return kq_leader_new (&c, kq_time_now ());
+}
+
+static void
+free_leader (KqLeader *l, KqCounters *counters, KqLoop *loop)
+{
+  kq_leader_free (l);
+  answer (KQ_KV_NOT_FOUND); /* the open call; frees it */
+  kq_counters_free (counters);
+  kq_loop_free (loop);
+}
+
+static void
+on_soon (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void)ev;
+  (void)events;
+  *(bool *)w->data = true;
+}
+
+/* A new leader uses up its processor while it waits for the store: its loop never
+ * sleeps. */
+static void
+test_loading_leader_sleeps (void **state)
+{
+  KqLoop *loop = kq_loop_new ();
+  KqCounters *counters = kq_counters_new ();
+  KqLeader *l = new_leader (loop, counters);
+  bool over = false;
+  ev_timer soon;
+  int turns = 0;
+  (void)state;
+  ev_timer_init (&soon, on_soon, 0.3, 0);
+  soon.data = &over;
+  ev_timer_start (kq_loop_ev (loop), &soon);
+  for (; turns < 1000 && !over; turns++)
+    ev_run (kq_loop_ev (loop), EVRUN_ONCE);
+  assert_true (over);
+  assert_in_range (turns, 1, 50);
+  ev_timer_stop (kq_loop_ev (loop), &soon);
+  free_leader (l, counters, loop);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_loading_leader_sleeps) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
