A new leader's loading pauses after a call that failed

What callers would see: a store in trouble gets no rest.

Cause: each call of loading that failed was repeated at once, without end: with refusals as fast as the store can send them, with a page of progress that was cut by fetching it again.

Change: loading waits as a follower does (kq_follow_retry_ms): 0.1 to 0.4 s, after a cut answer up to 3.2 s, half of it at random. Owners of a follower may leave out `gone`.

--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -94,7 +94,7 @@
     {
       bool had = g_hash_table_remove (f->revisions, key);
       free (key);
-      if (had)
+      if (had && f->owner.gone != NULL)
         f->owner.gone (f->owner.arg, i->key, now);
       return;
     }
@@ -116,7 +116,8 @@
   for (guint i = 0; i < gone->len && !f->dead; i++)
     {
       g_hash_table_remove (f->revisions, g_ptr_array_index (gone, i));
-      f->owner.gone (f->owner.arg, kq_str (g_ptr_array_index (gone, i)), now);
+      if (f->owner.gone != NULL)
+        f->owner.gone (f->owner.arg, kq_str (g_ptr_array_index (gone, i)), now);
     }
   g_ptr_array_free (gone, TRUE);
 }
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -15,7 +15,7 @@
 {
   void *arg;
   void (*item) (void *arg, const KqKvItem *i, KqTime now);
-  void (*gone) (void *arg, KqStr key, KqTime now);
+  void (*gone) (void *arg, KqStr key, KqTime now); /* may be NULL */
   /* All keys have been told once; called after each listing. May be NULL. */
   void (*synced) (void *arg, KqTime now);
   /* The store has answered. */
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -15,7 +15,6 @@
 
 #define PART "leader"
 #define TIMEOUT_MS 1500
-#define RETRY_MS 150
 /* Watches: wait for a change so long, and collect changes so long. New jobs come from the
  * nodes that accepted them as well, so their watch is only the safety net. */
 #define WATCH_MS 2000
@@ -46,6 +45,9 @@
   int own_agent;
   LoadPhase phase;
   char *page_after; /* of the progress listing */
+  int failures;     /* of loading, in a row */
+  KqRand rand;
+  ev_timer retry; /* of loading */
   ev_timer timer;
   ev_prepare before_poll;
   KqTime next_at;
@@ -186,14 +188,6 @@
   kq_leader_item (l, NULL, &item, now);
 }
 
-static void
-on_job_gone (void *arg, KqStr key, KqTime now)
-{
-  (void)arg;
-  (void)key;
-  (void)now;
-}
-
 static void
 on_jobs_synced (void *arg, KqTime now)
 {
@@ -274,6 +268,22 @@
   l->dirty = true;
 }
 
+static void
+on_retry (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void)ev;
+  (void)events;
+  load (w->data);
+}
+
+static void
+load_again (KqLeader *l, bool cut)
+{
+  int ms = kq_follow_retry_ms (&l->rand, ++l->failures, cut);
+  ev_timer_set (&l->retry, ms / 1000.0, 0);
+  ev_timer_start (kq_loop_ev (l->config.loop), &l->retry);
+}
+
 static void
 on_loaded (void *arg, const KqKvReply *r, KqTime now)
 {
@@ -288,9 +298,10 @@
     {
       kq_log (KQ_LOG_WARN, PART, "Loading is held up by the store. phase=%d result=%d",
               l->phase, r->result);
-      load (l);
+      load_again (l, r->cut);
       return;
     }
+  l->failures = 0;
   on_answered (l, r->sent_at, now);
   if (l->phase == LOAD_WAVES)
     {
@@ -331,7 +342,7 @@
 static void
 load (KqLeader *l)
 {
-  KqFollowOwner jobs = { l, on_job_item, on_job_gone, on_jobs_synced, on_answered, NULL };
+  KqFollowOwner jobs = { l, on_job_item, NULL, on_jobs_synced, on_answered, NULL };
   KqFollowOwner entries
       = { l, on_entry, on_entry_gone, on_entries_synced, on_answered, NULL };
   KqKvCallback cb = { on_loaded, l };
@@ -401,9 +412,11 @@
   l->batch = kq_batch_new (&batch);
   run (l, now);
   l->own_agent = kq_sched_agent_up (l->sched, &l->config.self, now);
+  l->rand = kq_rand (kq_rand_system ());
+  ev_timer_init (&l->retry, on_retry, 0, 0);
   ev_timer_init (&l->timer, on_timer, 0, 0);
   ev_prepare_init (&l->before_poll, on_before_poll);
-  l->timer.data = l->before_poll.data = l;
+  l->timer.data = l->retry.data = l->before_poll.data = l;
   ev_prepare_start (ev, &l->before_poll);
   l->dirty = true;
   load (l);
@@ -418,6 +431,7 @@
     return;
   ev = kq_loop_ev (l->config.loop);
   ev_timer_stop (ev, &l->timer);
+  ev_timer_stop (ev, &l->retry);
   ev_prepare_stop (ev, &l->before_poll);
   kq_follow_free (l->jobs);
   kq_follow_free (l->entries);
--- a/src/fleet/leader_test.c
+++ b/src/fleet/leader_test.c
@@ -138,6 +138,28 @@
   kq_loop_free (loop);
 }
 
+/* A new leader presses a store in trouble: each refusal is followed by the next call at
+ * once. */
+static void
+test_loading_pauses_after_a_refusal (void **state)
+{
+  KqLoop *loop = kq_loop_new ();
+  KqCounters *counters = kq_counters_new ();
+  KqLeader *l = new_leader (loop, counters);
+  (void)state;
+  for (int calls = 1; calls <= 3; calls++)
+    {
+      assert_int_equal (store.calls, calls);
+      answer (KQ_KV_REFUSED);
+      assert_int_equal (store.calls, calls);
+      for (int i = 0; i < 1000 && store.calls == calls; i++)
+        ev_run (kq_loop_ev (loop), EVRUN_ONCE);
+    }
+  answer (KQ_KV_NOT_FOUND);
+  assert_int_equal (store.calls, 5); /* what comes next is asked for at once */
+  free_leader (l, counters, loop);
+}
+
 static void
 on_soon (struct ev_loop *ev, ev_timer *w, int events)
 {
@@ -172,6 +194,8 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_loading_leader_sleeps) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_loading_leader_sleeps),
+          cmocka_unit_test (test_loading_pauses_after_a_refusal) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
