An answer that came while the process stood still isn't taken for missing

What callers saw: on weak nodes, which stand still for 0.7 to 0.9 s while they read a configuration of 1 MB, watches without an answer ("The store doesn't answer"); a long answer would be fetched again.

Cause: behind a standstill the loop has both the answer and the end of the wait at hand, and libev takes the later one first: the look for silent calls.

Change: the client's sockets come before its timers.

Evidence: http_test, before: test_answer_that_is_there_beats_the_silence fails, `0x3 != 0` (KQ_HTTP_SILENT for KQ_HTTP_DONE), 3 times of 3; after: passed, 3 of 3.

Limits on the whole of a short call are libcurl's, which looks at the time first: not changed.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -320,6 +320,8 @@
   if (what & CURL_POLL_OUT)
     events |= EV_WRITE;
   ev_io_init (&s->io, on_io, fd, events);
+  /* Before timers: an answer that came while the loop stood still isn't late. */
+  ev_set_priority (&s->io, 1);
   s->io.data = s;
   ev_io_start (ev, &s->io);
   return 0;
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -4,12 +4,15 @@
 
 #include <ev.h>
 
+#include <netinet/in.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -269,6 +272,64 @@
   assert_int_equal (p->end, KQ_HTTP_SILENT);
 }
 
+/* A socket that the loop doesn't serve: what it sends is there before the loop looks. */
+static int
+listen_plain (int *port)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (0x7f000001) };
+  socklen_t n = sizeof a;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  assert_int_equal (bind (fd, (struct sockaddr *)&a, n), 0);
+  assert_int_equal (listen (fd, 1), 0);
+  assert_int_equal (getsockname (fd, (struct sockaddr *)&a, &n), 0);
+  *port = ntohs (a.sin_port);
+  return fd;
+}
+
+static int
+accept_request (Pair *p, int listener)
+{
+  char request[512];
+  int fd = -1;
+  ssize_t n = -1;
+  for (int i = 0; i < 1000 && n <= 0; i++)
+    {
+      ev_run (kq_loop_ev (p->loop), EVRUN_ONCE);
+      if (fd < 0)
+        fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK);
+      if (fd >= 0)
+        n = recv (fd, request, sizeof request, 0);
+    }
+  assert_true (n > 0);
+  return fd;
+}
+
+/* The process stands still for a while, or its processor is small: an answer that has
+ * come meanwhile is dropped and asked for again. */
+static void
+test_answer_that_is_there_beats_the_silence (void **state)
+{
+  static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  Pair *p = *state;
+  KqHttpCallback cb = { p, client_head, client_data, NULL, client_done };
+  KqHttpRequest r = { .method = "GET", .silent_ms = 300 };
+  char url[64];
+  int port;
+  int listener = listen_plain (&port);
+  int fd;
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/", port);
+  r.url = url;
+  kq_http_call (p->client, &r, &cb);
+  fd = accept_request (p, listener);
+  assert_int_equal (send (fd, answer, strlen (answer), 0), strlen (answer));
+  usleep (500000);
+  run (p);
+  close (fd);
+  close (listener);
+  assert_true (p->done);
+  assert_int_equal (p->end, KQ_HTTP_DONE);
+}
+
 static void
 count_done (void *arg, KqHttpCall *c, KqHttpEnd end)
 {
@@ -352,6 +413,8 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_silent_target, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_silent_calls_end_together, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_answer_that_is_there_beats_the_silence, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_refused_connection_is_not_sent, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_port_is_not_shared, set_up, tear_down),
