--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,6 +8,7 @@
 #include "fleet/leader.h"
 #include "fleet/link.h"
 #include "fleet/metrics.h"
+#include "fleet/reach.h"
 #include "lead/lead.h"
 #include "lead/yield.h"
 #include "platform/platform.h"
@@ -30,12 +31,6 @@
 /* Without a leader, leases of runners are renewed for as long as an election may take:
  * the old leader's lease, then this. */
 #define ELECTION_MS 2500
-/* Watches answer at least every WATCH_MS; without an answer for this long the store is
- * taken for away. */
-#define STORE_AWAY (2600 * KQ_MS)
-/* So many calls in a row without an answer say the same sooner; one may be lost by
- * chance. */
-#define STORE_FAILURES 3
 /* A leader that can't renew goes on while no other node reaches the store either, but no
  * longer than this: silent runners are waited for about as long by a new leader. */
 #define BLIND_MAX (9 * KQ_SEC)
@@ -67,11 +62,10 @@
   KqFollow *config_keys;
   KqQueueTable *table;
   KqAgentInfo self;
-  KqTime store_at;             /* the store's last answer; 0: never */
+  KqReach store;
   KqTime peers_reach_store_at; /* some node's, as told by it */
   KqYield yield;               /* the strongest node heard of since the election */
   bool store_lost;
-  int store_failures; /* calls without an answer since the last one */
   bool leaving;
   bool stopped;
   KqTime leaving_at;
@@ -85,26 +79,29 @@
   (void)sent_at;
   if (f->store_lost)
     kq_log (KQ_LOG_INFO, PART, "The store answers again. away_ms=%lld",
-            (long long)((now - f->store_at) / KQ_MS));
+            (long long)((now - f->store.alive_at) / KQ_MS));
   f->store_lost = false;
-  f->store_at = now;
-  f->store_failures = 0;
+  kq_reach_alive (&f->store, now);
 }
 
 static void
-on_store_failed (void *arg, KqTime now)
+on_store_alive (void *arg, KqTime now)
+{
+  on_answered (arg, 0, now);
+}
+
+static void
+on_store_failed (void *arg, KqTime sent_at)
 {
   KqFleet *f = arg;
-  (void)now;
-  f->store_failures++;
+  kq_reach_failed (&f->store, sent_at);
 }
 
 static bool
 store_up (void *arg, KqTime now)
 {
   const KqFleet *f = arg;
-  return f->store_at != 0 && now - f->store_at < STORE_AWAY
-         && f->store_failures < STORE_FAILURES;
+  return kq_reach_up (&f->store, now);
 }
 
 static int64_t
@@ -158,13 +155,6 @@
           KQ_STR_ARG (key));
 }
 
-static void
-on_config_synced (void *arg, KqTime now)
-{
-  (void)arg;
-  (void)now;
-}
-
 static const KqQueueTable *
 table (void *arg)
 {
@@ -314,7 +304,7 @@
 store_age_ms (void *arg, KqTime now)
 {
   const KqFleet *f = arg;
-  return f->store_at == 0 ? -1 : (now - f->store_at) / KQ_MS;
+  return f->store.alive_at == 0 ? -1 : (now - f->store.alive_at) / KQ_MS;
 }
 
 static void
@@ -443,11 +433,11 @@
   KqTime now = kq_loop_now (f->config.loop);
   (void)ev;
   (void)events;
-  if (!f->store_lost && f->store_at != 0 && !store_up (f, now))
+  if (!f->store_lost && f->store.alive_at != 0 && !store_up (f, now))
     {
       f->store_lost = true;
       kq_log (KQ_LOG_WARN, PART, "The store is away. since_ms=%lld",
-              (long long)((now - f->store_at) / KQ_MS));
+              (long long)((now - f->store.alive_at) / KQ_MS));
     }
   look_at_lead (f, now);
   if (f->leaving)
@@ -526,14 +516,15 @@
 kq_fleet_new (const KqFleetConfig *c)
 {
   KqFleet *f = kq_alloc (sizeof *f);
-  KqFollowOwner config = { f,           on_config_item, on_config_gone, on_config_synced,
-                           on_answered, on_store_failed };
+  KqFollowOwner config
+      = { f, on_config_item, on_config_gone, NULL, on_answered, on_store_failed };
+  KqStoreOwner store = { f, on_store_alive };
   f->config = *c;
   f->yield.own_milli = (int)c->settings->cpu_share_milli;
   f->self = (KqAgentInfo){ .name = c->settings->node,
                            .failure_domain = c->settings->failure_domain,
                            .share_milli = (int)c->settings->cpu_share_milli };
-  f->kv = kq_store_new (c->loop, kq_str (c->settings->store));
+  f->kv = kq_store_new (c->loop, kq_str (c->settings->store), &store);
   f->calls = kq_runners_new (c->loop);
   if (c->settings->advice[0] != '\0')
     f->advice = kq_advice_new (c->loop, kq_str (c->settings->advice));
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -8,11 +8,13 @@
 #include <stdlib.h>
 
 #define PART "follow"
-#define LIST_TIMEOUT_MS 1500
+#define LIST_ANSWER_MS 1500
 /* After a failed call; doubled up to the bound, so that a store in trouble isn't pressed.
  */
 #define RETRY_MS 100
 #define RETRY_MAX_MS 400
+/* A long answer that was cut has used up the link in vain: its repeats leave room. */
+#define CUT_RETRY_MAX_MS 3200
 
 struct KqFollow
 {
@@ -22,7 +24,8 @@
   char *prefix;
   int wait_ms;
   int pause_ms;
-  int retry_ms;
+  int failures; /* in a row */
+  KqRand rand;
   ev_timer timer;
   GHashTable *revisions; /* key -> revision, in the pointer */
   GHashTable *listed;    /* while listing: keys seen */
@@ -91,7 +94,7 @@
     {
       bool had = g_hash_table_remove (f->revisions, key);
       free (key);
-      if (had)
+      if (had && f->owner.gone != NULL)
         f->owner.gone (f->owner.arg, i->key, now);
       return;
     }
@@ -113,7 +116,8 @@
   for (guint i = 0; i < gone->len && !f->dead; i++)
     {
       g_hash_table_remove (f->revisions, g_ptr_array_index (gone, i));
-      f->owner.gone (f->owner.arg, kq_str (g_ptr_array_index (gone, i)), now);
+      if (f->owner.gone != NULL)
+        f->owner.gone (f->owner.arg, kq_str (g_ptr_array_index (gone, i)), now);
     }
   g_ptr_array_free (gone, TRUE);
 }
@@ -135,7 +139,7 @@
   drop_unlisted (f, now);
   g_hash_table_destroy (f->listed);
   f->listed = NULL;
-  if (!f->dead)
+  if (!f->dead && f->owner.synced != NULL)
     f->owner.synced (f->owner.arg, now);
 }
 
@@ -150,6 +154,17 @@
   f->listed = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
 }
 
+int
+kq_follow_retry_ms (KqRand *rand, int failures, bool cut)
+{
+  int most = cut ? CUT_RETRY_MAX_MS : RETRY_MAX_MS;
+  int ms = RETRY_MS;
+  for (int i = 1; i < failures && ms < most; i++)
+    ms *= 2;
+  ms = ms < most ? ms : most;
+  return ms / 2 + (int)kq_rand_below (rand, (uint64_t)(ms / 2) + 1);
+}
+
 static void
 on_reply (void *arg, const KqKvReply *r, KqTime now)
 {
@@ -165,7 +180,7 @@
   switch (r->result)
     {
     case KQ_KV_OK:
-      f->retry_ms = RETRY_MS;
+      f->failures = 0;
       f->owner.answered (f->owner.arg, r->sent_at, now);
       if (f->listing)
         take_page (f, r, now);
@@ -185,13 +200,12 @@
       break;
     default:
       if (f->owner.failed != NULL)
-        f->owner.failed (f->owner.arg, now);
-      pause = f->retry_ms;
-      if (f->retry_ms == RETRY_MS)
+        f->owner.failed (f->owner.arg, r->sent_at);
+      if (f->failures++ == 0 || r->cut)
         kq_log (KQ_LOG_WARN, PART,
-                "The store doesn't answer. prefix=%s result=%d listing=%d", f->prefix,
-                r->result, f->listing);
-      f->retry_ms = f->retry_ms * 2 < RETRY_MAX_MS ? f->retry_ms * 2 : RETRY_MAX_MS;
+                "The store doesn't answer. prefix=%s result=%d listing=%d cut=%d",
+                f->prefix, r->result, f->listing, r->cut);
+      pause = kq_follow_retry_ms (&f->rand, f->failures, r->cut);
     }
   f->busy = false;
   if (f->dead)
@@ -209,10 +223,10 @@
 go (KqFollow *f)
 {
   KqKvCallback cb = { on_reply, f };
-  int wait_ms = f->retry_ms == RETRY_MS ? f->wait_ms : 0;
+  int wait_ms = f->failures == 0 ? f->wait_ms : 0;
   f->calling = true;
   if (f->listing)
-    kq_kv_range (f->kv, kq_str (f->prefix), kq_str (f->after), LIST_TIMEOUT_MS, cb);
+    kq_kv_range (f->kv, kq_str (f->prefix), kq_str (f->after), LIST_ANSWER_MS, cb);
   else
     kq_kv_watch (f->kv, kq_str (f->prefix), f->from, wait_ms, cb);
 }
@@ -228,7 +242,7 @@
   f->prefix = kq_str_dup (prefix);
   f->wait_ms = wait_ms;
   f->pause_ms = pause_ms;
-  f->retry_ms = RETRY_MS;
+  f->rand = kq_rand (kq_rand_system ());
   f->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   ev_timer_init (&f->timer, on_timer, 0, 0);
   f->timer.data = f;
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -53,6 +53,7 @@
   bool cancelled;
   bool silent;
   KqTime last_byte;
+  KqTime limit_us; /* longest silence as of now */
   KqTime silent_us;
   KqBuf head;     /* header lines of the answer as they come */
   int64_t length; /* Content-Length; -1 without */
@@ -107,6 +108,7 @@
   KqStr s = kq_str_trim (kq_str_n (line, n));
   long status = 0;
   note_byte (c);
+  c->limit_us = c->silent_us;
   if (c->head_given)
     return n; /* trailers */
   if (kq_str_has_prefix (s, KQ_STR ("HTTP/")))
@@ -310,6 +312,8 @@
   if (what & CURL_POLL_OUT)
     events |= EV_WRITE;
   ev_io_init (&s->io, on_io, fd, events);
+  /* Before timers: an answer that came while the loop stood still isn't late. */
+  ev_set_priority (&s->io, 1);
   s->io.data = s;
   ev_io_start (ev, &s->io);
   return 0;
@@ -328,8 +332,8 @@
       next = c->next;
       if (c->cancelled)
         free_call (c);
-      else if (c->silent_us > 0 && !c->paused && !c->starved
-               && now - c->last_byte > c->silent_us)
+      else if (c->limit_us > 0 && !c->paused && !c->starved
+               && now - c->last_byte > c->limit_us)
         {
           c->silent = true;
           finish_call (c, CURLE_OPERATION_TIMEDOUT);
@@ -338,13 +342,14 @@
           return;
         }
     }
+  if (cl->first == NULL)
+    ev_timer_stop (ev, w); /* on again with the next call */
 }
 
 KqHttpClient *
 kq_http_client_new (KqLoop *loop, int host_connections, int idle_ms)
 {
   KqHttpClient *cl = kq_alloc (sizeof *cl);
-  struct ev_loop *ev = kq_loop_ev (loop);
   cl->loop = loop;
   cl->idle_s = idle_ms >= 1000 ? idle_ms / 1000 : 1;
   cl->opened_at = g_hash_table_new (NULL, NULL);
@@ -359,7 +364,6 @@
   ev_timer_init (&cl->timeout, on_timeout, 0, 0);
   ev_timer_init (&cl->silence, on_silence, SILENCE_CHECK_S, SILENCE_CHECK_S);
   cl->timeout.data = cl->silence.data = cl;
-  ev_timer_start (ev, &cl->silence);
   return cl;
 }
 
@@ -535,6 +539,7 @@
   c->easy = curl_easy_init ();
   assert (c->easy != NULL);
   c->silent_us = r->silent_ms * KQ_MS;
+  c->limit_us = r->answer_ms > 0 ? r->answer_ms * KQ_MS : c->silent_us;
   c->opened_before = r->opened_before;
   note_byte (c);
   set_options (c, r);
@@ -543,6 +548,8 @@
   if (cl->first != NULL)
     cl->first->prev = c;
   cl->first = c;
+  if (!ev_is_active (&cl->silence))
+    ev_timer_again (kq_loop_ev (cl->loop), &cl->silence);
   curl_multi_add_handle (cl->multi, c->easy);
   return c;
 }
