--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -211,16 +211,37 @@
 }
 
 static void
-list_arrives (KqSchedRig *r, const KqSchedRigEvent *e)
+item_arrives (KqSchedRig *r, const KqSchedRigEvent *e)
 {
   KqStr rest = kq_str_n ((const char *)e->list->data, e->list->len);
   KqCrewItem i;
   if (e->life != r->life || !kq_crew_unpack (&rest, &i))
     return;
-  kq_sched_list (r->sched, r->agent, i.runner, &i.u.list, r->now);
+  if (i.kind == KQ_CREW_LIST)
+    kq_sched_list (r->sched, r->agent, i.runner, &i.u.list, r->now);
+  else
+    kq_sched_unreached (r->sched, r->agent, i.runner, i.u.unreached.lease_left_ms,
+                        r->now);
   kq_crew_clear (&i);
 }
 
+/* The agent tells the leader; nothing overtakes on its connection. */
+static void
+tell_leader (KqSchedRig *r, int n, const KqCrewItem *i)
+{
+  KqTime due = r->now + WAY + r->up_slow;
+  KqSchedRigEvent *e;
+  KqBuf b = { 0 };
+  if (due < r->up_last)
+    due = r->up_last;
+  r->up_last = due;
+  e = push (r, KQ_SCHED_RIG_TOLD, n, due);
+  kq_crew_pack (i, &b);
+  e->list = g_byte_array_new ();
+  g_byte_array_append (e->list, (const guint8 *)b.ptr, (guint)b.len);
+  kq_buf_free (&b);
+}
+
 static void
 forget_ends (KqSchedRig *r, KqSchedRigRunner *g)
 {
@@ -250,8 +271,6 @@
   KqCrewItem i = { .kind = KQ_CREW_LIST, .runner = kq_str (g->id) };
   KqRunRow *rows = kq_alloc ((g->runs->len + 1) * sizeof *rows);
   KqEndRow *ends = kq_alloc ((g->ends->len + 1) * sizeof *ends);
-  KqBuf b = { 0 };
-  KqSchedRigEvent *e;
   for (guint k = 0; k < g->runs->len; k++)
     {
       const KqSchedRigRun *run = g_ptr_array_index (g->runs, k);
@@ -276,18 +295,16 @@
                              .n_ended = g->ends->len };
   i.u.list.lease_left_ms
       = (int64_t)((double)(g->granted_ms - kq_sched_rig_clock_of (r, g)) / 0.98) + 1;
-  kq_crew_pack (&i, &b);
-  e = push (r, KQ_SCHED_RIG_LIST, n, r->now + WAY);
-  e->list = g_byte_array_new ();
-  g_byte_array_append (e->list, (const guint8 *)b.ptr, (guint)b.len);
-  kq_buf_free (&b);
+  tell_leader (r, n, &i);
   free (rows);
   free (ends);
 }
 
 static void
-tell_unreached (KqSchedRig *r, KqSchedRigRunner *g)
+tell_unreached (KqSchedRig *r, int n)
 {
+  const KqSchedRigRunner *g = &r->runners[n];
+  KqCrewItem i = { .kind = KQ_CREW_UNREACHED, .runner = kq_str (g->id) };
   int64_t left = -1;
   if (g->clock_ms >= 0)
     {
@@ -296,7 +313,8 @@
       left
           = g->granted_ms > clock ? (int64_t)((double)(g->granted_ms - clock) / 0.98) : 0;
     }
-  kq_sched_unreached (r->sched, r->agent, kq_str (g->id), left, r->now);
+  i.u.unreached.lease_left_ms = left;
+  tell_leader (r, n, &i);
 }
 
 /* An acknowledgement leaves only on a connection of the life that listed the ends. */
@@ -332,7 +350,7 @@
   if (!answered)
     {
       if (++g->failures >= SILENT_AFTER)
-        tell_unreached (r, g);
+        tell_unreached (r, n);
       return;
     }
   g->failures = 0;
@@ -379,7 +397,7 @@
       else if (e->kind == KQ_SCHED_RIG_OUTCOME)
         outcome_arrives (r, e);
       else
-        list_arrives (r, e);
+        item_arrives (r, e);
       free_event (e);
     }
 }
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -66,13 +66,13 @@
 typedef struct
 {
   KqTime due;
-  int kind; /* 0: an order arrives, 1: an outcome arrives, 2: a list arrives */
+  int kind; /* KQ_SCHED_RIG_ORDER and following */
   int runner;
   uint64_t epoch;
   uint64_t life; /* of the leader that hears it */
   KqOrder order;
   KqOrderOutcome outcome;
-  GByteArray *list; /* packed KqCrewItem */
+  GByteArray *list; /* packed KqCrewItem of what the agent tells the leader */
   bool late;        /* held up for seconds */
   bool answered;    /* the outcome of this order travels back */
   int64_t lease_end_ms;
@@ -97,6 +97,9 @@
   GByteArray *known;
   uint64_t revision;
   KqTime store_down_until;
+  /* The agent's connection to the leader: what it tells arrives in order. */
+  KqTime up_slow; /* beyond the usual way */
+  KqTime up_last; /* when the last of it arrives */
   /* How calls go wrong, in percent. */
   int lost;
   int late;
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -12,9 +12,9 @@
 /* Kinds of KqSchedRigEvent. */
 enum
 {
-  KQ_SCHED_RIG_ORDER,
-  KQ_SCHED_RIG_OUTCOME,
-  KQ_SCHED_RIG_LIST
+  KQ_SCHED_RIG_ORDER,   /* arrives at its runner */
+  KQ_SCHED_RIG_OUTCOME, /* of an order, at the leader */
+  KQ_SCHED_RIG_TOLD     /* a list or a silence, at the leader */
 };
 
 void kq_sched_rig_breach (KqSchedRig *r, const char *rule, const char *what);
