soak-sched: slow, cut and broken connections, several agents, runners moved among them

What callers saw: two runs of one task at a time, which the random test never met.

Cause: no event of it touched an agent's connection; and a new leader came each 3 to 4 s on the mean, an agent's change as often, after either of which the scheduler waits for 9 s before it counts any lease as over.

Change: two to four agents; their connections become slow by steps (0.2 to 1.5 s each way, and up to 0.45 s to runners), are cut, break heard or unheard; agents are cut off from single runners, frozen for up to 7 s, restarted with another share, which moves runners; a link between regions congests: runners out of reach, then late, while the way to the leader grows. Each seed leaves half of the kinds out and has others more often.

A check replaced: "again after done" held for each end as done that was acknowledged. By the users' RULES (TWICE) such an end counts only if its runner's lease hasn't lapsed between the end and the acknowledgement; but then a start after it is a breach also where the end was not known yet. Both halves are checked now ("after done"); the second is stricter than before.

--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -306,6 +306,7 @@
   r->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_job);
   r->progress = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_bytes);
   r->done = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  r->begun = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->failed = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->known = g_byte_array_new ();
   for (int i = 0; i < runners; i++)
@@ -336,6 +337,7 @@
   g_hash_table_destroy (r->jobs);
   g_hash_table_destroy (r->progress);
   g_hash_table_destroy (r->done);
+  g_hash_table_destroy (r->begun);
   g_hash_table_destroy (r->failed);
   g_byte_array_free (r->known, TRUE);
   for (int i = 0; i < r->n_runners; i++)
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -37,6 +37,8 @@
   char *task;
   uint32_t run;
   KqEndHow how;
+  KqTime at;
+  bool lapsed; /* its runner's lease has ended since */
 } KqSchedRigEnd;
 
 typedef struct
@@ -106,6 +108,7 @@
   uint64_t peer; /* number of the connection that has joined; 0: none */
   int number;    /* at the scheduler; -1: none */
   KqTime peer_heard_at;
+  KqTime peer_beat_at;
 } KqSchedRigAgent;
 
 /* A call of an agent to a runner. */
@@ -172,7 +175,8 @@
   /* What must hold. */
   int broken;
   char why[200];
-  GHashTable *done;   /* task -> GINT: an end as done has been acknowledged */
+  GHashTable *done;   /* tasks of which an end as done counts for good */
+  GHashTable *begun;  /* task -> GINT: when its last run began, in ms */
   GHashTable *failed; /* task -> number of failures acknowledged or told */
   uint64_t starts;
 } KqSchedRig;
--- a/bench/sched_rig_link.c
+++ b/bench/sched_rig_link.c
@@ -134,12 +134,17 @@
   bool frozen = r->now < a->frozen_until;
   if (a->open_at != 0 && r->now >= a->open_at && r->now >= a->link_cut_until && !frozen)
     opened (r, agent);
-  if (r->now < a->beat_at)
-    return;
-  a->beat_at = r->now + BEAT;
-  if (!frozen && r->now >= a->learns_at)
-    beat_up (r, agent);
-  beat_down (r, agent);
+  /* After a freeze the beat is overdue: it looks before anything is read. */
+  if (r->now >= a->beat_at && r->now >= a->learns_at && !frozen)
+    {
+      a->beat_at = r->now + BEAT;
+      beat_up (r, agent);
+    }
+  if (r->now >= a->peer_beat_at)
+    {
+      a->peer_beat_at = r->now + BEAT;
+      beat_down (r, agent);
+    }
 }
 
 static void
--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -139,6 +139,7 @@
   e->task = strdup (run->task);
   e->run = run->run;
   e->how = how;
+  e->at = r->now;
   g_ptr_array_add (g->ends, e);
   if (run->run > highest)
     g_hash_table_insert (g->highest, strdup (run->task), GUINT_TO_POINTER (run->run));
@@ -194,6 +195,7 @@
   r->starts++;
   kq_sched_rig_trace (r, task, "starts", g->id, number,
                       (int)(g->lease_end_ms - kq_sched_rig_clock_of (r, g)));
+  g_hash_table_insert (r->begun, strdup (task), GINT_TO_POINTER ((int)(r->now / KQ_MS)));
   check_start (r, g, run);
   return KQ_ORDER_OK;
 }
@@ -220,6 +222,23 @@
   return KQ_ORDER_OK;
 }
 
+/* An end as done is taken note of when it is acknowledged, unless its runner's lease has
+ * ended before: then it doesn't count. A start after it is a breach, whether the end was
+ * known at the time or not. */
+static void
+note_done (KqSchedRig *r, const KqSchedRigEnd *e)
+{
+  int32_t step;
+  int32_t index;
+  const KqSchedRigJob *j = job_of (r, e->task, &step, &index);
+  int begun = GPOINTER_TO_INT (g_hash_table_lookup (r->begun, e->task));
+  if (e->lapsed)
+    return;
+  g_hash_table_add (r->done, strdup (e->task));
+  if (begun > e->at / KQ_MS && j != NULL && !j->spec.steps[step].copies)
+    kq_sched_rig_breach (r, "after done", e->task);
+}
+
 static void
 forget_ends (KqSchedRig *r, KqSchedRigRunner *g, uint64_t seen)
 {
@@ -230,7 +249,7 @@
         return;
       kq_sched_rig_trace (r, e->task, "acknowledged", g->id, e->run, e->how);
       if (e->how == KQ_END_DONE)
-        g_hash_table_add (r->done, strdup (e->task));
+        note_done (r, e);
       if (e->how == KQ_END_FAILED)
         {
           int n = GPOINTER_TO_INT (g_hash_table_lookup (r->failed, e->task));
@@ -368,8 +387,12 @@
 kq_sched_rig_runner_tick (KqSchedRig *r, KqSchedRigRunner *g)
 {
   if (g->alive && kq_sched_rig_clock_of (r, g) >= g->lease_end_ms)
-    while (g->runs->len > 0)
-      end_run (r, g, 0, KQ_END_LAPSED);
+    {
+      while (g->runs->len > 0)
+        end_run (r, g, 0, KQ_END_LAPSED);
+      for (guint i = 0; i < g->ends->len; i++)
+        ((KqSchedRigEnd *)g_ptr_array_index (g->ends, i))->lapsed = true;
+    }
   for (guint i = 0; g->alive && i < g->runs->len; i++)
     {
       const KqSchedRigRun *run = g_ptr_array_index (g->runs, i);
--- a/bench/sched_soak.c
+++ b/bench/sched_soak.c
@@ -9,10 +9,55 @@
 #define JOBS_MAX 400
 #define SETTLE (60 * KQ_SEC)
 
+/* What an agent's ways are on the way to: a queue fills in steps, or its beats would miss
+ * each time. */
+typedef struct
+{
+  KqTime up;
+  KqTime down;
+  KqTime calls;
+  KqTime from;
+  KqTime until;
+} Slow;
+
+typedef enum
+{
+  SUBMIT,
+  CANCEL,
+  HURT_RUNNER,
+  NEW_LEADER,
+  STORE_DOWN,
+  LOSE_CALLS,
+  DELAY_CALLS,
+  SLOW_LINK,
+  CUT_FROM_RUNNER,
+  CONGEST,
+  CUT_LINK,
+  BREAK_LINK,
+  RESTART_AGENT,
+  FREEZE_AGENT,
+  EVENTS
+} Event;
+
+/* How often each comes, and whether a seed may leave it out. */
+static const struct
+{
+  int weight;
+  bool always;
+} shares[EVENTS] = { [SUBMIT] = { 45, true },          [CANCEL] = { 8, false },
+                     [HURT_RUNNER] = { 14, false },    [NEW_LEADER] = { 2, false },
+                     [STORE_DOWN] = { 4, false },      [LOSE_CALLS] = { 4, false },
+                     [DELAY_CALLS] = { 3, false },     [SLOW_LINK] = { 8, false },
+                     [CUT_FROM_RUNNER] = { 6, false }, [CONGEST] = { 4, false },
+                     [CUT_LINK] = { 2, false },        [BREAK_LINK] = { 2, false },
+                     [RESTART_AGENT] = { 3, false },   [FREEZE_AGENT] = { 3, false } };
+
 typedef struct
 {
   KqSchedRig rig;
   int jobs;
+  int weights[EVENTS];
+  Slow slow[KQ_SCHED_RIG_AGENTS_MAX];
 } Soak;
 
 static int
@@ -93,33 +138,165 @@
 }
 
 static void
-change_agent (Soak *s)
+new_leader (Soak *s)
+{
+  KqSchedRig *r = &s->rig;
+  kq_sched_rig_new_leader (r);
+  for (int i = 0; i < r->n_agents; i++)
+    r->agents[i].learns_at = r->now + (KqTime)below (s, 1000) * KQ_MS;
+}
+
+static void
+slow_link (Soak *s, int agent)
+{
+  Slow *w = &s->slow[agent];
+  w->from = s->rig.now;
+  w->until = s->rig.now + (KqTime)(500 + below (s, 4000)) * KQ_MS;
+  w->up = below (s, 3) > 0 ? (KqTime)(200 + below (s, 1300)) * KQ_MS : 0;
+  w->down = below (s, 3) > 0 ? (KqTime)(200 + below (s, 1300)) * KQ_MS : 0;
+  w->calls = (KqTime)below (s, 450) * KQ_MS;
+}
+
+/* A link between regions: the agent's calls to runners behind it get no answer for a
+ * while, then late ones, when the way to the leader has become slow as well. */
+static void
+congest (Soak *s, int agent)
+{
+  KqSchedRigAgent *a = &s->rig.agents[agent];
+  KqTime span = (KqTime)(1500 + below (s, 3500)) * KQ_MS;
+  slow_link (s, agent);
+  s->slow[agent].from = s->rig.now + span - (KqTime)below (s, 1000) * KQ_MS;
+  s->slow[agent].until = s->rig.now + span + (KqTime)(1000 + below (s, 2000)) * KQ_MS;
+  s->slow[agent].up = (KqTime)(500 + below (s, 1000)) * KQ_MS;
+  for (int i = 0; i < s->rig.n_runners; i++)
+    if (below (s, 2) == 0)
+      a->cut_until[i] = s->rig.now + span + (KqTime)below (s, 200) * KQ_MS;
+}
+
+static void
+approach (KqTime *at, KqTime to, KqTime step)
+{
+  if (*at < to)
+    *at = *at + step < to ? *at + step : to;
+  else
+    *at = to;
+}
+
+static void
+move_links (Soak *s)
+{
+  for (int i = 0; i < s->rig.n_agents; i++)
+    {
+      KqSchedRigAgent *a = &s->rig.agents[i];
+      Slow *w = &s->slow[i];
+      KqTime step = (KqTime)(50 + below (s, 600)) * KQ_MS;
+      bool on = s->rig.now >= w->from && s->rig.now < w->until;
+      approach (&a->up_slow, on ? w->up : 0, step);
+      approach (&a->down_slow, on ? w->down : 0, step);
+      a->call_slow = on ? w->calls : 0;
+    }
+}
+
+static void
+restart_agent (Soak *s, int agent)
+{
+  /* Another share moves runners from one to another. */
+  s->rig.agents[agent].info.share_milli = 100 + below (s, 1900);
+  kq_sched_rig_stop_agent (&s->rig, agent, (KqTime)below (s, 4000) * KQ_MS,
+                           below (s, 2) == 0);
+}
+
+static void
+hurt_agent (Soak *s, Event e)
 {
   KqSchedRig *r = &s->rig;
-  kq_sched_rig_break_link (r, below (s, r->n_agents), true);
+  int agent = below (s, r->n_agents);
+  KqSchedRigAgent *a = &r->agents[agent];
+  KqTime until = r->now + (KqTime)below (s, 7000) * KQ_MS;
+  switch (e)
+    {
+    case SLOW_LINK:
+      slow_link (s, agent);
+      break;
+    case CUT_FROM_RUNNER:
+      a->cut_until[below (s, r->n_runners)] = until;
+      break;
+    case CONGEST:
+      congest (s, agent);
+      break;
+    case CUT_LINK:
+      a->link_cut_until = until;
+      break;
+    case BREAK_LINK:
+      kq_sched_rig_break_link (r, agent, below (s, 3) > 0);
+      break;
+    case RESTART_AGENT:
+      restart_agent (s, agent);
+      break;
+    default:
+      a->frozen_until = until;
+      break;
+    }
+}
+
+static Event
+draw (Soak *s)
+{
+  int sum = 0;
+  int at;
+  int e = 0;
+  for (int i = 0; i < EVENTS; i++)
+    sum += s->weights[i];
+  at = below (s, sum);
+  while (at >= s->weights[e])
+    at -= s->weights[e++];
+  return (Event)e;
 }
 
 static void
 event (Soak *s)
 {
   KqSchedRig *r = &s->rig;
-  int n = below (s, 100);
-  if (n < 45)
-    submit (s);
-  else if (n < 55)
-    cancel (s);
-  else if (n < 75)
-    hurt_runner (s);
-  else if (n < 79)
-    kq_sched_rig_new_leader (r);
-  else if (n < 83)
-    change_agent (s);
-  else if (n < 88)
-    r->store_down_until = r->now + (KqTime)below (s, 5000) * KQ_MS;
-  else if (n < 92)
-    r->lost = below (s, 30);
-  else if (n < 95)
-    r->late = below (s, 20);
+  Event e = draw (s);
+  switch (e)
+    {
+    case SUBMIT:
+      submit (s);
+      break;
+    case CANCEL:
+      cancel (s);
+      break;
+    case HURT_RUNNER:
+      hurt_runner (s);
+      break;
+    case NEW_LEADER:
+      new_leader (s);
+      break;
+    case STORE_DOWN:
+      r->store_down_until = r->now + (KqTime)below (s, 5000) * KQ_MS;
+      break;
+    case LOSE_CALLS:
+      r->lost = below (s, 30);
+      break;
+    case DELAY_CALLS:
+      r->late = below (s, 20);
+      break;
+    default:
+      hurt_agent (s, e);
+      break;
+    }
+  move_links (s);
+}
+
+/* A seed leaves some kinds out and has others more often: a new leader, or an agent lost,
+ * makes the scheduler wait for nine seconds, in which nothing that takes a lease's end to
+ * happen can be seen. */
+static void
+draw_weights (Soak *s)
+{
+  static const int times[] = { 0, 0, 1, 3 };
+  for (int i = 0; i < EVENTS; i++)
+    s->weights[i] = shares[i].weight * (shares[i].always ? 1 : times[below (s, 4)]);
 }
 
 static void
@@ -128,6 +305,13 @@
   KqSchedRig *r = &s->rig;
   r->lost = r->late = 0;
   r->store_down_until = 0;
+  for (int i = 0; i < r->n_agents; i++)
+    {
+      KqSchedRigAgent *a = &r->agents[i];
+      memset (a->cut_until, 0, sizeof a->cut_until);
+      a->link_cut_until = a->frozen_until = a->learns_at = 0;
+      a->up_slow = a->down_slow = a->call_slow = 0;
+    }
   for (int i = 0; i < r->n_runners; i++)
     {
       r->runners[i].cut_until = r->runners[i].deaf_until = 0;
@@ -168,6 +352,9 @@
   KqRoom room = { 4000, 6000, 0 };
   int broken;
   kq_sched_rig_init (&s->rig, 6 + (int)(seed % 8), room, seed);
+  for (int i = 1 + below (s, 3); i > 0; i--)
+    kq_sched_rig_add_agent (&s->rig);
+  draw_weights (s);
   for (int i = 0; i < steps; i++)
     {
       event (s);
--- a/bench/sched_soak.h
+++ b/bench/sched_soak.h
@@ -4,9 +4,11 @@
 /* sched_soak: random jobs and random faults on the scheduler's rig.
  *
  * Cuts, deaf runners, lost and late orders, restarts under the same id, runners that fail
- * all, an unreachable store, leaders that die one after the other, agents that change,
- * cancellations in waves. All invariants of bench/sched_rig.h are checked throughout; at
- * the end the faults stop and every job must end. */
+ * all, an unreachable store, leaders that die one after the other, cancellations in
+ * waves; two to four agents, which are cut off from single runners, frozen, stopped and
+ * restarted with another share, and whose connections become slow, are cut and break.
+ * Each seed leaves some of these out. All invariants of bench/sched_rig.h are checked
+ * throughout; at the end the faults stop and every job must end. */
 
 #include <stdint.h>
 
