A task that waits for good for a run whose stop has been answered

What callers saw: a job that never ends, with nothing running, on a runner where little else happens (soak-sched, "never ended").

Cause: a run that isn't there any more (ended with a start still out, or reborn) is stopped; its runner answers, and the first list whose question left after that answer ends it. But the stop was repeated each second, and each answer counted as newer than the question of the list under way, which waits 1.5 s at a runner where nothing ends.

Change: a stop that its runner has answered isn't repeated, unless a list shows the run, the runner has started anew or another agent has it, or a start of it turns out to be unanswered.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -58,7 +58,7 @@
   if (run == NULL)
     run = adopt (s, r, &t, row->run, now);
   run->marked = true;
-  run->unsure = false;
+  run->unsure = run->stopped = false;
   run->confirmed = order + 1;
   if (run->phase == KQ_RUN_SENDING)
     {
@@ -283,6 +283,7 @@
     case KQ_ORDER_UNKNOWN:
     case KQ_ORDER_LATE:
       run->unsure = true;
+      run->stopped = false;
       break; /* sent again by kq_watch_progress */
     case KQ_ORDER_OLD_RUN:
       /* It has been there and has ended: the end is listed, or the run was stopped. */
@@ -306,6 +307,7 @@
   if (o->result == KQ_ORDER_OK || o->result == KQ_ORDER_OLD_RUN)
     {
       run->unsure = false;
+      run->stopped = true;
       run->confirmed = o->order + 1;
     }
 }
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -44,6 +44,41 @@
   kq_sched_desk_run (d, 300 * KQ_MS);
 }
 
+/* Guards against a task that waits for good for a run whose stop has been answered. */
+static void
+test_answered_stop_is_not_repeated (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqRunnerList before = { .born_ms = 1, .lease_left_ms = 5000 };
+  char runner[16];
+  char task[96];
+  KqEndRow end = { .number = 1, .how = KQ_END_FAILED };
+  int answered = 0;
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  memcpy (runner, d->runner, sizeof runner);
+  memcpy (task, d->task, sizeof task);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, runner, task, d->run, KQ_ORDER_UNKNOWN);
+  end.task = kq_str (task);
+  end.run = d->run;
+  kq_sched_desk_list (d, runner, &end, 1);
+  assert_int_equal (d->stops, 1);
+  /* A runner where nothing else ends: each list's question left 1.5 s ago. */
+  for (int i = 0; i < 5 * 15 && d->starts == 1; i++)
+    {
+      if (i % 15 == 0)
+        before.order = d->results;
+      if (d->stops > answered)
+        kq_sched_desk_outcome (d, KQ_ORDER_STOP, runner, task, end.run, KQ_ORDER_OK);
+      answered = d->stops;
+      kq_sched_desk_run (d, 100 * KQ_MS);
+      if (i % 15 == 14)
+        kq_sched_list (d->sched, d->agent, kq_str (runner), &before, d->now);
+    }
+  kq_sched_desk_run (d, 500 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+}
+
 static void
 test_failed_end_while_a_start_is_out (void **state)
 {
@@ -212,6 +247,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_answered_stop_is_not_repeated,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_failed_end_while_a_start_is_out,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_done_end_while_a_start_is_out,
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -174,6 +174,7 @@
       bool under_way = run->unsure || run->waiting;
       next = run->next;
       run->confirmed = 0;
+      run->stopped = false;
       ++*s->runs_lost;
       if (under_way && run->phase != KQ_RUN_STOPPING)
         kq_run_stop (s, run, "its runner has started anew", now);
@@ -205,7 +206,7 @@
     {
       if (run->waiting)
         run->unsure = true;
-      run->waiting = false;
+      run->waiting = run->stopped = false;
       run->confirmed = 0;
       if (run->phase == KQ_RUN_RUNNING)
         run->confirmed = 1;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -133,6 +133,7 @@
   KqRunPhase phase;
   bool unsure;        /* an order got no answer: it may still be carried out */
   bool waiting;       /* an order is at the agent */
+  bool stopped;       /* its runner has answered a stop, and not listed it since */
   uint64_t confirmed; /* count of results when the runner last spoke of it; 0: never */
   KqTime placed_at;
   KqTime running_at;
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -92,8 +92,10 @@
   if (run->phase == KQ_RUN_SENDING && !run->waiting && now >= run->retry_at
       && run->confirmed == 0 && !r->silent && r->listed)
     send_again (s, run, now);
-  else if (run->phase == KQ_RUN_STOPPING && !run->waiting && !r->silent && r->listed
-           && now >= run->retry_at + (run->unsure ? 0 : STOP_AGAIN))
+  /* The answer to a repeat would count as newer than each list on its way, and no list
+   * could end the run. */
+  else if (run->phase == KQ_RUN_STOPPING && !run->waiting && !run->stopped && !r->silent
+           && r->listed && now >= run->retry_at + (run->unsure ? 0 : STOP_AGAIN))
     kq_run_send_stop (s, run, now);
   else if (stands_still (run, now))
     {
