A second run beside one that the runner's next life has begun

What callers saw: one task twice at a time, once a runner has started anew (soak-sched).

Cause: a list is the first word of a runner's new life; all runs there are over, but for those whose start is unanswered. A start that was answered after the question for this list had left may have been answered by the new life: answers on different connections overtake each other, and the answer to a start doesn't tell the life. The scheduler took it as over and began the next run at once.

Change: such a run is stopped in the new life first, as an unanswered one is.

Measured: orders_test, test_start_answered_by_the_next_life: 2 starts at once before, passes now.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -206,7 +206,7 @@
     return;
   if (l->born_ms != 0 && r->born_ms != 0 && l->born_ms != r->born_ms)
     {
-      kq_runners_reborn (s, r, now);
+      kq_runners_reborn (s, r, l->order, now);
       r->ends_seen = r->ends_stored = r->ends_batch = 0;
       r->fails = r->dones = 0;
       r->suspect_until = 0;
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -79,6 +79,31 @@
   assert_int_equal (d->starts, 2);
 }
 
+/* Guards against a second run beside one that the runner's next life has begun. */
+static void
+test_start_answered_by_the_next_life (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqRunnerList anew = { .born_ms = 2, .lease_left_ms = 5000 };
+  char runner[16];
+  char task[96];
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  memcpy (runner, d->runner, sizeof runner);
+  memcpy (task, d->task, sizeof task);
+  anew.order = d->results;
+  kq_sched_desk_outcome (d, KQ_ORDER_START, runner, task, d->run, KQ_ORDER_OK);
+  kq_sched_list (d->sched, d->agent, kq_str (runner), &anew, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  assert_int_equal (d->stops, 1);
+  kq_sched_desk_outcome (d, KQ_ORDER_STOP, runner, task, d->run, KQ_ORDER_OK);
+  anew.order = d->results;
+  kq_sched_list (d->sched, d->agent, kq_str (runner), &anew, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+}
+
 static void
 test_failed_end_while_a_start_is_out (void **state)
 {
@@ -249,6 +274,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_answered_stop_is_not_repeated,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_start_answered_by_the_next_life,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_failed_end_while_a_start_is_out,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_done_end_while_a_start_is_out,
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -162,16 +162,16 @@
 /* All that ran in the earlier life is over. But a start that nobody has answered may
  * still reach the new life, which knows nothing of run numbers or fencing tokens: it is
  * stopped there first, which makes the runner refuse it, and only then started elsewhere.
- */
+ * One answered since the question for this list left may be the new life's already. */
 void
-kq_runners_reborn (KqSched *s, KqRunnerState *r, KqTime now)
+kq_runners_reborn (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now)
 {
   KqRun *next;
   kq_log (KQ_LOG_WARN, PART, "Runner has started anew. runner=%s runs=%d", r->id,
           r->n_runs);
   for (KqRun *run = r->runs; run != NULL; run = next)
     {
-      bool under_way = run->unsure || run->waiting;
+      bool under_way = run->unsure || run->waiting || run->confirmed > order + 1;
       next = run->next;
       run->confirmed = 0;
       run->stopped = false;
--- a/src/sched/sched_random_test.c
+++ b/src/sched/sched_random_test.c
@@ -17,10 +17,11 @@
  * 67557, 160123, 221383: a repeated start reached a runner's next life, beside the next
  * run
  * 200234: a job that never ended, as an order vanished without an outcome
- * 14, 21, 25, 42: a job that never ended, as an answered stop was repeated for good */
+ * 14, 21, 25, 42: a job that never ended, as an answered stop was repeated for good
+ * 358, 2769: a list that told of a new life was older than the answer to a start there */
 static const uint64_t seeds[]
-    = { 15,     60,    34,    41,     51,     1001,   1002, 1003, 1004, 1005, 60778,
-        122205, 66267, 67557, 160123, 221383, 200234, 14,   21,   25,   42 };
+    = { 15,    60,    34,     41,     51,     1001, 1002, 1003, 1004, 1005, 60778, 122205,
+        66267, 67557, 160123, 221383, 200234, 14,   21,   25,   42,   358,  2769 };
 
 static void
 test_random_faults (void **state)
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -345,7 +345,8 @@
 bool kq_runners_may_run (const KqRunnerState *r);
 /* Its host has been taken down, and no run of this life can go on. */
 void kq_runners_taken_down (KqSched *s, KqStr id, KqTime now);
-void kq_runners_reborn (KqSched *s, KqRunnerState *r, KqTime now);
+/* order: results given before the question for the list that told of it left. */
+void kq_runners_reborn (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now);
 void kq_runners_look (KqSched *s, KqTime now);
 void kq_runners_assign (KqSched *s, KqTime now);
 void kq_runners_settle (KqSched *s, KqTime now);
