A lease counted as over that a runner's earlier agent has granted

What callers saw: two runs of one task at a time, when a runner has been given to another agent that doesn't reach it.

Cause: the leader counted a lease's end from the earlier agent's last list, or as the new one knows it. But the earlier agent renews with the question that follows that list, which may have left up to 1.5 s after it, and goes on until the order to let go has come to it; the new agent that gets no answer tells -1 for the lease, which adds nothing. No slow connection between agent and leader is needed: a runner that the next agent can't reach is enough.

Change: when a runner is given from one agent to another, its lease is counted as if the earlier agent were lost: the blind time and one lease from now. It costs up to 4 s more before tasks start elsewhere, if a runner falls silent within 9 s of a move; never otherwise.

--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -185,12 +185,16 @@
 }
 
 static void
-give_agent (KqSched *s, KqRunnerState *r, int agent)
+give_agent (KqSched *s, KqRunnerState *r, int agent, KqTime now)
 {
   KqOrder o = { .kind = KQ_ORDER_TAKE, .runner = kq_str (r->id) };
   if (r->agent >= 0)
     {
       KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
+      KqTime ends = blind_lease_end (s, now);
+      /* It has granted more than it has told, and does so until it hears of this. */
+      if (ends > r->lease_ends)
+        r->lease_ends = ends;
       s->agents.list[r->agent].runners--;
       if (s->agents.list[r->agent].up)
         s->config.order (s->config.arg, r->agent, &drop);
@@ -217,7 +221,6 @@
 kq_runners_assign (KqSched *s, KqTime now)
 {
   int total = 0;
-  (void)now;
   if (!s->loaded)
     return;
   for (guint i = 0; i < s->runner_list->len; i++)
@@ -232,7 +235,7 @@
         continue;
       agent = kq_agents_pick (&s->agents, kq_str (r->domain));
       if (agent >= 0 && agent != r->agent)
-        give_agent (s, r, agent);
+        give_agent (s, r, agent, now);
     }
 }
 
--- a/src/sched/sched_random_test.c
+++ b/src/sched/sched_random_test.c
@@ -18,10 +18,13 @@
  * run
  * 200234: a job that never ended, as an order vanished without an outcome
  * 14, 21, 25, 42: a job that never ended, as an answered stop was repeated for good
- * 358, 2769: a list that told of a new life was older than the answer to a start there */
+ * 358, 2769: a list that told of a new life was older than the answer to a start there
+ * 887, 1401: a runner was moved, and what its earlier agent granted since wasn't counted
+ */
 static const uint64_t seeds[]
-    = { 15,    60,    34,     41,     51,     1001, 1002, 1003, 1004, 1005, 60778, 122205,
-        66267, 67557, 160123, 221383, 200234, 14,   21,   25,   42,   358,  2769 };
+    = { 15,   60,    34,     41,    51,    1001,   1002,   1003,   1004,
+        1005, 60778, 122205, 66267, 67557, 160123, 221383, 200234, 14,
+        21,   25,    42,     358,   2769,  887,    1401 };
 
 static void
 test_random_faults (void **state)
--- a/src/sched/sched_test.c
+++ b/src/sched/sched_test.c
@@ -161,6 +161,28 @@
   drop_rig (r);
 }
 
+/* Guards against a lease counted as over that an earlier agent has granted unheard. */
+static void
+test_moved_runner_that_its_next_agent_never_reaches (void **state)
+{
+  (void)state;
+  for (int phase = 0; phase < 16; phase++)
+    {
+      KqSchedRig *r = new_rig (12, 1);
+      KqStep s = kq_sched_rig_step (12, 1500, 60000);
+      int next;
+      kq_sched_rig_submit (r, "aa", &s, 1, 3, 60 * KQ_SEC, -1);
+      kq_sched_rig_run (r, 10 * KQ_SEC + phase * 100 * KQ_MS);
+      assert_int_equal (kq_sched_rig_running (r, "aa"), 12);
+      next = kq_sched_rig_add_agent (r);
+      for (int i = 0; i < 12; i++)
+        r->agents[next].cut_until[i] = r->now + 60 * KQ_SEC;
+      kq_sched_rig_run (r, 20 * KQ_SEC);
+      assert_true (r->starts > 12);
+      drop_rig (r);
+    }
+}
+
 /* The client sees a task run twice after all nodes have died.
  * A runner that ran it is cut off when the new leader asks; its lease still runs. The
  * task may start elsewhere only when that lease has ended. */
@@ -274,6 +296,7 @@
     cmocka_unit_test (test_lasting_task_moves_after_its_runners_lease),
     cmocka_unit_test (test_failures_count_in_any_order),
     cmocka_unit_test (test_start_under_way_when_the_agent_changes),
+    cmocka_unit_test (test_moved_runner_that_its_next_agent_never_reaches),
     cmocka_unit_test (test_new_leader_waits_for_silent_runners),
     cmocka_unit_test (test_job_after_the_election_starts_at_once),
     cmocka_unit_test (test_task_that_stands_still_goes_elsewhere),
