--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -233,6 +233,7 @@
       if (!under_way && run->confirmed > order + 1)
         continue;
       run->confirmed = 0;
+      run->stopped = false;
       ++*s->runs_lost;
       if (under_way && run->phase != KQ_RUN_STOPPING)
         kq_run_stop (s, run, "its runner has started anew", now);
@@ -271,7 +272,7 @@
     {
       if (run->waiting)
         run->unsure = true;
-      run->waiting = false;
+      run->waiting = run->stopped = false;
       run->confirmed = 0;
       if (run->phase == KQ_RUN_RUNNING)
         run->confirmed = 1;
