A start that has left more than once is stopped in its runner's next life

Cause: a start was sent through two agents; the second sending was answered, which made the run sure; the runner restarted, its first list came, and the run was taken for one of the earlier life only. Then the first sending arrived in the new life, beside the next run.

Change: a run whose start has left more than once is stopped in the new life before its task goes on, as one with an unanswered start is.

Before: repeat_test test_repeated_start_is_stopped_in_the_next_life: 3 starts instead of 2, line 97.

--- a/src/sched/repeat_test.c
+++ b/src/sched/repeat_test.c
@@ -82,12 +82,34 @@
   assert_string_not_equal (d->runner, s.runner);
 }
 
+/* A task runs twice: of two sendings of its start the first arrives in its runner's next
+ * life. */
+static void
+test_repeated_start_is_stopped_in_the_next_life (void **state)
+{
+  KqSchedDesk *d = *state;
+  Start s;
+  repeat_start (d, false, &s);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, s.runner, s.task, s.run, KQ_ORDER_OK);
+  d->born_ms = 2;
+  kq_sched_desk_list (d, s.runner, NULL, 0);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+  assert_int_equal (d->stops, 1);
+  kq_sched_desk_outcome (d, KQ_ORDER_STOP, s.runner, s.task, s.run, KQ_ORDER_OK);
+  kq_sched_desk_list (d, s.runner, NULL, 0);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  assert_int_equal (d->starts, 3);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_refused_repeat_of_a_listed_run,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_repeated_start_is_stopped_in_the_next_life,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_refused_repeat_of_a_stopped_run,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
   };
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -228,7 +228,7 @@
           r->n_runs);
   for (KqRun *run = r->runs; run != NULL; run = next)
     {
-      bool under_way = run->unsure || run->waiting;
+      bool under_way = run->unsure || run->waiting || run->resent;
       next = run->next;
       if (!under_way && run->confirmed > order + 1)
         continue;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -134,6 +134,7 @@
   KqRunPhase phase;
   bool unsure;        /* an order got no answer: it may still be carried out */
   bool waiting;       /* an order is at the agent */
+  bool resent;        /* its start has left more than once: one may still arrive */
   bool stopped;       /* its runner has answered a stop, and not listed it since */
   uint64_t confirmed; /* count of results when the runner last spoke of it; 0: never */
   KqTime placed_at;
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -78,7 +78,10 @@
   if (run->runner->draining || run->runner->leaving)
     kq_run_stop (s, run, "its runner leaves", now);
   else
-    kq_run_send_start (s, run, now);
+    {
+      run->resent = true;
+      kq_run_send_start (s, run, now);
+    }
 }
 
 static void
