--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -308,6 +308,7 @@
   r->done = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->begun = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->failed = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  r->failed_at = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->known = g_byte_array_new ();
   for (int i = 0; i < runners; i++)
     {
@@ -339,6 +340,7 @@
   g_hash_table_destroy (r->done);
   g_hash_table_destroy (r->begun);
   g_hash_table_destroy (r->failed);
+  g_hash_table_destroy (r->failed_at);
   g_byte_array_free (r->known, TRUE);
   for (int i = 0; i < r->n_runners; i++)
     {
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -182,9 +182,10 @@
   /* What must hold. */
   int broken;
   char why[200];
-  GHashTable *done;   /* tasks of which an end as done counts for good */
-  GHashTable *begun;  /* task -> GINT: when its last run began, in ms */
-  GHashTable *failed; /* task -> number of failures acknowledged or told */
+  GHashTable *done;      /* tasks of which an end as done counts for good */
+  GHashTable *begun;     /* task -> GINT: when its last run began, in ms */
+  GHashTable *failed;    /* task -> number of failures that count for good */
+  GHashTable *failed_at; /* task -> GINT: the latest of their times, in ms */
   uint64_t starts;
 } KqSchedRig;
 
