--- a/src/crew/frame_test.c
+++ b/src/crew/frame_test.c
@@ -121,6 +121,7 @@
       i.u.order.kind = (KqOrderKind)k;
       o = pass (&i, &b);
       assert_int_equal (o.u.order.kind, k);
+      kq_crew_clear (&o);
     }
   kq_buf_free (&b);
 }
