--- a/src/fleet/follow_test.c
+++ b/src/fleet/follow_test.c
@@ -133,8 +133,7 @@
   kq_loop_free (loop);
 }
 
-/* Nodes whose downloads were cut together begin them again together, and fill the link
- * again: the pauses grow, and differ. */
+/* Nodes whose downloads were cut together begin them together, and fill the link again. */
 static void
 test_cut_downloads_are_repeated_apart (void **state)
 {
@@ -160,8 +159,7 @@
   assert_true (longest_before <= 3200);
 }
 
-/* A store that doesn't answer at all is asked at short intervals, however long it has
- * been away: clients are refused until its return is noticed. */
+/* Clients are refused until the return of the store is noticed, seconds late. */
 static void
 test_silent_store_is_asked_often (void **state)
 {
--- a/src/fleet/leader_test.c
+++ b/src/fleet/leader_test.c
@@ -138,8 +138,7 @@
   kq_loop_free (loop);
 }
 
-/* A new leader presses a store in trouble: each refusal is followed by the next call at
- * once. */
+/* A new leader presses a store in trouble: the next call follows a refusal at once. */
 static void
 test_loading_pauses_after_a_refusal (void **state)
 {
@@ -168,8 +167,7 @@
   *(bool *)w->data = true;
 }
 
-/* A new leader uses up its processor while it waits for the store: its loop never
- * sleeps. */
+/* A new leader uses up its processor while it waits for the store. */
 static void
 test_loading_leader_sleeps (void **state)
 {
--- a/src/fleet/reach_test.c
+++ b/src/fleet/reach_test.c
@@ -9,8 +9,7 @@
 
 #define START (100 * KQ_SEC)
 
-/* Clients are refused by a node that hears the store all the while: calls that time out
- * say nothing about the time after the last sign of life. */
+/* Clients are refused by a node that hears the store all the while. */
 static void
 test_old_calls_that_fail_do_not_outweigh_a_sign_of_life (void **state)
 {
@@ -22,7 +21,7 @@
   assert_true (kq_reach_up (&r, START + 100 * KQ_MS));
 }
 
-/* A store that went away would be waited for by each client: three calls tell. */
+/* Each client waits for a store that has gone away. */
 static void
 test_later_calls_that_fail_tell (void **state)
 {
@@ -39,7 +38,7 @@
   assert_true (kq_reach_up (&r, START + KQ_SEC));
 }
 
-/* Nothing fails and nothing comes: calls that hang tell only when they end. */
+/* Calls that hang tell of an outage only when they end. */
 static void
 test_silence_tells (void **state)
 {
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -304,8 +304,7 @@
   return fd;
 }
 
-/* The process stands still for a while, or its processor is small: an answer that has
- * come meanwhile is dropped and asked for again. */
+/* An answer that came while the process stood still is dropped and asked for again. */
 static void
 test_answer_that_is_there_beats_the_silence (void **state)
 {
