--- a/src/fleet/follow_test.c
+++ b/src/fleet/follow_test.c
@@ -133,7 +133,7 @@
   kq_loop_free (loop);
 }
 
-/* Nodes whose downloads were cut together begin them together, and fill the link again. */
+/* Nodes whose downloads were cut together begin anew together, and fill the link. */
 static void
 test_cut_downloads_are_repeated_apart (void **state)
 {
