--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -284,6 +284,21 @@
   ev_timer_start (kq_loop_ev (l->config.loop), &l->retry);
 }
 
+/* The keys of the phases that load one value. */
+static const char *const values[] = { [LOAD_WAVES] = KQ_KEY_WAVES,
+                                      [LOAD_LEARNED] = KQ_KEY_LEARNED,
+                                      [LOAD_RUNNERS] = KQ_KEY_RUNNERS };
+
+static bool
+take_value (KqLeader *l, KqStr value, KqTime now)
+{
+  if (l->phase == LOAD_WAVES)
+    return kq_sched_waves_stored (l->sched, value);
+  if (l->phase == LOAD_LEARNED)
+    return kq_sched_learned (l->sched, value);
+  return kq_sched_known (l->sched, value, now);
+}
+
 static void
 on_loaded (void *arg, const KqKvReply *r, KqTime now)
 {
@@ -303,23 +318,12 @@
     }
   l->failures = 0;
   on_answered (l, r->sent_at, now);
-  if (l->phase == LOAD_WAVES)
-    {
-      if (r->n_items == 1 && !kq_sched_waves_stored (l->sched, r->items[0].value))
-        kq_log (KQ_LOG_ERROR, PART, "The state of waves can't be read.");
-      l->phase = LOAD_LEARNED;
-    }
-  else if (l->phase == LOAD_LEARNED)
-    {
-      if (r->n_items == 1 && !kq_sched_learned (l->sched, r->items[0].value))
-        kq_log (KQ_LOG_ERROR, PART, "What has been learned can't be read.");
-      l->phase = LOAD_RUNNERS;
-    }
-  else if (l->phase == LOAD_RUNNERS)
+  if (l->phase < LOAD_JOBS)
     {
-      if (r->n_items == 1 && !kq_sched_known (l->sched, r->items[0].value, now))
-        kq_log (KQ_LOG_ERROR, PART, "The stored list of runners can't be read.");
-      l->phase = LOAD_JOBS;
+      if (r->n_items == 1 && !take_value (l, r->items[0].value, now))
+        kq_log (KQ_LOG_ERROR, PART, "A stored value can't be read. key=%s",
+                values[l->phase]);
+      l->phase++;
     }
   else
     {
@@ -349,16 +353,10 @@
   switch (l->phase)
     {
     case LOAD_WAVES:
-      l->calling = true;
-      kq_kv_get (l->config.kv, KQ_STR (KQ_KEY_WAVES), TIMEOUT_MS, cb);
-      break;
     case LOAD_LEARNED:
-      l->calling = true;
-      kq_kv_get (l->config.kv, KQ_STR (KQ_KEY_LEARNED), TIMEOUT_MS, cb);
-      break;
     case LOAD_RUNNERS:
       l->calling = true;
-      kq_kv_get (l->config.kv, KQ_STR (KQ_KEY_RUNNERS), TIMEOUT_MS, cb);
+      kq_kv_get (l->config.kv, kq_str (values[l->phase]), TIMEOUT_MS, cb);
       break;
     case LOAD_JOBS:
       l->jobs = kq_follow_new (l->config.loop, l->config.kv, KQ_STR (KQ_KEY_IN), WATCH_MS,
