A leader that has lost a node goes on under the leases as they are

Cause: a node that isn't heard may reach the store and lead there, so that leases must not be extended any more; that the leader gave up altogether was more than needed.

Change: a leader in doubt that has lost a node goes on, but its pings answer no beat that came since the doubt began. So its nodes grant leases no later than if it had stopped, a next leader waits for them, and starts carry the end of lease as granted.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -391,8 +391,8 @@
 }
 
 /* Without the store nobody else can be elected, so work in hand goes on; once another
- * node reaches the store, or one that was there isn't heard and may reach it, our lease
- * may have lapsed there and that node may be elected. */
+ * node reaches the store, our lease may have lapsed there and that node may be elected.
+ * So may a node that isn't heard: then work goes on under the leases as they are. */
 static void
 look_at_lead (KqFleet *f, KqTime now)
 {
@@ -400,7 +400,7 @@
   if (f->leader == NULL)
     return;
   kq_leader_lead_until (f->leader, until);
-  kq_link_lead_until (f->link, until);
+  kq_link_lead_until (f->link, until, kq_leader_lost_nodes (f->leader));
   kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, MIN (now, until));
   if (now < until)
     look_at_stronger (f, now);
@@ -410,8 +410,8 @@
            && now - f->peers_reach_store_at < 3 * REACHES_MS * KQ_MS)
     kq_lead_resign (f->lead, "not renewed while other nodes reach the store", !f->leaving,
                     now);
-  else if (kq_link_peers (f->link) == 0 || kq_leader_lost_nodes (f->leader))
-    kq_lead_resign (f->lead, "not renewed and not all nodes heard", !f->leaving, now);
+  else if (kq_link_peers (f->link) == 0)
+    kq_lead_resign (f->lead, "not renewed and no other node heard", !f->leaving, now);
 }
 
 static void
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -18,7 +18,7 @@
 #define BEAT_S 0.3
 /* Several beats may be late: hosts are slow at times, and links between regions queue. */
 #define SILENT (1400 * KQ_MS)
-/* More than SILENT, a beat and the time to give the lead up. */
+/* More than SILENT, a beat and the time to look at the lead. */
 #define DOUBT (2 * KQ_SEC)
 #define RECONNECT (150 * KQ_MS)
 
@@ -28,7 +28,8 @@
   KqConn *conn;
   int agent;
   bool joined;
-  KqTime beat_sent_at; /* of its last beat, by its clock */
+  KqTime beat_sent_at;    /* of its last beat, by its clock */
+  KqTime certain_beat_at; /* of the last that came while the lead was certain */
   KqBuf out;
 };
 
@@ -43,6 +44,7 @@
   GPtrArray *peers;
   uint64_t lead_epoch; /* we lead with it; 0: we don't */
   KqTime lead_until;   /* nobody else can lead until then */
+  bool nodes_lost;     /* some node that was there isn't heard */
   KqConn *up;          /* to the leader */
   bool up_ready;
   KqName leader;
@@ -77,6 +79,8 @@
     }
   if (i->kind == KQ_CREW_BEAT)
     p->beat_sent_at = i->u.beat.sent_at;
+  if (now < l->lead_until)
+    p->certain_beat_at = p->beat_sent_at;
   if (i->kind != KQ_CREW_HELLO && p->joined)
     l->config.owner.from_node (l->config.owner.arg, p, epoch, i, now);
 }
@@ -275,6 +279,17 @@
   kq_link_send (l, l->leader_epoch, &i);
 }
 
+/* Nodes grant leases for a while after the beat that is answered. A leader that others
+ * may have replaced answers none that came since; if it hears all nodes and none reaches
+ * the store, nobody can have been elected but for nodes that have just been cut off. */
+static KqTime
+beat_to_answer (const KqPeer *p, KqTime now)
+{
+  if (now < p->link->lead_until)
+    return p->beat_sent_at;
+  return p->link->nodes_lost ? p->certain_beat_at : p->beat_sent_at - DOUBT;
+}
+
 static void
 beat_peers (KqLink *l, KqTime now)
 {
@@ -285,7 +300,7 @@
       KqPeer *p = g_ptr_array_index (l->peers, n);
       if (now - kq_conn_heard_at (p->conn) <= SILENT)
         {
-          i.u.ping.beat_sent_at = p->beat_sent_at - (now < l->lead_until ? 0 : DOUBT);
+          i.u.ping.beat_sent_at = beat_to_answer (p, now);
           kq_link_send_peer (p, &i);
           n++;
           continue;
@@ -318,9 +333,10 @@
 }
 
 void
-kq_link_lead_until (KqLink *l, KqTime until)
+kq_link_lead_until (KqLink *l, KqTime until, bool nodes_lost)
 {
   l->lead_until = until;
+  l->nodes_lost = nodes_lost;
 }
 
 void
--- a/src/fleet/link.h
+++ b/src/fleet/link.h
@@ -49,8 +49,9 @@
 /* As leader: accept nodes for this epoch; 0: close all. */
 void kq_link_lead (KqLink *l, uint64_t epoch, KqTime now);
 /* Nobody else can lead until then, 0 at first. A ping that leaves later tells of beats
- * that came so much earlier as it may take us to notice that nodes are cut off. */
-void kq_link_lead_until (KqLink *l, KqTime until);
+ * that came so much earlier as it may take us to notice that nodes are cut off; with
+ * nodes_lost, of none that came since. */
+void kq_link_lead_until (KqLink *l, KqTime until, bool nodes_lost);
 void kq_link_send_peer (KqPeer *p, const KqCrewItem *i);
 void kq_peer_set_agent (KqPeer *p, int agent);
 int kq_peer_agent (const KqPeer *p);
--- a/src/fleet/link_test.c
+++ b/src/fleet/link_test.c
@@ -106,7 +106,7 @@
   t->leader = new_link (t, t->leader_loop);
   t->node = new_link (t, t->node_loop);
   kq_link_lead (t->leader, EPOCH, kq_time_now ());
-  kq_link_lead_until (t->leader, KQ_TIME_NEVER);
+  kq_link_lead_until (t->leader, KQ_TIME_NEVER, false);
   snprintf (address, sizeof address, "127.0.0.1:%d", kq_link_port (t->leader));
   kq_link_leader (t->node, kq_str (address), EPOCH, kq_time_now ());
   *state = t;
@@ -147,18 +147,43 @@
   assert_true (t->counted_at < stood_still_at);
 }
 
-/* One task runs twice: a leader that was cut off gives leases on until it notices. */
 static void
-test_pings_of_a_leader_in_doubt (void **state)
+run_until_pings (Pair *t, int pings)
 {
-  Pair *t = *state;
-  kq_link_lead_until (t->leader, 0);
-  t->until_pings = 3;
-  for (int i = 0; i < 200 && t->pings < 3; i++)
+  t->until_pings = pings;
+  for (int i = 0; i < 400 && t->pings < pings; i++)
     {
       guard_run (t->node_loop, 0.02);
       guard_run (t->leader_loop, 0.02);
     }
+  assert_true (t->pings >= pings);
+}
+
+/* A task runs twice: a leader that has lost a node gives leases on while that node leads.
+ */
+static void
+test_pings_of_a_leader_that_has_lost_nodes (void **state)
+{
+  Pair *t = *state;
+  KqTime doubts_at;
+  run_until_pings (t, 2);
+  assert_true (t->counted_at > 0);
+  doubts_at = kq_time_now ();
+  kq_link_lead_until (t->leader, 0, true);
+  run_until_pings (t, t->pings + 3);
+  assert_true (t->counted_at <= doubts_at);
+  kq_link_lead_until (t->leader, KQ_TIME_NEVER, true);
+  run_until_pings (t, t->pings + 3);
+  assert_true (t->counted_at > doubts_at);
+}
+
+/* One task runs twice: a leader that was cut off gives leases on until it notices. */
+static void
+test_pings_of_a_leader_in_doubt (void **state)
+{
+  Pair *t = *state;
+  kq_link_lead_until (t->leader, 0, false);
+  run_until_pings (t, 3);
   assert_true (t->counted_at > 0);
   assert_true (t->counted_at <= kq_time_now () - 2 * KQ_SEC);
 }
@@ -169,6 +194,8 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test_setup_teardown (test_pings_tell_which_beat_was_heard, set_up,
                                            tear_down),
+          cmocka_unit_test_setup_teardown (test_pings_of_a_leader_that_has_lost_nodes,
+                                           set_up, tear_down),
           cmocka_unit_test_setup_teardown (test_pings_of_a_leader_in_doubt, set_up,
                                            tear_down) };
   return cmocka_run_group_tests (tests, NULL, NULL);
