A runner's next agent is told which of its ends are stored

What callers saw (only by the test): a runner whose agent is lost on the way of an acknowledgement goes on repeating ends that the leader has stored. From 500 such ends on each of its lists is cut, shows nothing new, and hides all later ends: no run of it ends for the leader any more, and nothing is started there, as a cut list doesn't count as a list.

Cause: an acknowledgement goes out once, as a batch is stored, to the agent of that moment; the next agent knows of none, and without a new end none is sent again.

Change: a list, before the first whole one of a taking, that begins with a stored end is answered with the acknowledgement. The order was built in two places; it is one function now.

Evidence: acknowledge_test, before: test_next_agent_is_told_of_stored_ends fails, 0 != 0x1; after: passed, as orders_test and sched_test.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -29,6 +29,8 @@
       d->renewals++;
       d->halt = o->u.renew.halt;
     }
+  if (o->kind == KQ_ORDER_SEEN)
+    d->seen = o->u.seen.ends;
   if (o->kind == KQ_ORDER_ADVISE)
     {
       d->questions++;
--- a/bench/sched_desk.h
+++ b/bench/sched_desk.h
@@ -27,6 +27,7 @@
   char last_down[16];  /* the last of them */
   int renewals;        /* allowed so far */
   uint64_t halt;       /* that the last order to renew names */
+  uint64_t seen;       /* ends that the last order SEEN names */
   uint64_t results;
   uint64_t taking[3]; /* of r0 to r2, as ordered last */
   KqBuf known;        /* the stored list of runners */
--- /dev/null
+++ b/src/sched/acknowledge_test.c
@@ -0,0 +1,66 @@
+#include "bench/sched_desk.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+static void
+store (KqSchedDesk *d)
+{
+  KqProgress rows[4];
+  kq_sched_store_begin (d->sched, rows, 4, d->now);
+  kq_sched_stored (d->sched, true, d->now);
+}
+
+/* A runner whose agent is lost on the way of an acknowledgement repeats its ends for good,
+ * and more than a list holds hide all later ones. */
+static void
+test_next_agent_is_told_of_stored_ends (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqAgentInfo next = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
+  KqEndRow end = { 1, KQ_STR ("zz.0.0.0"), 1, KQ_END_DONE, KQ_STR ("") };
+  kq_sched_desk_list_cut (d, "r0", &end);
+  store (d);
+  assert_int_equal (d->seen, 1);
+  kq_sched_agent_down (d->sched, d->agent, d->now);
+  d->agent = kq_sched_agent_up (d->sched, &next, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  d->seen = 0;
+  kq_sched_desk_list_cut (d, "r0", &end);
+  assert_int_equal (d->seen, 1);
+}
+
+/* Ends that aren't stored are forgotten by their runner. */
+static void
+test_next_agent_is_not_told_of_ends_before_they_are_stored (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqAgentInfo next = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
+  KqEndRow end = { 1, KQ_STR ("zz.0.0.0"), 1, KQ_END_DONE, KQ_STR ("") };
+  kq_sched_desk_list_cut (d, "r0", &end);
+  kq_sched_agent_down (d->sched, d->agent, d->now);
+  d->agent = kq_sched_agent_up (d->sched, &next, d->now);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  kq_sched_desk_list_cut (d, "r0", &end);
+  assert_int_equal (d->seen, 0);
+  store (d);
+  assert_int_equal (d->seen, 1);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_next_agent_is_told_of_stored_ends,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_next_agent_is_not_told_of_ends_before_they_are_stored, kq_sched_desk_set_up,
+        kq_sched_desk_tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -237,6 +237,9 @@
             r->id, r->n_runs, l->n_running, l->n_ended,
             (long long)((now - r->heard_at) / KQ_MS),
             (long long)((r->lease_ends - now) / KQ_MS));
+  /* The acknowledgement went to an earlier agent, and may not have left it. */
+  if (!r->listed && l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
+    kq_runners_acknowledge (s, r);
   if (!l->ended_cut)
     r->listed = true;
   r->silent = false;
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -117,6 +117,18 @@
   kq_runners_extend (r, ends, "agent changed");
 }
 
+void
+kq_runners_acknowledge (const KqSched *s, const KqRunnerState *r)
+{
+  KqOrder o = { .kind = KQ_ORDER_SEEN, .runner = kq_str (r->id) };
+  if (r->agent < 0)
+    return;
+  o.u.seen.ends = r->ends_stored;
+  o.u.seen.born_ms = r->born_ms;
+  o.u.seen.watched = r->watched;
+  s->config.order (s->config.arg, r->agent, &o);
+}
+
 static KqRunnerState *
 add (KqSched *s, KqStr id, KqTime now)
 {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -360,6 +360,8 @@
                              uint64_t taking, const char *what);
 /* The runner is alive, in a new life, by a list with that count of results. */
 void kq_runners_reborn (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now);
+/* Tells its agent which ends are stored, and whether it is watched. */
+void kq_runners_acknowledge (const KqSched *s, const KqRunnerState *r);
 void kq_runners_look (KqSched *s, KqTime now);
 void kq_runners_assign (KqSched *s, KqTime now);
 void kq_runners_settle (KqSched *s, KqTime now);
--- a/src/sched/store.c
+++ b/src/sched/store.c
@@ -70,15 +70,10 @@
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      KqOrder o = { .kind = KQ_ORDER_SEEN, .runner = kq_str (r->id) };
       if (r->ends_batch <= r->ends_stored)
         continue;
       r->ends_stored = r->ends_batch;
-      o.u.seen.ends = r->ends_stored;
-      o.u.seen.born_ms = r->born_ms;
-      o.u.seen.watched = r->watched;
-      if (r->agent >= 0)
-        s->config.order (s->config.arg, r->agent, &o);
+      kq_runners_acknowledge (s, r);
     }
 }
 
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -128,14 +128,10 @@
 tell_watched (KqSched *s, KqRunnerState *r)
 {
   bool watched = r->n_serving > 0 && r->n_runs > r->n_serving;
-  KqOrder o = { .kind = KQ_ORDER_SEEN, .runner = kq_str (r->id) };
   if (watched == r->watched || r->agent < 0)
     return;
   r->watched = watched;
-  o.u.seen.ends = r->ends_stored;
-  o.u.seen.born_ms = r->born_ms;
-  o.u.seen.watched = watched;
-  s->config.order (s->config.arg, r->agent, &o);
+  kq_runners_acknowledge (s, r);
 }
 
 void
