An outcome of no known kind of order is refused

What callers saw: nothing yet. A damaged outcome from a node crashes the leader: its kind picks the name in a line of the log, beyond the end of the names. The newest kind, RENEW, had no name either.

Evidence: frame_test, before: test_outcome_of_no_kind_is_refused fails (the item is taken), test_each_kind_of_order_has_a_name dies by signal 11; after: 9 of 9 passed, plain and asan.

--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -227,13 +227,15 @@
 static void
 read_outcome (KqReader *r, KqOrderOutcome *o)
 {
+  int64_t kind = kq_read_i64 (r);
   int64_t result;
-  o->kind = (KqOrderKind)kq_read_i64 (r);
   o->task = kq_read_str (r);
   o->run = (uint32_t)kq_read_u64 (r);
   result = kq_read_i64 (r);
-  if (result < KQ_ORDER_OK || result > KQ_ORDER_UNKNOWN)
+  if (kind < KQ_ORDER_TAKE || kind > KQ_ORDER_RENEW || result < KQ_ORDER_OK
+      || result > KQ_ORDER_UNKNOWN)
     r->bad = true;
+  o->kind = (KqOrderKind)kind;
   o->result = (KqOrderResult)result;
   o->order = kq_read_u64 (r);
   o->taking = kq_read_u64 (r);
--- a/src/crew/frame_test.c
+++ b/src/crew/frame_test.c
@@ -204,6 +204,37 @@
     }
 }
 
+/* Guards against a crash of the leader: an outcome's kind picks a name for the log. */
+static void
+test_outcome_of_no_kind_is_refused (void **state)
+{
+  static const int kinds[] = { -1, KQ_ORDER_RENEW + 1, 1000000 };
+  (void)state;
+  for (size_t n = 0; n < sizeof kinds / sizeof kinds[0]; n++)
+    {
+      KqCrewItem i = { .kind = KQ_CREW_OUTCOME, .runner = KQ_STR ("i-1") };
+      KqBuf b = { 0 };
+      KqCrewItem o;
+      KqStr rest;
+      i.u.outcome = (KqOrderOutcome){ .kind = (KqOrderKind)kinds[n],
+                                      .task = KQ_STR ("j.0.1.2"),
+                                      .result = KQ_ORDER_UNKNOWN };
+      kq_crew_pack (&i, &b);
+      rest = kq_buf_str (&b);
+      assert_false (kq_crew_unpack (&rest, &o));
+      kq_buf_free (&b);
+    }
+}
+
+static void
+test_each_kind_of_order_has_a_name (void **state)
+{
+  (void)state;
+  for (int k = KQ_ORDER_TAKE; k <= KQ_ORDER_RENEW; k++)
+    assert_true (strlen (kq_order_kind_name ((KqOrderKind)k)) > 0);
+  assert_string_equal (kq_order_kind_name (KQ_ORDER_RENEW), "renew");
+}
+
 int
 main (void)
 {
@@ -214,6 +245,8 @@
           cmocka_unit_test (test_words_of_a_runner_pass_whole),
           cmocka_unit_test (test_signs_of_life_pass_whole),
           cmocka_unit_test (test_every_kind_passes),
-          cmocka_unit_test (test_damaged_bytes_are_refused) };
+          cmocka_unit_test (test_damaged_bytes_are_refused),
+          cmocka_unit_test (test_outcome_of_no_kind_is_refused),
+          cmocka_unit_test (test_each_kind_of_order_has_a_name) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -347,7 +347,7 @@
 kq_order_kind_name (KqOrderKind k)
 {
   static const char *const names[]
-      = { "take", "drop", "start", "stop", "pace", "seen", "advise" };
+      = { "take", "drop", "start", "stop", "pace", "seen", "advise", "renew" };
   return names[k];
 }
 
