--- a/src/sched/acknowledge_test.c
+++ b/src/sched/acknowledge_test.c
@@ -16,8 +16,7 @@
   kq_sched_stored (d->sched, true, d->now);
 }
 
-/* A runner whose agent is lost on the way of an acknowledgement repeats its ends for good,
- * and more than a list holds hide all later ones. */
+/* Ends hide behind stored ones for good: their acknowledgement got lost with an agent. */
 static void
 test_next_agent_is_told_of_stored_ends (void **state)
 {
