The answer to an order tells how long its runner's lease may last

Cause: a runner is told to be silent with the rest of its lease, and starts anew. A start that is still under way begins in the new life, whose clock is young, and gets a whole lease there. The agent learns it by the start's answer and counts the longer lease, but tells the leader only the outcome; until the next list the leader counts by the old end and starts the task elsewhere.

Change: an outcome carries the rest of the lease, as a list and a silence do.

Evidence: repeat_test test_start_answered_by_a_silent_runner, with the leader's use of the field taken out: fails, starts 2 for 1; with it: passed. agent_test test_start_in_a_new_life_tells_its_lease is new. frame_test, plain and asan, passed.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -113,6 +113,7 @@
                        .run = n,
                        .result = result,
                        .order = ++d->results,
+                       .lease_left_ms = -1,
                        .taking = *taking (d, kq_str (runner)) };
   kq_sched_outcome (d->sched, d->agent, kq_str (runner), &o, d->now);
 }
--- a/bench/sched_rig_agent.c
+++ b/bench/sched_rig_agent.c
@@ -232,7 +232,8 @@
                                   .run = c->run,
                                   .result = e->result,
                                   .order = ++h->results,
-                                  .taking = h->taking };
+                                  .taking = h->taking,
+                                  .lease_left_ms = lease_left (h, r->now) };
   kq_sched_rig_trace (r, c->task, "outcome", r->runners[c->runner].id, c->run, e->result);
   kq_sched_rig_tell_leader (r, c->agent, h->epoch, &i);
 }
--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -382,7 +382,8 @@
                                       .run = c->run,
                                       .result = r->result,
                                       .order = ++h->results,
-                                      .taking = h->taking };
+                                      .taking = h->taking,
+                                      .lease_left_ms = lease_left (h, now) };
       tell (h, &i);
     }
   free_call (c);
--- a/src/crew/agent_test.c
+++ b/src/crew/agent_test.c
@@ -99,7 +99,10 @@
   (void)epoch;
   t.told = i->kind;
   if (i->kind == KQ_CREW_OUTCOME)
-    t.taking = i->u.outcome.taking;
+    {
+      t.taking = i->u.outcome.taking;
+      t.lease_left_ms = i->u.outcome.lease_left_ms;
+    }
   else if (i->kind == KQ_CREW_UNREACHED)
     {
       t.taking = i->u.unreached.taking;
@@ -339,6 +342,21 @@
   answer_start (100, later, later);
 }
 
+/* A task runs twice: the leader isn't told that a start has begun in a new life. */
+static void
+test_start_in_a_new_life_tells_its_lease (void **state)
+{
+  KqTime now = kq_time_now ();
+  KqTime later = now + 500 * KQ_MS;
+  (void)state;
+  take (1);
+  answer (KQ_ORDER_OK, 1, 30000, now);
+  begin_run (now);
+  answer_start (100, now, later);
+  assert_int_equal (t.told, KQ_CREW_OUTCOME);
+  assert_int_equal (t.lease_left_ms, LEASE_MS * 100 / 98 + 1);
+}
+
 /* A task runs twice: a lease is granted on the word of a leader that is long gone. */
 static void
 test_delayed_words_grant_nothing (void **state)
@@ -368,6 +386,8 @@
     cmocka_unit_test_setup_teardown (test_words_name_their_taking, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_delayed_words_grant_nothing, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_clock_of_a_new_life, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_start_in_a_new_life_tells_its_lease, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_clock_of_a_new_life_taken_again, set_up,
                                      tear_down),
   };
--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -222,6 +222,7 @@
   kq_pack_i64 (p, o->result);
   kq_pack_u64 (p, o->order);
   kq_pack_u64 (p, o->taking);
+  kq_pack_i64 (p, o->lease_left_ms);
 }
 
 static void
@@ -239,6 +240,7 @@
   o->result = (KqOrderResult)result;
   o->order = kq_read_u64 (r);
   o->taking = kq_read_u64 (r);
+  o->lease_left_ms = kq_read_i64 (r);
 }
 
 static void
@@ -406,7 +408,7 @@
 static size_t
 n_fields (const KqCrewItem *i)
 {
-  static const uint8_t of_kind[] = { 0, 0, 3, 1, 3, 2, 8, 6, 3, 0, 3, 2, 1, 4 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 1, 3, 2, 8, 7, 3, 0, 3, 2, 1, 4 };
   static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_CREW_ORDER)
     return of_order[i->u.order.kind];
--- a/src/crew/frame_test.c
+++ b/src/crew/frame_test.c
@@ -133,11 +133,14 @@
   KqCrewItem i = { .kind = KQ_CREW_OUTCOME };
   KqCrewItem o;
   (void)state;
-  i.u.outcome = (KqOrderOutcome){ .result = KQ_ORDER_OLD_RUN, .order = 3, .taking = 4 };
+  i.u.outcome = (KqOrderOutcome){
+    .result = KQ_ORDER_OLD_RUN, .order = 3, .taking = 4, .lease_left_ms = 4900
+  };
   o = pass (&i, &b);
   assert_int_equal (o.u.outcome.result, KQ_ORDER_OLD_RUN);
   assert_int_equal (o.u.outcome.order, 3);
   assert_int_equal (o.u.outcome.taking, 4);
+  assert_int_equal (o.u.outcome.lease_left_ms, 4900);
   i = (KqCrewItem){ .kind = KQ_CREW_UNREACHED };
   i.u.unreached.lease_left_ms = -1;
   i.u.unreached.gone = true;
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -369,6 +369,8 @@
       || !kq_book_task (s, o->task, &t))
     return;
   ++*s->results[o->result];
+  if (o->lease_left_ms >= 0)
+    kq_runners_extend (r, now + o->lease_left_ms * KQ_MS, "outcome");
   run = find_run (r, &t, o->run);
   if (o->result != KQ_ORDER_OK)
     kq_log (KQ_LOG_INFO, PART,
--- a/src/sched/repeat_test.c
+++ b/src/sched/repeat_test.c
@@ -102,6 +102,28 @@
   assert_int_equal (d->starts, 3);
 }
 
+/* A task runs twice: a silent runner's next life has begun it, with a longer lease. */
+static void
+test_start_answered_by_a_silent_runner (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqOrderOutcome o = { .kind = KQ_ORDER_START, .lease_left_ms = 5000 };
+  char runner[16];
+  kq_sched_desk_submit (d, "aa", kq_sched_desk_step (), false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  memcpy (runner, d->runner, sizeof runner);
+  kq_sched_desk_unreached (d, d->agent, runner, 1000);
+  kq_sched_desk_run (d, 500 * KQ_MS);
+  o.task = kq_str (d->task);
+  o.run = d->run;
+  o.taking = d->taking[strcmp (runner, "r0") == 0 ? 0 : 1];
+  kq_sched_outcome (d->sched, d->agent, kq_str (runner), &o, d->now);
+  kq_sched_desk_run (d, 4900 * KQ_MS);
+  assert_int_equal (d->starts, 1);
+  kq_sched_desk_run (d, KQ_SEC);
+  assert_int_equal (d->starts, 2);
+}
+
 int
 main (void)
 {
@@ -112,6 +134,8 @@
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
     cmocka_unit_test_setup_teardown (test_refused_repeat_of_a_stopped_run,
                                      kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_start_answered_by_a_silent_runner,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
