--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -115,7 +115,8 @@
   KqOrderResult result;
   uint64_t order;
   uint64_t taking; /* of the order TAKE; `order` counts anew with each */
-  int64_t lease_left_ms; /* as in a list: the answer may come from a new life; -1: unknown */
+  int64_t
+      lease_left_ms; /* as in a list: the answer may come from a new life; -1: unknown */
 } KqOrderOutcome;
 
 typedef struct
