--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -197,6 +197,7 @@
   f->peers_reach_store_at = 0;
   f->yield.other_milli = 0;
   f->leader = kq_leader_new (&c, now);
+  kq_leader_lead_until (f->leader, kq_lead_valid_until (f->lead));
 }
 
 static void
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -237,6 +237,9 @@
             r->id, r->n_runs, l->n_running, l->n_ended,
             (long long)((now - r->heard_at) / KQ_MS),
             (long long)((r->lease_ends - now) / KQ_MS));
+  /* The acknowledgement went to an earlier agent, and may not have left it. */
+  if (!r->listed && l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
+    kq_runners_acknowledge (s, r);
   if (!l->ended_cut)
     r->listed = true;
   r->silent = false;
@@ -344,7 +347,7 @@
 kq_order_kind_name (KqOrderKind k)
 {
   static const char *const names[]
-      = { "take", "drop", "start", "stop", "pace", "seen", "advise" };
+      = { "take", "drop", "start", "stop", "pace", "seen", "advise", "renew" };
   return names[k];
 }
 
@@ -366,6 +369,8 @@
       || !kq_book_task (s, o->task, &t))
     return;
   ++*s->results[o->result];
+  if (o->lease_left_ms >= 0)
+    kq_runners_extend (r, now + o->lease_left_ms * KQ_MS, "outcome");
   run = find_run (r, &t, o->run);
   if (o->result != KQ_ORDER_OK)
     kq_log (KQ_LOG_INFO, PART,
