--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -197,7 +197,7 @@
   f->peers_reach_store_at = 0;
   f->yield.other_milli = 0;
   f->leader = kq_leader_new (&c, now);
-  kq_leader_lead_until (f->leader, kq_lead_valid_until (f->lead));
+  kq_sched_lead_until (kq_leader_sched (f->leader), kq_lead_valid_until (f->lead));
 }
 
 static void
@@ -400,8 +400,8 @@
   KqTime until = kq_lead_valid_until (f->lead);
   if (f->leader == NULL)
     return;
-  kq_leader_lead_until (f->leader, until);
-  kq_link_lead_until (f->link, until, kq_leader_lost_nodes (f->leader));
+  kq_sched_lead_until (kq_leader_sched (f->leader), until);
+  kq_link_lead_until (f->link, until, kq_sched_agents_lost (kq_leader_sched (f->leader)));
   kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, MIN (now, until));
   if (now < until)
     look_at_stronger (f, now);
@@ -456,7 +456,7 @@
   gauge = kq_counter (c, "kq_agent_runners", "", "Runners that this node looks after.");
   *gauge = kq_crew_agent_runners (f->agent);
   if (f->leader != NULL)
-    kq_leader_gauges (f->leader);
+    kq_sched_gauges (kq_leader_sched (f->leader));
   kq_counters_print (f->config.counters, out);
 }
 
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -568,18 +568,6 @@
     }
 }
 
-bool
-kq_leader_lost_nodes (const KqLeader *l)
-{
-  return kq_sched_agents_lost (l->sched);
-}
-
-void
-kq_leader_lead_until (KqLeader *l, KqTime until)
-{
-  kq_sched_lead_until (l->sched, until);
-}
-
 int64_t
 kq_leader_ask (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text)
 {
@@ -598,8 +586,8 @@
   return -1;
 }
 
-void
-kq_leader_gauges (KqLeader *l)
+KqSched *
+kq_leader_sched (KqLeader *l)
 {
-  kq_sched_gauges (l->sched);
+  return l->sched;
 }
--- a/src/fleet/leader.h
+++ b/src/fleet/leader.h
@@ -41,12 +41,9 @@
 void kq_leader_left (KqLeader *l, KqPeer *p, KqTime now);
 /* LIST, OUTCOME, UNREACHED, FENCED, JOB, CANCEL. p NULL: of this node's own agent. */
 void kq_leader_item (KqLeader *l, KqPeer *p, const KqCrewItem *i, KqTime now);
-/* Some node that had joined isn't there. */
-bool kq_leader_lost_nodes (const KqLeader *l);
-/* Nobody else can lead until then. */
-void kq_leader_lead_until (KqLeader *l, KqTime until);
 /* An answer to a question, for this node's or another's client accounts. */
 int64_t kq_leader_ask (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text);
-void kq_leader_gauges (KqLeader *l);
+/* Its decisions. */
+KqSched *kq_leader_sched (KqLeader *l);
 
 #endif
