A former owner keeps its runners until the successor serves

Callers saw 503 NO_TARGET (607) for one request in a while when shards went from one node to another without a stop: ctl_live_test, test_light_heartbeats, one of 150 requests after all four probes had been served.

Cause: a node that takes a shard shows it in its next heartbeat, but the lines of its runners come from the runners' task and miss that heartbeat when they are late by up to 0.35 s (the lines go out every 100 ms, the digests are put together every half beat). The former owner took the shard alone for a successor and dropped its runners. Lines weren't news to kq_member_set_digest either, so they waited for the digests' pace, 0.9 s with 200 services and 4 s at most. Until then the former owner's gateway knew nobody: its own lines were gone and the successor's not there, and a fresh request was refused at once.

Now the runners are kept until the successor's node shows lines of services (or we have none; at most 2 s as before), and a change in the number of lines makes the next heartbeat a full one. Both tests failed before: core_test test_runners_are_kept_until_the_successor_serves, member_test test_service_lines_travel. member_test's list of tests has one a line now, as the formatter wants it.

--- a/src/member/member.c
+++ b/src/member/member.c
@@ -62,7 +62,7 @@
   KqTime next_beat;
   KqTime full_at;        /* digests were sent last */
   uint64_t full_version; /* of the list, then: whoever is new needs them */
-  bool digest_moved;     /* other shards than then */
+  bool digest_moved;     /* other shards or services than then */
   FarRegion far[FAR_REGIONS_MAX];
   size_t n_far;
   KqTime last_tick;
@@ -71,14 +71,16 @@
   bool draining;
 };
 
-/* The same shards under the same epochs, whatever their numbers say. */
+/* The same shards under the same epochs and as many services, whatever their numbers
+ * say. Nobody sends requests to an owner before its lines are there. */
 static bool
 same_shards (const KqNodeEntry *e, const KqShardDigest *s, size_t n)
 {
   if (e->node.n_shards != n)
     return false;
   for (size_t i = 0; i < n; i++)
-    if (e->node.shards[i].shard != s[i].shard || e->node.shards[i].epoch != s[i].epoch)
+    if (e->node.shards[i].shard != s[i].shard || e->node.shards[i].epoch != s[i].epoch
+        || e->node.shards[i].n_services != s[i].n_services)
       return false;
   return true;
 }
--- a/src/member/member_test.c
+++ b/src/member/member_test.c
@@ -397,16 +397,47 @@
   kq_table_sim_free (f);
 }
 
+/* Guards against an owner without requests: its runners' lines waited for their pace. */
+static void
+test_service_lines_travel (void **state)
+{
+  KqTableSim *f = kq_table_sim_new (18, 8, 1, true);
+  KqTeamDigest teams[60] = { { .wanted = { 0 } } };
+  KqServiceDigest line = { .service = kq_name (KQ_STR ("quick")), .slots = 4 };
+  KqShardDigest d = { .shard = 5, .epoch = 1, .teams = teams, .n_teams = 60 };
+  (void)state;
+  assert_true (settle (f, 5 * KQ_SEC) >= 0);
+  f->nodes[0].digest = &d;
+  f->nodes[0].n_digest = 1;
+  kq_table_sim_run (f, 700 * KQ_MS);
+  assert_int_equal (seen (f, 2, 0)->n_shards, 1);
+  d.services = &line;
+  d.n_services = 1;
+  kq_table_sim_run (f, 700 * KQ_MS);
+  assert_int_equal (seen (f, 2, 0)->shards[0].n_services, 1);
+  d.n_services = 0;
+  kq_table_sim_run (f, 700 * KQ_MS);
+  assert_int_equal (seen (f, 2, 0)->shards[0].n_services, 0);
+  kq_table_sim_free (f);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_start),          cmocka_unit_test (test_kill_and_return),
-    cmocka_unit_test (test_broken_link),    cmocka_unit_test (test_cut_peer),
-    cmocka_unit_test (test_store_outage),   cmocka_unit_test (test_one_cut_from_store),
-    cmocka_unit_test (test_paused_process), cmocka_unit_test (test_same_name_twice),
-    cmocka_unit_test (test_leave),          cmocka_unit_test (test_random_store_faults),
-    cmocka_unit_test (test_bundles),        cmocka_unit_test (test_digests_travel),
+    cmocka_unit_test (test_start),
+    cmocka_unit_test (test_kill_and_return),
+    cmocka_unit_test (test_broken_link),
+    cmocka_unit_test (test_cut_peer),
+    cmocka_unit_test (test_store_outage),
+    cmocka_unit_test (test_one_cut_from_store),
+    cmocka_unit_test (test_paused_process),
+    cmocka_unit_test (test_same_name_twice),
+    cmocka_unit_test (test_leave),
+    cmocka_unit_test (test_random_store_faults),
+    cmocka_unit_test (test_bundles),
+    cmocka_unit_test (test_digests_travel),
+    cmocka_unit_test (test_service_lines_travel),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/node/core_route.c
+++ b/src/node/core_route.c
@@ -10,9 +10,10 @@
 
 #define SHARD_ANY UINT32_MAX
 
-/* The digest of a shard as its present owner last told it, or NULL. */
+/* The digest of a shard as its present owner last told it, or NULL. owner: set if not
+ * NULL. */
 static const KqShardDigest *
-find_digest (const KqCore *c, uint32_t shard)
+find_told_by (const KqCore *c, uint32_t shard, const KqNode **owner)
 {
   const KqShardDigest *best = NULL;
   for (size_t i = 0; i < kq_member_count (c->member); i++)
@@ -21,18 +22,42 @@
       for (size_t k = 0; k < n->n_shards && n->state != KQ_NODE_GONE; k++)
         {
           const KqShardDigest *d = &n->shards[k];
-          if (d->shard == shard && (best == NULL || d->epoch > best->epoch))
-            best = d;
+          if (d->shard != shard || (best != NULL && d->epoch <= best->epoch))
+            continue;
+          best = d;
+          if (owner != NULL)
+            *owner = n;
         }
     }
   return best;
 }
 
+static const KqShardDigest *
+find_digest (const KqCore *c, uint32_t shard)
+{
+  return find_told_by (c, shard, NULL);
+}
+
+static bool
+serves_requests (const KqNode *n)
+{
+  for (size_t i = 0; i < n->n_shards; i++)
+    {
+      if (n->shards[i].n_services > 0)
+        return true;
+    }
+  return false;
+}
+
 bool
 kq_core_has_successor (const KqCore *c, uint32_t shard)
 {
-  const KqShardDigest *d = find_digest (c, shard);
-  return d != NULL && d->epoch > kq_shard_host_epoch (c->hosts[shard - c->first]);
+  const KqNode *owner = NULL;
+  const KqShardDigest *d = find_told_by (c, shard, &owner);
+  if (d == NULL || d->epoch <= kq_shard_host_epoch (c->hosts[shard - c->first]))
+    return false;
+  /* A new owner's shard is heard up to a beat before the lines of its runners. */
+  return c->n_services == 0 || serves_requests (owner);
 }
 
 static bool
--- a/src/node/core_state.h
+++ b/src/node/core_state.h
@@ -58,7 +58,8 @@
  * into an active shard asks here first: a paused process finds its lease gone and drops
  * the shard before it does anything in the old epoch. */
 KqShardHost *kq_core_mine (KqCore *c, uint32_t shard, KqTime now);
-/* Another node's digest shows the shard under a later epoch than our last one. */
+/* Another node's digest shows the shard under a later epoch than our last one, and that
+ * node serves requests if we do. */
 bool kq_core_has_successor (const KqCore *c, uint32_t shard);
 /* Tells the other tasks of nodes that came, changed or went. */
 void kq_core_tell_nodes (KqCore *c, KqTime now, KqOutbox *out);
--- a/src/node/core_test.c
+++ b/src/node/core_test.c
@@ -1,6 +1,7 @@
 #include "node/core.h"
 
 #include "base/log.h"
+#include "member/nodes.h"
 #include "port/store_fake.h"
 
 #include <setjmp.h>
@@ -140,6 +141,64 @@
   assert_true (r->given_up);
 }
 
+/* Another node of the region: its key in the store. */
+static void
+add_node (Rig *r, KqNodeInfo *n1)
+{
+  KqBuf value = { 0 };
+  KqStoreOp op = { .kind = KQ_STORE_PUT, .key = KQ_STR ("node/n1") };
+  n1->name = kq_name (KQ_STR ("n1"));
+  n1->id = kq_str_hash (kq_name_str (&n1->name));
+  n1->region = r->settings.region;
+  n1->depot = r->settings.depot;
+  n1->incarnation = 6;
+  kq_node_info_pack (n1, &value);
+  op.value = kq_buf_str (&value);
+  kq_store_fake_call (r->store, 1, &op, r->now);
+  kq_buf_free (&value);
+}
+
+/* The other node's heartbeat: it owns every shard under a later epoch. */
+static void
+hear_successor (Rig *r, const KqNodeInfo *n1, uint64_t beat, KqServiceDigest *lines,
+                size_t n_lines)
+{
+  KqShardDigest shards[SHARDS] = { { .shard = 0 } };
+  KqMsg m = { .kind = KQ_MSG_HEARTBEAT };
+  for (uint32_t i = 0; i < SHARDS; i++)
+    shards[i] = (KqShardDigest){ .shard = i, .epoch = 1000 };
+  shards[0].services = lines;
+  shards[0].n_services = n_lines;
+  m.u.heartbeat.node = n1->id;
+  m.u.heartbeat.incarnation = n1->incarnation;
+  m.u.heartbeat.beat = beat << 1;
+  m.u.heartbeat.shards = shards;
+  m.u.heartbeat.n_shards = SHARDS;
+  kq_core_message (r->core, n1->id, &m, r->now, &r->out);
+}
+
+/* Guards against a hand-over to a successor that doesn't serve its runners yet. */
+static void
+test_runners_are_kept_until_the_successor_serves (void **state)
+{
+  Rig *r = *state;
+  KqNodeInfo n1 = { 0 };
+  KqServiceDigest line = { .service = kq_name (KQ_STR ("quick")), .slots = 4 };
+  run (r, 5 * KQ_SEC);
+  kq_core_set_services (r->core, &line, 1);
+  add_node (r, &n1);
+  kq_core_drain (r->core);
+  while (active_shards (r) > 0 && r->now < 200 * KQ_SEC)
+    run (r, TICK);
+  assert_int_equal (active_shards (r), 0);
+  hear_successor (r, &n1, 1, NULL, 0);
+  run (r, 500 * KQ_MS);
+  assert_int_equal (r->gone, 0);
+  hear_successor (r, &n1, 2, &line, 1);
+  run (r, 2 * TICK);
+  assert_int_equal (r->gone, SHARDS);
+}
+
 int
 main (void)
 {
@@ -147,6 +206,8 @@
     cmocka_unit_test_setup_teardown (test_lone_node_takes_its_shards, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_runners_outlive_a_released_shard, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_runners_are_kept_until_the_successor_serves,
+                                     set_up, tear_down),
   };
   kq_log_set_level (KQ_LOG_ERROR);
   return cmocka_run_group_tests (tests, NULL, NULL);
