--- a/src/sched/late_start_test.c
+++ b/src/sched/late_start_test.c
@@ -13,7 +13,7 @@
 static void
 test_start_with_the_lease_of_an_earlier_life (void **state)
 {
-  static const uint64_t seeds[] = { 20319, 22775, 36905, 41359, 41997 };
+  static const uint64_t seeds[] = { 20319, 22775, 36905, 41359, 41997, 68132 };
   int broken = 0;
   (void)state;
   kq_log_set_level (KQ_LOG_ERROR);
