A run that ends while its start is repeated waits for its stop's answer

A run that its runner had listed ended while the repeat of its start was under way. The list that brought the end stopped the run, and the same list, which no longer showed it, dropped it as a run that had been confirmed before: its task started elsewhere while the repeat could still begin it in the runner's next life. The run now counts as unconfirmed until the stop is answered.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -169,7 +169,10 @@
    * seeds). Once a stop of the run has been answered, every life refuses it. Otherwise
    * the run goes first, so that a failure that ends the job doesn't stop it. */
   if (run != NULL && start_may_arrive (run))
-    kq_run_stop (s, run, "ended while a start is under way", now);
+    {
+      run->confirmed = 0; /* or the list that brings the end would drop it at once */
+      kq_run_stop (s, run, "ended while a start is under way", now);
+    }
   else if (run != NULL)
     kq_run_over (s, run, now);
   if (e->how != KQ_END_FAILED)
