A start belongs to one life of its runner

A start that arrives in its runner's next life begins there under a lease that nobody counts on: the young clock takes the old end of lease for one far ahead. Nothing in an order names a life, but connections end with the life that they lead to. A call's answer tells when it left for this.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -58,8 +58,8 @@
   KqBuf head;     /* header lines of the answer as they come */
   int64_t length; /* Content-Length; -1 without */
   bool head_given;
-  bool issued; /* the request may have left, in part or whole */
-  bool opens;  /* a new connection was opened for it */
+  KqTime left_at; /* from when on it may have left, in part or whole; 0: it hasn't */
+  bool opens;     /* a new connection was opened for it */
   KqTime opened_before;
 };
 
@@ -192,7 +192,7 @@
   if (code == CURLE_OK)
     return KQ_HTTP_DONE;
   /* What libcurl counts as sent lacks requests whose first write would block. */
-  if (!c->issued)
+  if (c->left_at == 0)
     return KQ_HTTP_NOT_SENT;
   return c->silent || code == CURLE_OPERATION_TIMEDOUT ? KQ_HTTP_SILENT : KQ_HTTP_BROKEN;
 }
@@ -490,9 +490,9 @@
 {
   KqHttpCall *c = arg;
   (void)from;
-  if (c->issued || opened_too_late (c, to, to_port, from_port))
+  if (c->left_at != 0 || opened_too_late (c, to, to_port, from_port))
     return CURL_PREREQFUNC_ABORT;
-  c->issued = true;
+  c->left_at = kq_time_now ();
   return CURL_PREREQFUNC_OK;
 }
 
@@ -598,6 +598,12 @@
     free_call (c);
 }
 
+KqTime
+kq_http_call_left_at (const KqHttpCall *c)
+{
+  return c->left_at;
+}
+
 uint64_t
 kq_http_client_bytes_out (const KqHttpClient *cl)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -69,6 +69,8 @@
 void kq_http_call_resume (KqHttpCall *c);
 /* Ends the call without calling back; its connection is closed. */
 void kq_http_call_cancel (KqHttpCall *c);
+/* When the request left, in part or whole; 0: it hasn't. Its connection was open then. */
+KqTime kq_http_call_left_at (const KqHttpCall *c);
 /* Bytes of ended calls, heads and bodies, each way; what TCP adds isn't in them. */
 uint64_t kq_http_client_bytes_out (const KqHttpClient *cl);
 uint64_t kq_http_client_bytes_in (const KqHttpClient *cl);
--- a/src/port/runner.h
+++ b/src/port/runner.h
@@ -94,6 +94,7 @@
   bool ended_cut; /* more ends wait behind those listed */
   bool unsent;    /* UNHEALTHY as the call never left; else the runner said so */
   KqTime sent_at;
+  KqTime left_at; /* when the call left, on a connection opened by then; 0: it hasn't */
 } KqRunnerReply;
 
 typedef struct
@@ -109,7 +110,8 @@
   uint64_t epoch;
   int timeout_ms;
   /* Not 0: only on a connection opened by then, otherwise UNHEALTHY without having left.
-   */
+   * With the time at which an earlier call left that the runner has answered, the order
+   * reaches the life that gave that answer, or nobody: connections end with a life. */
   KqTime opened_before;
 } KqRunnerAim;
 
