--- a/tools/worth.py
+++ b/tools/worth.py
@@ -2,7 +2,7 @@
 """Plays days of a deployment with several seeds and tells what they earned and lost.
 
 worth.py play OUT --site FILE --days NAME[,NAME] --seeds A[-B][,C] [--cpu] [--vary]
-                  [--logs] [--copies N] [--tree DIR]
+                  [--small] [--logs] [--copies N] [--tree DIR]
 worth.py table OUT...            each folder: what was earned, and where the rest was lost
 worth.py compare BEFORE AFTER    the same days and seeds in pairs
 
@@ -89,6 +89,7 @@
                "--report", report, "--jobs", "1", "--why", args.why]
     command += [] if args.cpu else ["--no-cpu"]
     command += ["--vary"] if args.vary else []
+    command += ["--small"] if args.small else []
     command += ["--log", "all"] if args.logs else []
     done = subprocess.run(command, cwd=copy, capture_output=True, text=True, check=False)
     with open(os.path.join(args.out, name + ".txt"), "w", encoding="utf-8") as f:
@@ -250,6 +251,7 @@
     p.add_argument("--seeds", required=True)
     p.add_argument("--cpu", action="store_true", help="processor time is counted")
     p.add_argument("--vary", action="store_true", help="times and figures of a day vary")
+    p.add_argument("--small", action="store_true", help="a large day's small twin")
     p.add_argument("--logs", action="store_true", help="keep what the nodes write")
     p.add_argument("--copies", type=int, default=COPIES)
     p.add_argument("--tree", default=".")
