Renewals of the lead don't wait for each other's answers

A leader whose link was full of its runners' lists lost the lead 2.8 s after each election, and its successors after it: a renewal was given up after 0.7 s, the next one left only then.

--- a/src/lead/lead.c
+++ b/src/lead/lead.c
@@ -11,9 +11,11 @@
 #include <stdlib.h>
 
 #define PART "lead"
-/* Renewals for each length of the lease: two may be lost. */
+/* Renewals for each length of the lease: two may be lost. The next one doesn't wait for
+ * an answer: on a link that carries other things an answer takes a second, and counts
+ * from when its question was sent. */
 #define RENEWALS 4
-/* A renewal that failed is tried again after so long. */
+/* A renewal that was refused is tried again after so long. */
 #define RETRY_MS 120
 #define TIMEOUT_MS 700
 /* Nodes that see the lead vacant try within this time of each other; the first one wins,
@@ -45,7 +47,6 @@
   KqRand rand;
   bool ask;
   bool seen; /* the key has been listed once */
-  bool renewing;
   uint64_t lease;
   uint64_t term_revision;
   uint32_t term;
@@ -130,7 +131,6 @@
   l->valid_until = 0;
   l->phase = FOLLOWING;
   l->serial++;
-  l->renewing = false;
   if (!was)
     return;
   ++*l->losses;
@@ -146,29 +146,28 @@
   KqLead *l = take_call (arg, r, now);
   if (l == NULL)
     return;
-  l->renewing = false;
-  if (r->result == KQ_KV_OK)
+  switch (r->result)
     {
+    case KQ_KV_OK:
       if (r->sent_at + l->config.ttl_ms * KQ_MS > l->valid_until)
         l->valid_until = r->sent_at + l->config.ttl_ms * KQ_MS;
-      wake_in (l, (int)(l->config.ttl_ms / RENEWALS));
-    }
-  else if (r->result == KQ_KV_NOT_FOUND)
-    {
+      break;
+    case KQ_KV_NOT_FOUND:
       lose (l, "the lease has ended", now);
       try_later (l, AGAIN_MS);
+      break;
+    case KQ_KV_UNKNOWN:
+      break; /* later ones are under way */
+    default:
+      wake_in (l, RETRY_MS);
     }
-  else
-    wake_in (l, RETRY_MS);
 }
 
 static void
 renew (KqLead *l)
 {
-  if (l->renewing)
-    return;
-  l->renewing = true;
-  kq_kv_keep (l->config.kv, l->lease, TIMEOUT_MS, callback (l, on_renewed));
+  wake_in (l, (int)(l->config.ttl_ms / RENEWALS));
+  kq_kv_keep (l->config.kv, l->lease, (int)l->config.ttl_ms, callback (l, on_renewed));
 }
 
 static void
--- a/src/lead/lead_test.c
+++ b/src/lead/lead_test.c
@@ -53,6 +53,8 @@
   uint64_t next_lease;
   bool lose_txn;    /* carried out, not answered */
   bool lease_ended; /* renewals are told so */
+  int keeps;        /* renewals asked for */
+  bool slow_keeps;  /* they aren't answered for long */
   bool silent;
 } fake;
 
@@ -124,7 +126,8 @@
 {
   (void)kv;
   (void)timeout_ms;
-  add (KEEP, cb, KQ_MS)->lease = lease;
+  fake.keeps++;
+  add (KEEP, cb, fake.slow_keeps ? 60 * KQ_SEC : KQ_MS)->lease = lease;
 }
 
 void
@@ -375,6 +378,17 @@
   assert_int_equal (r->term, 2);
 }
 
+/* A leader on a full link loses the lead: its renewals wait for each other's answers. */
+static void
+test_renewals_dont_wait_for_answers (void **state)
+{
+  Rig *r = *state;
+  assert_true (run_until (&r->elected, 1));
+  fake.slow_keeps = true;
+  fake.keeps = 0;
+  assert_true (run_until (&fake.keeps, 3));
+}
+
 /* A store that answers nobody must not end the lead by itself: whether to go on is
  * decided by what other nodes say (fleet/fleet.c). */
 static void
@@ -397,6 +411,8 @@
     cmocka_unit_test_setup_teardown (test_lapsed_lease_ends_the_lead, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_key_taken_away_ends_the_lead, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_renewals_dont_wait_for_answers, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_silent_store_leaves_the_lead_open, set_up,
                                      tear_down)
   };
--- a/src/sched/placing.c
+++ b/src/sched/placing.c
@@ -105,15 +105,16 @@
 }
 
 /* Members of a gang and tasks of one rack need several runners at once, changed or not;
- * tickets come from elsewhere. */
+ * tickets come from elsewhere. In a small fleet looking costs nothing. */
 static bool
 must_look_at_all (const KqPlacing *p)
 {
   const KqSpec *spec = &p->occurrence->job->spec;
   const KqStep *step = &spec->steps[p->step];
   const KqStepState *st = &p->occurrence->steps[p->step];
-  return step->gang || step->one_rack || spec->advised || st->tried_at == 0
-         || st->tried_lost != p->lost || p->now - st->tried_at >= LOOK_AT_ALL;
+  return p->sched->runner_list->len <= ENOUGH || step->gang || step->one_rack
+         || spec->advised || st->tried_at == 0 || st->tried_lost != p->lost
+         || p->now - st->tried_at >= LOOK_AT_ALL;
 }
 
 /* Begins where the last step has ended, so that all runners get their turn. */
