--- a/bench/sched_load.c
+++ b/bench/sched_load.c
@@ -527,7 +527,7 @@
       Runner *r = &l->runners[i];
       char rack[16];
       char host[16];
-      char domain[8];
+      char domain[16];
       double size = sizes[kq_rand_below (&l->rand, 3)];
       KqRunnerEntry e
           = { .service = KQ_STR ("desk"),
@@ -555,7 +555,7 @@
 {
   for (int i = 0; i < AGENTS; i++)
     {
-      char name[8];
+      char name[16];
       KqAgentInfo info = { .share_milli = 500 };
       snprintf (name, sizeof name, "n%d", i);
       info.name = kq_name (kq_str (name));
--- a/bench/sched_rig_link.c
+++ b/bench/sched_rig_link.c
@@ -80,7 +80,7 @@
   a->open_at = 0;
   a->conn = ++a->conns;
   a->heard_up_at = r->now;
-  hello.u.hello = a->info;
+  hello.u.hello.info = a->info;
   kq_sched_rig_tell_leader (r, agent, r->epoch, &hello);
   kq_sched_rig_agent_released (r, agent);
   kq_sched_rig_agent_counted (r, agent, r->epoch, r->now);
@@ -110,7 +110,7 @@
     return;
   a->peer = 0;
   a->number = -1;
-  kq_sched_agent_down (r->sched, number, r->now);
+  kq_sched_agent_down (r->sched, number, false, r->now);
 }
 
 static void
@@ -198,7 +198,7 @@
   if (!kq_crew_unpack (&rest, &i))
     return;
   if (i.kind == KQ_CREW_HELLO)
-    join (r, e, &i.u.hello);
+    join (r, e, &i.u.hello.info);
   if (e->conn == a->peer)
     {
       a->peer_heard_at = r->now;
--- a/src/base/result.c
+++ b/src/base/result.c
@@ -28,6 +28,9 @@
   { KQ_ERR_PEER_SILENT, "PEER_SILENT", 503,
     "The peer gave no sign of life in time; its connection is closed." },
   { KQ_ERR_PEER_UNKNOWN, "PEER_UNKNOWN", 503, "No peer of that name is known." },
+  { KQ_ERR_PEER_KIND, "PEER_KIND", 0,
+    "A peer has sent an item of a kind that this version does not know; it is passed "
+    "over." },
   { KQ_ERR_STORE_UNREACHABLE, "STORE_UNREACHABLE", 503,
     "The store did not answer; a write may have taken effect." },
   { KQ_ERR_STORE_CONFLICT, "STORE_CONFLICT", 409,
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -32,6 +32,7 @@
   KQ_ERR_PEER_LOST = 206,
   KQ_ERR_PEER_SILENT = 207,
   KQ_ERR_PEER_UNKNOWN = 208,
+  KQ_ERR_PEER_KIND = 209,
 
   KQ_ERR_STORE_UNREACHABLE
   = 301,                       /* no answer, or an error: the write may have happened */
--- a/src/crew/agent.c
+++ b/src/crew/agent.c
@@ -18,6 +18,7 @@
   h->serial = h->halt = ++a->serial;
   h->taking = o->u.take.taking;
   kq_lease_init (&h->lease);
+  h->told = kq_told_new ();
   ev_timer_init (&h->next, kq_held_on_next, 0, 0);
   h->next.data = h;
   old = g_hash_table_lookup (a->held, h->id);
@@ -123,6 +124,13 @@
     kq_log (KQ_LOG_INFO, PART, "Released from all runners. runners=%u epoch=%llu", n,
             (unsigned long long)a->epoch);
   g_hash_table_remove_all (a->held);
+  a->tells_changes = false;
+}
+
+void
+kq_crew_agent_tell_changes (KqCrewAgent *a, bool known)
+{
+  a->tells_changes = known;
 }
 
 KqCrewAgent *
--- a/src/crew/agent.h
+++ b/src/crew/agent.h
@@ -37,6 +37,8 @@
 /* The connection to a leader is new, or this node leads from now on: whatever leader gave
  * the runners has given them to others by now, or will give them again. */
 void kq_crew_agent_released (KqCrewAgent *a);
+/* Whether the leader knows KQ_CREW_CHANGES; not at first, nor after a release. */
+void kq_crew_agent_tell_changes (KqCrewAgent *a, bool known);
 size_t kq_crew_agent_runners (const KqCrewAgent *a);
 
 #endif
--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -1,13 +1,10 @@
 #include "crew/frame.h"
 
-#include "wire/pack.h"
+#include "crew/frame_rows.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/* Rows of one list at most; more is a damaged frame. */
-#define ROWS_MAX 100000
-
 static void
 pack_order (KqPacker *p, const KqOrder *o)
 {
@@ -54,8 +51,6 @@
     }
 }
 
-static size_t open_rows (KqReader *r, KqReader *rows);
-
 static void
 read_advise (KqReader *r, KqOrder *o)
 {
@@ -63,7 +58,7 @@
   KqStr *list;
   size_t n;
   o->u.advise.step = kq_read_str (r);
-  n = open_rows (r, &rows);
+  n = kq_crew_open_rows (r, &rows);
   if (n > KQ_ADVICE_RUNNERS_MAX)
     r->bad = true;
   n = r->bad ? 0 : n;
@@ -75,7 +70,8 @@
   kq_read_join (r, &rows);
 }
 
-static void
+/* False: an order that isn't known. */
+static bool
 read_order (KqReader *r, KqOrder *o)
 {
   o->kind = (KqOrderKind)kq_read_i64 (r);
@@ -85,132 +81,38 @@
     case KQ_ORDER_TAKE:
       o->u.take.address = kq_read_str (r);
       o->u.take.taking = kq_read_u64 (r);
-      return;
+      return true;
     case KQ_ORDER_DROP:
-      return;
+      return true;
     case KQ_ORDER_START:
       o->u.start.task = kq_read_str (r);
       o->u.start.run = (uint32_t)kq_read_u64 (r);
       o->u.start.text = kq_read_str (r);
       o->u.start.checkpoint = kq_read_str (r);
       o->u.start.ticket = kq_read_str (r);
-      return;
+      return true;
     case KQ_ORDER_STOP:
       o->u.stop.task = kq_read_str (r);
       o->u.stop.run = (uint32_t)kq_read_u64 (r);
-      return;
+      return true;
     case KQ_ORDER_PACE:
       o->u.pace.task = kq_read_str (r);
       o->u.pace.run = (uint32_t)kq_read_u64 (r);
       o->u.pace.percent = (int)kq_read_i64 (r);
-      return;
+      return true;
     case KQ_ORDER_SEEN:
       o->u.seen.ends = kq_read_u64 (r);
       o->u.seen.born_ms = kq_read_i64 (r);
       o->u.seen.watched = kq_read_bool (r);
-      return;
+      return true;
     case KQ_ORDER_ADVISE:
       read_advise (r, o);
-      return;
+      return true;
     case KQ_ORDER_RENEW:
       o->u.renew.halt = kq_read_u64 (r);
-      return;
+      return true;
     }
-  r->bad = true;
-}
-
-static void
-pack_list (KqPacker *p, const KqRunnerList *l)
-{
-  kq_pack_i64 (p, l->born_ms);
-  kq_pack_i64 (p, l->lease_left_ms);
-  kq_pack_u64 (p, l->order);
-  kq_pack_u64 (p, l->taking);
-  kq_pack_u64 (p, l->halt);
-  kq_pack_bool (p, l->ended_cut);
-  kq_pack_array (p, l->n_running);
-  for (size_t i = 0; i < l->n_running; i++)
-    {
-      const KqRunRow *row = &l->running[i];
-      kq_pack_array (p, 5);
-      kq_pack_str (p, row->task);
-      kq_pack_u64 (p, row->run);
-      kq_pack_str (p, row->checkpoint);
-      kq_pack_i64 (p, row->percent);
-      kq_pack_i64 (p, row->load);
-    }
-  kq_pack_array (p, l->n_ended);
-  for (size_t i = 0; i < l->n_ended; i++)
-    {
-      const KqEndRow *row = &l->ended[i];
-      kq_pack_array (p, 5);
-      kq_pack_u64 (p, row->number);
-      kq_pack_str (p, row->task);
-      kq_pack_u64 (p, row->run);
-      kq_pack_i64 (p, row->how);
-      kq_pack_str (p, row->checkpoint);
-    }
-}
-
-static size_t
-open_rows (KqReader *r, KqReader *rows)
-{
-  kq_read_array (r, rows);
-  if (rows->bad || rows->left > ROWS_MAX)
-    {
-      r->bad = true;
-      rows->bad = true;
-      rows->left = 0;
-    }
-  return rows->left;
-}
-
-static void
-read_running (KqReader *r, KqRunnerList *l)
-{
-  KqReader rows;
-  size_t n = open_rows (r, &rows);
-  KqRunRow *list = kq_alloc ((n + 1) * sizeof *list);
-  l->running = list;
-  l->n_running = n;
-  for (size_t i = 0; i < n; i++)
-    {
-      KqReader row;
-      kq_read_array (&rows, &row);
-      list[i].task = kq_read_str (&row);
-      list[i].run = (uint32_t)kq_read_u64 (&row);
-      list[i].checkpoint = kq_read_str (&row);
-      list[i].percent = (int)kq_read_i64 (&row);
-      list[i].load = (int)kq_read_i64 (&row);
-      kq_read_join (&rows, &row);
-    }
-  kq_read_join (r, &rows);
-}
-
-static void
-read_ended (KqReader *r, KqRunnerList *l)
-{
-  KqReader rows;
-  size_t n = open_rows (r, &rows);
-  KqEndRow *list = kq_alloc ((n + 1) * sizeof *list);
-  l->ended = list;
-  l->n_ended = n;
-  for (size_t i = 0; i < n; i++)
-    {
-      KqReader row;
-      int64_t how;
-      kq_read_array (&rows, &row);
-      list[i].number = kq_read_u64 (&row);
-      list[i].task = kq_read_str (&row);
-      list[i].run = (uint32_t)kq_read_u64 (&row);
-      how = kq_read_i64 (&row);
-      if (how < KQ_END_DONE || how > KQ_END_ALONE)
-        row.bad = true;
-      list[i].how = (KqEndHow)how;
-      list[i].checkpoint = kq_read_str (&row);
-      kq_read_join (&rows, &row);
-    }
-  kq_read_join (r, &rows);
+  return false;
 }
 
 static void
@@ -243,47 +145,6 @@
   o->lease_left_ms = kq_read_i64 (r);
 }
 
-static void
-pack_advice (KqPacker *p, const KqStepAdvice *a)
-{
-  kq_pack_str (p, a->step);
-  kq_pack_i64 (p, a->reply.result);
-  kq_pack_i64 (p, a->reply.valid_ms);
-  kq_pack_array (p, a->reply.n_rows);
-  for (size_t i = 0; i < a->reply.n_rows; i++)
-    {
-      kq_pack_array (p, 2);
-      kq_pack_str (p, a->reply.rows[i].runner);
-      kq_pack_str (p, a->reply.rows[i].ticket);
-    }
-}
-
-static void
-read_advice (KqReader *r, KqStepAdvice *a)
-{
-  KqReader rows;
-  KqAdviceRow *list;
-  int64_t result;
-  a->step = kq_read_str (r);
-  result = kq_read_i64 (r);
-  if (result < KQ_ADVICE_OK || result > KQ_ADVICE_UNKNOWN)
-    r->bad = true;
-  a->reply.result = (KqAdviceResult)result;
-  a->reply.valid_ms = kq_read_i64 (r);
-  a->reply.n_rows = open_rows (r, &rows);
-  list = kq_alloc ((a->reply.n_rows + 1) * sizeof *list);
-  a->reply.rows = list;
-  for (size_t i = 0; i < a->reply.n_rows; i++)
-    {
-      KqReader row;
-      kq_read_array (&rows, &row);
-      list[i].runner = kq_read_str (&row);
-      list[i].ticket = kq_read_str (&row);
-      kq_read_join (&rows, &row);
-    }
-  kq_read_join (r, &rows);
-}
-
 static void
 pack_fields (KqPacker *p, const KqCrewItem *i)
 {
@@ -298,16 +159,27 @@
       kq_pack_str (p, i->u.answer.text);
       break;
     case KQ_CREW_HELLO:
-      kq_pack_name (p, &i->u.hello.name);
-      kq_pack_name (p, &i->u.hello.failure_domain);
-      kq_pack_i64 (p, i->u.hello.share_milli);
+      kq_pack_name (p, &i->u.hello.info.name);
+      kq_pack_name (p, &i->u.hello.info.failure_domain);
+      kq_pack_i64 (p, i->u.hello.info.share_milli);
+      kq_pack_u64 (p, i->u.hello.version);
+      break;
+    case KQ_CREW_WELCOME:
+      kq_pack_u64 (p, i->u.welcome.version);
       break;
     case KQ_CREW_BEAT:
       kq_pack_i64 (p, i->u.beat.store_age_ms);
       kq_pack_i64 (p, i->u.beat.sent_at);
       break;
     case KQ_CREW_LIST:
-      pack_list (p, &i->u.list);
+      kq_crew_pack_list_head (p, &i->u.list);
+      kq_crew_pack_running (p, &i->u.list);
+      kq_crew_pack_ended (p, &i->u.list);
+      break;
+    case KQ_CREW_CHANGES:
+      kq_crew_pack_list_head (p, &i->u.changes.list);
+      kq_crew_pack_changes (p, &i->u.changes.running);
+      kq_crew_pack_ended (p, &i->u.changes.list);
       break;
     case KQ_CREW_OUTCOME:
       pack_outcome (p, &i->u.outcome);
@@ -330,12 +202,14 @@
       kq_pack_str (p, i->u.cancel.id);
       break;
     case KQ_CREW_ADVICE:
-      pack_advice (p, &i->u.advice);
+      kq_crew_pack_advice (p, &i->u.advice);
       break;
     case KQ_CREW_PING:
       kq_pack_i64 (p, i->u.ping.beat_sent_at);
       break;
     case KQ_CREW_FENCED:
+    case KQ_CREW_LEAVE:
+    case KQ_CREW_UNKNOWN:
       break;
     }
 }
@@ -346,7 +220,8 @@
   switch (i->kind)
     {
     case KQ_CREW_ORDER:
-      read_order (r, &i->u.order);
+      if (!read_order (r, &i->u.order))
+        *i = (KqCrewItem){ .u.unknown.kind = KQ_CREW_ORDER };
       return;
     case KQ_CREW_ANSWER:
       i->u.answer.call = kq_read_u64 (r);
@@ -354,23 +229,27 @@
       i->u.answer.text = kq_read_str (r);
       return;
     case KQ_CREW_HELLO:
-      i->u.hello.name = kq_read_name (r);
-      i->u.hello.failure_domain = kq_read_name (r);
-      i->u.hello.share_milli = (int)kq_read_i64 (r);
+      i->u.hello.info.name = kq_read_name (r);
+      i->u.hello.info.failure_domain = kq_read_name (r);
+      i->u.hello.info.share_milli = (int)kq_read_i64 (r);
+      i->u.hello.version = r->left > 0 ? (uint32_t)kq_read_u64 (r) : 1;
+      return;
+    case KQ_CREW_WELCOME:
+      i->u.welcome.version = (uint32_t)kq_read_u64 (r);
       return;
     case KQ_CREW_BEAT:
       i->u.beat.store_age_ms = kq_read_i64 (r);
       i->u.beat.sent_at = kq_read_i64 (r);
       return;
     case KQ_CREW_LIST:
-      i->u.list.born_ms = kq_read_i64 (r);
-      i->u.list.lease_left_ms = kq_read_i64 (r);
-      i->u.list.order = kq_read_u64 (r);
-      i->u.list.taking = kq_read_u64 (r);
-      i->u.list.halt = kq_read_u64 (r);
-      i->u.list.ended_cut = kq_read_bool (r);
-      read_running (r, &i->u.list);
-      read_ended (r, &i->u.list);
+      kq_crew_read_list_head (r, &i->u.list);
+      kq_crew_read_running (r, &i->u.list);
+      kq_crew_read_ended (r, &i->u.list);
+      return;
+    case KQ_CREW_CHANGES:
+      kq_crew_read_list_head (r, &i->u.changes.list);
+      kq_crew_read_changes (r, &i->u.changes.running);
+      kq_crew_read_ended (r, &i->u.changes.list);
       return;
     case KQ_CREW_OUTCOME:
       read_outcome (r, &i->u.outcome);
@@ -393,22 +272,23 @@
       i->u.cancel.id = kq_read_str (r);
       return;
     case KQ_CREW_ADVICE:
-      read_advice (r, &i->u.advice);
+      kq_crew_read_advice (r, &i->u.advice);
       return;
     case KQ_CREW_PING:
       i->u.ping.beat_sent_at = kq_read_i64 (r);
       return;
     case KQ_CREW_FENCED:
+    case KQ_CREW_LEAVE:
+    case KQ_CREW_UNKNOWN:
       return;
     }
-  r->bad = true;
 }
 
 /* Numbers of fields behind kind and runner; an array must tell its length first. */
 static size_t
 n_fields (const KqCrewItem *i)
 {
-  static const uint8_t of_kind[] = { 0, 0, 3, 1, 3, 2, 8, 7, 3, 0, 3, 2, 1, 4 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 1, 4, 2, 8, 7, 3, 0, 3, 2, 1, 4, 1, 10, 0 };
   static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_CREW_ORDER)
     return of_order[i->u.order.kind];
@@ -437,6 +317,7 @@
   KqUnpacked u;
   KqReader r;
   uint32_t n;
+  int64_t kind;
   bool good;
   *out = (KqCrewItem){ 0 };
   if (rest->len < sizeof n)
@@ -445,9 +326,15 @@
   if (rest->len - sizeof n < n
       || !kq_unpacked_open (&u, kq_str_n (rest->ptr + sizeof n, n), &r))
     return false;
-  out->kind = (KqCrewKind)kq_read_i64 (&r);
-  out->runner = kq_read_str (&r);
-  read_fields (&r, out);
+  kind = kq_read_i64 (&r);
+  if (kind >= KQ_CREW_ORDER && kind <= KQ_CREW_LEAVE)
+    {
+      out->kind = (KqCrewKind)kind;
+      out->runner = kq_read_str (&r);
+      read_fields (&r, out);
+    }
+  else
+    out->u.unknown.kind = kind;
   good = !r.bad;
   kq_unpacked_close (&u);
   if (good)
@@ -467,6 +354,14 @@
       i->u.list.running = NULL;
       i->u.list.ended = NULL;
     }
+  else if (i->kind == KQ_CREW_CHANGES)
+    {
+      free ((void *)i->u.changes.list.ended);
+      free ((void *)i->u.changes.running.rows);
+      free ((void *)i->u.changes.running.gone);
+      i->u.changes.list.ended = NULL;
+      i->u.changes.running = (KqToldChanges){ 0 };
+    }
   else if (i->kind == KQ_CREW_ADVICE)
     {
       free ((void *)i->u.advice.reply.rows);
--- /dev/null
+++ b/src/crew/frame_rows.c
@@ -0,0 +1,235 @@
+#include "crew/frame_rows.h"
+
+#include <stdlib.h>
+
+/* Rows of one list at most; more is a damaged frame. */
+#define ROWS_MAX 100000
+
+void
+kq_crew_pack_list_head (KqPacker *p, const KqRunnerList *l)
+{
+  kq_pack_i64 (p, l->born_ms);
+  kq_pack_i64 (p, l->lease_left_ms);
+  kq_pack_u64 (p, l->order);
+  kq_pack_u64 (p, l->taking);
+  kq_pack_u64 (p, l->halt);
+  kq_pack_bool (p, l->ended_cut);
+}
+
+void
+kq_crew_read_list_head (KqReader *r, KqRunnerList *l)
+{
+  l->born_ms = kq_read_i64 (r);
+  l->lease_left_ms = kq_read_i64 (r);
+  l->order = kq_read_u64 (r);
+  l->taking = kq_read_u64 (r);
+  l->halt = kq_read_u64 (r);
+  l->ended_cut = kq_read_bool (r);
+}
+
+void
+kq_crew_pack_running (KqPacker *p, const KqRunnerList *l)
+{
+  kq_pack_array (p, l->n_running);
+  for (size_t i = 0; i < l->n_running; i++)
+    {
+      const KqRunRow *row = &l->running[i];
+      kq_pack_array (p, 5);
+      kq_pack_str (p, row->task);
+      kq_pack_u64 (p, row->run);
+      kq_pack_str (p, row->checkpoint);
+      kq_pack_i64 (p, row->percent);
+      kq_pack_i64 (p, row->load);
+    }
+}
+
+void
+kq_crew_pack_ended (KqPacker *p, const KqRunnerList *l)
+{
+  kq_pack_array (p, l->n_ended);
+  for (size_t i = 0; i < l->n_ended; i++)
+    {
+      const KqEndRow *row = &l->ended[i];
+      kq_pack_array (p, 5);
+      kq_pack_u64 (p, row->number);
+      kq_pack_str (p, row->task);
+      kq_pack_u64 (p, row->run);
+      kq_pack_i64 (p, row->how);
+      kq_pack_str (p, row->checkpoint);
+    }
+}
+
+size_t
+kq_crew_open_rows (KqReader *r, KqReader *rows)
+{
+  kq_read_array (r, rows);
+  if (rows->bad || rows->left > ROWS_MAX)
+    {
+      r->bad = true;
+      rows->bad = true;
+      rows->left = 0;
+    }
+  return rows->left;
+}
+
+void
+kq_crew_read_running (KqReader *r, KqRunnerList *l)
+{
+  KqReader rows;
+  size_t n = kq_crew_open_rows (r, &rows);
+  KqRunRow *list = kq_alloc ((n + 1) * sizeof *list);
+  l->running = list;
+  l->n_running = n;
+  for (size_t i = 0; i < n; i++)
+    {
+      KqReader row;
+      kq_read_array (&rows, &row);
+      list[i].task = kq_read_str (&row);
+      list[i].run = (uint32_t)kq_read_u64 (&row);
+      list[i].checkpoint = kq_read_str (&row);
+      list[i].percent = (int)kq_read_i64 (&row);
+      list[i].load = (int)kq_read_i64 (&row);
+      kq_read_join (&rows, &row);
+    }
+  kq_read_join (r, &rows);
+}
+
+void
+kq_crew_read_ended (KqReader *r, KqRunnerList *l)
+{
+  KqReader rows;
+  size_t n = kq_crew_open_rows (r, &rows);
+  KqEndRow *list = kq_alloc ((n + 1) * sizeof *list);
+  l->ended = list;
+  l->n_ended = n;
+  for (size_t i = 0; i < n; i++)
+    {
+      KqReader row;
+      int64_t how;
+      kq_read_array (&rows, &row);
+      list[i].number = kq_read_u64 (&row);
+      list[i].task = kq_read_str (&row);
+      list[i].run = (uint32_t)kq_read_u64 (&row);
+      how = kq_read_i64 (&row);
+      if (how < KQ_END_DONE || how > KQ_END_ALONE)
+        row.bad = true;
+      list[i].how = (KqEndHow)how;
+      list[i].checkpoint = kq_read_str (&row);
+      kq_read_join (&rows, &row);
+    }
+  kq_read_join (r, &rows);
+}
+
+/* A row is as long as what it gives: slot, percent, load; the checkpoint; task and run.
+ */
+enum
+{
+  ROW_MOVED = 3,
+  ROW_SAVED = 4,
+  ROW_WHOLE = 6
+};
+
+void
+kq_crew_pack_changes (KqPacker *p, const KqToldChanges *c)
+{
+  kq_pack_u64 (p, c->serial);
+  kq_pack_array (p, c->n_rows);
+  for (size_t i = 0; i < c->n_rows; i++)
+    {
+      const KqToldRow *r = &c->rows[i];
+      kq_pack_array (p, r->whole ? ROW_WHOLE : r->saved ? ROW_SAVED : ROW_MOVED);
+      kq_pack_u64 (p, r->slot);
+      kq_pack_i64 (p, r->row.percent);
+      kq_pack_i64 (p, r->row.load);
+      if (r->whole || r->saved)
+        kq_pack_str (p, r->row.checkpoint);
+      if (!r->whole)
+        continue;
+      kq_pack_str (p, r->row.task);
+      kq_pack_u64 (p, r->row.run);
+    }
+  kq_pack_array (p, c->n_gone);
+  for (size_t i = 0; i < c->n_gone; i++)
+    kq_pack_u64 (p, c->gone[i]);
+}
+
+static void
+read_changed_row (KqReader *rows, KqToldRow *out)
+{
+  KqReader r;
+  kq_read_array (rows, &r);
+  out->whole = r.left >= ROW_WHOLE;
+  out->saved = !out->whole && r.left >= ROW_SAVED;
+  out->slot = (uint32_t)kq_read_u64 (&r);
+  out->row.percent = (int)kq_read_i64 (&r);
+  out->row.load = (int)kq_read_i64 (&r);
+  if (out->whole || out->saved)
+    out->row.checkpoint = kq_read_str (&r);
+  if (out->whole)
+    {
+      out->row.task = kq_read_str (&r);
+      out->row.run = (uint32_t)kq_read_u64 (&r);
+    }
+  kq_read_join (rows, &r);
+}
+
+void
+kq_crew_read_changes (KqReader *r, KqToldChanges *c)
+{
+  KqReader rows;
+  KqReader slots;
+  KqToldRow *list;
+  uint32_t *gone;
+  c->serial = kq_read_u64 (r);
+  c->n_rows = kq_crew_open_rows (r, &rows);
+  c->rows = list = kq_alloc ((c->n_rows + 1) * sizeof *list);
+  for (size_t i = 0; i < c->n_rows; i++)
+    read_changed_row (&rows, &list[i]);
+  kq_read_join (r, &rows);
+  c->n_gone = kq_crew_open_rows (r, &slots);
+  c->gone = gone = kq_alloc ((c->n_gone + 1) * sizeof *gone);
+  for (size_t i = 0; i < c->n_gone; i++)
+    gone[i] = (uint32_t)kq_read_u64 (&slots);
+  kq_read_join (r, &slots);
+}
+
+void
+kq_crew_pack_advice (KqPacker *p, const KqStepAdvice *a)
+{
+  kq_pack_str (p, a->step);
+  kq_pack_i64 (p, a->reply.result);
+  kq_pack_i64 (p, a->reply.valid_ms);
+  kq_pack_array (p, a->reply.n_rows);
+  for (size_t i = 0; i < a->reply.n_rows; i++)
+    {
+      kq_pack_array (p, 2);
+      kq_pack_str (p, a->reply.rows[i].runner);
+      kq_pack_str (p, a->reply.rows[i].ticket);
+    }
+}
+
+void
+kq_crew_read_advice (KqReader *r, KqStepAdvice *a)
+{
+  KqReader rows;
+  KqAdviceRow *list;
+  int64_t result;
+  a->step = kq_read_str (r);
+  result = kq_read_i64 (r);
+  if (result < KQ_ADVICE_OK || result > KQ_ADVICE_UNKNOWN)
+    r->bad = true;
+  a->reply.result = (KqAdviceResult)result;
+  a->reply.valid_ms = kq_read_i64 (r);
+  a->reply.n_rows = kq_crew_open_rows (r, &rows);
+  list = kq_alloc ((a->reply.n_rows + 1) * sizeof *list);
+  a->reply.rows = list;
+  for (size_t i = 0; i < a->reply.n_rows; i++)
+    {
+      KqReader row;
+      kq_read_array (&rows, &row);
+      list[i].runner = kq_read_str (&row);
+      list[i].ticket = kq_read_str (&row);
+      kq_read_join (&rows, &row);
+    }
+  kq_read_join (r, &rows);
+}
--- a/src/crew/held.c
+++ b/src/crew/held.c
@@ -23,6 +23,7 @@
   KqHeld *h = p;
   ev_timer_stop (kq_loop_ev (h->agent->config.loop), &h->next);
   g_queue_clear_full (&h->starts, kq_start_free);
+  kq_told_free (h->told);
   free (h->id);
   free (h->address);
   free (h);
@@ -86,7 +87,7 @@
    * nobody has seen. */
   if (!kq_lease_note (&h->lease, &n, h->agent->config.lease_ms, now))
     return;
-  h->ends_seen = 0;
+  h->ends_seen = h->ends_passed = 0;
   kq_gate_new_life (&h->gate);
 }
 
--- a/src/crew/renew.c
+++ b/src/crew/renew.c
@@ -34,13 +34,33 @@
   kq_held_tell (h, &i);
 }
 
+/* Of the runs and the ends what the leader hasn't been told. */
 static void
-tell_list (KqHeld *h, const KqRunnerReply *r, uint64_t order, KqTime now)
+tell_changes (KqHeld *h, const KqRunnerList *l)
+{
+  KqCrewItem i = { .kind = KQ_CREW_CHANGES };
+  KqRunnerList *rest = &i.u.changes.list;
+  *rest = *l;
+  rest->running = NULL;
+  rest->n_running = 0;
+  while (rest->n_ended > 0 && rest->ended[0].number <= h->ends_passed)
+    {
+      rest->ended++;
+      rest->n_ended--;
+    }
+  if (rest->n_ended > 0)
+    h->ends_passed = rest->ended[rest->n_ended - 1].number;
+  kq_told_note (h->told, l->running, l->n_running, &i.u.changes.running);
+  kq_held_tell (h, &i);
+}
+
+static void
+tell_list (KqHeld *h, const KqRunnerReply *r, const KqHeldCall *c, KqTime now)
 {
   KqCrewItem i = { .kind = KQ_CREW_LIST };
   i.u.list = (KqRunnerList){ .born_ms = r->born_ms,
                              .lease_left_ms = kq_lease_left_ms (&h->lease, now),
-                             .order = order,
+                             .order = c->order,
                              .halt = h->halt,
                              .taking = h->taking,
                              .running = r->running,
@@ -48,7 +68,10 @@
                              .ended = r->ended,
                              .n_ended = r->n_ended,
                              .ended_cut = r->ended_cut };
-  kq_held_tell (h, &i);
+  if (h->agent->tells_changes)
+    tell_changes (h, &i.u.list);
+  else
+    kq_held_tell (h, &i);
 }
 
 /* From a list to the next question; at_once: the last one didn't wait for an end. */
@@ -85,7 +108,7 @@
       h->failures = 0;
       h->told_at = 0;
       h->ends_told = r->n_ended > 0 ? r->ended[r->n_ended - 1].number : 0;
-      tell_list (h, r, c->order, now);
+      tell_list (h, r, c, now);
       h = kq_held_of (c);
       if (h == NULL)
         break;
--- a/src/crew/state.h
+++ b/src/crew/state.h
@@ -37,8 +37,10 @@
   bool asking;
   bool watched;
   uint64_t ends_seen;
-  uint64_t ends_told; /* the highest number listed to us */
-  uint64_t results;   /* outcomes told */
+  uint64_t ends_told;   /* the highest number listed to us */
+  uint64_t results;     /* outcomes told */
+  KqTold *told;         /* to a leader that takes changes */
+  uint64_t ends_passed; /* the highest number told to it */
   KqLease lease;
   KqGate gate;
   GQueue starts;  /* KqStart, waiting for a connection */
@@ -55,7 +57,8 @@
   uint64_t epoch;
   uint64_t serial;
   KqTime heard_at;
-  KqTime counted_at; /* the leader counts us as there then, or later */
+  KqTime counted_at;  /* the leader counts us as there then, or later */
+  bool tells_changes; /* the leader takes them in place of lists */
   uint64_t *renewals;
   uint64_t *renewals_failed;
   uint64_t *proofs;
--- /dev/null
+++ b/src/crew/told.c
@@ -0,0 +1,215 @@
+#include "crew/told.h"
+
+#include <glib.h>
+
+#include <stdlib.h>
+
+typedef struct
+{
+  bool used;
+  bool seen;     /* in the list being noted */
+  uint64_t hash; /* of task and run */
+  char *task;
+  uint32_t run;
+  char *checkpoint;
+  int percent;
+  int load;
+} Slot;
+
+struct KqTold
+{
+  uint64_t serial;
+  GArray *slots;
+  GArray *rows; /* KqToldRow */
+  GArray *gone; /* uint32_t */
+};
+
+/* More runs than a runner can hold: a damaged message. */
+#define SLOTS_MAX 100000
+
+KqTold *
+kq_told_new (void)
+{
+  KqTold *t = kq_alloc (sizeof *t);
+  t->slots = g_array_new (FALSE, TRUE, sizeof (Slot));
+  t->rows = g_array_new (FALSE, TRUE, sizeof (KqToldRow));
+  t->gone = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+  return t;
+}
+
+static Slot *
+slot (const KqTold *t, guint at)
+{
+  return &g_array_index (t->slots, Slot, at);
+}
+
+static void
+clear_slot (Slot *s)
+{
+  free (s->task);
+  free (s->checkpoint);
+  *s = (Slot){ 0 };
+}
+
+void
+kq_told_free (KqTold *t)
+{
+  if (t == NULL)
+    return;
+  for (guint i = 0; i < t->slots->len; i++)
+    clear_slot (slot (t, i));
+  g_array_free (t->slots, TRUE);
+  g_array_free (t->rows, TRUE);
+  g_array_free (t->gone, TRUE);
+  free (t);
+}
+
+uint64_t
+kq_told_serial (const KqTold *t)
+{
+  return t->serial;
+}
+
+static uint64_t
+hash_of (const KqRunRow *r)
+{
+  return kq_hash2 (kq_str_hash (r->task), r->run);
+}
+
+/* The run's slot; the first free one if it has none yet. */
+static guint
+find (const KqTold *t, const KqRunRow *r, uint64_t hash)
+{
+  guint vacant = t->slots->len;
+  for (guint i = 0; i < t->slots->len; i++)
+    {
+      const Slot *s = slot (t, i);
+      if (!s->used)
+        vacant = i < vacant ? i : vacant;
+      else if (s->hash == hash && s->run == r->run
+               && kq_str_eq (kq_str (s->task), r->task))
+        return i;
+    }
+  return vacant;
+}
+
+static void
+set_checkpoint (Slot *s, KqStr checkpoint)
+{
+  free (s->checkpoint);
+  s->checkpoint = kq_str_dup (checkpoint);
+}
+
+static void
+fill (Slot *s, const KqRunRow *r)
+{
+  s->used = true;
+  s->hash = hash_of (r);
+  s->task = kq_str_dup (r->task);
+  s->run = r->run;
+  s->checkpoint = kq_str_dup (r->checkpoint);
+}
+
+static void
+note_row (const KqTold *t, const KqRunRow *r)
+{
+  KqToldRow out = { .row = *r };
+  guint at = find (t, r, hash_of (r));
+  Slot *s;
+  if (at == t->slots->len)
+    g_array_set_size (t->slots, at + 1);
+  s = slot (t, at);
+  out.slot = at;
+  out.whole = !s->used;
+  s->seen = true;
+  if (out.whole)
+    fill (s, r);
+  else if (!kq_str_eq (kq_str (s->checkpoint), r->checkpoint))
+    {
+      set_checkpoint (s, r->checkpoint);
+      out.saved = true;
+    }
+  else if (s->percent == r->percent && s->load == r->load)
+    return;
+  s->percent = r->percent;
+  s->load = r->load;
+  g_array_append_val (t->rows, out);
+}
+
+void
+kq_told_note (KqTold *t, const KqRunRow *rows, size_t n, KqToldChanges *out)
+{
+  guint before = t->slots->len;
+  g_array_set_size (t->rows, 0);
+  g_array_set_size (t->gone, 0);
+  for (guint i = 0; i < before; i++)
+    slot (t, i)->seen = false;
+  for (size_t i = 0; i < n; i++)
+    note_row (t, &rows[i]);
+  for (guint i = 0; i < before; i++)
+    if (slot (t, i)->used && !slot (t, i)->seen)
+      {
+        clear_slot (slot (t, i));
+        g_array_append_val (t->gone, i);
+      }
+  *out = (KqToldChanges){ .serial = t->serial++,
+                          .rows = (const KqToldRow *)(void *)t->rows->data,
+                          .n_rows = t->rows->len,
+                          .gone = (const uint32_t *)(void *)t->gone->data,
+                          .n_gone = t->gone->len };
+}
+
+static bool
+apply_row (const KqTold *t, const KqToldRow *r)
+{
+  Slot *s;
+  if (r->slot >= SLOTS_MAX || (!r->whole && r->slot >= t->slots->len))
+    return false;
+  if (r->slot >= t->slots->len)
+    g_array_set_size (t->slots, r->slot + 1);
+  s = slot (t, r->slot);
+  if (s->used == r->whole)
+    return false;
+  if (r->whole)
+    fill (s, &r->row);
+  else if (r->saved)
+    set_checkpoint (s, r->row.checkpoint);
+  s->percent = r->row.percent;
+  s->load = r->row.load;
+  return true;
+}
+
+bool
+kq_told_apply (KqTold *t, const KqToldChanges *c)
+{
+  if (c->serial != t->serial)
+    return false;
+  t->serial++;
+  /* A slot that has become free is filled in a later list at the earliest. */
+  for (size_t i = 0; i < c->n_rows; i++)
+    if (!apply_row (t, &c->rows[i]))
+      return false;
+  for (size_t i = 0; i < c->n_gone; i++)
+    {
+      if (c->gone[i] >= t->slots->len || !slot (t, c->gone[i])->used)
+        return false;
+      clear_slot (slot (t, c->gone[i]));
+    }
+  return true;
+}
+
+size_t
+kq_told_list (const KqTold *t, KqRunRow **out)
+{
+  KqRunRow *rows = kq_alloc ((t->slots->len + 1) * sizeof *rows);
+  size_t n = 0;
+  for (guint i = 0; i < t->slots->len; i++)
+    {
+      const Slot *s = slot (t, i);
+      if (s->used)
+        rows[n++] = (KqRunRow){ kq_str (s->task), s->run, kq_str (s->checkpoint),
+                                s->percent, s->load };
+    }
+  *out = rows;
+  return n;
+}
--- /dev/null
+++ b/src/crew/told_test.c
@@ -0,0 +1,144 @@
+#include "base/rand.h"
+#include "crew/told.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define RUNS 12
+
+typedef struct
+{
+  char task[RUNS][16];
+  char checkpoint[RUNS][16];
+  KqRunRow rows[RUNS];
+  size_t n;
+} List;
+
+static void
+draw (List *l, KqRand *rand)
+{
+  l->n = 0;
+  for (int i = 0; i < RUNS; i++)
+    {
+      KqRunRow *r = &l->rows[l->n];
+      if (kq_rand_below (rand, 3) == 0)
+        continue;
+      snprintf (l->task[i], sizeof l->task[i], "j.0.0.%d", i);
+      snprintf (l->checkpoint[i], sizeof l->checkpoint[i], "c%d",
+                (int)kq_rand_below (rand, 3));
+      *r = (KqRunRow){ .task = kq_str (l->task[i]),
+                       .run = 1 + (uint32_t)kq_rand_below (rand, 2),
+                       .checkpoint = kq_str (l->checkpoint[i]),
+                       .percent = (int)kq_rand_below (rand, 3),
+                       .load = (int)kq_rand_below (rand, 2) };
+      l->n++;
+    }
+}
+
+static const KqRunRow *
+find (const KqRunRow *rows, size_t n, const KqRunRow *wanted)
+{
+  for (size_t i = 0; i < n; i++)
+    if (rows[i].run == wanted->run && kq_str_eq (rows[i].task, wanted->task))
+      return &rows[i];
+  return NULL;
+}
+
+static void
+assert_same (const List *l, const KqTold *leader)
+{
+  KqRunRow *rows;
+  size_t n = kq_told_list (leader, &rows);
+  assert_int_equal (n, l->n);
+  for (size_t i = 0; i < l->n; i++)
+    {
+      const KqRunRow *r = find (rows, n, &l->rows[i]);
+      assert_non_null (r);
+      assert_true (kq_str_eq (r->checkpoint, l->rows[i].checkpoint));
+      assert_int_equal (r->percent, l->rows[i].percent);
+      assert_int_equal (r->load, l->rows[i].load);
+    }
+  free (rows);
+}
+
+/* A run is dropped, or runs twice: the leader's list isn't what the runner has listed. */
+static void
+test_leader_has_each_list_as_told (void **state)
+{
+  KqRand rand = kq_rand (5);
+  KqTold *node = kq_told_new ();
+  KqTold *leader = kq_told_new ();
+  List *l = calloc (1, sizeof *l);
+  (void)state;
+  for (int i = 0; i < 2000; i++)
+    {
+      KqToldChanges c;
+      draw (l, &rand);
+      kq_told_note (node, l->rows, l->n, &c);
+      assert_true (kq_told_apply (leader, &c));
+      assert_same (l, leader);
+    }
+  free (l);
+  kq_told_free (node);
+  kq_told_free (leader);
+}
+
+/* The leader's link is full of lists that say what it knows. */
+static void
+test_what_is_the_same_isnt_told_again (void **state)
+{
+  KqTold *node = kq_told_new ();
+  KqToldChanges c;
+  KqRunRow rows[2] = { { KQ_STR ("a"), 1, KQ_STR ("x"), 10, 3 },
+                       { KQ_STR ("b"), 1, KQ_STR ("y"), 10, 3 } };
+  (void)state;
+  kq_told_note (node, rows, 2, &c);
+  assert_int_equal (c.n_rows, 2);
+  kq_told_note (node, rows, 2, &c);
+  assert_int_equal (c.n_rows + c.n_gone, 0);
+  rows[1].percent = 20;
+  kq_told_note (node, rows, 2, &c);
+  assert_int_equal (c.n_rows, 1);
+  assert_false (c.rows[0].whole);
+  assert_false (c.rows[0].saved);
+  kq_told_free (node);
+}
+
+static void
+test_changes_that_dont_follow_are_refused (void **state)
+{
+  KqTold *leader = kq_told_new ();
+  KqToldRow whole = { .slot = 0, .whole = true, .row = { .task = KQ_STR ("a") } };
+  KqToldRow part = { .slot = 3 };
+  uint32_t gone = 7;
+  KqToldChanges late = { .serial = 1 };
+  KqToldChanges unknown = { .rows = &part, .n_rows = 1 };
+  KqToldChanges first = { .rows = &whole, .n_rows = 1 };
+  KqToldChanges twice = { .serial = 1, .rows = &whole, .n_rows = 1 };
+  KqToldChanges nothing = { .serial = 2, .gone = &gone, .n_gone = 1 };
+  (void)state;
+  assert_false (kq_told_apply (leader, &late));
+  assert_false (kq_told_apply (leader, &unknown));
+  kq_told_free (leader);
+  leader = kq_told_new ();
+  assert_true (kq_told_apply (leader, &first));
+  assert_false (kq_told_apply (leader, &twice));
+  assert_false (kq_told_apply (leader, &nothing));
+  kq_told_free (leader);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_leader_has_each_list_as_told),
+          cmocka_unit_test (test_what_is_the_same_isnt_told_again),
+          cmocka_unit_test (test_changes_that_dont_follow_are_refused) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/crew/versions_test.c
@@ -0,0 +1,173 @@
+#include "crew/frame.h"
+#include "wire/pack.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* Items as version 1 wrote them, and as a later version may. */
+
+typedef struct
+{
+  KqBuf *out;
+  size_t start;
+  KqPacker p;
+} Item;
+
+static Item
+begin (KqBuf *out, size_t fields, int64_t kind, KqStr runner)
+{
+  Item i = { .out = out, .start = out->len };
+  kq_buf_add (out, "\0\0\0\0", 4);
+  kq_packer_init (&i.p, out);
+  kq_pack_array (&i.p, 2 + fields);
+  kq_pack_i64 (&i.p, kind);
+  kq_pack_str (&i.p, runner);
+  return i;
+}
+
+static void
+end (const Item *i)
+{
+  uint32_t n = (uint32_t)(i->out->len - i->start - 4);
+  memcpy (i->out->ptr + i->start, &n, sizeof n);
+}
+
+static void
+hello_of_version_1 (KqBuf *out)
+{
+  Item i = begin (out, 3, KQ_CREW_HELLO, KQ_STR (""));
+  kq_pack_str (&i.p, KQ_STR ("n1"));
+  kq_pack_str (&i.p, KQ_STR ("d1"));
+  kq_pack_i64 (&i.p, 500);
+  end (&i);
+}
+
+static void
+list_of_version_1 (KqBuf *out)
+{
+  Item i = begin (out, 8, KQ_CREW_LIST, KQ_STR ("r"));
+  kq_pack_i64 (&i.p, 99);
+  kq_pack_i64 (&i.p, 5000);
+  kq_pack_u64 (&i.p, 3);
+  kq_pack_u64 (&i.p, 4);
+  kq_pack_u64 (&i.p, 8);
+  kq_pack_bool (&i.p, false);
+  kq_pack_array (&i.p, 1);
+  kq_pack_array (&i.p, 5);
+  kq_pack_str (&i.p, KQ_STR ("j.0.1.2"));
+  kq_pack_u64 (&i.p, 7);
+  kq_pack_str (&i.p, KQ_STR ("cp"));
+  kq_pack_i64 (&i.p, 41);
+  kq_pack_i64 (&i.p, 12);
+  kq_pack_array (&i.p, 0);
+  end (&i);
+}
+
+static KqCrewItem
+read_one (KqStr *rest)
+{
+  KqCrewItem i;
+  assert_true (kq_crew_unpack (rest, &i));
+  return i;
+}
+
+/* A roll-out needs all nodes at once: the earlier version's words aren't understood. */
+static void
+test_words_of_version_1 (void **state)
+{
+  KqBuf b = { 0 };
+  KqStr rest;
+  KqCrewItem i;
+  (void)state;
+  hello_of_version_1 (&b);
+  list_of_version_1 (&b);
+  rest = kq_buf_str (&b);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_CREW_HELLO);
+  assert_int_equal (i.u.hello.info.share_milli, 500);
+  assert_int_equal (i.u.hello.version, 1);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_CREW_LIST);
+  assert_int_equal (i.u.list.running[0].percent, 41);
+  kq_crew_clear (&i);
+  kq_buf_free (&b);
+}
+
+/* The reader of version 1 takes the first three fields of a greeting. */
+static void
+test_version_1_understands_the_greeting (void **state)
+{
+  KqCrewItem i = { .kind = KQ_CREW_HELLO };
+  KqBuf b = { 0 };
+  KqUnpacked u;
+  KqReader r;
+  KqName name;
+  (void)state;
+  i.u.hello.info.name = kq_name (KQ_STR ("n2"));
+  i.u.hello.info.share_milli = 250;
+  i.u.hello.version = KQ_CREW_VERSION;
+  kq_crew_pack (&i, &b);
+  assert_true (kq_unpacked_open (&u, kq_str_n (b.ptr + 4, b.len - 4), &r));
+  assert_int_equal (kq_read_i64 (&r), KQ_CREW_HELLO);
+  kq_read_str (&r);
+  name = kq_read_name (&r);
+  kq_read_name (&r);
+  assert_true (kq_str_eq (kq_name_str (&name), KQ_STR ("n2")));
+  assert_int_equal (kq_read_i64 (&r), 250);
+  assert_false (r.bad);
+  kq_unpacked_close (&u);
+  kq_buf_free (&b);
+}
+
+/* Words of the later version aren't understood, and those behind them are lost. */
+static void
+test_unknown_kinds_and_fields_are_passed_over (void **state)
+{
+  KqBuf b = { 0 };
+  KqStr rest;
+  KqCrewItem i;
+  Item later = begin (&b, 2, 77, KQ_STR ("r"));
+  (void)state;
+  kq_pack_str (&later.p, KQ_STR ("what"));
+  kq_pack_array (&later.p, 0);
+  end (&later);
+  later = begin (&b, 2, KQ_CREW_CANCEL, KQ_STR (""));
+  kq_pack_str (&later.p, KQ_STR ("j1"));
+  kq_pack_str (&later.p, KQ_STR ("more"));
+  end (&later);
+  later = begin (&b, 3, KQ_CREW_ORDER, KQ_STR (""));
+  kq_pack_i64 (&later.p, 55);
+  kq_pack_str (&later.p, KQ_STR ("r"));
+  kq_pack_u64 (&later.p, 1);
+  end (&later);
+  list_of_version_1 (&b);
+  rest = kq_buf_str (&b);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_CREW_UNKNOWN);
+  assert_int_equal (i.u.unknown.kind, 77);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_CREW_CANCEL);
+  assert_true (kq_str_eq (i.u.cancel.id, KQ_STR ("j1")));
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_CREW_UNKNOWN);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_CREW_LIST);
+  kq_crew_clear (&i);
+  assert_int_equal (rest.len, 0);
+  kq_buf_free (&b);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_words_of_version_1),
+          cmocka_unit_test (test_version_1_understands_the_greeting),
+          cmocka_unit_test (test_unknown_kinds_and_fields_are_passed_over) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -229,11 +229,11 @@
 }
 
 static void
-on_left (void *arg, KqPeer *p, KqTime now)
+on_left (void *arg, KqPeer *p, bool planned, KqTime now)
 {
   KqFleet *f = arg;
   if (f->leader != NULL)
-    kq_leader_left (f->leader, p, now);
+    kq_leader_left (f->leader, p, planned, now);
 }
 
 static void
@@ -295,6 +295,8 @@
   kq_crew_agent_heard (f->agent, epoch, now);
   if (i->kind == KQ_CREW_PING)
     kq_crew_agent_counted (f->agent, epoch, i->u.ping.beat_sent_at);
+  else if (i->kind == KQ_CREW_WELCOME)
+    kq_crew_agent_tell_changes (f->agent, i->u.welcome.version > 1);
   else if (i->kind == KQ_CREW_ORDER)
     kq_crew_agent_order (f->agent, epoch, &i->u.order, now);
   else if (i->kind == KQ_CREW_ANSWER)
@@ -586,6 +588,7 @@
   f->leaving = true;
   f->leaving_at = now;
   kq_lead_resign (f->lead, "planned stop", false, now);
-  /* The leader gives our runners to others as soon as the connection closes. */
-  kq_link_leader (f->link, KQ_STR (""), 0, now);
+  /* The leader gives our runners to others as soon as it hears of it. */
+  kq_crew_agent_released (f->agent);
+  kq_link_leave (f->link);
 }
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -451,8 +451,7 @@
                   : NULL;
   if (p == NULL)
     return;
-  kq_leader_left (l, p, now);
-  kq_peer_set_agent (p, -1);
+  kq_leader_left (l, p, false, now);
 }
 
 void
@@ -482,13 +481,14 @@
 }
 
 void
-kq_leader_left (KqLeader *l, KqPeer *p, KqTime now)
+kq_leader_left (KqLeader *l, KqPeer *p, bool planned, KqTime now)
 {
   int agent = kq_peer_agent (p);
   if (agent < 0)
     return;
   g_ptr_array_index (l->peers, agent) = NULL;
-  kq_sched_agent_down (l->sched, agent, now);
+  kq_sched_agent_down (l->sched, agent, planned, now);
+  kq_peer_set_agent (p, -1);
   l->dirty = true;
 }
 
@@ -564,6 +564,10 @@
     case KQ_CREW_HELLO:
     case KQ_CREW_BEAT:
     case KQ_CREW_ASK:
+    case KQ_CREW_UNKNOWN:
+    case KQ_CREW_WELCOME:
+    case KQ_CREW_CHANGES: /* come as the list that they lead to */
+    case KQ_CREW_LEAVE:
       break;
     }
 }
--- a/src/fleet/leader.h
+++ b/src/fleet/leader.h
@@ -38,7 +38,8 @@
 void kq_leader_joined (KqLeader *l, KqPeer *p, const KqAgentInfo *info, KqTime now);
 /* The part of a processor that the node has, in thousandths; 0: it hasn't joined. */
 int kq_leader_share (const KqLeader *l, const KqPeer *p);
-void kq_leader_left (KqLeader *l, KqPeer *p, KqTime now);
+/* planned: the node has said that it stops, and let go of its runners. */
+void kq_leader_left (KqLeader *l, KqPeer *p, bool planned, KqTime now);
 /* LIST, OUTCOME, UNREACHED, FENCED, JOB, CANCEL. p NULL: of this node's own agent. */
 void kq_leader_item (KqLeader *l, KqPeer *p, const KqCrewItem *i, KqTime now);
 /* An answer to a question, for this node's or another's client accounts. */
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -28,11 +28,24 @@
   KqConn *conn;
   int agent;
   bool joined;
+  bool damaged; /* what it has sent can't be right: it has to connect anew */
+  bool unknown_told;
+  bool busy;              /* its message is being read */
+  bool ended;             /* meanwhile: it goes when that is over */
+  GHashTable *told;       /* runner -> Told */
   KqTime beat_sent_at;    /* of its last beat, by its clock */
   KqTime certain_beat_at; /* of the last that came while the lead was certain */
   KqBuf out;
 };
 
+/* What the peer has told of a runner's runs. */
+typedef struct
+{
+  char *runner;
+  uint64_t taking;
+  KqTold *runs;
+} Told;
+
 struct KqLink
 {
   KqLinkConfig config;
@@ -47,6 +60,8 @@
   bool nodes_lost;     /* some node that was there isn't heard */
   KqConn *up;          /* to the leader */
   bool up_ready;
+  uint32_t up_version;
+  bool leaving; /* the leader knows that we go */
   KqName leader;
   uint64_t leader_epoch;
   KqTime tried_at;
@@ -54,6 +69,23 @@
   uint64_t out_epoch;
 };
 
+static void
+free_told (gpointer p)
+{
+  Told *t = p;
+  free (t->runner);
+  kq_told_free (t->runs);
+  free (t);
+}
+
+static void
+free_peer (KqPeer *p)
+{
+  kq_buf_free (&p->out);
+  g_hash_table_destroy (p->told);
+  free (p);
+}
+
 /* The peer is out of the list already. */
 static void
 end_peer (KqPeer *p, const char *why, KqTime now)
@@ -62,26 +94,101 @@
   kq_log (KQ_LOG_INFO, PART, "Node disconnected. agent=%d why=%s heard_ms_ago=%lld",
           p->agent, why, (long long)((now - kq_conn_heard_at (p->conn)) / KQ_MS));
   if (p->joined)
-    l->config.owner.left (l->config.owner.arg, p, now);
+    l->config.owner.left (l->config.owner.arg, p, false, now);
   kq_conn_free (p->conn);
-  kq_buf_free (&p->out);
-  free (p);
+  p->ended = true;
+  if (!p->busy)
+    free_peer (p);
 }
 
 static void
-peer_item (KqPeer *p, uint64_t epoch, const KqCrewItem *i, KqTime now)
+greet_peer (KqPeer *p, const KqCrewItem *i, KqTime now)
 {
   KqLink *l = p->link;
-  if (i->kind == KQ_CREW_HELLO)
+  KqCrewItem answer = { .kind = KQ_CREW_WELCOME };
+  answer.u.welcome.version = KQ_CREW_VERSION;
+  if (i->u.hello.version > 1)
+    kq_link_send_peer (p, &answer);
+  p->joined = true;
+  l->config.owner.joined (l->config.owner.arg, p, &i->u.hello.info, now);
+}
+
+static KqTold *
+told_of (KqPeer *p, KqStr runner, uint64_t taking)
+{
+  char *id = kq_str_dup (runner);
+  Told *t = g_hash_table_lookup (p->told, id);
+  if (t == NULL || t->taking != taking)
     {
-      p->joined = true;
-      l->config.owner.joined (l->config.owner.arg, p, &i->u.hello, now);
+      t = kq_alloc (sizeof *t);
+      t->runner = id;
+      t->taking = taking;
+      t->runs = kq_told_new ();
+      g_hash_table_replace (p->told, t->runner, t);
     }
+  else
+    free (id);
+  return t->runs;
+}
+
+/* The list that the changes lead to, in place of them. */
+static void
+take_changes (KqPeer *p, uint64_t epoch, const KqCrewItem *i, KqTime now)
+{
+  KqLink *l = p->link;
+  KqCrewItem list = { .kind = KQ_CREW_LIST, .runner = i->runner };
+  KqTold *told = told_of (p, i->runner, i->u.changes.list.taking);
+  KqRunRow *rows = NULL;
+  if (!kq_told_apply (told, &i->u.changes.running))
+    {
+      kq_log (KQ_LOG_ERROR, PART,
+              "Changes don't follow the list before. error=%d agent=%d runner=%.*s "
+              "serial=%llu",
+              KQ_ERR_FRAME_FORMAT, p->agent, KQ_STR_ARG (i->runner),
+              (unsigned long long)i->u.changes.running.serial);
+      p->damaged = true;
+      return;
+    }
+  list.u.list = i->u.changes.list;
+  list.u.list.n_running = kq_told_list (told, &rows);
+  list.u.list.running = rows;
+  l->config.owner.from_node (l->config.owner.arg, p, epoch, &list, now);
+  free (rows);
+}
+
+/* Of a later version: said once a connection. */
+static void
+note_unknown (KqPeer *p, int64_t kind)
+{
+  if (!p->unknown_told)
+    kq_log (KQ_LOG_WARN, PART,
+            "An item of an unknown kind is passed over. error=%d agent=%d kind=%lld",
+            KQ_ERR_PEER_KIND, p->agent, (long long)kind);
+  p->unknown_told = true;
+}
+
+static void
+peer_item (KqPeer *p, uint64_t epoch, const KqCrewItem *i, KqTime now)
+{
+  KqLink *l = p->link;
   if (i->kind == KQ_CREW_BEAT)
     p->beat_sent_at = i->u.beat.sent_at;
   if (now < l->lead_until)
     p->certain_beat_at = p->beat_sent_at;
-  if (i->kind != KQ_CREW_HELLO && p->joined)
+  if (i->kind == KQ_CREW_HELLO)
+    greet_peer (p, i, now);
+  else if (i->kind == KQ_CREW_UNKNOWN)
+    note_unknown (p, i->u.unknown.kind);
+  else if (!p->joined)
+    return;
+  else if (i->kind == KQ_CREW_CHANGES)
+    take_changes (p, epoch, i, now);
+  else if (i->kind == KQ_CREW_LEAVE)
+    {
+      p->joined = false;
+      l->config.owner.left (l->config.owner.arg, p, true, now);
+    }
+  else
     l->config.owner.from_node (l->config.owner.arg, p, epoch, i, now);
 }
 
@@ -89,19 +196,29 @@
 on_peer_message (void *arg, KqConn *c, const KqMsg *m)
 {
   KqPeer *p = arg;
+  KqLink *l = p->link;
   KqStr rest = m->u.crew.items;
   KqCrewItem i;
-  KqTime now = kq_loop_now (p->link->config.loop);
+  KqTime now = kq_loop_now (l->config.loop);
   (void)c;
   if (m->kind != KQ_MSG_CREW)
     return;
-  while (kq_crew_unpack (&rest, &i))
+  p->busy = true;
+  while (!p->ended && !p->damaged && kq_crew_unpack (&rest, &i))
     {
       peer_item (p, m->u.crew.epoch, &i, now);
       kq_crew_clear (&i);
     }
-  if (rest.len > 0)
-    kq_log (KQ_LOG_ERROR, PART, "A node's message is damaged. left=%zu", rest.len);
+  p->busy = false;
+  if (!p->ended && (p->damaged || rest.len > 0))
+    {
+      kq_log (KQ_LOG_ERROR, PART, "A node's message is damaged. error=%d left=%zu",
+              KQ_ERR_FRAME_FORMAT, rest.len);
+      g_ptr_array_remove_fast (l->peers, p);
+      end_peer (p, "damaged", now);
+    }
+  else if (p->ended)
+    free_peer (p);
 }
 
 static void
@@ -133,6 +250,7 @@
   p = kq_alloc (sizeof *p);
   p->link = l;
   p->agent = -1;
+  p->told = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_told);
   cb.arg = p;
   p->conn = kq_conn_accept (l->config.loop, fd, &cb);
   g_ptr_array_add (l->peers, p);
@@ -149,6 +267,7 @@
   kq_conn_free (l->up);
   l->up = NULL;
   l->up_ready = false;
+  l->up_version = 1;
   kq_buf_clear (&l->out);
 }
 
@@ -161,7 +280,8 @@
   l->up_ready = true;
   kq_log (KQ_LOG_INFO, PART, "Connected to the leader. epoch=%llu",
           (unsigned long long)l->leader_epoch);
-  i.u.hello = l->config.self;
+  i.u.hello.info = l->config.self;
+  i.u.hello.version = KQ_CREW_VERSION;
   kq_link_send (l, l->leader_epoch, &i);
   l->config.owner.connected (l->config.owner.arg, kq_loop_now (l->config.loop));
 }
@@ -175,9 +295,12 @@
   KqTime now = kq_loop_now (l->config.loop);
   if (m->kind != KQ_MSG_CREW)
     return;
-  while (l->up == c && kq_crew_unpack (&rest, &i))
+  while (l->up == c && !l->leaving && kq_crew_unpack (&rest, &i))
     {
-      l->config.owner.from_leader (l->config.owner.arg, m->u.crew.epoch, &i, now);
+      if (i.kind == KQ_CREW_WELCOME)
+        l->up_version = i.u.welcome.version;
+      if (i.kind != KQ_CREW_UNKNOWN)
+        l->config.owner.from_leader (l->config.owner.arg, m->u.crew.epoch, &i, now);
       kq_crew_clear (&i);
     }
 }
@@ -194,7 +317,7 @@
 open_up (KqLink *l, KqTime now)
 {
   KqConnCallback cb = { l, on_up, on_up_message, on_up_closed };
-  if (l->up != NULL || l->leader.len == 0 || l->lead_epoch != 0)
+  if (l->up != NULL || l->leader.len == 0 || l->lead_epoch != 0 || l->leaving)
     return;
   l->tried_at = now;
   l->up = kq_conn_open (l->config.loop, kq_name_str (&l->leader), &cb);
@@ -209,10 +332,22 @@
   open_up (l, now);
 }
 
+void
+kq_link_leave (KqLink *l)
+{
+  KqCrewItem i = { .kind = KQ_CREW_LEAVE };
+  l->leaving = true;
+  l->leader.len = 0;
+  if (l->up_ready && l->up_version > 1)
+    kq_link_send (l, l->leader_epoch, &i); /* the leader closes the connection */
+  else
+    close_up (l, "leaving");
+}
+
 bool
 kq_link_up (const KqLink *l)
 {
-  return l->up_ready;
+  return l->up_ready && !l->leaving;
 }
 
 static void
@@ -393,8 +528,7 @@
     {
       KqPeer *p = g_ptr_array_index (l->peers, i);
       kq_conn_free (p->conn);
-      kq_buf_free (&p->out);
-      free (p);
+      free_peer (p);
     }
   g_ptr_array_free (l->peers, TRUE);
   kq_buf_free (&l->out);
--- a/src/fleet/link.h
+++ b/src/fleet/link.h
@@ -17,7 +17,8 @@
   void *arg;
   /* As leader. */
   void (*joined) (void *arg, KqPeer *p, const KqAgentInfo *info, KqTime now);
-  void (*left) (void *arg, KqPeer *p, KqTime now);
+  /* planned: it has said so, and let go of all runners. */
+  void (*left) (void *arg, KqPeer *p, bool planned, KqTime now);
   void (*from_node) (void *arg, KqPeer *p, uint64_t epoch, const KqCrewItem *i,
                      KqTime now);
   /* As node. */
@@ -42,6 +43,8 @@
 
 /* Connect to this leader from now on; "" to nobody. */
 void kq_link_leader (KqLink *l, KqStr address, uint64_t epoch, KqTime now);
+/* Tells the leader that this node stops as planned, and connects to nobody any more. */
+void kq_link_leave (KqLink *l);
 bool kq_link_up (const KqLink *l);
 /* To the leader; dropped when there is no connection. */
 void kq_link_send (KqLink *l, uint64_t epoch, const KqCrewItem *i);
--- a/src/sched/acknowledge_test.c
+++ b/src/sched/acknowledge_test.c
@@ -26,7 +26,7 @@
   kq_sched_desk_list_cut (d, "r0", &end);
   store (d);
   assert_int_equal (d->seen, 1);
-  kq_sched_agent_down (d->sched, d->agent, d->now);
+  kq_sched_agent_down (d->sched, d->agent, false, d->now);
   d->agent = kq_sched_agent_up (d->sched, &next, d->now);
   kq_sched_desk_run (d, 300 * KQ_MS);
   d->seen = 0;
@@ -42,7 +42,7 @@
   KqAgentInfo next = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
   KqEndRow end = { 1, KQ_STR ("zz.0.0.0"), 1, KQ_END_DONE, KQ_STR ("") };
   kq_sched_desk_list_cut (d, "r0", &end);
-  kq_sched_agent_down (d->sched, d->agent, d->now);
+  kq_sched_agent_down (d->sched, d->agent, false, d->now);
   d->agent = kq_sched_agent_up (d->sched, &next, d->now);
   kq_sched_desk_run (d, 300 * KQ_MS);
   kq_sched_desk_list_cut (d, "r0", &end);
--- a/src/sched/agents.c
+++ b/src/sched/agents.c
@@ -39,10 +39,10 @@
 }
 
 void
-kq_agents_down (KqAgents *a, int agent)
+kq_agents_down (KqAgents *a, int agent, bool planned)
 {
   a->list[agent].up = false;
-  if (a->n_lost < KQ_AGENTS_MAX)
+  if (!planned && a->n_lost < KQ_AGENTS_MAX)
     a->lost[a->n_lost++] = a->list[agent].info.name;
 }
 
--- a/src/sched/agents.h
+++ b/src/sched/agents.h
@@ -38,7 +38,8 @@
 } KqAgents;
 
 int kq_agents_up (KqAgents *a, const KqAgentInfo *info);
-void kq_agents_down (KqAgents *a, int agent);
+/* planned: it isn't missed. */
+void kq_agents_down (KqAgents *a, int agent, bool planned);
 /* The best agent for one more runner in a failure domain; -1: none is up. */
 int kq_agents_pick (const KqAgents *a, KqStr failure_domain);
 /* Whether the agent carries so much more than its part that a runner should move. */
--- a/src/sched/disturb_test.c
+++ b/src/sched/disturb_test.c
@@ -116,8 +116,8 @@
   assert_false (kq_agents_overfull (&a, 1, 40));
   a.list[1].runners = 30;
   assert_true (kq_agents_overfull (&a, 1, 40));
-  kq_agents_down (&a, 1);
-  kq_agents_down (&a, 2);
+  kq_agents_down (&a, 1, false);
+  kq_agents_down (&a, 2, false);
   assert_int_equal (kq_agents_pick (&a, KQ_STR ("n")), 0);
 }
 
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -520,7 +520,7 @@
   KqAgentInfo c = { .name = kq_name (KQ_STR ("c")), .share_milli = 1000 };
   int n = kq_sched_agent_up (d->sched, &b, d->now);
   assert_false (kq_sched_agents_lost (d->sched));
-  kq_sched_agent_down (d->sched, n, d->now);
+  kq_sched_agent_down (d->sched, n, false, d->now);
   kq_sched_agent_up (d->sched, &c, d->now);
   assert_true (kq_sched_agents_lost (d->sched));
   kq_sched_agent_up (d->sched, &b, d->now);
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -389,10 +389,10 @@
 }
 
 void
-kq_sched_agent_down (KqSched *s, int agent, KqTime now)
+kq_sched_agent_down (KqSched *s, int agent, bool planned, KqTime now)
 {
   KqTime ends = blind_lease_end (s, now);
-  kq_agents_down (&s->agents, agent);
+  kq_agents_down (&s->agents, agent, planned);
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -178,8 +178,9 @@
 /* The part of a processor that its node has, in thousandths. */
 int kq_sched_agent_share (const KqSched *s, int agent);
 int kq_sched_agent_find (const KqSched *s, KqStr name);
-void kq_sched_agent_down (KqSched *s, int agent, KqTime now);
-/* Some agent has gone down in our time and isn't up again. */
+/* planned: it has stopped as it said before, and isn't missed. */
+void kq_sched_agent_down (KqSched *s, int agent, bool planned, KqTime now);
+/* Some agent has gone down unplanned in our time and isn't up again. */
 bool kq_sched_agents_lost (const KqSched *s);
 
 /* What an agent tells of a runner names its taking. Words of an earlier one may arrive
