Runners are given out in slices

After the loss of all hosts the first one back was given the whole fleet, and the lists of hundreds of runners came over the leader's link at once, so that it couldn't renew its own lease. Now no more than 128 runners of which nothing has been told are given out at a time, and to one host as many as its processor bears; the next ones follow as soon as a list has come. Replayed by takeover_test.

--- a/src/sched/agents.c
+++ b/src/sched/agents.c
@@ -8,6 +8,11 @@
 /* A host is relieved when it carries this much over its part, in percent; less would move
  * runners back and forth when hosts come and go. */
 #define OVERFULL_PERCENT 150
+/* So many runners of which nothing has been told are given out at a time: to all hosts,
+ * and to one, which gets more the more processor it has. */
+#define UNHEARD_MAX 128
+#define UNHEARD_OF_ONE 8
+#define UNHEARD_MILLI 10
 
 static void
 forget_loss (KqAgents *a, const KqName *name)
@@ -55,18 +60,35 @@
   return n;
 }
 
+static bool
+hands_full (const KqAgentState *g)
+{
+  return g->unheard >= UNHEARD_OF_ONE + g->info.share_milli / UNHEARD_MILLI;
+}
+
+static int
+unheard (const KqAgents *a)
+{
+  int n = 0;
+  for (int i = 0; i < a->n; i++)
+    n += a->list[i].unheard;
+  return n;
+}
+
 int
 kq_agents_pick (const KqAgents *a, KqStr failure_domain)
 {
   bool leader_too = usable (a, false) == 0;
   int best = -1;
   int64_t best_load = 0;
+  if (unheard (a) >= UNHEARD_MAX)
+    return -1;
   for (int i = 0; i < a->n; i++)
     {
       const KqAgentState *g = &a->list[i];
       int64_t share = g->info.share_milli > 0 ? g->info.share_milli : 1;
       int64_t load;
-      if (!g->up || (g->info.leader && !leader_too))
+      if (!g->up || (g->info.leader && !leader_too) || hands_full (g))
         continue;
       load = (int64_t)(g->runners + 1) * 1000 * 1000 / share;
       if (!kq_str_eq (kq_name_str (&g->info.failure_domain), failure_domain))
--- a/src/sched/agents.h
+++ b/src/sched/agents.h
@@ -24,6 +24,7 @@
   KqAgentInfo info;
   bool up;
   int runners;
+  int unheard;   /* of them, that it hasn't told of yet */
   int questions; /* to the advice service, without an answer yet */
 } KqAgentState;
 
@@ -40,7 +41,12 @@
 int kq_agents_up (KqAgents *a, const KqAgentInfo *info);
 /* planned: it isn't missed. */
 void kq_agents_down (KqAgents *a, int agent, bool planned);
-/* The best agent for one more runner in a failure domain; -1: none is up. */
+/* The best agent for one more runner in a failure domain; -1: none is up, or those that
+ * are have their hands full with runners that they haven't told of yet.
+ *
+ * Load pattern: after the loss of all hosts they come back one by one. The first one back
+ * would take the whole fleet, and on a slow link the lists of hundreds of runners at a
+ * time keep the leader from renewing its own lease. */
 int kq_agents_pick (const KqAgents *a, KqStr failure_domain);
 /* Whether the agent carries so much more than its part that a runner should move. */
 bool kq_agents_overfull (const KqAgents *a, int agent, int total);
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -243,6 +243,7 @@
   /* The acknowledgement went to an earlier agent, and may not have left it. */
   if (!r->listed && l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
     kq_runners_acknowledge (s, r);
+  s->assign_soon = s->assign_soon || !r->listed;
   if (!l->ended_cut)
     r->listed = true;
   r->silent = false;
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -323,6 +323,7 @@
   r->watched = r->passed_over = false;
   r->listed = false; /* to this agent: it knows neither the runner's clock nor its runs */
   s->agents.list[agent].runners++;
+  s->agents.list[agent].unheard++;
   r->taking = ++s->takings;
   o.u.take.address = kq_str (r->address);
   o.u.take.taking = r->taking;
@@ -339,14 +340,31 @@
     }
 }
 
+/* Counts what each agent has yet to tell of; the number of runners that need one. */
+static int
+count_unheard (KqSched *s)
+{
+  int total = 0;
+  for (int i = 0; i < s->agents.n; i++)
+    s->agents.list[i].unheard = 0;
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      total += r->address[0] != '\0';
+      if (r->agent >= 0 && !r->listed && !r->silent)
+        s->agents.list[r->agent].unheard++;
+    }
+  return total;
+}
+
 void
 kq_runners_assign (KqSched *s, KqTime now)
 {
-  int total = 0;
+  int total;
+  s->assign_soon = false;
   if (!s->loaded)
     return;
-  for (guint i = 0; i < s->runner_list->len; i++)
-    total += ((KqRunnerState *)g_ptr_array_index (s->runner_list, i))->address[0] != '\0';
+  total = count_unheard (s);
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
@@ -449,6 +467,7 @@
   KqTime ends = now + lease_left_ms * KQ_MS;
   if (r == NULL || r->over || !kq_runners_heard_of_by (s, r, agent, taking, "silence"))
     return;
+  s->assign_soon = s->assign_soon || !r->listed;
   if (!r->silent)
     kq_log (KQ_LOG_WARN, PART, "Runner is silent. runner=%s runs=%d lease_left_ms=%lld",
             r->id, r->n_runs, (long long)lease_left_ms);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -321,10 +321,11 @@
   s->wall_minus_now_ms = wall_ms - now / KQ_MS;
   if (!s->loaded)
     return now + LOOK_GAP;
+  if (s->assign_soon || now >= s->look_at)
+    kq_runners_assign (s, now);
   if (now >= s->look_at)
     {
       s->look_at = now + LOOK_GAP;
-      kq_runners_assign (s, now);
       kq_runners_look (s, now);
       kq_watch_progress (s, now);
       look_at_jobs (s, now);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -294,6 +294,7 @@
   KqRunnerState *changed_last; /* all runners, by their last change */
   guint look_from;             /* the next look at runners begins there */
   bool known_dirty;
+  bool assign_soon; /* an agent may have a hand free for a runner that has none */
   int64_t wall_minus_now_ms;
   KqTime started_at;
   KqTime lead_until; /* nobody else can lead until then */
--- /dev/null
+++ b/src/sched/takeover_test.c
@@ -0,0 +1,214 @@
+#include "base/log.h"
+#include "sched/sched.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define RUNNERS 400
+#define AGENTS 8
+
+/* A new leader, after all hosts have gone down. */
+typedef struct
+{
+  KqSched *sched;
+  KqCounters *counters;
+  KqTime now;
+  int holds[RUNNERS]; /* agent; -1: none */
+  uint64_t taking[RUNNERS];
+  bool told[RUNNERS];
+} Fleet;
+
+static int
+runner_of (KqStr id)
+{
+  int64_t n = -1;
+  kq_str_to_i64 (kq_str_n (id.ptr + 1, id.len - 1), &n);
+  return (int)n;
+}
+
+static void
+on_order (void *arg, int agent, const KqOrder *o)
+{
+  Fleet *f = arg;
+  int n = runner_of (o->runner);
+  if (o->kind == KQ_ORDER_TAKE)
+    {
+      f->holds[n] = agent;
+      f->taking[n] = o->u.take.taking;
+      f->told[n] = false;
+    }
+}
+
+static int
+held_by (const Fleet *f, int agent)
+{
+  int n = 0;
+  for (int i = 0; i < RUNNERS; i++)
+    n += f->holds[i] == agent;
+  return n;
+}
+
+static int
+add_agent (Fleet *f, const char *name, int share_milli)
+{
+  KqAgentInfo info = { .name = kq_name (kq_str (name)), .share_milli = share_milli };
+  return kq_sched_agent_up (f->sched, &info, f->now);
+}
+
+static void
+run (Fleet *f, KqTime span)
+{
+  for (KqTime end = f->now + span; f->now < end; f->now += 10 * KQ_MS)
+    kq_sched_run (f->sched, f->now, f->now / KQ_MS);
+}
+
+/* All agents tell of what they have been given. */
+static void
+tell (Fleet *f)
+{
+  for (int i = 0; i < RUNNERS; i++)
+    {
+      char id[16];
+      KqRunnerList l = { .born_ms = 1, .lease_left_ms = 5000, .taking = f->taking[i] };
+      if (f->holds[i] < 0 || f->told[i])
+        continue;
+      f->told[i] = true;
+      snprintf (id, sizeof id, "r%d", i);
+      kq_sched_list (f->sched, f->holds[i], kq_str (id), &l, f->now);
+    }
+}
+
+static int
+set_up (void **state)
+{
+  Fleet *f = kq_alloc (sizeof *f);
+  KqSchedConfig c = { .epoch = 5,
+                      .term = 2,
+                      .lease_ms = 5000,
+                      .blind_ms = 4000,
+                      .keep_ms = 60000,
+                      .order = on_order,
+                      .arg = f };
+  KqBuf known = { 0 };
+  kq_log_set_level (KQ_LOG_ERROR);
+  f->now = 100 * KQ_SEC;
+  c.counters = f->counters = kq_counters_new ();
+  f->sched = kq_sched_new (&c, f->now);
+  for (int i = 0; i < RUNNERS; i++)
+    {
+      char id[16];
+      KqRunnerEntry e = { .service = KQ_STR ("desk"),
+                          .address = KQ_STR ("127.0.0.1:1"),
+                          .failure_domain = KQ_STR ("d"),
+                          .room = { 4000, 16000, 0 } };
+      snprintf (id, sizeof id, "r%d", i);
+      e.id = kq_str (id);
+      f->holds[i] = -1;
+      kq_sched_entry (f->sched, &e, f->now);
+    }
+  kq_sched_loaded (f->sched, f->now);
+  kq_sched_known_pack (f->sched, &known);
+  kq_sched_known_stored (f->sched);
+  kq_buf_free (&known);
+  *state = f;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  Fleet *f = *state;
+  kq_sched_free (f->sched);
+  kq_counters_free (f->counters);
+  free (f);
+  return 0;
+}
+
+/* Leases lapse: the first host back takes all runners, and can't renew them. */
+static void
+test_first_host_back_does_not_take_the_fleet (void **state)
+{
+  Fleet *f = *state;
+  int weak = add_agent (f, "weak", 70);
+  int agents[AGENTS];
+  run (f, KQ_SEC);
+  assert_true (held_by (f, weak) > 0);
+  assert_true (held_by (f, weak) < RUNNERS / 10);
+  for (int i = 0; i < AGENTS; i++)
+    {
+      char name[16];
+      snprintf (name, sizeof name, "n%d", i);
+      agents[i] = add_agent (f, name, 500);
+    }
+  for (int i = 0; i < 10; i++)
+    {
+      run (f, 50 * KQ_MS);
+      tell (f);
+    }
+  assert_int_equal (held_by (f, -1), 0);
+  for (int i = 0; i < AGENTS; i++)
+    assert_in_range (held_by (f, agents[i]), 30, 70);
+}
+
+/* The lead is lost: the lists of all runners come at once, and fill the leader's link. */
+static void
+test_runners_are_taken_over_in_slices (void **state)
+{
+  Fleet *f = *state;
+  for (int i = 0; i < AGENTS; i++)
+    {
+      char name[16];
+      snprintf (name, sizeof name, "n%d", i);
+      add_agent (f, name, 1000);
+    }
+  run (f, KQ_SEC);
+  assert_in_range (RUNNERS - held_by (f, -1), 64, 128);
+  tell (f);
+  run (f, 10 * KQ_MS); /* the next slice doesn't wait */
+  assert_true (RUNNERS - held_by (f, -1) > 128);
+}
+
+/* Work stands still: runners that no agent reaches keep the next ones waiting. */
+static void
+test_silent_runners_dont_hold_up_the_others (void **state)
+{
+  Fleet *f = *state;
+  for (int i = 0; i < AGENTS; i++)
+    {
+      char name[16];
+      snprintf (name, sizeof name, "n%d", i);
+      add_agent (f, name, 1000);
+    }
+  run (f, 300 * KQ_MS);
+  for (int i = 0; i < RUNNERS; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "r%d", i);
+      if (f->holds[i] >= 0)
+        kq_sched_unreached (f->sched, f->holds[i], kq_str (id), f->taking[i], 5000,
+                            f->now);
+    }
+  run (f, 10 * KQ_MS);
+  assert_true (RUNNERS - held_by (f, -1) > 128);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_first_host_back_does_not_take_the_fleet, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_runners_are_taken_over_in_slices, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_silent_runners_dont_hold_up_the_others, set_up,
+                                     tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
