--- a/src/crew/told_test.c
+++ b/src/crew/told_test.c
@@ -14,7 +14,7 @@
 
 typedef struct
 {
-  char task[RUNS][16];
+  char task[RUNS][24];
   char checkpoint[RUNS][16];
   KqRunRow rows[RUNS];
   size_t n;
