--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -20,7 +20,8 @@
 
 # Name, file, text, and the text that switches it off.
 MECHANISMS = [
-    ("harm learned", "src/sched/disturb.c", "  return v > 0 ? v : 0;", "  return 0 * v;"),
+    ("harm learned", "src/sched/disturb.c", "  m->press[filling] = v > 0 ? v : 0;",
+     "  m->press[filling] = 0 * v;"),
     ("harm beyond doubt only", "src/sched/disturb.c", "#define SURE 0.4", "#define SURE 0.0"),
     ("load's slope", "src/sched/swing.c",
      "return s->level + s->slope * fmin (dt, FOLLOW_S);",
@@ -38,7 +39,7 @@
     ("margin at the start", "src/sched/harm.c", "#define START_MARGIN 0.4",
      "#define START_MARGIN 0.0"),
     ("whole runners kept free", "src/sched/pools.c",
-     "  if (p == NULL || r->n_lasting > 0)", "  if (p == NULL || r->n_lasting >= 0)"),
+     "  return r->n_lasting > 0\n", "  return r->n_lasting >= 0\n"),
     ("kept before any is seen", "src/sched/pools.c", "#define KEEP_FIRST_PERCENT 28",
      "#define KEEP_FIRST_PERCENT 0"),
     ("images together", "src/sched/place.c", "#define W_IMAGE 0.6", "#define W_IMAGE 0.0"),
@@ -61,8 +62,8 @@
      "#define W_FAILS 0.0"),
     ("suspect runners", "src/sched/place.c", " && now >= r->suspect_until;",
      " && now >= 0;"),
-    ("elsewhere after a failure", "src/sched/place.c", "#define W_AVOID 2.0",
-     "#define W_AVOID 0.0"),
+    ("elsewhere after a failure", "src/sched/state.h", "#define KQ_PLACE_AVOID 2.0",
+     "#define KQ_PLACE_AVOID 0.0"),
     ("copies", "src/sched/watch.c", "  if (!kq_run_step (run)->copies ||",
      "  if (!kq_run_step (run)->copies || true ||"),
     ("standing still", "src/sched/watch.c", "  else if (stands_still (run, now))",
