Filling tasks that an earlier leader has slowed are released

Callers saw jobs stand still after a change of leader: a leader paces filling tasks beside serving ones, its successor took each of them for one at full speed, and so never gave the order that would have let it go on. A run that a new leader hears of has an unknown pace now, until it shows by the cpu it uses that it isn't slowed; an order for full speed is then not saved as one that changes nothing. Where no serving task is left, all that fills is released.

Before: adopted_pace_test failed (no order). After: it passes.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -22,8 +22,11 @@
     d->drops++;
   if (o->kind == KQ_ORDER_TAKE)
     *taking (d, o->runner) = o->u.take.taking;
-  if (o->kind == KQ_ORDER_PACE && o->u.pace.percent < 100)
-    d->slowed++;
+  if (o->kind == KQ_ORDER_PACE)
+    {
+      d->paces++;
+      d->slowed += o->u.pace.percent < 100;
+    }
   if (o->kind == KQ_ORDER_RENEW)
     {
       d->renewals++;
--- a/bench/sched_desk.h
+++ b/bench/sched_desk.h
@@ -19,7 +19,8 @@
   char task[96];
   uint32_t run;
   char ticket[32];
-  int slowed;          /* orders to a pace below 100 so far */
+  int paces;           /* orders so far */
+  int slowed;          /* of them to a pace below 100 */
   int questions;       /* to the advice service so far */
   char question[96];   /* the step of the last one */
   int questions_about; /* runners in it */
--- /dev/null
+++ b/src/sched/adopted_pace_test.c
@@ -0,0 +1,60 @@
+#include "bench/sched_desk.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+/* A leader that has just taken over hears of a filling task, which uses so much of the
+ * 1,000 thousandths of a core that it asks for. */
+static void
+adopt_filling_task (KqSchedDesk *d, int load)
+{
+  KqRunRow row = { .task = KQ_STR ("aa.0.0.0"),
+                   .run = 1,
+                   .checkpoint = KQ_STR (""),
+                   .percent = 10,
+                   .load = load };
+  KqStep step = kq_sched_desk_step ();
+  step.filling = true;
+  step.image = KQ_STR ("f");
+  step.cpu_milli = 1000;
+  kq_sched_desk_next_leader (d);
+  kq_sched_desk_submit (d, "aa", step, false);
+  kq_sched_loaded (d->sched, d->now);
+  kq_sched_desk_run (d, 100 * KQ_MS);
+  kq_sched_desk_list_runs (d, "r0", &row, 1);
+}
+
+/* A job stands still: an earlier leader has slowed its task to nothing, and the next one
+ * takes it for one at full speed. */
+static void
+test_slow_task_of_an_earlier_leader_is_released (void **state)
+{
+  KqSchedDesk *d = *state;
+  adopt_filling_task (d, 20);
+  assert_int_equal (d->paces, 1);
+  assert_int_equal (d->slowed, 0);
+}
+
+static void
+test_task_at_full_speed_needs_no_call (void **state)
+{
+  KqSchedDesk *d = *state;
+  adopt_filling_task (d, 950);
+  assert_int_equal (d->paces, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_slow_task_of_an_earlier_leader_is_released,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down),
+    cmocka_unit_test_setup_teardown (test_task_at_full_speed_needs_no_call,
+                                     kq_sched_desk_set_up, kq_sched_desk_tear_down)
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -28,6 +28,7 @@
   run->occurrence_number = t->occurrence_number;
   run->phase = KQ_RUN_RUNNING;
   run->running_at = now;
+  run->pace_unknown = true;
   if (wanted)
     t->job->begun = true;
   if (state != NULL && number > state->last_run)
@@ -265,6 +266,8 @@
     drop_unlisted (s, r, l->order, now);
   if (r->n_serving > 0)
     kq_pace_runner (s, r, now);
+  else if (r->filling > 0)
+    kq_pace_release (s, r, now);
   if (l->halt != 0)
     allow_renewals (s, r, l->halt);
   kq_runners_changed (s, r);
--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -22,6 +22,8 @@
  * of what could be earned (8 days, 66 runners). */
 #define BLIND_RATIO 1.3
 #define BLIND_PERCENT 30
+/* A task that uses so much of the cpu it asks for isn't slowed. */
+#define FULL_SPEED_PERCENT 70
 
 bool
 kq_pace_worth_a_call (int ordered, int wanted)
@@ -102,10 +104,32 @@
     to = 0;
   if (to > 100 - STEP_PERCENT / 2)
     to = 100;
-  if (kq_pace_worth_a_call (run->pace, to))
+  if (run->pace_unknown || kq_pace_worth_a_call (run->pace, to))
     kq_run_pace (s, run, to, now);
 }
 
+/* A filling task that an earlier leader started isn't slowed if it uses most of the cpu
+ * that it asks for. */
+static void
+look_at_speed (KqRun *run)
+{
+  if (run->load >= kq_run_step (run)->cpu_milli * FULL_SPEED_PERCENT / 100)
+    run->pace_unknown = false;
+}
+
+void
+kq_pace_release (KqSched *s, const KqRunnerState *r, KqTime now)
+{
+  for (KqRun *run = r->runs; run != NULL; run = run->next)
+    {
+      if (!kq_run_step (run)->filling || run->phase != KQ_RUN_RUNNING)
+        continue;
+      look_at_speed (run);
+      if (run->pace < 100 || run->pace_unknown)
+        pace_run (s, run, 100, now);
+    }
+}
+
 /* The oldest filling tasks work at full speed, the youngest at what is left: all of them
  * at the same part of their speed would end later, most of them, and none sooner. */
 void
@@ -116,7 +140,10 @@
   bool any = list_beside (s, r, beside, now);
   for (KqRun *run = r->runs; run != NULL; run = run->next)
     if (kq_run_step (run)->filling && run->phase == KQ_RUN_RUNNING)
-      g_ptr_array_add (filling, run);
+      {
+        look_at_speed (run);
+        g_ptr_array_add (filling, run);
+      }
   if (filling->len > 0)
     qsort (filling->pdata, filling->len, sizeof (gpointer), by_age);
   for (guint i = 0; i < filling->len; i++)
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -235,7 +235,8 @@
 {
   char name[96];
   KqOrder o = { .kind = KQ_ORDER_PACE };
-  if (run->pace == percent || run->phase != KQ_RUN_RUNNING || run->runner->agent < 0)
+  if ((run->pace == percent && !run->pace_unknown) || run->phase != KQ_RUN_RUNNING
+      || run->runner->agent < 0)
     return;
   kq_book_task_name (run, name);
   kq_log (KQ_LOG_DEBUG, PART,
@@ -243,6 +244,7 @@
           name, run->number, run->runner->id, percent, run->pace,
           (long long)((now - run->runner->heard_at) / KQ_MS));
   run->pace = percent;
+  run->pace_unknown = false;
   run->moved_at = now;
   o.runner = kq_str (run->runner->id);
   o.u.pace.task = kq_str (name);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -156,6 +156,7 @@
   int percent;
   int load;
   int pace;           /* ordered last */
+  bool pace_unknown;  /* an earlier leader may have slowed it */
   bool marked;        /* found in the list being read */
   KqServing *serving; /* of a task with a latency target; NULL: others */
   char *checkpoint;
@@ -496,6 +497,8 @@
 /* pace.c */
 /* After a list of its runs: learns from its reports (harm.h) and sets the paces there. */
 void kq_pace_runner (KqSched *s, KqRunnerState *r, KqTime now);
+/* No serving task is left there: all that fills works at full speed. */
+void kq_pace_release (KqSched *s, const KqRunnerState *r, KqTime now);
 /* Sets the paces there, by what is known. */
 void kq_pace_set (KqSched *s, KqRunnerState *r, KqTime now);
 
