A store that may be away is asked before it is written to

Callers were told that their job may have been accepted or not, and could not hand it in again: when the store went silent, each of a hundred nodes found out by a write of its own without an answer, for 2.6 s after the last sign of life. The leader calls the store many times a second; its pings tell now since when it has had no answer.

--- a/src/crew/frame.c
+++ b/src/crew/frame.c
@@ -206,6 +206,7 @@
       break;
     case KQ_CREW_PING:
       kq_pack_i64 (p, i->u.ping.beat_sent_at);
+      kq_pack_i64 (p, i->u.ping.store_age_ms);
       break;
     case KQ_CREW_FENCED:
     case KQ_CREW_LEAVE:
@@ -276,6 +277,7 @@
       return;
     case KQ_CREW_PING:
       i->u.ping.beat_sent_at = kq_read_i64 (r);
+      i->u.ping.store_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
       return;
     case KQ_CREW_FENCED:
     case KQ_CREW_LEAVE:
@@ -288,7 +290,7 @@
 static size_t
 n_fields (const KqCrewItem *i)
 {
-  static const uint8_t of_kind[] = { 0, 0, 3, 1, 4, 2, 8, 7, 3, 0, 3, 2, 1, 4, 1, 10, 0 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 2, 4, 2, 8, 7, 3, 0, 3, 2, 1, 4, 1, 10, 0 };
   static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_CREW_ORDER)
     return of_order[i->u.order.kind];
--- a/src/crew/frame.h
+++ b/src/crew/frame.h
@@ -79,6 +79,8 @@
     struct
     {
       KqTime beat_sent_at; /* of a BEAT of the node that has come */
+      int64_t
+          store_age_ms; /* since the store's last answer to the leader; -1: not told */
     } ping;
     KqRunnerList list;
     struct
--- a/src/crew/frame_test.c
+++ b/src/crew/frame_test.c
@@ -164,7 +164,9 @@
   assert_int_equal (pass (&i, &b).u.beat.sent_at, 12);
   i = (KqCrewItem){ .kind = KQ_CREW_PING };
   i.u.ping.beat_sent_at = 13;
+  i.u.ping.store_age_ms = 14;
   assert_int_equal (pass (&i, &b).u.ping.beat_sent_at, 13);
+  assert_int_equal (pass (&i, &b).u.ping.store_age_ms, 14);
   kq_buf_free (&b);
 }
 
--- a/src/crew/versions_test.c
+++ b/src/crew/versions_test.c
@@ -68,6 +68,14 @@
   end (&i);
 }
 
+static void
+ping_of_version_1 (KqBuf *out)
+{
+  Item i = begin (out, 1, KQ_CREW_PING, KQ_STR (""));
+  kq_pack_i64 (&i.p, 21);
+  end (&i);
+}
+
 static KqCrewItem
 read_one (KqStr *rest)
 {
@@ -86,6 +94,7 @@
   (void)state;
   hello_of_version_1 (&b);
   list_of_version_1 (&b);
+  ping_of_version_1 (&b);
   rest = kq_buf_str (&b);
   i = read_one (&rest);
   assert_int_equal (i.kind, KQ_CREW_HELLO);
@@ -95,6 +104,10 @@
   assert_int_equal (i.kind, KQ_CREW_LIST);
   assert_int_equal (i.u.list.running[0].percent, 41);
   kq_crew_clear (&i);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_CREW_PING);
+  assert_int_equal (i.u.ping.beat_sent_at, 21);
+  assert_int_equal (i.u.ping.store_age_ms, -1);
   kq_buf_free (&b);
 }
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -97,11 +97,11 @@
   kq_reach_failed (&f->store, sent_at);
 }
 
-static bool
-store_up (void *arg, KqTime now)
+static KqReachState
+store_state (void *arg, KqTime now)
 {
   const KqFleet *f = arg;
-  return kq_reach_up (&f->store, now);
+  return kq_reach_state (&f->store, now);
 }
 
 static int64_t
@@ -288,13 +288,21 @@
   kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, now);
 }
 
+static void
+take_ping (KqFleet *f, uint64_t epoch, const KqCrewItem *i, KqTime now)
+{
+  kq_crew_agent_counted (f->agent, epoch, i->u.ping.beat_sent_at);
+  if (i->u.ping.store_age_ms >= 0)
+    kq_reach_leader_alive (&f->store, now - i->u.ping.store_age_ms * KQ_MS);
+}
+
 static void
 on_from_leader (void *arg, uint64_t epoch, const KqCrewItem *i, KqTime now)
 {
   KqFleet *f = arg;
   kq_crew_agent_heard (f->agent, epoch, now);
   if (i->kind == KQ_CREW_PING)
-    kq_crew_agent_counted (f->agent, epoch, i->u.ping.beat_sent_at);
+    take_ping (f, epoch, i, now);
   else if (i->kind == KQ_CREW_WELCOME)
     kq_crew_agent_tell_changes (f->agent, i->u.welcome.version > 1);
   else if (i->kind == KQ_CREW_ORDER)
@@ -363,7 +371,7 @@
 ready (void *arg, KqTime now)
 {
   const KqFleet *f = arg;
-  return !f->leaving && f->table != NULL && store_up (arg, now);
+  return !f->leaving && f->table != NULL && kq_reach_up (&f->store, now);
 }
 
 static bool
@@ -436,7 +444,7 @@
   KqTime now = kq_loop_now (f->config.loop);
   (void)ev;
   (void)events;
-  if (!f->store_lost && f->store.alive_at != 0 && !store_up (f, now))
+  if (!f->store_lost && f->store.alive_at != 0 && !kq_reach_up (&f->store, now))
     {
       f->store_lost = true;
       kq_log (KQ_LOG_WARN, PART, "The store is away. since_ms=%lld",
@@ -482,7 +490,7 @@
                         .owner = { f, on_joined, on_left, on_from_node, on_connected,
                                    on_from_leader, store_age_ms } };
   KqFrontDeskConfig desk
-      = { loop, f->kv,       f->config.counters, f, table, store_up, ask,
+      = { loop, f->kv,       f->config.counters, f, table, store_state, ask,
           tell, on_answered, on_store_failed };
   KqFrontOwner owner = { f, on_request, ready, leaving, body_max };
   f->agent = kq_crew_agent_new (&agent);
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -19,6 +19,10 @@
 #define TRY_FOR (1000 * KQ_MS)
 /* Left for the answer's way when a client's deadline is near. */
 #define DEADLINE_SLACK_MS 250
+/* When it isn't sure that the store answers, it is asked before it is written to: a
+ * question without an answer has done nothing, so that the client can be told so. It is
+ * given up after this long, about twice what a slow store takes. */
+#define QUESTION_MS 400
 /* A call to the store without an answer is repeated after this long, doubled each time: a
  * store in trouble resets connections at once, and repeats without a pause were 500 calls
  * a second from nine nodes. */
@@ -36,6 +40,7 @@
 typedef enum
 {
   SUBMIT,
+  SUBMIT_READ, /* is it there already, and does the store answer */
   READ_LEADER, /* waits for the leader's word */
   READ_PROGRESS,
   READ_CANCEL,
@@ -63,8 +68,8 @@
 } Request;
 
 static const char *const step_names[]
-    = { "submit",   "ask_leader",  "read_progress", "read_cancel",
-        "read_job", "cancel_read", "cancel_write",  "count_waiting" };
+    = { "submit",   "submit_read", "ask_leader",   "read_progress", "read_cancel",
+        "read_job", "cancel_read", "cancel_write", "count_waiting" };
 static const char *const reply_names[]
     = { "done",    "state", "waiting",   "no_job", "no_queue",
         "refused", "bad",   "too_large", "unknown" };
@@ -101,7 +106,7 @@
   KqFrontDesk *d = q->desk;
   ++*d->replies[r->kind];
   kq_histogram_add (&d->took, now - q->begun_at);
-  if (q->step == SUBMIT || q->step == CANCEL_WRITE || r->kind >= KQ_REPLY_NO_JOB)
+  if (q->step <= SUBMIT_READ || q->step == CANCEL_WRITE || r->kind >= KQ_REPLY_NO_JOB)
     kq_log (KQ_LOG_INFO, PART,
             "Answered. job=%.*s at=%s reply=%s took_ms=%lld unsure=%d why=%s",
             KQ_STR_ARG (q->id), step_names[q->step], reply_names[r->kind],
@@ -230,6 +235,7 @@
   KqKvCheck check = { key, 0 };
   KqKvPut put = { key, kq_buf_str (&q->stored), 0 };
   KqKvTxn t = { &check, 1, &put, 1, NULL, 0 };
+  q->step = SUBMIT;
   kq_kv_txn (q->desk->config.kv, &t, timeout_ms (q, kq_loop_now (q->desk->config.loop)),
              (KqKvCallback){ on_submitted, q });
   free ((char *)key.ptr);
@@ -295,6 +301,9 @@
     {
       if (q->step == CANCEL_READ)
         repeat_later (q, CANCEL_READ, now);
+      else if (q->step == SUBMIT_READ)
+        refuse (q, "the store doesn't answer", RETRY_STORE_MS, q->desk->refused_store,
+                now);
       else if (time_left (q, now))
         read_from_store (q, q->step);
       else
@@ -326,6 +335,12 @@
       else
         finish_kind (q, KQ_REPLY_NO_JOB, now);
       break;
+    case SUBMIT_READ:
+      if (r->result == KQ_KV_OK)
+        finish_kind (q, KQ_REPLY_DONE, now);
+      else
+        submit (q);
+      break;
     case SUBMIT:
     case READ_LEADER:
     case CANCEL_WRITE:
@@ -341,10 +356,12 @@
                        : step == READ_CANCEL ? KQ_KEY_CANCEL
                                              : KQ_KEY_JOB;
   KqStr key = kq_key_of (prefix, q->id);
+  int timeout = timeout_ms (q, kq_loop_now (q->desk->config.loop));
   q->step = step;
   ++*q->desk->from_store;
-  kq_kv_get (q->desk->config.kv, key, timeout_ms (q, kq_loop_now (q->desk->config.loop)),
-             (KqKvCallback){ on_read, q });
+  if (step == SUBMIT_READ)
+    timeout = MIN (timeout, QUESTION_MS);
+  kq_kv_get (q->desk->config.kv, key, timeout, (KqKvCallback){ on_read, q });
   free ((char *)key.ptr);
 }
 
@@ -382,7 +399,7 @@
         finish (q, &waiting, now);
     }
   else if ((value < 0 || value == KQ_JOB_UNKNOWN)
-           && !d->config.store_up (d->config.arg, now))
+           && d->config.store (d->config.arg, now) == KQ_REACH_AWAY)
     refuse (q, "neither leader nor store", RETRY_STORE_MS, d->refused_store, now);
   else if (value < 0)
     read_from_store (q, READ_PROGRESS);
@@ -418,13 +435,19 @@
       finish (q, &bad, now);
       return;
     }
-  if (!q->desk->config.store_up (q->desk->config.arg, now))
+  kq_spec_pack (r->spec, &q->stored);
+  switch (q->desk->config.store (q->desk->config.arg, now))
     {
+    case KQ_REACH_AWAY:
       refuse (q, "the store is away", RETRY_STORE_MS, q->desk->refused_store, now);
-      return;
+      break;
+    case KQ_REACH_IN_DOUBT:
+      read_from_store (q, SUBMIT_READ);
+      break;
+    case KQ_REACH_UP:
+      submit (q);
+      break;
     }
-  kq_spec_pack (r->spec, &q->stored);
-  submit (q);
 }
 
 static Request *
@@ -455,7 +478,8 @@
     finish_kind (q, KQ_REPLY_NO_QUEUE, now);
   else if (r->kind == KQ_FRONT_SUBMIT)
     begin_submit (q, r, queue, now);
-  else if (r->kind == KQ_FRONT_CANCEL && !d->config.store_up (d->config.arg, now))
+  else if (r->kind == KQ_FRONT_CANCEL
+           && d->config.store (d->config.arg, now) == KQ_REACH_AWAY)
     refuse (q, "the store is away", RETRY_STORE_MS, d->refused_store, now);
   else if (r->kind == KQ_FRONT_CANCEL)
     read_from_store (q, CANCEL_READ);
--- a/src/fleet/front.h
+++ b/src/fleet/front.h
@@ -9,6 +9,7 @@
 
 #include "base/counter.h"
 #include "crew/frame.h"
+#include "fleet/reach.h"
 #include "port/front.h"
 #include "port/kv.h"
 #include "steps/queues.h"
@@ -22,8 +23,9 @@
   KqCounters *counters;
   void *arg;
   const KqQueueTable *(*table) (void *arg); /* NULL: none yet */
-  /* Whether the store has answered lately: else a write would only wait for a timeout. */
-  bool (*store_up) (void *arg, KqTime now);
+  /* How the store has answered lately: while it is away a write would only wait for a
+   * timeout. */
+  KqReachState (*store) (void *arg, KqTime now);
   /* Passes a question on to the leader; false: there is none at hand. The answer comes by
    * kq_front_desk_answer. */
   bool (*ask) (void *arg, const KqCrewItem *question, KqTime now);
--- /dev/null
+++ b/src/fleet/front_test.c
@@ -0,0 +1,235 @@
+#include "base/log.h"
+#include "fleet/front.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+typedef enum
+{
+  NO_CALL,
+  GET,
+  TXN
+} Sort;
+
+/* The store, the client and the leader's word, played by the test. */
+static struct
+{
+  Sort call; /* under way */
+  int timeout_ms;
+  KqKvCallback cb;
+  KqReachState store;
+  int replies;
+  KqFrontReply reply; /* the last one */
+} world;
+
+void
+kq_kv_get (KqKv *kv, KqStr key, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)key;
+  world.call = GET;
+  world.timeout_ms = timeout_ms;
+  world.cb = cb;
+}
+
+void
+kq_kv_txn (KqKv *kv, const KqKvTxn *t, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)t;
+  world.call = TXN;
+  world.timeout_ms = timeout_ms;
+  world.cb = cb;
+}
+
+void
+kq_ask_reply (KqAsk *a, const KqFrontReply *r)
+{
+  (void)a;
+  world.replies++;
+  world.reply = *r;
+}
+
+static void
+answer (KqKvResult result)
+{
+  KqKvReply r = { .result = result, .revision = 7 };
+  KqKvCallback cb = world.cb;
+  world.call = NO_CALL;
+  cb.done (cb.arg, &r, kq_time_now ());
+}
+
+static const KqQueueTable *
+table (void *arg)
+{
+  static KqQueue queue = { .prefix = { "/jobs/", 6 }, .attempts = 1 };
+  static const KqQueueTable t = { .queues = &queue, .n_queues = 1 };
+  (void)arg;
+  return &t;
+}
+
+static KqReachState
+store (void *arg, KqTime now)
+{
+  (void)arg;
+  (void)now;
+  return world.store;
+}
+
+static bool
+ask (void *arg, const KqCrewItem *question, KqTime now)
+{
+  (void)arg;
+  (void)question;
+  (void)now;
+  return false;
+}
+
+static void
+tell (void *arg, const KqCrewItem *i, KqTime now)
+{
+  (void)arg;
+  (void)i;
+  (void)now;
+}
+
+static void
+answered (void *arg, KqTime sent_at, KqTime now)
+{
+  (void)arg;
+  (void)sent_at;
+  (void)now;
+}
+
+static void
+failed (void *arg, KqTime sent_at)
+{
+  (void)arg;
+  (void)sent_at;
+}
+
+typedef struct
+{
+  KqLoop *loop;
+  KqCounters *counters;
+  KqFrontDesk *desk;
+} Test;
+
+static int
+set_up (void **state)
+{
+  Test *t = kq_alloc (sizeof *t);
+  KqFrontDeskConfig c = { .table = table,
+                          .store = store,
+                          .ask = ask,
+                          .tell = tell,
+                          .answered = answered,
+                          .failed = failed };
+  memset (&world, 0, sizeof world);
+  kq_log_set_level (KQ_LOG_ERROR);
+  t->loop = c.loop = kq_loop_new ();
+  t->counters = c.counters = kq_counters_new ();
+  t->desk = kq_front_desk_new (&c);
+  *state = t;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  Test *t = *state;
+  kq_front_desk_free (t->desk);
+  kq_counters_free (t->counters);
+  kq_loop_free (t->loop);
+  free (t);
+  return 0;
+}
+
+static void
+submit (Test *t, KqReachState reach)
+{
+  KqStep step = { .width = 1, .cpu_milli = 100, .away_most = -1 };
+  KqSpec spec = { .steps = &step, .n_steps = 1 };
+  KqFrontRequest r = { .kind = KQ_FRONT_SUBMIT,
+                       .path = KQ_STR ("/jobs/j1"),
+                       .spec = &spec,
+                       .deadline_ms = 3000 };
+  world.store = reach;
+  kq_front_desk_request (t->desk, NULL, &r, kq_time_now ());
+}
+
+/* The client isn't told whether its job was accepted, and can't hand it in again. */
+static void
+test_store_in_doubt_is_asked_before_it_is_written_to (void **state)
+{
+  submit (*state, KQ_REACH_IN_DOUBT);
+  assert_int_equal (world.call, GET);
+  assert_in_range (world.timeout_ms, 1, 400);
+  answer (KQ_KV_UNKNOWN);
+  assert_int_equal (world.call, NO_CALL);
+  assert_int_equal (world.reply.kind, KQ_REPLY_REFUSED);
+  assert_true (world.reply.retry_ms > 0);
+  assert_int_equal (world.replies, 1);
+}
+
+static void
+test_store_that_answers_is_written_to (void **state)
+{
+  submit (*state, KQ_REACH_IN_DOUBT);
+  answer (KQ_KV_NOT_FOUND);
+  assert_int_equal (world.call, TXN);
+  answer (KQ_KV_OK);
+  assert_int_equal (world.reply.kind, KQ_REPLY_DONE);
+  assert_int_equal (world.replies, 1);
+}
+
+/* A repeat of a job that was accepted is told that it is. */
+static void
+test_job_that_is_there_is_accepted (void **state)
+{
+  submit (*state, KQ_REACH_IN_DOUBT);
+  answer (KQ_KV_OK);
+  assert_int_equal (world.call, NO_CALL);
+  assert_int_equal (world.reply.kind, KQ_REPLY_DONE);
+}
+
+/* In calm times a question would be a call and a way to the store for nothing. */
+static void
+test_store_that_is_up_is_not_asked (void **state)
+{
+  submit (*state, KQ_REACH_UP);
+  assert_int_equal (world.call, TXN);
+  answer (KQ_KV_OK);
+  assert_int_equal (world.reply.kind, KQ_REPLY_DONE);
+}
+
+static void
+test_store_that_is_away_is_not_called (void **state)
+{
+  submit (*state, KQ_REACH_AWAY);
+  assert_int_equal (world.call, NO_CALL);
+  assert_int_equal (world.reply.kind, KQ_REPLY_REFUSED);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test_setup_teardown (
+              test_store_in_doubt_is_asked_before_it_is_written_to, set_up, tear_down),
+          cmocka_unit_test_setup_teardown (test_store_that_answers_is_written_to, set_up,
+                                           tear_down),
+          cmocka_unit_test_setup_teardown (test_job_that_is_there_is_accepted, set_up,
+                                           tear_down),
+          cmocka_unit_test_setup_teardown (test_store_that_is_up_is_not_asked, set_up,
+                                           tear_down),
+          cmocka_unit_test_setup_teardown (test_store_that_is_away_is_not_called, set_up,
+                                           tear_down) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -430,6 +430,7 @@
 {
   KqCrewItem i = { .kind = KQ_CREW_PING };
   guint n = 0;
+  i.u.ping.store_age_ms = l->config.owner.store_age_ms (l->config.owner.arg, now);
   while (n < l->peers->len)
     {
       KqPeer *p = g_ptr_array_index (l->peers, n);
--- a/src/fleet/link.h
+++ b/src/fleet/link.h
@@ -24,6 +24,7 @@
   /* As node. */
   void (*connected) (void *arg, KqTime now);
   void (*from_leader) (void *arg, uint64_t epoch, const KqCrewItem *i, KqTime now);
+  /* Since the store's last answer to this node; -1: none yet. */
   int64_t (*store_age_ms) (void *arg, KqTime now);
 } KqLinkOwner;
 
