Starts leave as fast as they are answered

The leader keeps a window of starts under way now (sched/window.c): 128 at first, one more for each that is answered within 250 ms, one less for each that takes more than 500 ms. What waits can still be put into another order meanwhile. runners.c's two copies of what happens to orders without an answer are one function.

--- a/bench/sched_desk.c
+++ b/bench/sched_desk.c
@@ -11,6 +11,15 @@
   return &d->taking[(size_t)(runner.ptr[1] - '0') % 3];
 }
 
+static void
+note_start (KqSchedDesk *d)
+{
+  KqSchedDeskStart start = { .run = d->run };
+  memcpy (start.runner, d->runner, sizeof start.runner);
+  memcpy (start.task, d->task, sizeof start.task);
+  g_array_append_val (d->starts_out, start);
+}
+
 static void
 on_order (void *arg, int agent, const KqOrder *o)
 {
@@ -47,6 +56,7 @@
   kq_str_copy (o->u.start.task, d->task, sizeof d->task);
   kq_str_copy (o->u.start.ticket, d->ticket, sizeof d->ticket);
   d->run = o->u.start.run;
+  note_start (d);
 }
 
 static void
@@ -121,6 +131,18 @@
   kq_sched_outcome (d->sched, d->agent, kq_str (runner), &o, d->now);
 }
 
+void
+kq_sched_desk_carry_out (KqSchedDesk *d)
+{
+  guint n = d->starts_out->len; /* more may follow */
+  for (guint i = 0; i < n; i++)
+    {
+      KqSchedDeskStart s = g_array_index (d->starts_out, KqSchedDeskStart, i);
+      kq_sched_desk_outcome (d, KQ_ORDER_START, s.runner, s.task, s.run, KQ_ORDER_OK);
+    }
+  g_array_remove_range (d->starts_out, 0, n);
+}
+
 void
 kq_sched_desk_unreached (KqSchedDesk *d, int agent, const char *runner,
                          int64_t lease_left_ms)
@@ -224,6 +246,7 @@
   kq_log_set_level (KQ_LOG_ERROR);
   d->now = 100 * KQ_SEC;
   d->born_ms = 1;
+  d->starts_out = g_array_new (FALSE, FALSE, sizeof (KqSchedDeskStart));
   d->counters = kq_counters_new ();
   new_sched (d, 5);
   kq_sched_loaded (d->sched, d->now);
@@ -243,6 +266,7 @@
   kq_sched_free (d->sched);
   kq_counters_free (d->counters);
   kq_buf_free (&d->known);
+  g_array_free (d->starts_out, TRUE);
   free (d);
   return 0;
 }
--- a/bench/sched_desk.h
+++ b/bench/sched_desk.h
@@ -6,6 +6,15 @@
 
 #include "sched/sched.h"
 
+#include <glib.h>
+
+typedef struct
+{
+  char runner[16];
+  char task[96];
+  uint32_t run;
+} KqSchedDeskStart;
+
 /* A scheduler with two runners and one agent; the test plays the runners' part. */
 typedef struct
 {
@@ -29,6 +38,7 @@
   int renewals;        /* allowed so far */
   uint64_t halt;       /* that the last order to renew names */
   uint64_t seen;       /* ends that the last order SEEN names */
+  GArray *starts_out;  /* KqSchedDeskStart, without an outcome */
   uint64_t results;
   uint64_t taking[3]; /* of r0 to r2, as ordered last */
   KqBuf known;        /* the stored list of runners */
@@ -56,6 +66,8 @@
 /* The runner lists these runs and no end. */
 void kq_sched_desk_list_runs (KqSchedDesk *d, const char *runner, const KqRunRow *rows,
                               size_t n);
+/* All starts that have no outcome yet are carried out. */
+void kq_sched_desk_carry_out (KqSchedDesk *d);
 void kq_sched_desk_outcome (KqSchedDesk *d, KqOrderKind kind, const char *runner,
                             const char *task, uint32_t run, KqOrderResult result);
 /* The agent gets no answer from the runner. */
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -314,6 +314,8 @@
           run->phase = KQ_RUN_RUNNING;
           run->running_at = run->moved_at = now;
           kq_histogram_add (&s->start_answer, now - run->placed_at);
+          if (!run->resent)
+            kq_window_answered (&s->window, now - run->placed_at);
           if (kq_run_step (run)->filling && run->runner->n_serving > 0)
             kq_pace_set (s, run->runner, now);
         }
@@ -389,7 +391,10 @@
     return;
   run->waiting = false;
   if (o->kind == KQ_ORDER_START)
-    start_ended (s, run, o, now);
+    {
+      kq_run_start_answered (s, run);
+      start_ended (s, run, o, now);
+    }
   else
     stop_ended (run, o);
   s->work = true;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -223,7 +223,7 @@
   kq_run_send_start (s, run, now);
 }
 
-/* Whether all waiting tasks of the step found room. */
+/* False: some waiting task of the step found no room. */
 static bool
 place_tasks (KqSched *s, KqOccurrence *o, int32_t step, bool lost, KqTime now)
 {
@@ -231,7 +231,7 @@
   KqPlacing placing;
   bool whole = true;
   kq_placing_begin (&placing, s, o, step, now);
-  for (int32_t i = 0; i < p->width && whole; i++)
+  for (int32_t i = 0; i < p->width && whole && kq_window_open (&s->window); i++)
     {
       KqTaskState *t = &o->steps[step].tasks[i];
       KqRunnerState *r;
@@ -309,7 +309,7 @@
   kq_pools_looked (s, now);
   if (turns->len > 0)
     qsort (turns->data, turns->len, sizeof (Turn), by_turn);
-  for (guint i = 0; i < turns->len; i++)
+  for (guint i = 0; i < turns->len && kq_window_open (&s->window); i++)
     {
       const Turn *t = &g_array_index (turns, Turn, i);
       const KqSpec *spec = &t->occurrence->job->spec;
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -331,9 +331,8 @@
   /* What the earlier agent was asked is not known to the new one. */
   for (KqRun *run = r->runs; run != NULL; run = run->next)
     {
-      if (run->waiting)
-        run->unsure = true;
-      run->waiting = run->stopped = false;
+      kq_run_unanswered (s, run);
+      run->stopped = false;
       run->confirmed = 0;
       if (run->phase == KQ_RUN_RUNNING)
         run->confirmed = 1;
@@ -419,11 +418,7 @@
       r->agent = -1;
       kq_runners_extend (r, ends, "lost agent");
       for (KqRun *run = r->runs; run != NULL; run = run->next)
-        {
-          if (run->waiting)
-            run->unsure = true;
-          run->waiting = false;
-        }
+        kq_run_unanswered (s, run);
     }
   s->agents.list[agent].runners = 0;
   kq_tickets_agent_down (s, agent);
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -125,12 +125,30 @@
     v->next->serving->prev = v->prev;
 }
 
+void
+kq_run_start_answered (KqSched *s, KqRun *run)
+{
+  if (run->start_out)
+    kq_window_gone (&s->window);
+  run->start_out = false;
+}
+
+void
+kq_run_unanswered (KqSched *s, KqRun *run)
+{
+  if (run->waiting)
+    run->unsure = true;
+  run->waiting = false;
+  kq_run_start_answered (s, run);
+}
+
 void
 kq_run_over (KqSched *s, KqRun *run, KqTime now)
 {
   KqRunnerState *r = run->runner;
   KqTaskState *t = kq_book_state (run);
   KqJob *j = run->job;
+  kq_run_start_answered (s, run);
   if (t != NULL && t->run == run)
     {
       KqStepState *st = &run->occurrence->steps[run->step];
@@ -197,6 +215,9 @@
     o.u.start.ticket
         = kq_str (kq_tickets_find (run->occurrence, run->step, run->runner, now));
   ++*s->starts;
+  if (!run->start_out)
+    kq_window_sent (&s->window);
+  run->start_out = true;
   emit (s, run, &o, now);
 }
 
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -101,6 +101,7 @@
   s->store_due = s->lead_until = KQ_TIME_NEVER;
   s->slowness_mean = 1;
   s->disturb = kq_disturb_new ();
+  kq_window_init (&s->window);
   make_counters (s);
   return s;
 }
@@ -381,4 +382,9 @@
   *gauge = runs;
   gauge = kq_counter (c, "kq_runners_known", "", "Runners known to the leader.");
   *gauge = s->runner_list->len;
+  gauge = kq_counter (c, "kq_run_starts_under_way", "", "Starts without an answer yet.");
+  *gauge = (uint64_t)s->window.under_way;
+  gauge = kq_counter (c, "kq_run_starts_window", "",
+                      "How many starts may be under way at once.");
+  *gauge = (uint64_t)s->window.size;
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -8,6 +8,7 @@
 #include "sched/disturb.h"
 #include "sched/sched.h"
 #include "sched/swing.h"
+#include "sched/window.h"
 
 #include <glib.h>
 
@@ -145,6 +146,7 @@
   KqRunPhase phase;
   bool unsure;        /* an order got no answer: it may still be carried out */
   bool waiting;       /* an order is at the agent */
+  bool start_out;     /* its start counts in the window */
   bool resent;        /* its start has left more than once: one may still arrive */
   bool stopped;       /* its runner has answered a stop, and not listed it since */
   uint64_t confirmed; /* count of results when the runner last spoke of it; 0: never */
@@ -308,6 +310,7 @@
   bool ends_dirty;
   double slowness_mean;
   KqDisturb *disturb;
+  KqWindow window;
   GPtrArray *waves; /* KqWave */
   bool waves_dirty; /* differ from the store's */
   GPtrArray *batch; /* KqJob */
@@ -369,6 +372,10 @@
  * was the task's run. */
 void kq_run_over (KqSched *s, KqRun *run, KqTime now);
 void kq_run_send_start (KqSched *s, KqRun *run, KqTime now);
+/* No answer will come to what has been ordered: it may be carried out or not. */
+void kq_run_unanswered (KqSched *s, KqRun *run);
+/* The start has an answer. */
+void kq_run_start_answered (KqSched *s, KqRun *run);
 void kq_run_stop (KqSched *s, KqRun *run, const char *why, KqTime now);
 void kq_run_send_stop (KqSched *s, KqRun *run, KqTime now);
 void kq_run_pace (KqSched *s, KqRun *run, int percent, KqTime now);
--- /dev/null
+++ b/src/sched/window_test.c
@@ -0,0 +1,151 @@
+#include "bench/sched_desk.h"
+#include "sched/window.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#define TASKS 600
+
+static void
+send (KqWindow *w, int n)
+{
+  for (int i = 0; i < n; i++)
+    kq_window_sent (w);
+}
+
+static void
+answer (KqWindow *w, int n, KqTime took)
+{
+  for (int i = 0; i < n; i++)
+    {
+      kq_window_gone (w);
+      kq_window_answered (w, took);
+    }
+}
+
+static int
+size (KqWindow w)
+{
+  int n = 0;
+  for (; kq_window_open (&w); n++)
+    kq_window_sent (&w);
+  return n;
+}
+
+static void
+test_answers_in_time_open_it (void **state)
+{
+  KqWindow w;
+  int first;
+  (void)state;
+  kq_window_init (&w);
+  first = size (w);
+  send (&w, first);
+  answer (&w, first, 60 * KQ_MS);
+  assert_int_equal (size (w), 2 * first);
+}
+
+static void
+test_late_answers_close_it (void **state)
+{
+  KqWindow w;
+  int least;
+  (void)state;
+  kq_window_init (&w);
+  send (&w, 5000);
+  answer (&w, 5000, 2 * KQ_SEC);
+  least = size (w);
+  assert_in_range (least, 1, 100);
+  send (&w, least);
+  answer (&w, least, 350 * KQ_MS); /* neither soon nor late */
+  assert_int_equal (size (w), least);
+}
+
+/* One runner in seven is slow to answer: the others aren't held up for it. */
+static void
+test_few_late_answers_do_not_close_it (void **state)
+{
+  KqWindow w;
+  int first;
+  (void)state;
+  kq_window_init (&w);
+  first = size (w);
+  for (int i = 0; i < 100; i++)
+    {
+      send (&w, 7);
+      answer (&w, 1, 2 * KQ_SEC);
+      answer (&w, 6, 60 * KQ_MS);
+    }
+  assert_true (size (w) > first);
+}
+
+static void
+submit_wide_job (KqSchedDesk *d)
+{
+  KqStep step = kq_sched_desk_step ();
+  step.width = TASKS;
+  step.cpu_milli = 10;
+  step.mem_mb = 10;
+  kq_sched_desk_submit (d, "aa", step, false);
+  kq_sched_desk_run (d, 10 * KQ_MS);
+}
+
+/* The lead is lost again and again: each leader fills its link with all starts that have
+ * room, and its renewals wait behind them. */
+static void
+test_starts_leave_as_fast_as_they_are_answered (void **state)
+{
+  KqSchedDesk *d = *state;
+  int before;
+  submit_wide_job (d);
+  assert_in_range (d->starts, 64, 256);
+  before = d->starts;
+  kq_sched_desk_run (d, KQ_SEC);
+  assert_in_range (d->starts, before, TASKS / 2);
+  for (int i = 0; i < 4; i++)
+    {
+      kq_sched_desk_carry_out (d);
+      kq_sched_desk_run (d, 50 * KQ_MS);
+    }
+  assert_true (d->starts >= TASKS);
+}
+
+/* A node that is lost with starts under way holds those of the others up for good. */
+static void
+test_starts_of_a_lost_node_are_not_waited_for (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqAgentInfo info = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
+  int before;
+  submit_wide_job (d);
+  kq_sched_agent_down (d->sched, d->agent, true, d->now);
+  d->agent = kq_sched_agent_up (d->sched, &info, d->now);
+  kq_sched_desk_run (d, 100 * KQ_MS);
+  before = d->starts;
+  for (int i = 0; i < 3; i++)
+    {
+      kq_sched_desk_list (d, "r0", NULL, 0);
+      kq_sched_desk_list (d, "r1", NULL, 0);
+      kq_sched_desk_run (d, 100 * KQ_MS);
+    }
+  assert_true (d->starts > 2 * before); /* these again, and others */
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_answers_in_time_open_it),
+          cmocka_unit_test (test_late_answers_close_it),
+          cmocka_unit_test (test_few_late_answers_do_not_close_it),
+          cmocka_unit_test_setup_teardown (test_starts_leave_as_fast_as_they_are_answered,
+                                           kq_sched_desk_set_up, kq_sched_desk_tear_down),
+          cmocka_unit_test_setup_teardown (test_starts_of_a_lost_node_are_not_waited_for,
+                                           kq_sched_desk_set_up,
+                                           kq_sched_desk_tear_down) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
