A job's end tells what its time went into; starts of a step share a line

The starts of a step in one pass are one line now, with each run's runner. A job's last line, which isn't left out before those on tasks, tells how long tasks waited for room, how long runs were below full speed, how many runs there were, failed and were stopped; so does kumquatctl explain while the job is open.

Only the leader's own time is told: what went on under an earlier one isn't known.

--- a/Makefile
+++ b/Makefile
@@ -229,10 +229,11 @@
 	@rm -f $(BUILD)/capacity.out
 	@$(BUILD)/bench/slopes $(BUILD) $(SEED) >>$(BUILD)/capacity.out
 	@for b in $(CAPACITY_BENCHES); do $(BUILD)/bench/$$b $(SEED) >>$(BUILD)/capacity.out || exit 1; done
-	@grep -E '^(RESULT|point) ' $(BUILD)/capacity.out >docs/capacity-figures.txt
-	@tools/capacity.py
+	@grep -E '^(RESULT|point) ' $(BUILD)/capacity.out >docs/capacity-shards-figures.txt
+	@tools/capacity_shards.py
 capacity-check:
-	@tools/capacity.py --check
+	@tools/capacity_shards.py --check
+	@python3 tools/capacity.py --check
 
 # request: the same patterns on real processes, safeguards on and off (SEED=n).
 .PHONY: bench-load-live
--- a/bench/slopes_main.c
+++ b/bench/slopes_main.c
@@ -1,4 +1,4 @@
-/* bench-slopes: the slopes that docs/CAPACITY.md is worked out from. Usage: slopes
+/* bench-slopes: the slopes that docs/CAPACITY-SHARDS.md is worked out from. Usage: slopes
  * BUILD SEED. */
 
 #include "slopes.h"
--- a/src/port/kept.h
+++ b/src/port/kept.h
@@ -5,9 +5,9 @@
  *
  * The host list of a depot is asked for every two seconds and changes some tens of times
  * a day. Read whole each time it was the largest stream of bytes of a node (about 115
- * bytes a second and host of the depot, docs/CAPACITY.md). With the tag in If-None-Match
- * the platform answers 304 without a body while nothing has changed; one that gives no
- * tags answers whole as before. */
+ * bytes a second and host of the depot, docs/CAPACITY-SHARDS.md). With the tag in
+ * If-None-Match the platform answers 304 without a body while nothing has changed; one
+ * that gives no tags answers whole as before. */
 
 #include "base/str.h"
 
--- /dev/null
+++ b/src/sched/account_test.c
@@ -0,0 +1,143 @@
+#include "base/log.h"
+#include "bench/sched_desk.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define WIDE 100
+
+static void
+assert_told (KqSchedDesk *d, const char *wanted)
+{
+  KqBuf told = { 0 };
+  kq_sched_explain (d->sched, KQ_STR ("aa"), d->now, &told);
+  kq_buf_add (&told, "", 1);
+  assert_non_null (strstr (told.ptr, wanted));
+  kq_buf_free (&told);
+}
+
+/* A job is late, and of its runs' lines all have been left out. */
+static void
+test_failed_runs_and_waits_are_told (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqEndRow end = { .number = 1, .how = KQ_END_FAILED, .checkpoint = KQ_STR ("") };
+  KqStep step = kq_sched_desk_step ();
+  step.cpu_milli = 4000;
+  step.width = 3;
+  kq_sched_desk_submit (d, "aa", step, false);
+  kq_sched_desk_run (d, 100 * KQ_MS); /* two have a runner each, one waits */
+  end.task = kq_str (d->task);
+  end.run = d->run;
+  kq_sched_desk_carry_out (d);
+  kq_sched_desk_run (d, 900 * KQ_MS);
+  kq_sched_desk_list (d, d->runner, &end, 1);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  assert_told (d, " failed=1 ");
+  assert_told (d, " runs=3 ");
+}
+
+/* The only runner left has a serving task. */
+static KqRunRow
+serve (KqSchedDesk *d, char task[96])
+{
+  KqStep step = kq_sched_desk_step ();
+  step.lasting = true;
+  step.target_ms = 10;
+  step.image = KQ_STR ("serves");
+  kq_sched_desk_submit (d, "zz", step, false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  memcpy (task, d->task, sizeof d->task);
+  kq_sched_entry_gone (d->sched, kq_str (strcmp (d->runner, "r0") == 0 ? "r1" : "r0"),
+                       d->now);
+  kq_sched_desk_carry_out (d);
+  return (KqRunRow){
+    .task = kq_str (task), .run = d->run, .checkpoint = KQ_STR (""), .load = 5
+  };
+}
+
+static void
+test_time_below_full_speed_is_told (void **state)
+{
+  KqSchedDesk *d = *state;
+  char serving[96];
+  KqRunRow rows[2] = { serve (d, serving) };
+  KqEndRow end = { .number = 1, .how = KQ_END_FAILED, .checkpoint = KQ_STR ("") };
+  KqStep step = kq_sched_desk_step ();
+  step.filling = true;
+  step.image = KQ_STR ("f");
+  kq_sched_desk_list_runs (d, d->runner, rows, 1);
+  kq_sched_desk_submit (d, "aa", step, false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  assert_int_equal (d->starts, 2);
+  rows[1] = (KqRunRow){
+    .task = kq_str (d->task), .run = d->run, .checkpoint = KQ_STR (""), .load = 400
+  };
+  kq_sched_desk_carry_out (d);
+  rows[0].load = 40;
+  kq_sched_desk_run (d, 500 * KQ_MS);
+  kq_sched_desk_list_runs (d, d->runner, rows, 2);
+  assert_int_equal (d->slowed, 1);
+  kq_sched_desk_run (d, 300 * KQ_MS);
+  end.task = rows[1].task;
+  end.run = rows[1].run;
+  kq_sched_desk_list (d, d->runner, &end, 1);
+  assert_told (d, " slowed_ms=300 ");
+}
+
+/* Lines of single tasks crowd out those that lead from a job to its cause. */
+static void
+test_starts_of_a_step_share_lines (void **state)
+{
+  KqSchedDesk *d = *state;
+  FILE *to = tmpfile ();
+  int was = dup (STDERR_FILENO);
+  KqStep step = kq_sched_desk_step ();
+  char line[4096];
+  int lines = 0;
+  int runs = 0;
+  step.width = WIDE;
+  step.cpu_milli = 10;
+  step.mem_mb = 10;
+  assert_non_null (to);
+  kq_log_set_level (KQ_LOG_DEBUG);
+  dup2 (fileno (to), STDERR_FILENO);
+  kq_sched_desk_submit (d, "aa", step, false);
+  kq_sched_desk_run (d, 50 * KQ_MS);
+  dup2 (was, STDERR_FILENO);
+  close (was);
+  kq_log_set_level (KQ_LOG_ERROR);
+  rewind (to);
+  while (fgets (line, sizeof line, to) != NULL)
+    {
+      if (strstr (line, "Starting runs. step=aa.0.0 ") == NULL)
+        continue;
+      lines++;
+      for (const char *at = line; (at = strchr (at, '@')) != NULL; at++)
+        runs++;
+    }
+  fclose (to);
+  assert_int_equal (runs, WIDE);
+  assert_in_range (lines, 1, 4);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test_setup_teardown (test_failed_runs_and_waits_are_told,
+                                           kq_sched_desk_set_up, kq_sched_desk_tear_down),
+          cmocka_unit_test_setup_teardown (test_time_below_full_speed_is_told,
+                                           kq_sched_desk_set_up, kq_sched_desk_tear_down),
+          cmocka_unit_test_setup_teardown (test_starts_of_a_step_share_lines,
+                                           kq_sched_desk_set_up,
+                                           kq_sched_desk_tear_down) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -187,6 +187,20 @@
   return false;
 }
 
+static void
+log_end (const KqJob *j, KqTime now)
+{
+  KqBuf account = { 0 };
+  kq_account_print (&j->account, &account);
+  kq_log (KQ_LOG_INFO, PART,
+          "Job ended. job=%.*s state=%s age_ms=%lld objective_ms=%lld %.*s runs_left=%d",
+          KQ_STR_ARG (j->spec.id), kq_job_state_name (j->state),
+          (long long)((now - j->accepted_at) / KQ_MS),
+          (long long)kq_spec_objective_ms (&j->spec), KQ_STR_ARG (kq_buf_str (&account)),
+          j->runs);
+  kq_buf_free (&account);
+}
+
 void
 kq_book_end_job (KqSched *s, KqJob *j, KqJobState state, KqTime now)
 {
@@ -195,11 +209,7 @@
   j->state = state;
   j->ended_at = now;
   if (s->loaded)
-    kq_log (KQ_LOG_INFO, PART,
-            "Job ended. job=%.*s state=%s age_ms=%lld waited_ms=%lld runs_left=%d",
-            KQ_STR_ARG (j->spec.id), kq_job_state_name (state),
-            (long long)((now - j->accepted_at) / KQ_MS), (long long)(j->waited / KQ_MS),
-            j->runs);
+    log_end (j, now);
   if (s->loaded && !kq_spec_lasting (&j->spec))
     kq_histogram_add (&s->job_time, now - j->accepted_at);
   if (j->runs > 0)
@@ -286,6 +296,7 @@
   if (spec->steps[step].lasting)
     return;
   kq_book_add_failure (t, run);
+  o->job->account.failed++;
   note_dirty (s, o->job, now, false);
   kq_log (KQ_LOG_INFO, PART,
           "Task failed. task=%.*s.%d.%d.%d run=%u runner=%s failures=%d attempts=%d",
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -127,7 +127,7 @@
 end_wait (KqJob *j, KqStepState *st, KqTime now)
 {
   if (st->waits_since != 0)
-    j->waited += now - st->waits_since;
+    j->account.waited += now - st->waits_since;
   st->lost_at = st->waits_since = 0;
 }
 
@@ -196,7 +196,7 @@
   return (t->last_run > base ? t->last_run : base) + 1;
 }
 
-static void
+static KqRun *
 start_task (KqSched *s, KqOccurrence *o, int32_t step, int32_t index, uint32_t number,
             KqRunnerState *r, KqTime now)
 {
@@ -209,18 +209,37 @@
       kq_pools_taken (r, o->job->spec.steps[step].cpu_milli);
       kq_runners_changed (s, r); /* it isn't kept from lasting tasks any more */
     }
-  kq_log (KQ_LOG_DEBUG, PART,
-          "Starting a run. task=%.*s.%d.%d.%d run=%u runner=%s free_milli=%lld "
-          "heard_ms_ago=%lld",
-          KQ_STR_ARG (o->job->spec.id), o->number, step, index, number, r->id,
-          (long long)(r->room.cpu_milli - r->used.cpu_milli),
-          (long long)((now - r->heard_at) / KQ_MS));
   if (!o->job->begun)
     kq_histogram_add (&s->first_start, now - o->due_at);
   o->job->begun = true;
   if (o->job->state == KQ_JOB_WAITING)
     o->job->state = KQ_JOB_RUNNING;
   kq_run_send_start (s, run, now);
+  return run;
+}
+
+/* Runs of one step that start in one pass share a line, as long as it is not longer. */
+#define STARTS_LINE 1500
+
+static void
+tell_starts (const KqOccurrence *o, int32_t step, KqBuf *starts)
+{
+  if (starts->len > 0)
+    kq_log (KQ_LOG_DEBUG, PART, "Starting runs. step=%.*s.%d.%d runs=%.*s",
+            KQ_STR_ARG (o->job->spec.id), o->number, step,
+            KQ_STR_ARG (kq_buf_str (starts)));
+  kq_buf_clear (starts);
+}
+
+static void
+note_start (const KqRun *run, KqBuf *starts, KqTime now)
+{
+  const KqRunnerState *r = run->runner;
+  kq_buf_printf (starts, "%s%d:%u@%s/%lld/%lld", starts->len > 0 ? "," : "", run->index,
+                 run->number, r->id, (long long)(r->room.cpu_milli - r->used.cpu_milli),
+                 (long long)((now - r->heard_at) / KQ_MS));
+  if (starts->len > STARTS_LINE)
+    tell_starts (run->occurrence, run->step, starts);
 }
 
 /* False: some waiting task of the step found no room. */
@@ -229,6 +248,7 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   KqPlacing placing;
+  KqBuf starts = { 0 };
   bool whole = true;
   kq_placing_begin (&placing, s, o, step, now);
   for (int32_t i = 0; i < p->width && whole && kq_window_open (&s->window); i++)
@@ -240,9 +260,11 @@
       r = kq_placing_next (&placing, i);
       whole = r != NULL;
       if (whole)
-        start_task (s, o, step, i, next_run (s, t), r, now);
+        note_start (start_task (s, o, step, i, next_run (s, t), r, now), &starts, now);
     }
   kq_placing_end (&placing);
+  tell_starts (o, step, &starts);
+  kq_buf_free (&starts);
   if (!whole && o->job->spec.advised)
     kq_tickets_want (s, o, step, now);
   return whole;
@@ -257,6 +279,7 @@
   const KqStep *p = &o->job->spec.steps[step];
   KqRun **made = kq_alloc ((size_t)p->width * sizeof (KqRun *));
   KqPlacing placing;
+  KqBuf starts = { 0 };
   uint32_t number = 0;
   int32_t n = 0;
   kq_placing_begin (&placing, s, o, step, now);
@@ -281,7 +304,10 @@
   for (int32_t i = 0; i < n; i++)
     {
       if (n == p->width)
-        kq_run_send_start (s, made[i], now);
+        {
+          note_start (made[i], &starts, now);
+          kq_run_send_start (s, made[i], now);
+        }
       else
         kq_run_over (s, made[i], now);
     }
@@ -292,8 +318,10 @@
     }
   else
     o->steps[step].rack[0] = '\0';
+  tell_starts (o, step, &starts);
 out:
   kq_placing_end (&placing);
+  kq_buf_free (&starts);
   free (made);
   return n == p->width;
 }
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -95,6 +95,7 @@
   r->runs = run;
   reserve (run, 1);
   j->runs++;
+  j->account.runs++;
   run->job_next = j->run_list;
   if (j->run_list != NULL)
     j->run_list->job_prev = run;
@@ -125,6 +126,14 @@
     v->next->serving->prev = v->prev;
 }
 
+static void
+note_speed (KqRun *run, int percent, KqTime now)
+{
+  if (run->slowed_at != 0)
+    run->job->account.slowed += now - run->slowed_at;
+  run->slowed_at = percent < 100 ? now : 0;
+}
+
 void
 kq_run_start_answered (KqSched *s, KqRun *run)
 {
@@ -165,6 +174,7 @@
         }
     }
   reserve (run, -1);
+  note_speed (run, 100, now);
   if (run->prev != NULL)
     run->prev->next = run->next;
   else
@@ -247,6 +257,8 @@
           name, run->number, run->runner->id, why, run->percent,
           (long long)((now - run->placed_at) / KQ_MS),
           (long long)((now - run->moved_at) / KQ_MS));
+  if (run->job->state < KQ_JOB_COMPLETED)
+    run->job->account.stopped++;
   run->phase = KQ_RUN_STOPPING;
   kq_run_send_stop (s, run, now);
 }
@@ -264,6 +276,7 @@
           "Pacing a run. task=%s run=%u runner=%s percent=%d was=%d heard_ms_ago=%lld",
           name, run->number, run->runner->id, percent, run->pace,
           (long long)((now - run->runner->heard_at) / KQ_MS));
+  note_speed (run, percent, now);
   run->pace = percent;
   run->pace_unknown = false;
   run->moved_at = now;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -5,6 +5,7 @@
 
 #include "base/histogram.h"
 #include "base/log.h"
+#include "sched/account.h"
 #include "sched/disturb.h"
 #include "sched/sched.h"
 #include "sched/swing.h"
@@ -100,8 +101,8 @@
   bool dirty; /* progress differs from the store's */
   KqTime accepted_at;
   KqTime ended_at;
-  KqTime waited; /* in all, while tasks whose turn had come had no place */
-  int *images;   /* of each step: its image's place in the disturbance model; -1: none */
+  KqAccount account;
+  int *images; /* of each step: its image's place in the disturbance model; -1: none */
   int32_t created; /* occurrences made so far */
   int32_t finished;
   KqOccurrence *occurrences; /* open ones */
@@ -159,6 +160,7 @@
   int load;
   int pace;           /* ordered last */
   bool pace_unknown;  /* an earlier leader may have slowed it */
+  KqTime slowed_at;   /* since when it is below full speed; 0: it isn't */
   bool marked;        /* found in the list being read */
   KqServing *serving; /* of a task with a latency target; NULL: others */
   char *checkpoint;
