--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -326,6 +326,18 @@
   return n == p->width;
 }
 
+#define WINDOW_TOLD_GAP KQ_SEC
+
+static void
+tell_window (KqSched *s, KqTime now)
+{
+  if (kq_window_open (&s->window) || now - s->window_told_at < WINDOW_TOLD_GAP)
+    return;
+  s->window_told_at = now;
+  kq_log (KQ_LOG_INFO, PART, "Starts wait for answers to others. under_way=%d window=%d",
+          s->window.under_way, s->window.size);
+}
+
 void
 kq_pass (KqSched *s, KqTime now)
 {
@@ -350,6 +362,7 @@
       if (!whole)
         note_misfit (&misfits, t, now);
     }
+  tell_window (s, now);
   if (turns->len > 0 && (s->work_at == 0 || s->work_at > now + AGAIN))
     s->work_at = now + AGAIN;
   g_array_free (turns, TRUE);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -313,9 +313,10 @@
   double slowness_mean;
   KqDisturb *disturb;
   KqWindow window;
-  GPtrArray *waves; /* KqWave */
-  bool waves_dirty; /* differ from the store's */
-  GPtrArray *batch; /* KqJob */
+  KqTime window_told_at; /* last line on its being closed */
+  GPtrArray *waves;      /* KqWave */
+  bool waves_dirty;      /* differ from the store's */
+  GPtrArray *batch;      /* KqJob */
   /* Counters. */
   uint64_t *starts;
   uint64_t *looks;
