A job without a run gets one beside what fills already

Filling tasks of other jobs held what was left of 60 to 64 of 66 runners, most of them slowed to nothing, and one more found no room to fill. A job that stands still was meant to be exempt, but only from the speed it would have; and behind a larger task that had found no room it wasn't looked at. It gets one run now where the most is left, and the rest of its tasks wait for room as before.

--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -70,14 +70,12 @@
 room_kind (const Turn *t, KqTime now)
 {
   const KqStep *p = &t->occurrence->job->spec.steps[t->step];
+  bool idles = kq_place_idles (t->occurrence, t->step, now);
   if (p->filling)
-    return FOR_FILLING;
+    return idles ? FOR_ANY : FOR_FILLING;
   if (!p->lasting)
     return FOR_RESERVED;
-  if (t->occurrence->steps[t->step].lost_at != 0
-      || kq_place_idles (t->occurrence, t->step, now))
-    return FOR_ANY;
-  return FOR_LASTING;
+  return idles || t->occurrence->steps[t->step].lost_at != 0 ? FOR_ANY : FOR_LASTING;
 }
 
 static bool
@@ -249,6 +247,7 @@
   const KqStep *p = &o->job->spec.steps[step];
   KqPlacing placing;
   KqBuf starts = { 0 };
+  bool one = p->filling && kq_place_idles (o, step, now); /* beside what fills already */
   bool whole = true;
   kq_placing_begin (&placing, s, o, step, now);
   for (int32_t i = 0; i < p->width && whole && kq_window_open (&s->window); i++)
@@ -261,6 +260,8 @@
       whole = r != NULL;
       if (whole)
         note_start (start_task (s, o, step, i, next_run (s, t), r, now), &starts, now);
+      if (one)
+        break;
     }
   kq_placing_end (&placing);
   tell_starts (o, step, &starts);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -61,15 +61,16 @@
          - r->serving * SERVING_USE_PERCENT / 100 - r->filling;
 }
 
+/* Beside what fills already there is room for one more task, if its job has no other. */
 static bool
-room_for (const KqRunnerState *r, const KqStep *p)
+room_for (const KqRunnerState *r, const KqStep *p, bool idles)
 {
   if (r->used.mem_mb + p->mem_mb > r->room.mem_mb
       || r->used.gpus + p->gpus > r->room.gpus)
     return false;
   if (!p->filling)
     return r->used.cpu_milli + p->cpu_milli <= r->room.cpu_milli;
-  return cpu_to_fill (r) >= (int64_t)p->cpu_milli * FILL_NEEDS_PERCENT / 100;
+  return idles || cpu_to_fill (r) >= (int64_t)p->cpu_milli * FILL_NEEDS_PERCENT / 100;
 }
 
 /* Whether the runner could hold the task if nothing else ran there. */
@@ -191,13 +192,13 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   int image = o->job->images[step];
-  if (r->pool != o->job->pool || !usable (r, now) || !room_for (r, p)
+  bool idles = kq_place_idles (o, step, now);
+  if (r->pool != o->job->pool || !usable (r, now) || !room_for (r, p, idles)
       || !has_label (r, p->label))
     return false;
   if (p->per_runner_max > 0 && of_step (r, o, step) >= p->per_runner_max)
     return false;
-  if (p->lasting && !p->filling && !lost && !kq_pools_may_last (r)
-      && !kq_place_idles (o, step, now))
+  if (p->lasting && !p->filling && !lost && !idles && !kq_pools_may_last (r))
     return false;
   if (p->filling && r->n_serving > 0 && kq_harm_closed (s, r, now))
     return false;
--- a/src/sched/room_test.c
+++ b/src/sched/room_test.c
@@ -86,11 +86,31 @@
   assert_int_equal (kq_sched_rig_free (r), 0);
 }
 
+/* Callers of one job have nothing of it for as long as others fill all runners, though
+ * hardly any room is reserved. */
+static void
+test_job_without_a_run_gets_one_beside_what_fills (void **state)
+{
+  KqSchedRig *r = kq_sched_rig_new (2, (KqRoom){ 16000, 64000, 0 }, 1);
+  KqStep fills = kq_sched_rig_step (30, 2000, 400);
+  (void)state;
+  fills.filling = true;
+  kq_sched_rig_submit (r, "first", &fills, 1, 3, 600 * KQ_SEC, -1);
+  kq_sched_rig_run (r, KQ_SEC);
+  assert_in_range (kq_sched_rig_running (r, "first"), 14, 20);
+  fills.width = 3;
+  kq_sched_rig_submit (r, "second", &fills, 1, 3, 600 * KQ_SEC, -1);
+  kq_sched_rig_run (r, 3 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "second"), 1);
+  assert_int_equal (kq_sched_rig_free (r), 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_large_short_tasks_find_room_beside_lasting),
-          cmocka_unit_test (test_lasting_task_lost_in_a_change_of_leader) };
+          cmocka_unit_test (test_lasting_task_lost_in_a_change_of_leader),
+          cmocka_unit_test (test_job_without_a_run_gets_one_beside_what_fills) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
