--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -3,7 +3,6 @@
 
 #include "sched/state.h"
 
-#include <math.h>
 #include <stdlib.h>
 
 /* Beyond the computed end of a lease: timers fire late and answers travel. */
@@ -13,15 +12,6 @@
 /* From the moment for its repeat on, a start without an answer may still arrive for so
  * long: its call has ended, and its connection is closed. */
 #define START_LATE (850 * KQ_MS)
-/* Counts of done and failed tasks halve in so long: a runner that was sick a moment ago
- * and has been mended is used again within seconds. */
-#define SCORE_HALF_LIFE (3.0 * KQ_SEC)
-/* So many failures, most of what ended there, make a runner suspect. */
-#define SUSPECT_FAILS 1.6
-#define SUSPECT_SHARE 0.5
-/* First time out of use; doubled each time it comes back sick, up to the bound. */
-#define SUSPECT_FIRST (2 * KQ_SEC)
-#define SUSPECT_LONGEST (8 * KQ_SEC)
 
 KqRunnerState *
 kq_runners_find (const KqSched *s, KqStr id)
@@ -598,34 +588,3 @@
   kq_log (KQ_LOG_INFO, PART, "All earlier runs are known. after_ms=%lld",
           (long long)((now - s->started_at) / KQ_MS));
 }
-
-static void
-decay (KqRunnerState *r, KqTime now)
-{
-  double f = exp2 (-(double)(now - r->score_at) / SCORE_HALF_LIFE);
-  r->fails *= f;
-  r->dones *= f;
-  r->score_at = now;
-}
-
-void
-kq_runners_score (KqRunnerState *r, bool done, KqTime now)
-{
-  KqTime pause;
-  decay (r, now);
-  if (done)
-    {
-      r->dones += 1;
-      r->suspect_times = 0;
-      return;
-    }
-  r->fails += 1;
-  if (r->fails < SUSPECT_FAILS || r->fails < SUSPECT_SHARE * (r->fails + r->dones))
-    return;
-  pause = SUSPECT_FIRST << (r->suspect_times < 4 ? r->suspect_times : 4);
-  r->suspect_until = now + (pause < SUSPECT_LONGEST ? pause : SUSPECT_LONGEST);
-  r->suspect_times++;
-  r->fails = SUSPECT_FAILS / 2;
-  kq_log (KQ_LOG_WARN, PART, "Runner is suspect. runner=%s dones=%.1f for_ms=%lld", r->id,
-          r->dones, (long long)((r->suspect_until - now) / KQ_MS));
-}
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -409,6 +409,7 @@
 void kq_runners_look (KqSched *s, KqTime now);
 void kq_runners_assign (KqSched *s, KqTime now);
 void kq_runners_settle (KqSched *s, KqTime now);
+/* suspects.c: a task has ended there. */
 void kq_runners_score (KqRunnerState *r, bool done, KqTime now);
 
 void kq_runners_free (KqRunnerState *r);
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -26,7 +26,7 @@
     "entry: memory MB": 128.0,
     "entry: kB a second": 20.0,
 }
-KEPT = re.compile(r"^(day |sweep-\d|entry: |config |leaving |next ack |serving |middle / | {20,}\d)")
+KEPT = re.compile(r"^(day |sweep-\d+ +\d|entry: |config |leaving |next ack |serving |middle / | {20,}\d)")
 
 
 class Sweep:
@@ -46,7 +46,7 @@
         m = re.match(r"(\S.*?)\s{2,}(.*/.*)$", line)
         if m and not line.startswith("middle"):
             pairs = re.findall(r"([\d.]+) / ([\d.]+)", m[2])
-            if len(pairs) == len(self.days):
+            if pairs and len(pairs) == len(self.days):
                 self.rows.append((m[1], [(float(a), float(b)) for a, b in pairs]))
 
 
