--- a/Makefile
+++ b/Makefile
@@ -261,6 +261,11 @@
 	@python3 tools/ablation.py play $(OUT) --site $(SITE) --days $(DAYS) --seeds $(DAY_SEEDS)
 	@python3 tools/ablation.py table $(OUT)
 
+# Deployments of docs/REGRESSION.md (SITES: the folder of their files; BENCH: as above).
+.PHONY: regression
+regression:
+	@BENCH=$(BENCH) tools/regression.sh $(SITES)
+
 .PHONY: soak-sched
 soak-sched: $(BUILD)/bench/sched_soak
 	@$< $(SEED) $(if $(filter 200000,$(STEPS)),300,$(STEPS)) $(SEEDS)
