--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -21,7 +21,7 @@
 #define DEADLINE_SLACK_MS 250
 /* When it isn't sure that the store answers, it is asked before it is written to: a
  * question without an answer has done nothing, so that the client can be told so. It is
- * given up after this long, about twice what a slow store takes. */
+ * given up after this long. */
 #define QUESTION_MS 400
 /* A call to the store without an answer is repeated after this long, doubled each time: a
  * store in trouble resets connections at once, and repeats without a pause were 500 calls
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -190,15 +190,15 @@
 static void
 log_end (const KqJob *j, KqTime now)
 {
-  KqBuf account = { 0 };
-  kq_account_print (&j->account, &account);
+  KqBuf spent = { 0 };
+  kq_spent_print (&j->spent, &spent);
   kq_log (KQ_LOG_INFO, PART,
           "Job ended. job=%.*s state=%s age_ms=%lld objective_ms=%lld %.*s runs_left=%d",
           KQ_STR_ARG (j->spec.id), kq_job_state_name (j->state),
           (long long)((now - j->accepted_at) / KQ_MS),
-          (long long)kq_spec_objective_ms (&j->spec), KQ_STR_ARG (kq_buf_str (&account)),
+          (long long)kq_spec_objective_ms (&j->spec), KQ_STR_ARG (kq_buf_str (&spent)),
           j->runs);
-  kq_buf_free (&account);
+  kq_buf_free (&spent);
 }
 
 void
@@ -296,7 +296,7 @@
   if (spec->steps[step].lasting)
     return;
   kq_book_add_failure (t, run);
-  o->job->account.failed++;
+  o->job->spent.failed++;
   note_dirty (s, o->job, now, false);
   kq_log (KQ_LOG_INFO, PART,
           "Task failed. task=%.*s.%d.%d.%d run=%u runner=%s failures=%d attempts=%d",
--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -41,7 +41,7 @@
                  KQ_STR_ARG (j->spec.queue), (long long)((now - j->accepted_at) / KQ_MS),
                  (long long)kq_spec_objective_ms (&j->spec), j->runs);
   kq_buf_printf (out, "so far: ");
-  kq_account_print (&j->account, out);
+  kq_spent_print (&j->spent, out);
   kq_buf_printf (out, "\n");
   for (const KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
     for (int32_t i = 0; i < j->spec.n_steps; i++)
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -392,7 +392,7 @@
   run->waiting = false;
   if (o->kind == KQ_ORDER_START)
     {
-      kq_run_start_answered (s, run);
+      kq_run_start_gone (s, run);
       start_ended (s, run, o, now);
     }
   else
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -125,7 +125,7 @@
 end_wait (KqJob *j, KqStepState *st, KqTime now)
 {
   if (st->waits_since != 0)
-    j->account.waited += now - st->waits_since;
+    j->spent.waited += now - st->waits_since;
   st->lost_at = st->waits_since = 0;
 }
 
@@ -247,7 +247,8 @@
   const KqStep *p = &o->job->spec.steps[step];
   KqPlacing placing;
   KqBuf starts = { 0 };
-  bool one = p->filling && kq_place_idles (o, step, now); /* beside what fills already */
+  /* Beside what fills already there is room for one, whatever its speed. */
+  bool only_one = p->filling && kq_place_idles (o, step, now);
   bool whole = true;
   kq_placing_begin (&placing, s, o, step, now);
   for (int32_t i = 0; i < p->width && whole && kq_window_open (&s->window); i++)
@@ -260,7 +261,7 @@
       whole = r != NULL;
       if (whole)
         note_start (start_task (s, o, step, i, next_run (s, t), r, now), &starts, now);
-      if (one)
+      if (only_one)
         break;
     }
   kq_placing_end (&placing);
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -95,7 +95,7 @@
   r->runs = run;
   reserve (run, 1);
   j->runs++;
-  j->account.runs++;
+  j->spent.runs++;
   run->job_next = j->run_list;
   if (j->run_list != NULL)
     j->run_list->job_prev = run;
@@ -130,12 +130,12 @@
 note_speed (KqRun *run, int percent, KqTime now)
 {
   if (run->slowed_at != 0)
-    run->job->account.slowed += now - run->slowed_at;
+    run->job->spent.slowed += now - run->slowed_at;
   run->slowed_at = percent < 100 ? now : 0;
 }
 
 void
-kq_run_start_answered (KqSched *s, KqRun *run)
+kq_run_start_gone (KqSched *s, KqRun *run)
 {
   if (run->start_out)
     kq_window_gone (&s->window);
@@ -148,7 +148,7 @@
   if (run->waiting)
     run->unsure = true;
   run->waiting = false;
-  kq_run_start_answered (s, run);
+  kq_run_start_gone (s, run);
 }
 
 void
@@ -157,7 +157,7 @@
   KqRunnerState *r = run->runner;
   KqTaskState *t = kq_book_state (run);
   KqJob *j = run->job;
-  kq_run_start_answered (s, run);
+  kq_run_start_gone (s, run);
   if (t != NULL && t->run == run)
     {
       KqStepState *st = &run->occurrence->steps[run->step];
@@ -258,7 +258,7 @@
           (long long)((now - run->placed_at) / KQ_MS),
           (long long)((now - run->moved_at) / KQ_MS));
   if (run->job->state < KQ_JOB_COMPLETED)
-    run->job->account.stopped++;
+    run->job->spent.stopped++;
   run->phase = KQ_RUN_STOPPING;
   kq_run_send_stop (s, run, now);
 }
--- a/src/sched/account.h
+++ b/src/sched/spent.h
@@ -1,7 +1,7 @@
-#ifndef KQ_SCHED_ACCOUNT_H
-#define KQ_SCHED_ACCOUNT_H
+#ifndef KQ_SCHED_SPENT_H
+#define KQ_SCHED_SPENT_H
 
-/* account: what a job's time and runs went into, under this leader.
+/* spent: what a job's time and runs went into, under this leader.
  *
  * Load pattern: a busy fleet starts and ends thousands of tasks a second, more than a
  * bounded log can tell one by one. This much is told of each job when it ends. */
@@ -18,9 +18,9 @@
   uint32_t runs; /* begun or taken over */
   uint32_t failed;
   uint32_t stopped; /* before the job ended */
-} KqAccount;
+} KqSpent;
 
 /* Adds "waited_ms=1 slowed_ms=2 runs=3 failed=4 stopped=5". */
-void kq_account_print (const KqAccount *a, KqBuf *out);
+void kq_spent_print (const KqSpent *a, KqBuf *out);
 
 #endif
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -5,9 +5,9 @@
 
 #include "base/histogram.h"
 #include "base/log.h"
-#include "sched/account.h"
 #include "sched/disturb.h"
 #include "sched/sched.h"
+#include "sched/spent.h"
 #include "sched/swing.h"
 #include "sched/window.h"
 
@@ -101,7 +101,7 @@
   bool dirty; /* progress differs from the store's */
   KqTime accepted_at;
   KqTime ended_at;
-  KqAccount account;
+  KqSpent spent;
   int *images; /* of each step: its image's place in the disturbance model; -1: none */
   int32_t created; /* occurrences made so far */
   int32_t finished;
@@ -377,8 +377,8 @@
 void kq_run_send_start (KqSched *s, KqRun *run, KqTime now);
 /* No answer will come to what has been ordered: it may be carried out or not. */
 void kq_run_unanswered (KqSched *s, KqRun *run);
-/* The start has an answer. */
-void kq_run_start_answered (KqSched *s, KqRun *run);
+/* The start has an answer, or won't have one. */
+void kq_run_start_gone (KqSched *s, KqRun *run);
 void kq_run_stop (KqSched *s, KqRun *run, const char *why, KqTime now);
 void kq_run_send_stop (KqSched *s, KqRun *run, KqTime now);
 void kq_run_pace (KqSched *s, KqRun *run, int percent, KqTime now);
