lives_live_test: nothing reaches another life of its runner, with real processes

The rig of soak-sched takes a life for a connection, so it doesn't test what makes that true: crew/gate.c, http/client.c and platform/runners.c. bench/lives has a real agent, runners that are killed and started again at their address, and relays that delay bytes, lose connections, refuse them or accept them long before they reach the runner. Some runners are paused first, so that connections wait unaccepted when they die. The clock of each life begins below that of the one before, so that a runner recognises a start by the lease of another life, and an acknowledgement of ends that it has never numbered.

The stand-in's runner closes its port and connections when it crashes: before, a connection outlived the life that it led to, which no platform does. Logs of a process that is started again go on, rather than being cut.

--- a/Makefile
+++ b/Makefile
@@ -273,6 +273,11 @@
 # Real processes under random faults from outside (SEED, SEEDS, SECONDS of faults each).
 $(BUILD)/soak: $(BUILD)/o/soak/soak_main.o $(BUILD)/libbench.a $(BUILD)/libkq.a
 	@echo "  LD $@"; $(CC) -o $@ $^ $(LIBS)
+# Runners killed and started again while starts for them wait (SEED, SEEDS, LIVES each).
+LIVES ?= 500
+.PHONY: lives
+lives: all $(BUILD)/bench/lives
+	@$(BUILD)/bench/lives $(BUILD) $(SEED) $(SEEDS) $(LIVES)
 .PHONY: soak-live
 soak-live: all $(BUILD)/soak
 	@$(BUILD)/soak $(BUILD) $(SEED) $(SEEDS) $(SECONDS)
--- /dev/null
+++ b/bench/lives.c
@@ -0,0 +1,344 @@
+#include "lives.h"
+
+#include "base/counter.h"
+#include "base/rand.h"
+#include "crew/agent.h"
+#include "platform/runners.h"
+#include "port/runner.h"
+#include "procs.h"
+
+#include <glib.h>
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define RUNNERS_MAX 16
+#define EPOCH 7
+#define LEASE_MS 5000
+#define BLIND_MS 4000
+/* More than the agent's connections to one runner. */
+#define STARTS_MAX 10
+#define STEP (4 * KQ_MS)
+/* A question waits for an end and then for its answer. */
+#define CALLS_END (2500 * KQ_MS)
+#define CLOCK_FIRST_MS 1000000000000
+#define CLOCK_STEP_MS 100000000
+
+typedef struct
+{
+  int process;
+  int relay; /* -1: none */
+  int relay_control;
+  int port;
+  char id[16];
+  char address[32];
+  KqTime kill_at;  /* 0: it is down */
+  KqTime pause_at; /* 0: not before its end */
+  KqTime start_at;
+  int starts; /* without an outcome */
+} Runner;
+
+typedef struct
+{
+  const KqLivesPlan *plan;
+  KqLivesReport *report;
+  Procs procs;
+  KqRand rand;
+  KqCrewAgent *agent;
+  Runner runners[RUNNERS_MAX];
+  uint64_t tasks;
+  KqTime relay_at;
+} Lives;
+
+static int
+below (Lives *l, int n)
+{
+  return (int)kq_rand_below (&l->rand, (uint64_t)n);
+}
+
+/* The leader. */
+
+static Runner *
+runner_of (Lives *l, KqStr id)
+{
+  for (int i = 0; i < l->plan->runners; i++)
+    if (kq_str_eq (id, kq_str (l->runners[i].id)))
+      return &l->runners[i];
+  return NULL;
+}
+
+static void
+order (Lives *l, const Runner *r, KqOrder *o)
+{
+  o->runner = kq_str (r->id);
+  kq_crew_agent_order (l->agent, EPOCH, o, kq_time_now ());
+}
+
+static void
+order_start (Lives *l, Runner *r)
+{
+  KqOrder o = { .kind = KQ_ORDER_START };
+  char task[64];
+  snprintf (task, sizeof task, "%016llx.0.0.0", (unsigned long long)++l->tasks);
+  o.u.start.task = kq_str (task);
+  o.u.start.run = 1;
+  o.u.start.text = KQ_STR ("ms=15");
+  r->starts++;
+  l->report->ordered++;
+  order (l, r, &o);
+}
+
+static void
+take (Lives *l, const Runner *r)
+{
+  KqOrder o = { .kind = KQ_ORDER_TAKE };
+  o.u.take.address = kq_str (r->address);
+  o.u.take.taking = 1;
+  order (l, r, &o);
+}
+
+static void
+on_list (Lives *l, const Runner *r, const KqRunnerList *list)
+{
+  KqOrder o = { .kind = KQ_ORDER_RENEW };
+  if (list->halt != 0)
+    {
+      o.u.renew.halt = list->halt;
+      order (l, r, &o);
+    }
+  if (list->n_ended == 0)
+    return;
+  o = (KqOrder){ .kind = KQ_ORDER_SEEN };
+  o.u.seen.ends = list->ended[list->n_ended - 1].number;
+  o.u.seen.born_ms = list->born_ms;
+  order (l, r, &o);
+}
+
+static void
+on_outcome (Lives *l, Runner *r, const KqOrderOutcome *o)
+{
+  r->starts--;
+  if (o->result == KQ_ORDER_OK)
+    l->report->begun++;
+  else if (o->result == KQ_ORDER_UNKNOWN)
+    l->report->unknown++;
+  else
+    l->report->unsent++;
+}
+
+static void
+on_notice (void *arg, uint64_t epoch, const KqCrewItem *i)
+{
+  Lives *l = arg;
+  Runner *r = runner_of (l, i->runner);
+  (void)epoch;
+  if (r == NULL)
+    return;
+  switch (i->kind)
+    {
+    case KQ_CREW_LIST:
+      on_list (l, r, &i->u.list);
+      break;
+    case KQ_CREW_OUTCOME:
+      on_outcome (l, r, &i->u.outcome);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Runners and relays. */
+
+static void
+start_life (Lives *l, int i)
+{
+  Runner *r = &l->runners[i];
+  char options[128];
+  int life = l->report->lives++;
+  snprintf (options, sizeof options, "--number %d --port %d --clock-ms %lld", i, r->port,
+            CLOCK_FIRST_MS - (long long)life * CLOCK_STEP_MS);
+  if (r->process >= 0)
+    procs_start_again (&l->procs, r->process, "standin-runner", options);
+  else
+    r->process
+        = procs_start_program (&l->procs, PROCS_PLATFORM, "standin-runner", options);
+  r->kill_at = kq_time_now () + (KqTime)(30 + below (l, 400)) * KQ_MS;
+  r->pause_at = below (l, 3) == 0 ? r->kill_at - (KqTime)below (l, 100) * KQ_MS : 0;
+}
+
+static bool
+start_runner (Lives *l, int i)
+{
+  Runner *r = &l->runners[i];
+  char rest[256];
+  snprintf (r->id, sizeof r->id, "i-%08x", i + 1);
+  r->process = r->relay = -1;
+  start_life (l, i);
+  if (r->process < 0 || !procs_await_text (&l->procs, r->process, "out", "runner ", rest))
+    return false;
+  r->port = atoi (rest);
+  snprintf (r->address, sizeof r->address, "127.0.0.1:%d", r->port);
+  if (i % 2 == 1)
+    return true;
+  r->relay = procs_start_relay (&l->procs, r->address);
+  if (r->relay < 0 || !procs_await_text (&l->procs, r->relay, "out", "control ", rest))
+    return false;
+  r->relay_control = atoi (rest);
+  snprintf (r->address, sizeof r->address, "127.0.0.1:%d",
+            l->procs.processes[r->relay].port);
+  return true;
+}
+
+static void
+on_relay_set (void *arg, const ProcsAnswer *a)
+{
+  (void)arg;
+  (void)a;
+}
+
+static void
+set_relay (Lives *l, const Runner *r)
+{
+  static const char *const modes[] = { "{}",
+                                       "{\"delay_ms\":20}",
+                                       "{\"delay_ms\":60}",
+                                       "{\"delay_ms\":150}",
+                                       "{\"connect_ms\":60}",
+                                       "{\"connect_ms\":200,\"delay_ms\":10}",
+                                       "{\"stall\":\"open\"}",
+                                       "{\"stall\":\"open\",\"direction\":\"down\"}",
+                                       "{\"refuse\":true}" };
+  char url[64];
+  ProcsRequest q = { .method = "POST", .url = url, .body = kq_str (modes[below (l, 9)]) };
+  if (r->relay < 0)
+    return;
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/relay", r->relay_control);
+  procs_ask (&l->procs, &q, on_relay_set, NULL);
+}
+
+/* Paused first, it leaves connections in its queue that it has never accepted. */
+static void
+step_runner (Lives *l, int i, KqTime now)
+{
+  Runner *r = &l->runners[i];
+  ProcsProcess *p = &l->procs.processes[r->process];
+  int status;
+  if (r->pause_at != 0 && now >= r->pause_at)
+    {
+      procs_signal (&l->procs, r->process, SIGSTOP);
+      r->pause_at = 0;
+    }
+  if (r->kill_at != 0 && now >= r->kill_at)
+    {
+      procs_signal (&l->procs, r->process, SIGKILL);
+      r->kill_at = 0;
+      r->start_at = now + (KqTime)(below (l, 2) * below (l, 60)) * KQ_MS;
+    }
+  if (r->kill_at != 0)
+    return;
+  if (p->pid != 0 && waitpid (p->pid, &status, WNOHANG) == p->pid)
+    p->pid = 0;
+  if (p->pid == 0 && now >= r->start_at)
+    start_life (l, i);
+}
+
+static void
+step (Lives *l, KqTime now)
+{
+  kq_crew_agent_heard (l->agent, EPOCH, now);
+  kq_crew_agent_counted (l->agent, EPOCH, now);
+  for (int i = 0; i < l->plan->runners; i++)
+    {
+      Runner *r = &l->runners[i];
+      step_runner (l, i, now);
+      if (r->starts < STARTS_MAX && below (l, 3) == 0)
+        order_start (l, r);
+    }
+  if (now >= l->relay_at)
+    {
+      l->relay_at = now + (KqTime)(20 + below (l, 100)) * KQ_MS;
+      set_relay (l, &l->runners[below (l, l->plan->runners)]);
+    }
+}
+
+/* Its open calls end by their timeouts; nobody hears of it. */
+static void
+stop_agent (Lives *l)
+{
+  for (int i = 0; i < l->plan->runners; i++)
+    {
+      KqOrder o = { .kind = KQ_ORDER_DROP };
+      order (l, &l->runners[i], &o);
+      procs_signal (&l->procs, l->runners[i].process, SIGKILL);
+    }
+  procs_run (&l->procs, CALLS_END, NULL);
+}
+
+static void
+count_breaches (Lives *l)
+{
+  for (int i = 0; i < l->plan->runners; i++)
+    {
+      char path[128];
+      gchar *text = NULL;
+      const char *at;
+      snprintf (path, sizeof path, "%s/%d.log", l->procs.dir, l->runners[i].process);
+      g_file_get_contents (path, &text, NULL, NULL);
+      for (at = text; at != NULL && (at = strstr (at, "breach: ")) != NULL; at++)
+        {
+          l->report->breaches++;
+          printf ("seed %llu, runner %s: %.*s\n", (unsigned long long)l->plan->seed,
+                  l->runners[i].id, (int)strcspn (at, "\n"), at);
+        }
+      g_free (text);
+    }
+}
+
+int
+kq_lives_run (const KqLivesPlan *p, KqLivesReport *out)
+{
+  Lives *l = kq_alloc (sizeof *l);
+  KqCounters *counters = kq_counters_new ();
+  KqRunnerCalls *calls = NULL;
+  int result = -1;
+  *out = (KqLivesReport){ 0 };
+  l->plan = p;
+  l->report = out;
+  l->rand = kq_rand (p->seed);
+  if (p->runners > RUNNERS_MAX || !procs_init (&l->procs, p->build))
+    goto out;
+  calls = kq_runners_new (l->procs.loop);
+  l->agent = kq_crew_agent_new (&(KqCrewAgentConfig){ .loop = l->procs.loop,
+                                                      .calls = calls,
+                                                      .lease_ms = LEASE_MS,
+                                                      .blind_ms = BLIND_MS,
+                                                      .counters = counters,
+                                                      .notice = on_notice,
+                                                      .arg = l });
+  kq_crew_agent_heard (l->agent, EPOCH, kq_time_now ());
+  kq_crew_agent_counted (l->agent, EPOCH, kq_time_now ());
+  for (int i = 0; i < p->runners; i++)
+    if (!start_runner (l, i))
+      goto end;
+  for (int i = 0; i < p->runners; i++)
+    take (l, &l->runners[i]);
+  while (out->lives < p->lives)
+    {
+      step (l, kq_time_now ());
+      procs_run (&l->procs, STEP, NULL);
+    }
+  stop_agent (l);
+  count_breaches (l);
+  result = 0;
+end:
+  kq_crew_agent_free (l->agent);
+  kq_runners_calls_free (calls);
+  procs_end (&l->procs, out->breaches > 0);
+out:
+  kq_counters_free (counters);
+  free (l);
+  return result;
+}
--- a/bench/procs.c
+++ b/bench/procs.c
@@ -1,6 +1,7 @@
 #include "procs.h"
 
 #include <ev.h>
+#include <glib.h>
 
 #include <errno.h>
 #include <fcntl.h>
@@ -37,16 +38,16 @@
 static void
 remove_dir (const char *dir)
 {
-  char path[512];
-  for (int i = 0; i < PROCS_MAX * 4; i++)
+  GDir *d = g_dir_open (dir, 0, NULL);
+  const char *name;
+  while (d != NULL && (name = g_dir_read_name (d)) != NULL)
     {
-      const char *kinds[] = { "log", "out", "toml" };
-      for (int k = 0; k < 3; k++)
-        {
-          snprintf (path, sizeof path, "%s/%d.%s", dir, i, kinds[k]);
-          unlink (path);
-        }
+      char *path = g_build_filename (dir, name, NULL);
+      unlink (path);
+      g_free (path);
     }
+  if (d != NULL)
+    g_dir_close (d);
   rmdir (dir);
 }
 
@@ -94,7 +95,7 @@
 become (const char *path, char **argv, const char *out, const char *log)
 {
   int fd = open (out, O_WRONLY | O_CREAT | O_TRUNC, 0600);
-  int fd2 = open (log, O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  int fd2 = open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2 (fd, STDOUT_FILENO);
   dup2 (fd2, STDERR_FILENO);
   execv (path, argv);
--- a/bench/procs.h
+++ b/bench/procs.h
@@ -84,7 +84,7 @@
 int procs_start_program (Procs *f, ProcsKind kind, const char *program,
                          const char *options);
 /* The same again, in the place of a process that has ended; its earlier output is kept as
- * INDEX.out.N. */
+ * INDEX.out.N, and INDEX.log goes on. */
 void procs_start_again (Procs *f, int index, const char *program, const char *options);
 /* Waits for a line with the text in INDEX.ending and copies what stands behind it. */
 bool procs_await_text (Procs *f, int index, const char *ending, const char *text,
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -82,7 +82,9 @@
   kq_platform_kv_put (p.kv, "op/config", kq_str (config));
   p.n = runners < RUNNERS_MAX ? runners : RUNNERS_MAX;
   for (int i = 0; i < p.n; i++)
-    p.runners[i] = kq_platform_runner_new (loop, p.kv, p.ledger, i, cpu);
+    p.runners[i] = kq_platform_runner_new (
+        loop, p.kv, p.ledger,
+        &(KqPlatformRunnerConfig){ .number = i, .cpu_milli = cpu, .clock_ms = 1000 });
   kq_web_new (loop, 0, "control", &app);
   kq_loop_run (loop);
   return 0;
--- a/standin/platform_runner.c
+++ b/standin/platform_runner.c
@@ -46,6 +46,7 @@
   char id[32];
   char key[48];
   int cpu_milli;
+  int64_t clock_base_ms;
   bool alive;
   int64_t born_ms;
   KqTime born_at;
@@ -130,7 +131,7 @@
 static int64_t
 clock_ms (const KqPlatformRunner *r)
 {
-  return 1000 + (kq_time_now () - r->born_at) / KQ_MS;
+  return r->clock_base_ms + (kq_time_now () - r->born_at) / KQ_MS;
 }
 
 static void
@@ -160,6 +161,11 @@
                    64000, "gpu", 0, "labels", "a", "r1", "born", (json_int_t)r->born_ms);
   char address[32];
   char *text;
+  if (r->kv == NULL)
+    {
+      json_decref (j);
+      return;
+    }
   snprintf (address, sizeof address, "127.0.0.1:%d", kq_web_port (r->web));
   json_object_set_new (j, "address", json_string (address));
   text = json_dumps (j, JSON_COMPACT);
@@ -324,6 +330,8 @@
       refuse (r, c, "old");
       return;
     }
+  if (end > clock_ms (r) + HOLD_MAX_MS)
+    breach (r->ledger, "a start with a lease by the clock of another life", task);
   if (end <= clock_ms (r))
     {
       refuse (r, c, "late");
@@ -382,9 +390,12 @@
 {
   const json_t *end = json_object_get (j, "expiry_ms");
   int64_t wait = json_integer_value (json_object_get (j, "wait_ms"));
+  uint64_t seen = (uint64_t)json_integer_value (json_object_get (j, "last_seen"));
   if (end != NULL)
     extend_lease (r, json_integer_value (end));
-  forget_ends (r, (uint64_t)json_integer_value (json_object_get (j, "last_seen")));
+  if (seen > r->next_end)
+    breach (r->ledger, "an acknowledgement of another life's ends", r->id);
+  forget_ends (r, seen);
   c->data = r;
   if (r->ends->len > 0 || wait == 0)
     {
@@ -401,9 +412,7 @@
   KqPlatformRunner *r = arg;
   json_t *j = kq_json_parse (kq_buf_str (&c->body));
   uint64_t fence = (uint64_t)json_integer_value (json_object_get (j, "fence"));
-  if (!r->alive)
-    kq_http_abort (c->x);
-  else if (!kq_str_eq (kq_http_header (c->x, "Target-Instance"), kq_str (r->id)))
+  if (!kq_str_eq (kq_http_header (c->x, "Target-Instance"), kq_str (r->id)))
     kq_web_error (c, 421, "another runner");
   else if (fence < r->fence)
     refuse (r, c, "fence");
@@ -440,13 +449,9 @@
     add_to (r->ledger->running, ((Run *)g_ptr_array_index (r->runs, i))->task, -1);
   g_ptr_array_set_size (r->runs, 0);
   g_ptr_array_set_size (r->ends, 0);
-  while (r->waiting->len > 0)
-    {
-      KqWebCall *c = g_ptr_array_index (r->waiting, 0);
-      g_ptr_array_remove_index (r->waiting, 0);
-      kq_http_abort (c->x);
-    }
-  kq_platform_kv_remove (r->kv, r->key);
+  kq_web_close (r->web);
+  if (r->kv != NULL)
+    kq_platform_kv_remove (r->kv, r->key);
 }
 
 void
@@ -461,26 +466,29 @@
   r->fence = 0;
   r->next_end = 0;
   g_hash_table_remove_all (r->highest);
+  kq_web_open (r->web);
   publish (r);
 }
 
 KqPlatformRunner *
-kq_platform_runner_new (KqLoop *loop, KqPlatformKv *kv, KqPlatformLedger *l, int number,
-                        int cpu_milli)
+kq_platform_runner_new (KqLoop *loop, KqPlatformKv *kv, KqPlatformLedger *l,
+                        const KqPlatformRunnerConfig *c)
 {
   KqPlatformRunner *r = kq_alloc (sizeof *r);
   KqWebApp app = { .arg = r, .handle = on_handle, .gone = on_gone };
   r->loop = loop;
   r->kv = kv;
   r->ledger = l;
-  r->cpu_milli = cpu_milli;
-  snprintf (r->id, sizeof r->id, "i-%08x", number + 1);
+  r->cpu_milli = c->cpu_milli;
+  r->clock_base_ms = c->clock_ms;
+  snprintf (r->id, sizeof r->id, "i-%08x", c->number + 1);
   snprintf (r->key, sizeof r->key, "servers/%s", r->id);
   r->runs = g_ptr_array_new_with_free_func (free_run);
   r->ends = g_ptr_array_new_with_free_func (free_end);
   r->waiting = g_ptr_array_new ();
   r->highest = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
-  r->web = kq_web_new (loop, 0, "runner", &app);
+  r->web = kq_web_new (loop, c->port, "runner", &app);
+  kq_web_close (r->web); /* until it is up */
   ev_timer_init (&r->look, on_look, LOOK_S, LOOK_S);
   r->look.data = r;
   ev_timer_start (kq_loop_ev (loop), &r->look);
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -21,8 +21,18 @@
 int kq_platform_ledger_running (const KqPlatformLedger *l, const char *job);
 int kq_platform_ledger_done (const KqPlatformLedger *l, const char *job);
 
+typedef struct
+{
+  int number; /* its id follows from it */
+  int port;   /* 0: the kernel's */
+  int cpu_milli;
+  int64_t clock_ms; /* its steady clock at the start of each life */
+} KqPlatformRunnerConfig;
+
+/* kv: where it registers; NULL: nowhere. */
 KqPlatformRunner *kq_platform_runner_new (KqLoop *loop, KqPlatformKv *kv,
-                                          KqPlatformLedger *l, int number, int cpu_milli);
+                                          KqPlatformLedger *l,
+                                          const KqPlatformRunnerConfig *c);
 /* Dies without a word and stays away, or comes back in a new life. */
 void kq_platform_runner_crash (KqPlatformRunner *r);
 void kq_platform_runner_rise (KqPlatformRunner *r);
--- a/standin/relay_main.c
+++ b/standin/relay_main.c
@@ -57,8 +57,17 @@
   bool stall_down;
   bool refuse;
   int64_t delay_ms;
+  int64_t connect_ms;
 };
 
+/* A connection that has been accepted and isn't connected to the target yet. */
+typedef struct
+{
+  Relay *relay;
+  int fd;
+  ev_timer due;
+} Waiting;
+
 static void
 stop_pipe (struct ev_loop *ev, Pipe *p)
 {
@@ -149,16 +158,11 @@
 }
 
 static void
-on_accept (struct ev_loop *ev, ev_io *w, int events)
+connect_target (Relay *r, int fd)
 {
-  Relay *r = w->data;
-  int fd = accept4 (w->fd, NULL, NULL, SOCK_NONBLOCK);
-  int to;
+  struct ev_loop *ev = kq_loop_ev (r->loop);
+  int to = r->refuse ? -1 : socket (AF_INET, SOCK_STREAM, 0);
   Link *l;
-  (void)events;
-  if (fd < 0)
-    return;
-  to = r->refuse ? -1 : socket (AF_INET, SOCK_STREAM, 0);
   if (to < 0 || connect (to, (struct sockaddr *)&r->target, sizeof r->target) != 0)
     {
       close (fd);
@@ -179,6 +183,38 @@
   ev_io_start (ev, &l->down.readable);
 }
 
+static void
+on_connect_due (struct ev_loop *ev, ev_timer *t, int events)
+{
+  Waiting *w = t->data;
+  (void)ev;
+  (void)events;
+  connect_target (w->relay, w->fd);
+  free (w);
+}
+
+static void
+on_accept (struct ev_loop *ev, ev_io *io, int events)
+{
+  Relay *r = io->data;
+  int fd = accept4 (io->fd, NULL, NULL, SOCK_NONBLOCK);
+  Waiting *w;
+  (void)events;
+  if (fd < 0)
+    return;
+  if (r->connect_ms == 0)
+    {
+      connect_target (r, fd);
+      return;
+    }
+  w = kq_alloc (sizeof *w);
+  w->relay = r;
+  w->fd = fd;
+  ev_timer_init (&w->due, on_connect_due, (double)r->connect_ms / 1000.0, 0);
+  w->due.data = w;
+  ev_timer_start (ev, &w->due);
+}
+
 /* A stalled connection is never taken up again: what lost track of it doesn't find it. */
 static void
 stall_open (Relay *r)
@@ -200,6 +236,7 @@
   r->stall_down = g_strcmp0 (way, "up") != 0;
   r->refuse = json_is_true (json_object_get (j, "refuse"));
   r->delay_ms = json_integer_value (json_object_get (j, "delay_ms"));
+  r->connect_ms = json_integer_value (json_object_get (j, "connect_ms"));
   if (r->stall_new || g_strcmp0 (stall, "open") == 0)
     stall_open (r);
 }
--- a/standin/web.c
+++ b/standin/web.c
@@ -35,7 +35,8 @@
 struct KqWeb
 {
   KqLoop *loop;
-  KqHttpServer *server;
+  KqHttpServer *server; /* NULL: closed */
+  int port;
   KqWebApp app;
   Rule *rules; /* the newest first: the first that matches counts */
 };
@@ -255,20 +256,35 @@
   g_option_context_free (context);
 }
 
-KqWeb *
-kq_web_new (KqLoop *loop, int port, const char *word, const KqWebApp *app)
+void
+kq_web_close (KqWeb *w)
+{
+  kq_http_server_free (w->server);
+  w->server = NULL;
+}
+
+void
+kq_web_open (KqWeb *w)
 {
-  KqWeb *w = kq_alloc (sizeof *w);
   KqHttpHandler h = { w, on_begin, on_body, on_end, on_drained, on_gone };
-  w->loop = loop;
-  w->app = *app;
-  w->server = kq_http_server_new (loop, "127.0.0.1", port, &h);
+  w->server = kq_http_server_new (w->loop, "127.0.0.1", w->port, &h);
   if (w->server == NULL)
     {
-      fprintf (stderr, "standin: Cannot listen on 127.0.0.1:%d.\n", port);
+      fprintf (stderr, "standin: Cannot listen on 127.0.0.1:%d.\n", w->port);
       exit (1);
     }
-  printf ("%s %d\n", word, kq_http_server_port (w->server));
+  w->port = kq_http_server_port (w->server);
+}
+
+KqWeb *
+kq_web_new (KqLoop *loop, int port, const char *word, const KqWebApp *app)
+{
+  KqWeb *w = kq_alloc (sizeof *w);
+  w->loop = loop;
+  w->app = *app;
+  w->port = port;
+  kq_web_open (w);
+  printf ("%s %d\n", word, w->port);
   fflush (stdout);
   return w;
 }
@@ -276,7 +292,7 @@
 int
 kq_web_port (const KqWeb *w)
 {
-  return kq_http_server_port (w->server);
+  return w->port;
 }
 
 KqWebCut
--- a/standin/web.h
+++ b/standin/web.h
@@ -56,6 +56,10 @@
 /* Prints "WORD PORT" as a line when it listens; exits the program when it can't. */
 KqWeb *kq_web_new (KqLoop *loop, int port, const char *word, const KqWebApp *app);
 int kq_web_port (const KqWeb *w);
+/* Closes the port and all connections, as the end of a process would; kq_web_open takes
+ * the same port again. */
+void kq_web_close (KqWeb *w);
+void kq_web_open (KqWeb *w);
 
 /* header may be NULL; its name must stay valid. Faults of the answer apply. */
 void kq_web_reply (KqWebCall *c, int status, const char *header, const char *value,
--- /dev/null
+++ b/tests/lives_live_test.c
@@ -0,0 +1,33 @@
+#include "bench/lives.h"
+
+#include "base/log.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+/* A task runs twice: a start, or an acknowledgement of ends, reaches the next life of the
+ * runner that it was meant for. */
+static void
+test_nothing_reaches_another_life (void **state)
+{
+  KqLivesPlan p = { .build = KQ_BUILD_DIR, .seed = 3, .runners = 8, .lives = 200 };
+  KqLivesReport r;
+  (void)state;
+  kq_log_set_level (KQ_LOG_ERROR);
+  assert_int_equal (kq_lives_run (&p, &r), 0);
+  assert_int_equal (r.breaches, 0);
+  assert_true (r.begun > 0);
+  assert_true (r.unknown > 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_nothing_reaches_another_life) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
