soak-sched gives as much time as the work left needs, and no room may stand idle

Traced second by second: 1,190 to 1,249 core-seconds are left when the faults end, 50 to 52 s of the whole room, which is full until the last five of the 60 s that the rig gave.

The check is stricter for it: from the end of orphaned leases on, a job without a run beside half of the room free for 3 s is a breach.

--- a/bench/sched_soak.c
+++ b/bench/sched_soak.c
@@ -1,13 +1,22 @@
 #include "sched_soak.h"
 
-#include "sched_rig.h"
+#include "sched_rig_impl.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define JOBS_MAX 400
+/* With the faults over, all jobs end within the first; more work than the room can do
+ * meanwhile has as long as the whole room needs for it, and the second. */
 #define SETTLE (60 * KQ_SEC)
+#define SETTLE_BESIDE_WORK (30 * KQ_SEC)
+/* From the end of the faults until nothing waits for a lease that nobody renews. */
+#define LEASES_END ((KQ_SCHED_RIG_BLIND_MS + KQ_SCHED_RIG_LEASE_MS + 1000) * KQ_MS)
+/* A job has no run for so long though half of the room is free. */
+#define IDLE_MOST (3 * KQ_SEC)
+#define LOOK (100 * KQ_MS)
 
 /* What an agent's ways are on the way to: a queue fills in steps, or its beats would miss
  * each time. */
@@ -324,6 +333,143 @@
     }
 }
 
+static bool
+has_ended (KqSchedRig *r, const char *id)
+{
+  KqJobState state = kq_sched_rig_state (r, id);
+  return state >= KQ_JOB_COMPLETED && state < KQ_JOB_UNKNOWN;
+}
+
+static bool
+task_done (const KqSchedRig *r, const char *id, int32_t step, int32_t index)
+{
+  char key[64];
+  snprintf (key, sizeof key, "ever %s.0.%d.%d", id, step, index);
+  return g_hash_table_contains (r->done, key);
+}
+
+/* The first step with a task that isn't done; -1: none. */
+static int32_t
+open_step (const KqSchedRig *r, const char *id, const KqSpec *spec)
+{
+  for (int32_t k = 0; k < spec->n_steps; k++)
+    for (int32_t i = 0; i < spec->steps[k].width; i++)
+      if (!task_done (r, id, k, i))
+        return k;
+  return -1;
+}
+
+/* What the tasks that aren't done need, as time of the whole room. */
+static KqTime
+work_left (Soak *s)
+{
+  KqSchedRig *r = &s->rig;
+  int64_t room = 0;
+  int64_t work = 0; /* thousandths of a core times KqTime */
+  for (int i = 0; i < r->n_runners; i++)
+    room += r->runners[i].room.cpu_milli;
+  for (int n = 0; n < s->jobs; n++)
+    {
+      char id[16];
+      const KqSchedRigJob *j;
+      snprintf (id, sizeof id, "j%d", n);
+      j = g_hash_table_lookup (r->jobs, id);
+      if (has_ended (r, id) || kq_spec_lasting (&j->spec))
+        continue;
+      for (int32_t k = 0; k < j->spec.n_steps; k++)
+        for (int32_t i = 0; i < j->spec.steps[k].width; i++)
+          if (!j->spec.steps[k].filling && !task_done (r, id, k, i))
+            work += j->spec.steps[k].cpu_milli * j->length;
+    }
+  assert (room > 0);
+  return work / room;
+}
+
+/* The step of a run, and its job. */
+static const KqStep *
+step_of (const KqSchedRig *r, const char *task)
+{
+  KqStr rest = kq_str (task);
+  char *id = kq_str_dup (kq_str_cut (&rest, '.'));
+  const KqSchedRigJob *j = g_hash_table_lookup (r->jobs, id);
+  int64_t step = 0;
+  kq_str_cut (&rest, '.');
+  kq_str_to_i64 (kq_str_cut (&rest, '.'), &step);
+  free (id);
+  return &j->spec.steps[step];
+}
+
+static int64_t
+cpu_used (const KqSchedRig *r, const KqSchedRigRunner *g)
+{
+  int64_t cpu = 0;
+  for (guint n = 0; n < g->runs->len; n++)
+    {
+      const KqSchedRigRun *run = g_ptr_array_index (g->runs, n);
+      const KqStep *step = step_of (r, run->task);
+      cpu += step->filling ? 0 : step->cpu_milli;
+    }
+  return cpu;
+}
+
+/* Whether under half of the room is in use, and that step fits into the rest twice. */
+static bool
+fits_twice (const KqSchedRig *r, const KqStep *step)
+{
+  int64_t used = 0;
+  int64_t room = 0;
+  int64_t fits = 0;
+  for (int i = 0; i < r->n_runners; i++)
+    {
+      int64_t cpu = cpu_used (r, &r->runners[i]);
+      used += cpu;
+      room += r->runners[i].room.cpu_milli;
+      fits += (r->runners[i].room.cpu_milli - cpu) / step->cpu_milli;
+    }
+  return used < room / 2 && fits >= 2;
+}
+
+/* idle: since when a job has had no run with room for it; 0: it has, or there is none. */
+static void
+check_idle (Soak *s, KqTime *idle)
+{
+  KqSchedRig *r = &s->rig;
+  for (int n = 0; n < s->jobs; n++)
+    {
+      char id[16];
+      const KqSchedRigJob *j;
+      int32_t step;
+      snprintf (id, sizeof id, "j%d", n);
+      j = g_hash_table_lookup (r->jobs, id);
+      step = has_ended (r, id) ? -1 : open_step (r, id, &j->spec);
+      if (step < 0 || kq_sched_rig_running (r, id) > 0
+          || !fits_twice (r, &j->spec.steps[step]))
+        idle[n] = 0;
+      else if (idle[n] == 0)
+        idle[n] = r->now;
+      else if (r->now - idle[n] > IDLE_MOST)
+        {
+          kq_sched_rig_breach (r, "waits beside free room", id);
+          idle[n] = r->now;
+        }
+    }
+}
+
+static void
+settle (Soak *s)
+{
+  KqTime idle[JOBS_MAX] = { 0 };
+  KqTime from = s->rig.now;
+  KqTime needed = work_left (s) + SETTLE_BESIDE_WORK;
+  KqTime until = from + (needed > SETTLE ? needed : SETTLE);
+  while (s->rig.now < until)
+    {
+      kq_sched_rig_run (&s->rig, LOOK);
+      if (s->rig.now - from > LEASES_END)
+        check_idle (s, idle);
+    }
+}
+
 /* With the faults over, every job must end. */
 static void
 check_end (Soak *s)
@@ -332,14 +478,13 @@
   for (int i = 0; i < s->jobs; i++)
     {
       char id[16];
-      KqJobState state;
       snprintf (id, sizeof id, "j%d", i);
-      state = kq_sched_rig_state (r, id);
-      if (state >= KQ_JOB_COMPLETED && state < KQ_JOB_UNKNOWN)
+      if (has_ended (r, id))
         continue;
       if (r->broken++ == 0)
         snprintf (r->why, sizeof r->why, "never ended: %s is %s, %d running", id,
-                  kq_job_state_name (state), kq_sched_rig_running (r, id));
+                  kq_job_state_name (kq_sched_rig_state (r, id)),
+                  kq_sched_rig_running (r, id));
       if (getenv ("KQ_RIG_TRACE") != NULL)
         {
           KqBuf b = { 0 };
@@ -376,7 +521,7 @@
       if (kq_spec_lasting (&j->spec))
         kq_sched_rig_cancel (&s->rig, id);
     }
-  kq_sched_rig_run (&s->rig, SETTLE);
+  settle (s);
   check_end (s);
   broken = s->rig.broken;
   snprintf (why, (size_t)why_size, "%s", s->rig.why);
