Advice is asked for within a placing pass, and what is kept for one is used in one only

By the call graph they aren't: kq_place_candidates is called by kq_tickets_want alone, that by place_tasks and place_gang, and those by kq_pass. So no value older than the pass could be used; nothing was wrong.

Both functions assert it now, so that a call from elsewhere can't come in unseen. tickets_test test_headroom_is_of_this_pass plays a filling step of an advised queue beside a serving task, below and over its target.

--- a/src/sched/harm.c
+++ b/src/sched/harm.c
@@ -9,6 +9,7 @@
 
 #include "sched/harm.h"
 
+#include <assert.h>
 #include <math.h>
 #include <string.h>
 
@@ -105,6 +106,7 @@
 bool
 kq_harm_closed (const KqSched *s, KqRunnerState *r, KqTime now)
 {
+  assert (s->passing);
   if (r->closed_pass == s->passes)
     return r->closed;
   r->closed_pass = s->passes;
@@ -265,6 +267,7 @@
 {
   KqServing *v = serving->serving;
   double later;
+  assert (s->passing);
   if (v->start_pass == s->passes)
     return v->start_headroom;
   v->start_pass = s->passes;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -346,6 +346,7 @@
   GArray *turns = g_array_new (FALSE, FALSE, sizeof (Turn));
   Misfits misfits = { 0 };
   s->passes++;
+  s->passing = true;
   kq_pools_look (s);
   collect (s, turns, now);
   kq_pools_looked (s, now);
@@ -368,5 +369,6 @@
   if (turns->len > 0 && (s->work_at == 0 || s->work_at > now + AGAIN))
     s->work_at = now + AGAIN;
   g_array_free (turns, TRUE);
+  s->passing = false;
   s->work = false;
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -294,6 +294,7 @@
   bool loaded;
   bool settled; /* no run of an earlier leader can be unknown to us */
   bool work;    /* something changed that a placing pass could use */
+  bool passing; /* a placing pass is under way: what is kept for one may be used */
   uint64_t passes;
   uint64_t changes;            /* of runners, so far */
   KqRunnerState *changed_last; /* all runners, by their last change */
--- a/src/sched/tickets_test.c
+++ b/src/sched/tickets_test.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -120,6 +121,44 @@
   assert_int_equal (d->starts, 1);
 }
 
+/* A filling step is asked about by a headroom that was kept for an earlier pass: where a
+ * task is over its target now, nobody need be asked about its runner. */
+static void
+test_headroom_is_of_this_pass (void **state)
+{
+  KqSchedDesk *d = *state;
+  KqStep serving = kq_sched_desk_step ();
+  KqStep filling = kq_sched_desk_step ();
+  char runner[16];
+  char task[96];
+  serving.lasting = true;
+  serving.target_ms = 10;
+  serving.image = KQ_STR ("serves");
+  filling.filling = true;
+  filling.image = KQ_STR ("fills");
+  kq_sched_desk_submit (d, "aa", serving, false);
+  kq_sched_desk_run (d, SETTLE);
+  memcpy (runner, d->runner, sizeof runner);
+  memcpy (task, d->task, sizeof task);
+  kq_sched_desk_outcome (d, KQ_ORDER_START, runner, task, d->run, KQ_ORDER_OK);
+  kq_sched_desk_list_serving (d, runner, task, d->run, 5);
+  kq_sched_desk_submit (d, "bb", filling, true);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->questions_about, 2);
+  kq_sched_desk_advise (d, "bb.0.0", KQ_ADVICE_OK, runner, "t-1", 3000);
+  kq_sched_desk_run (d, SETTLE);
+  assert_int_equal (d->starts, 2);
+  for (int i = 0; i < 5; i++)
+    {
+      kq_sched_desk_list_serving (d, runner, task, 1, 12);
+      kq_sched_desk_run (d, 500 * KQ_MS);
+    }
+  kq_sched_desk_submit (d, "cc", filling, true);
+  kq_sched_desk_run (d, SETTLE);
+  assert_string_equal (d->question, "cc.0.0");
+  assert_int_equal (d->questions_about, 1);
+}
+
 #define DESK(test)                                                                       \
   cmocka_unit_test_setup_teardown (test, kq_sched_desk_set_up, kq_sched_desk_tear_down)
 
@@ -133,6 +172,7 @@
     DESK (test_refused_ticket_is_replaced),
     DESK (test_queue_that_becomes_advised),
     DESK (test_few_questions_are_out_at_a_time),
+    DESK (test_headroom_is_of_this_pass),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
