A restarted leader ends the lease of the process before it

Callers saw no start and no state for 1.3 to 1.7 s after the leader's process was killed, though it was back after half a second, and for 1.53 s after all nodes were. By the logs the node that led reads its own record, connects to itself, and waits with all others for the end of its own old lease.

Who finds its own name and address in the record listens at that address itself, so the process that held the lease is gone: it ends it. Fencing is as before: the next leader's epoch is higher.

lead_test test_restarted_leader_gives_up_its_old_lease failed before (nobody is elected while the lease lasts); test_lease_of_another_address_stands guards against two leaders.

--- a/src/lead/lead.c
+++ b/src/lead/lead.c
@@ -308,6 +308,22 @@
   kq_kv_get (l->config.kv, term_key, TIMEOUT_MS, callback (l, on_term));
 }
 
+/* Nobody else listens at our address: whoever led there was a process before this one. */
+static bool
+led_before_us (const KqLead *l, const KqLeadRecord *found, uint64_t lease)
+{
+  return lease != l->lease && kq_name_eq (&found->node, &l->config.node)
+         && kq_name_eq (&found->address, &l->config.address);
+}
+
+static void
+end_old_lease (KqLead *l, uint64_t lease)
+{
+  kq_log (KQ_LOG_INFO, PART, "Ending the lease of an earlier process. epoch=%llu",
+          (unsigned long long)l->record.epoch);
+  kq_kv_lease_end (l->config.kv, lease, TIMEOUT_MS, callback (l, nothing));
+}
+
 static void
 on_item (void *arg, const KqKvItem *i, KqTime now)
 {
@@ -329,6 +345,11 @@
     return;
   lose (l, "another node leads", now);
   l->record = found;
+  if (led_before_us (l, &found, lease))
+    {
+      end_old_lease (l, lease);
+      return;
+    }
   kq_log (KQ_LOG_INFO, PART, "Leader. node=%.*s address=%.*s epoch=%llu",
           KQ_STR_ARG (kq_name_str (&found.node)),
           KQ_STR_ARG (kq_name_str (&found.address)), (unsigned long long)found.epoch);
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -6,7 +6,8 @@
  * The revision of the write that made a node leader is its epoch; every write of a leader
  * is conditional on that key still having that revision, so a leader that has lost it
  * can't change anything in the store. The term counts leaders; it lies in a key of its
- * own that outlives the lease. */
+ * own that outlives the lease. A process that finds the record of an earlier one at its
+ * own address ends that one's lease, so that nobody has to wait for its end. */
 
 #include "base/counter.h"
 #include "port/kv.h"
--- a/src/lead/lead_test.c
+++ b/src/lead/lead_test.c
@@ -56,6 +56,7 @@
   int keeps;        /* renewals asked for */
   bool slow_keeps;  /* they aren't answered for long */
   bool silent;
+  uint64_t lease_given_up; /* the last lease that was ended by a call; 0: none */
 } fake;
 
 static Pending *
@@ -134,9 +135,9 @@
 kq_kv_lease_end (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
 {
   (void)kv;
-  (void)lease;
   (void)timeout_ms;
   add (END, cb, KQ_MS);
+  fake.lease_given_up = lease;
   fake.lead_revision = 0;
   fake.changed_at = ++fake.revision;
 }
@@ -402,6 +403,40 @@
   assert_true (kq_lead_valid_until (r->lead) < kq_time_now ());
 }
 
+/* A leader at that address holds the lead by lease 77, which doesn't end by itself. */
+static void
+hold_lead (const char *address)
+{
+  KqPacker p;
+  kq_buf_clear (&fake.lead);
+  kq_packer_init (&p, &fake.lead);
+  kq_pack_array (&p, 3);
+  kq_pack_str (&p, KQ_STR ("n1"));
+  kq_pack_str (&p, kq_str (address));
+  kq_pack_u64 (&p, 77);
+  fake.lead_revision = fake.changed_at = ++fake.revision;
+}
+
+/* Nobody leads for as long as a dead leader's lease lasts, though its process is back. */
+static void
+test_restarted_leader_gives_up_its_old_lease (void **state)
+{
+  Rig *r = *state;
+  hold_lead ("127.0.0.1:1");
+  assert_true (run_until (&r->elected, 1));
+  assert_int_equal (fake.lease_given_up, 77);
+}
+
+/* Two leaders: a node at another address with our name may be alive. */
+static void
+test_lease_of_another_address_stands (void **state)
+{
+  Rig *r = *state;
+  hold_lead ("127.0.0.1:2");
+  assert_false (run_until (&r->elected, 1));
+  assert_int_equal (fake.lease_given_up, 0);
+}
+
 int
 main (void)
 {
@@ -414,6 +449,10 @@
     cmocka_unit_test_setup_teardown (test_renewals_dont_wait_for_answers, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_silent_store_leaves_the_lead_open, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_restarted_leader_gives_up_its_old_lease, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_lease_of_another_address_stands, set_up,
                                      tear_down)
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
