A leader in doubt asks the store before it gives up

On the first such news the leader renews at once, and gives up if nothing has come within 0.3 s. Meanwhile it is in doubt as before: it counts no lease as over and takes in no job.

A leader that is cut off alone is followed as soon as before.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -9,6 +9,7 @@
 #include "fleet/link.h"
 #include "fleet/metrics.h"
 #include "fleet/reach.h"
+#include "lead/doubt.h"
 #include "lead/lead.h"
 #include "lead/yield.h"
 #include "platform/platform.h"
@@ -31,11 +32,6 @@
 /* Without a leader, leases of runners are renewed for as long as an election may take:
  * the old leader's lease, then this. */
 #define ELECTION_MS 2500
-/* A leader that can't renew goes on while no other node reaches the store either, but no
- * longer than this: silent runners are waited for about as long by a new leader. */
-#define BLIND_MAX (9 * KQ_SEC)
-/* A node that answered the store more recently than this reaches it. */
-#define REACHES_MS 900
 #define LOOK_S 0.2
 /* A planned stop: the platform sends no new connections after two missed probes, a second
  * apart. */
@@ -63,8 +59,8 @@
   KqQueueTable *table;
   KqAgentInfo self;
   KqReach store;
-  KqTime peers_reach_store_at; /* some node's, as told by it */
-  KqYield yield;               /* the strongest node heard of since the election */
+  KqLeadDoubt doubt;
+  KqYield yield; /* the strongest node heard of since the election */
   bool store_lost;
   bool leaving;
   bool stopped;
@@ -194,7 +190,7 @@
   kq_link_lead (f->link, epoch, now);
   kq_crew_agent_released (f->agent);
   kq_crew_agent_counted (f->agent, epoch, now);
-  f->peers_reach_store_at = 0;
+  f->doubt = (KqLeadDoubt){ .length = lead_ttl_ms (f) * KQ_MS };
   f->yield.other_milli = 0;
   f->leader = kq_leader_new (&c, now);
   kq_sched_lead_until (kq_leader_sched (f->leader), kq_lead_valid_until (f->lead));
@@ -256,8 +252,8 @@
   int share = kq_leader_share (f->leader, p);
   if (store_age_ms < 0)
     return;
-  if (reached > f->peers_reach_store_at)
-    f->peers_reach_store_at = reached;
+  if (reached > f->doubt.peer_reached_at)
+    f->doubt.peer_reached_at = reached;
   if (share >= f->yield.other_milli)
     {
       f->yield.other_milli = share;
@@ -401,28 +397,34 @@
   kq_lead_resign (f->lead, "a stronger node can lead", !f->leaving, now);
 }
 
-/* Without the store nobody else can be elected, so work in hand goes on; once another
- * node reaches the store, our lease may have lapsed there and that node may be elected.
- * So may a node that isn't heard: then work goes on under the leases as they are. */
 static void
 look_at_lead (KqFleet *f, KqTime now)
 {
   KqTime until = kq_lead_valid_until (f->lead);
+  const char *why;
   if (f->leader == NULL)
     return;
   kq_sched_lead_until (kq_leader_sched (f->leader), until);
   kq_link_lead_until (f->link, until, kq_sched_agents_lost (kq_leader_sched (f->leader)));
   kq_crew_agent_counted (f->agent, kq_lead_record (f->lead)->epoch, MIN (now, until));
-  if (now < until)
-    look_at_stronger (f, now);
-  else if (now - until > BLIND_MAX)
-    kq_lead_resign (f->lead, "not renewed for too long", !f->leaving, now);
-  else if (f->peers_reach_store_at > until - lead_ttl_ms (f) / 2 * KQ_MS
-           && now - f->peers_reach_store_at < 3 * REACHES_MS * KQ_MS)
-    kq_lead_resign (f->lead, "not renewed while other nodes reach the store", !f->leaving,
-                    now);
-  else if (kq_link_peers (f->link) == 0)
-    kq_lead_resign (f->lead, "not renewed and no other node heard", !f->leaving, now);
+  f->doubt.valid_until = until;
+  f->doubt.peers = kq_link_peers (f->link);
+  switch (kq_lead_doubt (&f->doubt, now, &why))
+    {
+    case KQ_DOUBT_NONE:
+      look_at_stronger (f, now);
+      break;
+    case KQ_DOUBT_GO_ON:
+      break;
+    case KQ_DOUBT_ASK:
+      kq_log (KQ_LOG_INFO, PART, "Another node reaches the store; renewing. late_ms=%lld",
+              (long long)((now - until) / KQ_MS));
+      kq_lead_renew (f->lead);
+      break;
+    case KQ_DOUBT_GIVE_UP:
+      kq_lead_resign (f->lead, why, !f->leaving, now);
+      break;
+    }
 }
 
 static void
--- /dev/null
+++ b/src/lead/doubt_test.c
@@ -0,0 +1,101 @@
+#include "lead/doubt.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define LENGTH (1500 * KQ_MS)
+#define LAPSED_AT (100 * KQ_SEC)
+
+static KqLeadDoubt
+lapsed (void)
+{
+  return (KqLeadDoubt){ .valid_until = LAPSED_AT, .length = LENGTH, .peers = 5 };
+}
+
+static KqDoubtNext
+next (KqLeadDoubt *d, KqTime after)
+{
+  const char *why = NULL;
+  return kq_lead_doubt (d, LAPSED_AT + after, &why);
+}
+
+/* Work stands still during an outage of the store, though nobody else can lead. */
+static void
+test_work_goes_on_while_nobody_reaches_the_store (void **state)
+{
+  KqLeadDoubt d = lapsed ();
+  (void)state;
+  assert_int_equal (next (&d, -KQ_MS), KQ_DOUBT_NONE);
+  assert_int_equal (next (&d, KQ_MS), KQ_DOUBT_GO_ON);
+  assert_int_equal (next (&d, 8 * KQ_SEC), KQ_DOUBT_GO_ON);
+  assert_int_equal (next (&d, 10 * KQ_SEC), KQ_DOUBT_GIVE_UP);
+}
+
+/* The leader changes with each outage: when the store is back, another node has an answer
+ * before the leader's next renewal. */
+static void
+test_leader_asks_before_it_gives_up (void **state)
+{
+  KqLeadDoubt d = lapsed ();
+  (void)state;
+  assert_int_equal (next (&d, 2 * KQ_SEC), KQ_DOUBT_GO_ON);
+  d.peer_reached_at = LAPSED_AT + 2100 * KQ_MS;
+  assert_int_equal (next (&d, 2200 * KQ_MS), KQ_DOUBT_ASK);
+  assert_int_equal (next (&d, 2400 * KQ_MS), KQ_DOUBT_GO_ON);
+  d.valid_until = LAPSED_AT + 2210 * KQ_MS + LENGTH; /* renewed */
+  assert_int_equal (next (&d, 2600 * KQ_MS), KQ_DOUBT_NONE);
+  assert_int_equal (next (&d, 4 * KQ_SEC), KQ_DOUBT_GO_ON);
+}
+
+/* Two leaders: only this one is cut off from the store. */
+static void
+test_leader_without_an_answer_gives_up (void **state)
+{
+  KqLeadDoubt d = lapsed ();
+  const char *why = NULL;
+  (void)state;
+  d.peer_reached_at = LAPSED_AT;
+  assert_int_equal (next (&d, KQ_MS), KQ_DOUBT_ASK);
+  d.peer_reached_at = LAPSED_AT + 300 * KQ_MS;
+  assert_int_equal (kq_lead_doubt (&d, LAPSED_AT + 302 * KQ_MS, &why), KQ_DOUBT_GIVE_UP);
+  assert_string_equal (why, "not renewed while other nodes reach the store");
+}
+
+static void
+test_leader_that_hears_nobody_gives_up (void **state)
+{
+  KqLeadDoubt d = lapsed ();
+  (void)state;
+  d.peers = 0;
+  assert_int_equal (next (&d, KQ_MS), KQ_DOUBT_GIVE_UP);
+}
+
+/* What a node has told long ago says nothing about the store now. */
+static void
+test_old_news_dont_count (void **state)
+{
+  KqLeadDoubt d = lapsed ();
+  (void)state;
+  d.peer_reached_at = LAPSED_AT - LENGTH;
+  assert_int_equal (next (&d, KQ_MS), KQ_DOUBT_GO_ON);
+  d.peer_reached_at = LAPSED_AT;
+  assert_int_equal (next (&d, 3 * KQ_SEC), KQ_DOUBT_GO_ON);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_work_goes_on_while_nobody_reaches_the_store),
+    cmocka_unit_test (test_leader_asks_before_it_gives_up),
+    cmocka_unit_test (test_leader_without_an_answer_gives_up),
+    cmocka_unit_test (test_leader_that_hears_nobody_gives_up),
+    cmocka_unit_test (test_old_news_dont_count),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/lead/lead.c
+++ b/src/lead/lead.c
@@ -436,6 +436,13 @@
   return &l->record;
 }
 
+void
+kq_lead_renew (KqLead *l)
+{
+  if (l->phase == LEADING)
+    renew (l);
+}
+
 void
 kq_lead_resign (KqLead *l, const char *why, bool ask, KqTime now)
 {
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -49,6 +49,8 @@
 KqTime kq_lead_valid_until (const KqLead *l);
 bool kq_lead_is_us (const KqLead *l);
 const KqLeadRecord *kq_lead_record (const KqLead *l);
+/* Renews the lease now; only while we lead. */
+void kq_lead_renew (KqLead *l);
 /* Gives the lead up at once: a planned stop, or a reason to believe that it is lost.
  * `ask` says whether to try again later. */
 void kq_lead_resign (KqLead *l, const char *why, bool ask, KqTime now);
