The end of an earlier lead isn't taken for the end of this one

kq_follow tells what has gone with its revision; an end that isn't newer than the lead that is known is passed over.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -143,9 +143,10 @@
 }
 
 static void
-on_config_gone (void *arg, KqStr key, KqTime now)
+on_config_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
   (void)arg;
+  (void)revision;
   (void)now;
   kq_log (KQ_LOG_WARN, PART, "A configuration key is gone; what it said stays. key=%.*s",
           KQ_STR_ARG (key));
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -95,7 +95,7 @@
       bool had = g_hash_table_remove (f->revisions, key);
       free (key);
       if (had && f->owner.gone != NULL)
-        f->owner.gone (f->owner.arg, i->key, now);
+        f->owner.gone (f->owner.arg, i->key, i->revision, now);
       return;
     }
   g_hash_table_insert (f->revisions, key, (gpointer)(uintptr_t)i->revision);
@@ -117,7 +117,7 @@
     {
       g_hash_table_remove (f->revisions, g_ptr_array_index (gone, i));
       if (f->owner.gone != NULL)
-        f->owner.gone (f->owner.arg, kq_str (g_ptr_array_index (gone, i)), now);
+        f->owner.gone (f->owner.arg, kq_str (g_ptr_array_index (gone, i)), f->from, now);
     }
   g_ptr_array_free (gone, TRUE);
 }
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -15,7 +15,8 @@
 {
   void *arg;
   void (*item) (void *arg, const KqKvItem *i, KqTime now);
-  void (*gone) (void *arg, KqStr key, KqTime now); /* may be NULL */
+  /* The key wasn't there at that revision. May be NULL. */
+  void (*gone) (void *arg, KqStr key, uint64_t revision, KqTime now);
   /* All keys have been told once; called after each listing. May be NULL. */
   void (*synced) (void *arg, KqTime now);
   /* The store has answered. */
--- a/src/fleet/follow_test.c
+++ b/src/fleet/follow_test.c
@@ -63,10 +63,11 @@
 }
 
 static void
-on_gone (void *arg, KqStr key, KqTime now)
+on_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
   (void)arg;
   (void)key;
+  (void)revision;
   (void)now;
 }
 
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -222,10 +222,11 @@
 }
 
 static void
-on_entry_gone (void *arg, KqStr key, KqTime now)
+on_entry_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
   KqLeader *l = arg;
   KqStr id;
+  (void)revision;
   kq_source_runner (key, KQ_STR (""), &id, take_entry, l);
   kq_sched_entry_gone (l->sched, id, now);
   l->dirty = true;
--- a/src/fleet/waves.c
+++ b/src/fleet/waves.c
@@ -70,9 +70,10 @@
 }
 
 static void
-on_request_gone (void *arg, KqStr key, KqTime now)
+on_request_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
   (void)arg;
+  (void)revision;
   (void)now;
   kq_log (KQ_LOG_INFO, PART, "A wave's request is gone; it goes on. key=%.*s",
           KQ_STR_ARG (key));
--- a/src/lead/lead.c
+++ b/src/lead/lead.c
@@ -357,11 +357,18 @@
 }
 
 static void
-on_gone (void *arg, KqStr key, KqTime now)
+on_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
   KqLead *l = arg;
   if (!kq_str_eq (key, kq_lead_key))
     return;
+  if (revision <= l->record.epoch)
+    {
+      /* Our own write was answered before the watch told of what was there before. */
+      kq_log (KQ_LOG_INFO, PART, "An earlier lead has ended. revision=%llu epoch=%llu",
+              (unsigned long long)revision, (unsigned long long)l->record.epoch);
+      return;
+    }
   kq_log (KQ_LOG_INFO, PART, "The lead is vacant. last_epoch=%llu",
           (unsigned long long)l->record.epoch);
   /* The store may have taken our key away although our lease lives. */
--- a/src/lead/lead_test.c
+++ b/src/lead/lead_test.c
@@ -56,6 +56,8 @@
   int keeps;        /* renewals asked for */
   bool slow_keeps;  /* they aren't answered for long */
   bool silent;
+  bool hold_watch;         /* changes aren't told for now */
+  uint64_t gone_untold;    /* revision of a deletion that was held back; 0: none */
   uint64_t lease_given_up; /* the last lease that was ended by a call; 0: none */
 } fake;
 
@@ -140,6 +142,8 @@
   fake.lease_given_up = lease;
   fake.lead_revision = 0;
   fake.changed_at = ++fake.revision;
+  if (fake.hold_watch)
+    fake.gone_untold = fake.revision;
 }
 
 static void
@@ -147,6 +151,7 @@
 {
   KqKvItem lead = { kq_lead_key, kq_buf_str (&fake.lead), fake.lead_revision, 1, false };
   KqKvItem gone = { kq_lead_key, KQ_STR (""), fake.changed_at, 0, true };
+  KqKvItem both[2];
   KqKvItem term
       = { KQ_STR ("kq/term"), kq_str (fake.term), fake.term_revision, 0, false };
   KqKvReply r = { .revision = fake.revision, .sent_at = kq_time_now () - KQ_MS };
@@ -167,6 +172,15 @@
     case WATCH:
       r.items = fake.lead_revision > 0 ? &lead : &gone;
       r.n_items = fake.changed_at > p->after;
+      if (fake.gone_untold > p->after)
+        {
+          both[0] = gone;
+          both[0].revision = fake.gone_untold;
+          both[1] = lead;
+          r.items = both;
+          r.n_items = 2;
+          fake.gone_untold = 0;
+        }
       break;
     case TXN:
       r.result = !p->conditions_hold ? KQ_KV_CONFLICT
@@ -191,6 +205,8 @@
 static bool
 due (const Pending *p)
 {
+  if (p->sort == WATCH && fake.hold_watch)
+    return false;
   return kq_time_now () >= p->due || (p->sort == WATCH && fake.changed_at > p->after);
 }
 
@@ -403,6 +419,23 @@
   assert_true (kq_lead_valid_until (r->lead) < kq_time_now ());
 }
 
+/* Nobody leads for as long as a lease lasts: a leader takes the end of its earlier lead,
+ * which its watch tells late, for the end of this one. */
+static void
+test_late_word_of_an_earlier_end (void **state)
+{
+  Rig *r = *state;
+  assert_true (run_until (&r->elected, 1));
+  assert_false (run_until (&r->lost, 1)); /* the watch has told of it */
+  fake.hold_watch = true;
+  kq_lead_resign (r->lead, "in doubt", true, kq_time_now ());
+  assert_true (run_until (&r->elected, 2));
+  assert_int_equal (r->lost, 1);
+  fake.hold_watch = false;
+  assert_false (run_until (&r->lost, 2));
+  assert_true (kq_lead_is_us (r->lead));
+}
+
 /* A leader at that address holds the lead by lease 77, which doesn't end by itself. */
 static void
 hold_lead (const char *address)
@@ -450,6 +483,7 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_silent_store_leaves_the_lead_open, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_late_word_of_an_earlier_end, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_restarted_leader_gives_up_its_old_lease, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_lease_of_another_address_stands, set_up,
