A node that the store turns away hands jobs in through the leader

It asks the leader to write the job now.

What the client is told is true in all cases: accepted when the write is; refused when the leader hasn't tried, isn't at hand or the store has refused; in doubt when the write or the leader's word is lost.

--- a/src/crew/frame.h
+++ b/src/crew/frame.h
@@ -42,7 +42,8 @@
 {
   KQ_ASK_STATE,
   KQ_ASK_WAITING,
-  KQ_ASK_EXPLAIN
+  KQ_ASK_EXPLAIN,
+  KQ_ASK_ACCEPT /* write this job to the store; version 2 answers that it hasn't */
 } KqAskKind;
 
 typedef struct
@@ -100,7 +101,7 @@
     {
       uint64_t call;
       KqAskKind what;
-      KqStr about; /* job id or queue */
+      KqStr about; /* job id or queue; of ACCEPT the job */
     } ask;
     struct
     {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -3,17 +3,17 @@
 #include "base/log.h"
 #include "base/task.h"
 #include "crew/agent.h"
-#include "fleet/follow.h"
+#include "fleet/accepts.h"
 #include "fleet/front.h"
 #include "fleet/leader.h"
 #include "fleet/link.h"
 #include "fleet/metrics.h"
+#include "fleet/queue_keys.h"
 #include "fleet/reach.h"
 #include "lead/doubt.h"
 #include "lead/lead.h"
 #include "lead/yield.h"
 #include "platform/platform.h"
-#include "port/source.h"
 
 #include <ev.h>
 #include <glib.h>
@@ -28,7 +28,6 @@
 /* Leases of runners: a gap of leadership and a slow host must not end them; a dead
  * runner's tasks wait for their end. */
 #define RUNNER_LEASE_MS 5000
-#define CONFIG_WATCH_MS 1500
 /* Without a leader, leases of runners are renewed for as long as an election may take:
  * the old leader's lease, then this. */
 #define ELECTION_MS 2500
@@ -52,11 +51,11 @@
   KqLink *link;
   KqLead *lead;
   KqLeader *leader; /* while this node leads */
+  KqAccepts *accepts;
   KqFrontDesk *desk;
   KqFront *front;
   KqMetrics *metrics;
-  KqFollow *config_keys;
-  KqQueueTable *table;
+  KqQueueKeys *queues;
   KqAgentInfo self;
   KqReach store;
   KqLeadDoubt doubt;
@@ -100,6 +99,13 @@
   return kq_reach_state (&f->store, now);
 }
 
+static bool
+store_by_leader (void *arg, KqTime now)
+{
+  const KqFleet *f = arg;
+  return kq_reach_by_leader (&f->store, now);
+}
+
 static int64_t
 lead_ttl_ms (const KqFleet *f)
 {
@@ -114,49 +120,11 @@
   return most < RUNNER_LEASE_MS ? most : RUNNER_LEASE_MS;
 }
 
-/* Configuration. */
-
-static void
-on_config_item (void *arg, const KqKvItem *i, KqTime now)
-{
-  KqFleet *f = arg;
-  bool bad;
-  KqQueueTable *t = kq_source_config (i->key, i->value, &bad);
-  (void)now;
-  if (bad)
-    kq_log (KQ_LOG_ERROR, PART, "The configuration can't be read. revision=%llu",
-            (unsigned long long)i->revision);
-  if (t == NULL)
-    return;
-  if (f->table != NULL && t->version <= f->table->version)
-    {
-      kq_log (KQ_LOG_WARN, PART,
-              "An older configuration is passed over. version=%lld have=%lld",
-              (long long)t->version, (long long)f->table->version);
-      kq_queue_table_free (t);
-      return;
-    }
-  kq_log (KQ_LOG_INFO, PART, "Configuration. version=%lld queues=%zu revision=%llu",
-          (long long)t->version, t->n_queues, (unsigned long long)i->revision);
-  kq_queue_table_free (f->table);
-  f->table = t;
-}
-
-static void
-on_config_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
-{
-  (void)arg;
-  (void)revision;
-  (void)now;
-  kq_log (KQ_LOG_WARN, PART, "A configuration key is gone; what it said stays. key=%.*s",
-          KQ_STR_ARG (key));
-}
-
 static const KqQueueTable *
 table (void *arg)
 {
   const KqFleet *f = arg;
-  return f->table;
+  return kq_queue_keys_table (f->queues);
 }
 
 /* Leading. */
@@ -229,6 +197,7 @@
 on_left (void *arg, KqPeer *p, bool planned, KqTime now)
 {
   KqFleet *f = arg;
+  kq_accepts_left (f->accepts, p);
   if (f->leader != NULL)
     kq_leader_left (f->leader, p, planned, now);
 }
@@ -270,6 +239,8 @@
     return;
   if (i->kind == KQ_CREW_BEAT)
     take_beat (f, p, i->u.beat.store_age_ms, now);
+  else if (i->kind == KQ_CREW_ASK && i->u.ask.what == KQ_ASK_ACCEPT)
+    kq_accepts_take (f->accepts, p, i->u.ask.call, i->u.ask.about);
   else if (i->kind == KQ_CREW_ASK)
     answer_peer (f, p, i, now);
   else if (i->kind == KQ_CREW_JOB || i->kind == KQ_CREW_CANCEL
@@ -355,6 +326,15 @@
     kq_link_send (f->link, kq_lead_record (f->lead)->epoch, i);
 }
 
+static void
+on_accepted (void *arg, KqStr stored, uint64_t revision, KqTime now)
+{
+  KqCrewItem i = { .kind = KQ_CREW_JOB };
+  i.u.job.stored = stored;
+  i.u.job.revision = revision;
+  tell (arg, &i, now);
+}
+
 /* Client accounts. */
 
 static void
@@ -368,7 +348,7 @@
 ready (void *arg, KqTime now)
 {
   const KqFleet *f = arg;
-  return !f->leaving && f->table != NULL && kq_reach_up (&f->store, now);
+  return !f->leaving && table (arg) != NULL && kq_reach_up (&f->store, now);
 }
 
 static bool
@@ -381,8 +361,8 @@
 static int64_t
 body_max (void *arg)
 {
-  const KqFleet *f = arg;
-  return f->table != NULL ? f->table->body_max : 262144;
+  const KqQueueTable *t = table (arg);
+  return t != NULL ? t->body_max : 262144;
 }
 
 /* Looking after it all. */
@@ -492,10 +472,12 @@
                         .self = f->self,
                         .owner = { f, on_joined, on_left, on_from_node, on_connected,
                                    on_from_leader, store_age_ms } };
-  KqFrontDeskConfig desk
-      = { loop, f->kv,       f->config.counters, f, table, store_state, ask,
-          tell, on_answered, on_store_failed };
+  KqFrontDeskConfig desk = { loop,  f->kv,       f->config.counters, f,
+                             table, store_state, store_by_leader,    ask,
+                             tell,  on_answered, on_store_failed };
   KqFrontOwner owner = { f, on_request, ready, leaving, body_max };
+  KqAcceptsOwner accepts = { f, on_accepted, on_answered };
+  f->accepts = kq_accepts_new (f->kv, &accepts);
   f->agent = kq_crew_agent_new (&agent);
   f->link = kq_link_new (&link);
   f->desk = kq_front_desk_new (&desk);
@@ -530,8 +512,7 @@
 kq_fleet_new (const KqFleetConfig *c)
 {
   KqFleet *f = kq_alloc (sizeof *f);
-  KqFollowOwner config
-      = { f, on_config_item, on_config_gone, NULL, on_answered, on_store_failed };
+  KqQueueKeysOwner queues = { f, on_answered, on_store_failed };
   KqStoreOwner store = { f, on_store_alive };
   f->config = *c;
   f->yield.own_milli = (int)c->settings->cpu_share_milli;
@@ -552,8 +533,7 @@
       return NULL;
     }
   start_lead (f);
-  f->config_keys = kq_follow_new (c->loop, f->kv, kq_source_config_prefix (),
-                                  CONFIG_WATCH_MS, 0, &config);
+  f->queues = kq_queue_keys_new (c->loop, f->kv, &queues);
   ev_timer_start (kq_loop_ev (c->loop), &f->look);
   return f;
 }
@@ -575,17 +555,17 @@
   kq_leader_free (f->leader);
   f->leader = NULL;
   kq_lead_free (f->lead);
-  kq_follow_free (f->config_keys);
+  kq_queue_keys_free (f->queues);
   kq_link_free (f->link);
   kq_crew_agent_free (f->agent);
   kq_front_free (f->front);
   kq_front_desk_free (f->desk);
+  kq_accepts_free (f->accepts);
   kq_metrics_free (f->metrics);
   kq_runners_calls_free (f->calls);
   kq_advice_free (f->advice);
   kq_maintenance_free (f->maintenance);
   kq_store_free (f->kv);
-  kq_queue_table_free (f->table);
   free (f);
 }
 
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -1,7 +1,8 @@
 #include "fleet/front.h"
 
-#include "base/histogram.h"
 #include "base/log.h"
+#include "fleet/accepts.h"
+#include "fleet/front_counts.h"
 #include "fleet/keys.h"
 
 #include <ev.h>
@@ -30,6 +31,8 @@
 #define RETRY_LONGEST (640 * KQ_MS)
 /* How long the leader is waited for before the store is asked. */
 #define LEADER_WAIT (500 * KQ_MS)
+/* The same for a job that the leader writes: both ways between regions, and its call. */
+#define LEADER_WRITES (1000 * KQ_MS)
 #define SWEEP_S 0.04
 /* When a client that was refused should come back: the store's outages last seconds, and
  * many clients at once wouldn't help it. */
@@ -40,8 +43,9 @@
 typedef enum
 {
   SUBMIT,
-  SUBMIT_READ, /* is it there already, and does the store answer */
-  READ_LEADER, /* waits for the leader's word */
+  SUBMIT_READ,   /* is it there already, and does the store answer */
+  SUBMIT_LEADER, /* the leader writes it */
+  READ_LEADER,   /* waits for the leader's word */
   READ_PROGRESS,
   READ_CANCEL,
   READ_JOB,
@@ -68,12 +72,8 @@
 } Request;
 
 static const char *const step_names[]
-    = { "submit",   "submit_read", "ask_leader",   "read_progress", "read_cancel",
-        "read_job", "cancel_read", "cancel_write", "count_waiting" };
-static const char *const reply_names[]
-    = { "done",    "state", "waiting",   "no_job", "no_queue",
-        "refused", "bad",   "too_large", "unknown" };
-
+    = { "submit",      "submit_read", "submit_leader", "ask_leader",   "read_progress",
+        "read_cancel", "read_job",    "cancel_read",   "cancel_write", "count_waiting" };
 struct KqFrontDesk
 {
   KqFrontDeskConfig config;
@@ -81,13 +81,7 @@
   GPtrArray *later;    /* Request, to be repeated at their times */
   uint64_t calls;
   ev_timer sweep;
-  uint64_t *replies[9];
-  KqHistogram took;
-  uint64_t *refused_store;
-  uint64_t *refused_start;
-  uint64_t *refused_leader;
-  uint64_t *retried;
-  uint64_t *from_store;
+  KqFrontCounts counts;
 };
 
 static void
@@ -104,12 +98,12 @@
 finish (Request *q, const KqFrontReply *r, KqTime now)
 {
   KqFrontDesk *d = q->desk;
-  ++*d->replies[r->kind];
-  kq_histogram_add (&d->took, now - q->begun_at);
-  if (q->step <= SUBMIT_READ || q->step == CANCEL_WRITE || r->kind >= KQ_REPLY_NO_JOB)
+  ++*d->counts.replies[r->kind];
+  kq_histogram_add (&d->counts.took, now - q->begun_at);
+  if (q->step <= SUBMIT_LEADER || q->step == CANCEL_WRITE || r->kind >= KQ_REPLY_NO_JOB)
     kq_log (KQ_LOG_INFO, PART,
             "Answered. job=%.*s at=%s reply=%s took_ms=%lld unsure=%d why=%s",
-            KQ_STR_ARG (q->id), step_names[q->step], reply_names[r->kind],
+            KQ_STR_ARG (q->id), step_names[q->step], kq_reply_kind_name (r->kind),
             (long long)((now - q->begun_at) / KQ_MS), q->unsure,
             r->why != NULL ? r->why : "-");
   kq_ask_reply (q->ask, r);
@@ -182,7 +176,7 @@
   if (q->retry_gap > RETRY_LONGEST)
     q->retry_gap = RETRY_LONGEST;
   q->retry_at = now + q->retry_gap;
-  ++*q->desk->retried;
+  ++*q->desk->counts.retried;
   g_ptr_array_add (q->desk->later, q);
   start_sweep (q->desk);
 }
@@ -193,7 +187,8 @@
   if (!time_left (q, now) && (q->step == SUBMIT || q->step == CANCEL_READ))
     finish_kind (q, KQ_REPLY_UNKNOWN, now);
   else if (!time_left (q, now))
-    refuse (q, "the store can't be read", RETRY_STORE_MS, q->desk->refused_store, now);
+    refuse (q, "the store can't be read", RETRY_STORE_MS, q->desk->counts.refused_store,
+            now);
   else if (q->step == SUBMIT)
     submit (q);
   else
@@ -223,7 +218,8 @@
       if (q->unsure)
         repeat_later (q, SUBMIT, now);
       else
-        refuse (q, "the store refused", RETRY_STORE_MS, q->desk->refused_store, now);
+        refuse (q, "the store refused", RETRY_STORE_MS, q->desk->counts.refused_store,
+                now);
       break;
     }
 }
@@ -302,13 +298,13 @@
       if (q->step == CANCEL_READ)
         repeat_later (q, CANCEL_READ, now);
       else if (q->step == SUBMIT_READ)
-        refuse (q, "the store doesn't answer", RETRY_STORE_MS, q->desk->refused_store,
-                now);
+        refuse (q, "the store doesn't answer", RETRY_STORE_MS,
+                q->desk->counts.refused_store, now);
       else if (time_left (q, now))
         read_from_store (q, q->step);
       else
-        refuse (q, "the store can't be read", RETRY_STORE_MS, q->desk->refused_store,
-                now);
+        refuse (q, "the store can't be read", RETRY_STORE_MS,
+                q->desk->counts.refused_store, now);
       return;
     }
   switch (q->step)
@@ -342,6 +338,7 @@
         submit (q);
       break;
     case SUBMIT:
+    case SUBMIT_LEADER:
     case READ_LEADER:
     case CANCEL_WRITE:
     case WAITING_LEADER:
@@ -358,7 +355,7 @@
   KqStr key = kq_key_of (prefix, q->id);
   int timeout = timeout_ms (q, kq_loop_now (q->desk->config.loop));
   q->step = step;
-  ++*q->desk->from_store;
+  ++*q->desk->counts.from_store;
   if (step == SUBMIT_READ)
     timeout = MIN (timeout, QUESTION_MS);
   kq_kv_get (q->desk->config.kv, key, timeout, (KqKvCallback){ on_read, q });
@@ -366,12 +363,12 @@
 }
 
 static void
-ask_leader (Request *q, KqAskKind what, KqStr about, KqTime now)
+ask_leader (Request *q, KqAskKind what, KqStr about, KqTime wait, KqTime now)
 {
   KqFrontDesk *d = q->desk;
   KqCrewItem i = { .kind = KQ_CREW_ASK };
   q->call = ++d->calls;
-  q->leader_until = now + LEADER_WAIT;
+  q->leader_until = now + wait;
   g_hash_table_insert (d->waiting, &q->call, q);
   start_sweep (d);
   i.u.ask.call = q->call;
@@ -381,6 +378,32 @@
     kq_front_desk_answer (d, q->call, -1, now);
 }
 
+static void
+submit_by_leader (Request *q, KqTime now)
+{
+  KqFrontDesk *d = q->desk;
+  if (!d->config.by_leader (d->config.arg, now))
+    {
+      refuse (q, "the store is away", RETRY_STORE_MS, d->counts.refused_store, now);
+      return;
+    }
+  q->step = SUBMIT_LEADER;
+  ++*d->counts.by_leader;
+  ask_leader (q, KQ_ASK_ACCEPT, kq_buf_str (&q->stored), LEADER_WRITES, now);
+}
+
+/* result: a KqAcceptResult, or what says that the leader hasn't tried. */
+static void
+leader_has_written (Request *q, int64_t result, KqTime now)
+{
+  if (result == KQ_ACCEPT_DONE)
+    finish_kind (q, KQ_REPLY_DONE, now);
+  else if (result == KQ_ACCEPT_UNKNOWN)
+    finish_kind (q, KQ_REPLY_UNKNOWN, now);
+  else
+    refuse (q, "the store is away", RETRY_STORE_MS, q->desk->counts.refused_store, now);
+}
+
 /* A job that the leader doesn't know may have been accepted a moment ago. */
 void
 kq_front_desk_answer (KqFrontDesk *d, uint64_t call, int64_t value, KqTime now)
@@ -391,16 +414,18 @@
     return;
   g_hash_table_remove (d->waiting, &call);
   q->call = 0;
-  if (q->step == WAITING_LEADER)
+  if (q->step == SUBMIT_LEADER)
+    leader_has_written (q, value, now);
+  else if (q->step == WAITING_LEADER)
     {
       if (value < 0)
-        refuse (q, "no leader", RETRY_LEADER_MS, d->refused_leader, now);
+        refuse (q, "no leader", RETRY_LEADER_MS, d->counts.refused_leader, now);
       else
         finish (q, &waiting, now);
     }
   else if ((value < 0 || value == KQ_JOB_UNKNOWN)
            && d->config.store (d->config.arg, now) == KQ_REACH_AWAY)
-    refuse (q, "neither leader nor store", RETRY_STORE_MS, d->refused_store, now);
+    refuse (q, "neither leader nor store", RETRY_STORE_MS, d->counts.refused_store, now);
   else if (value < 0)
     read_from_store (q, READ_PROGRESS);
   else if (value == KQ_JOB_UNKNOWN)
@@ -439,7 +464,7 @@
   switch (q->desk->config.store (q->desk->config.arg, now))
     {
     case KQ_REACH_AWAY:
-      refuse (q, "the store is away", RETRY_STORE_MS, q->desk->refused_store, now);
+      submit_by_leader (q, now);
       break;
     case KQ_REACH_IN_DOUBT:
       read_from_store (q, SUBMIT_READ);
@@ -473,25 +498,25 @@
     id = kq_str_n (r->path.ptr + queue->prefix.len, r->path.len - queue->prefix.len);
   q = new_request (d, a, r, id, now);
   if (t == NULL)
-    refuse (q, "no configuration yet", RETRY_START_MS, d->refused_start, now);
+    refuse (q, "no configuration yet", RETRY_START_MS, d->counts.refused_start, now);
   else if (queue == NULL)
     finish_kind (q, KQ_REPLY_NO_QUEUE, now);
   else if (r->kind == KQ_FRONT_SUBMIT)
     begin_submit (q, r, queue, now);
   else if (r->kind == KQ_FRONT_CANCEL
            && d->config.store (d->config.arg, now) == KQ_REACH_AWAY)
-    refuse (q, "the store is away", RETRY_STORE_MS, d->refused_store, now);
+    refuse (q, "the store is away", RETRY_STORE_MS, d->counts.refused_store, now);
   else if (r->kind == KQ_FRONT_CANCEL)
     read_from_store (q, CANCEL_READ);
   else if (id.len == 0)
     {
       q->step = WAITING_LEADER;
-      ask_leader (q, KQ_ASK_WAITING, queue->name, now);
+      ask_leader (q, KQ_ASK_WAITING, queue->name, LEADER_WAIT, now);
     }
   else
     {
       q->step = READ_LEADER;
-      ask_leader (q, KQ_ASK_STATE, q->id, now);
+      ask_leader (q, KQ_ASK_STATE, q->id, LEADER_WAIT, now);
     }
 }
 
@@ -509,7 +534,12 @@
         g_array_append_val (late, q->call);
     }
   for (guint i = 0; i < late->len; i++)
-    kq_front_desk_answer (d, g_array_index (late, uint64_t, i), -1, now);
+    {
+      uint64_t call = g_array_index (late, uint64_t, i);
+      const Request *q = g_hash_table_lookup (d->waiting, &call);
+      bool writes = q != NULL && q->step == SUBMIT_LEADER;
+      kq_front_desk_answer (d, call, writes ? KQ_ACCEPT_UNKNOWN : -1, now);
+    }
   g_array_free (late, TRUE);
 }
 
@@ -539,38 +569,14 @@
     ev_timer_stop (ev, w);
 }
 
-static uint64_t *
-refusal_counter (KqFrontDesk *d, const char *why)
-{
-  char labels[64];
-  snprintf (labels, sizeof labels, "why=\"%s\"", why);
-  return kq_counter (d->config.counters, "kq_front_refusals_total", labels,
-                     "Requests refused as not run, by reason.");
-}
-
 KqFrontDesk *
 kq_front_desk_new (const KqFrontDeskConfig *c)
 {
   KqFrontDesk *d = kq_alloc (sizeof *d);
-  char labels[64];
   d->config = *c;
   d->waiting = g_hash_table_new (g_int64_hash, g_int64_equal);
   d->later = g_ptr_array_new ();
-  for (int i = 0; i < 9; i++)
-    {
-      snprintf (labels, sizeof labels, "reply=\"%s\"", reply_names[i]);
-      d->replies[i] = kq_counter (c->counters, "kq_front_replies_total", labels,
-                                  "Requests of client accounts answered.");
-    }
-  d->took = kq_histogram (c->counters, "kq_front_answer_ms", "",
-                          "Time to answer client accounts' requests.");
-  d->refused_store = refusal_counter (d, "store");
-  d->refused_start = refusal_counter (d, "no_configuration");
-  d->refused_leader = refusal_counter (d, "no_leader");
-  d->retried = kq_counter (c->counters, "kq_front_retries_total", "",
-                           "Calls to the store repeated for a request.");
-  d->from_store = kq_counter (c->counters, "kq_front_store_reads_total", "",
-                              "Reads of the store for a request.");
+  kq_front_counts_init (&d->counts, c->counters);
   ev_timer_init (&d->sweep, on_sweep, SWEEP_S, SWEEP_S);
   d->sweep.data = d;
   return d;
--- a/src/fleet/front.h
+++ b/src/fleet/front.h
@@ -5,7 +5,8 @@
  *
  * Accepting and cancelling need the store only, so every node does both by itself and
  * without a leader. States are asked of the leader, which knows them without a call; when
- * it can't be reached, the store tells what is certain. */
+ * it can't be reached, the store tells what is certain. A node that the store
+ * turns away, and not the leader, hands jobs in through the leader. */
 
 #include "base/counter.h"
 #include "crew/frame.h"
@@ -26,6 +27,7 @@
   /* How the store has answered lately: while it is away a write would only wait for a
    * timeout. */
   KqReachState (*store) (void *arg, KqTime now);
+  bool (*by_leader) (void *arg, KqTime now); /* whether the leader reaches it */
   /* Passes a question on to the leader; false: there is none at hand. The answer comes by
    * kq_front_desk_answer. */
   bool (*ask) (void *arg, const KqCrewItem *question, KqTime now);
--- a/src/fleet/front_test.c
+++ b/src/fleet/front_test.c
@@ -1,6 +1,8 @@
 #include "base/log.h"
+#include "fleet/accepts.h"
 #include "fleet/front.h"
 
+#include <ev.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -24,6 +26,9 @@
   int timeout_ms;
   KqKvCallback cb;
   KqReachState store;
+  bool leader_reaches;     /* the store */
+  bool led;                /* the leader can be asked */
+  uint64_t call_of_leader; /* the last question to it; 0: none */
   int replies;
   KqFrontReply reply; /* the last one */
 } world;
@@ -82,13 +87,22 @@
   return world.store;
 }
 
+static bool
+by_leader (void *arg, KqTime now)
+{
+  (void)arg;
+  (void)now;
+  return world.leader_reaches;
+}
+
 static bool
 ask (void *arg, const KqCrewItem *question, KqTime now)
 {
   (void)arg;
-  (void)question;
   (void)now;
-  return false;
+  if (world.led && question->u.ask.what == KQ_ASK_ACCEPT)
+    world.call_of_leader = question->u.ask.call;
+  return world.led;
 }
 
 static void
@@ -127,6 +141,7 @@
   Test *t = kq_alloc (sizeof *t);
   KqFrontDeskConfig c = { .table = table,
                           .store = store,
+                          .by_leader = by_leader,
                           .ask = ask,
                           .tell = tell,
                           .answered = answered,
@@ -217,6 +232,77 @@
   assert_int_equal (world.reply.kind, KQ_REPLY_REFUSED);
 }
 
+static void
+submit_by_leader (Test *t, bool led)
+{
+  world.led = led;
+  world.leader_reaches = true;
+  submit (t, KQ_REACH_AWAY);
+  assert_int_equal (world.call, NO_CALL);
+  assert_int_equal (world.call_of_leader != 0, led);
+}
+
+/* Clients of a node that the store turns away are refused, though the leader could take
+ * their jobs. */
+static void
+test_leader_writes_for_a_node_without_the_store (void **state)
+{
+  Test *t = *state;
+  submit_by_leader (t, true);
+  assert_int_equal (world.replies, 0);
+  kq_front_desk_answer (t->desk, world.call_of_leader, KQ_ACCEPT_DONE, kq_time_now ());
+  assert_int_equal (world.reply.kind, KQ_REPLY_DONE);
+  assert_int_equal (world.replies, 1);
+}
+
+static void
+test_no_leader_at_hand_refuses (void **state)
+{
+  submit_by_leader (*state, false);
+  assert_int_equal (world.reply.kind, KQ_REPLY_REFUSED);
+}
+
+static void
+test_leader_that_has_not_written_refuses (void **state)
+{
+  static const int64_t words[] = { KQ_ACCEPT_REFUSED, -1 };
+  Test *t = *state;
+  for (int i = 0; i < 2; i++)
+    {
+      submit_by_leader (t, true);
+      kq_front_desk_answer (t->desk, world.call_of_leader, words[i], kq_time_now ());
+      assert_int_equal (world.reply.kind, KQ_REPLY_REFUSED);
+      assert_true (world.reply.retry_ms > 0);
+    }
+}
+
+static void
+on_second (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void)w;
+  (void)events;
+  ev_break (ev, EVBREAK_ALL);
+}
+
+/* A job that was refused as not run runs: the leader's word is lost, the write isn't. */
+static void
+test_leader_without_a_word_leaves_it_open (void **state)
+{
+  Test *t = *state;
+  ev_timer second;
+  submit_by_leader (t, true);
+  ev_timer_init (&second, on_second, 1.5, 0);
+  ev_timer_start (kq_loop_ev (t->loop), &second);
+  kq_loop_run (t->loop);
+  assert_int_equal (world.replies, 1);
+  assert_int_equal (world.reply.kind, KQ_REPLY_UNKNOWN);
+  submit_by_leader (t, true);
+  kq_front_desk_answer (t->desk, world.call_of_leader, KQ_ACCEPT_UNKNOWN, kq_time_now ());
+  assert_int_equal (world.reply.kind, KQ_REPLY_UNKNOWN);
+}
+
+#define DESK(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
+
 int
 main (void)
 {
@@ -230,6 +316,10 @@
           cmocka_unit_test_setup_teardown (test_store_that_is_up_is_not_asked, set_up,
                                            tear_down),
           cmocka_unit_test_setup_teardown (test_store_that_is_away_is_not_called, set_up,
-                                           tear_down) };
+                                           tear_down),
+          DESK (test_leader_writes_for_a_node_without_the_store),
+          DESK (test_no_leader_at_hand_refuses),
+          DESK (test_leader_that_has_not_written_refuses),
+          DESK (test_leader_without_a_word_leaves_it_open) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -587,6 +587,8 @@
     case KQ_ASK_EXPLAIN:
       kq_sched_explain (l->sched, about, now, text);
       return 0;
+    case KQ_ASK_ACCEPT: /* only for other nodes: fleet/accepts.c */
+      break;
     }
   return -1;
 }
--- /dev/null
+++ b/src/fleet/queue_keys.c
@@ -0,0 +1,93 @@
+#include "fleet/queue_keys.h"
+
+#include "base/log.h"
+#include "fleet/follow.h"
+#include "port/source.h"
+
+#include <stdlib.h>
+
+#define PART "queues"
+#define WATCH_MS 1500
+
+struct KqQueueKeys
+{
+  KqQueueKeysOwner owner;
+  KqFollow *follow;
+  KqQueueTable *table;
+};
+
+static void
+on_item (void *arg, const KqKvItem *i, KqTime now)
+{
+  KqQueueKeys *k = arg;
+  bool bad;
+  KqQueueTable *t = kq_source_config (i->key, i->value, &bad);
+  (void)now;
+  if (bad)
+    kq_log (KQ_LOG_ERROR, PART, "The configuration can't be read. revision=%llu",
+            (unsigned long long)i->revision);
+  if (t == NULL)
+    return;
+  if (k->table != NULL && t->version <= k->table->version)
+    {
+      kq_log (KQ_LOG_WARN, PART,
+              "An older configuration is passed over. version=%lld have=%lld",
+              (long long)t->version, (long long)k->table->version);
+      kq_queue_table_free (t);
+      return;
+    }
+  kq_log (KQ_LOG_INFO, PART, "Configuration. version=%lld queues=%zu revision=%llu",
+          (long long)t->version, t->n_queues, (unsigned long long)i->revision);
+  kq_queue_table_free (k->table);
+  k->table = t;
+}
+
+static void
+on_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
+{
+  (void)arg;
+  (void)now;
+  kq_log (KQ_LOG_WARN, PART,
+          "A configuration key is gone; what it said stays. key=%.*s revision=%llu",
+          KQ_STR_ARG (key), (unsigned long long)revision);
+}
+
+static void
+on_answered (void *arg, KqTime sent_at, KqTime now)
+{
+  const KqQueueKeys *k = arg;
+  k->owner.answered (k->owner.arg, sent_at, now);
+}
+
+static void
+on_failed (void *arg, KqTime sent_at)
+{
+  const KqQueueKeys *k = arg;
+  k->owner.failed (k->owner.arg, sent_at);
+}
+
+KqQueueKeys *
+kq_queue_keys_new (KqLoop *loop, KqKv *kv, const KqQueueKeysOwner *owner)
+{
+  KqQueueKeys *k = kq_alloc (sizeof *k);
+  KqFollowOwner follow = { k, on_item, on_gone, NULL, on_answered, on_failed };
+  k->owner = *owner;
+  k->follow = kq_follow_new (loop, kv, kq_source_config_prefix (), WATCH_MS, 0, &follow);
+  return k;
+}
+
+void
+kq_queue_keys_free (KqQueueKeys *k)
+{
+  if (k == NULL)
+    return;
+  kq_follow_free (k->follow);
+  kq_queue_table_free (k->table);
+  free (k);
+}
+
+const KqQueueTable *
+kq_queue_keys_table (const KqQueueKeys *k)
+{
+  return k->table;
+}
--- a/src/fleet/reach.c
+++ b/src/fleet/reach.c
@@ -40,6 +40,12 @@
                                                              : KQ_REACH_IN_DOUBT;
 }
 
+bool
+kq_reach_by_leader (const KqReach *r, KqTime now)
+{
+  return r->leader_alive_at != 0 && now - r->leader_alive_at < DOUBT;
+}
+
 bool
 kq_reach_up (const KqReach *r, KqTime now)
 {
--- a/src/fleet/reach.h
+++ b/src/fleet/reach.h
@@ -34,6 +34,8 @@
 /* The leader had an answer at that time, by this node's clock. */
 void kq_reach_leader_alive (KqReach *r, KqTime at);
 KqReachState kq_reach_state (const KqReach *r, KqTime now);
+/* Whether the leader reaches it. */
+bool kq_reach_by_leader (const KqReach *r, KqTime now);
 /* Whether it isn't known to be away. */
 bool kq_reach_up (const KqReach *r, KqTime now);
 
--- a/src/fleet/reach_test.c
+++ b/src/fleet/reach_test.c
@@ -76,6 +76,20 @@
   assert_int_equal (kq_reach_state (&r, START + 3 * KQ_SEC), KQ_REACH_AWAY);
 }
 
+/* Clients are refused by a node that the store turns away, and only that node. */
+static void
+test_leader_reaches_a_store_that_is_away (void **state)
+{
+  KqReach r = { 0 };
+  (void)state;
+  kq_reach_alive (&r, START);
+  assert_int_equal (kq_reach_state (&r, START + 3 * KQ_SEC), KQ_REACH_AWAY);
+  assert_false (kq_reach_by_leader (&r, START + 3 * KQ_SEC));
+  kq_reach_leader_alive (&r, START + 2900 * KQ_MS);
+  assert_true (kq_reach_by_leader (&r, START + 3 * KQ_SEC));
+  assert_false (kq_reach_by_leader (&r, START + 4 * KQ_SEC));
+}
+
 int
 main (void)
 {
@@ -84,6 +98,7 @@
           cmocka_unit_test (test_later_calls_that_fail_tell),
           cmocka_unit_test (test_silence_tells),
           cmocka_unit_test (test_leader_without_answers_raises_a_doubt),
-          cmocka_unit_test (test_leader_with_answers_does_not_outweigh_failed_calls) };
+          cmocka_unit_test (test_leader_with_answers_does_not_outweigh_failed_calls),
+          cmocka_unit_test (test_leader_reaches_a_store_that_is_away) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
