An election makes two calls to the store in place of three

The record tells the term now, and both keys are written by one write, so the record's revision is that of the term. Who has seen the last record needs no read; a record of the version before tells no term, and after a write that was refused it is read again.

--- a/src/lead/lead.c
+++ b/src/lead/lead.c
@@ -50,7 +50,9 @@
   uint64_t lease;
   uint64_t term_revision;
   uint32_t term;
-  KqTime leased_at; /* when the lease was asked for */
+  uint32_t known_term;    /* by the last record seen, which was written with it */
+  uint64_t known_term_at; /* its revision; 0: not known */
+  KqTime leased_at;       /* when the lease was asked for */
   KqTime valid_until;
   KqTime write_sent;
   uint64_t serial; /* of the attempt: answers of earlier ones are dropped */
@@ -191,15 +193,23 @@
   KqBuf b = { 0 };
   KqPacker p;
   kq_packer_init (&p, &b);
-  kq_pack_array (&p, 3);
+  kq_pack_array (&p, 4);
   kq_pack_name (&p, &l->config.node);
   kq_pack_name (&p, &l->config.address);
   kq_pack_u64 (&p, l->lease);
+  kq_pack_u64 (&p, l->term);
   return b;
 }
 
+/* A record of the version before tells no term. */
+typedef struct
+{
+  uint64_t lease;
+  uint32_t term; /* 0: not told */
+} RecordRest;
+
 static bool
-read_record (KqStr value, KqLeadRecord *out, uint64_t *lease)
+read_record (KqStr value, KqLeadRecord *out, RecordRest *rest)
 {
   KqUnpacked u;
   KqReader r;
@@ -208,7 +218,8 @@
     return false;
   out->node = kq_read_name (&r);
   out->address = kq_read_name (&r);
-  *lease = kq_read_u64 (&r);
+  rest->lease = kq_read_u64 (&r);
+  rest->term = r.left > 0 ? (uint32_t)kq_read_u64 (&r) : 0;
   good = !r.bad;
   kq_unpacked_close (&u);
   return good;
@@ -220,11 +231,11 @@
 {
   KqLead *l = take_call (arg, r, now);
   KqLeadRecord found = { 0 };
-  uint64_t lease = 0;
+  RecordRest rest = { 0 };
   if (l == NULL)
     return;
   if (r->result == KQ_KV_OK && r->n_items == 1
-      && read_record (r->items[0].value, &found, &lease) && lease == l->lease)
+      && read_record (r->items[0].value, &found, &rest) && rest.lease == l->lease)
     win (l, r->items[0].revision, now);
   else
     try_later (l, AGAIN_MS);
@@ -244,7 +255,10 @@
       kq_kv_get (l->config.kv, kq_lead_key, TIMEOUT_MS, callback (l, on_checked));
     }
   else
-    try_later (l, AGAIN_MS);
+    {
+      l->known_term_at = 0; /* it may have been another term */
+      try_later (l, AGAIN_MS);
+    }
 }
 
 static void
@@ -279,6 +293,13 @@
   kq_buf_free (&record);
 }
 
+static void
+ask_lease (KqLead *l)
+{
+  l->phase = LEASING;
+  kq_kv_lease (l->config.kv, l->config.ttl_ms, TIMEOUT_MS, callback (l, on_leased));
+}
+
 static void
 on_term (void *arg, const KqKvReply *r, KqTime now)
 {
@@ -296,14 +317,20 @@
       return;
     }
   l->term = (uint32_t)n;
-  l->phase = LEASING;
-  kq_kv_lease (l->config.kv, l->config.ttl_ms, TIMEOUT_MS, callback (l, on_leased));
+  ask_lease (l);
 }
 
 static void
 try_now (KqLead *l)
 {
   l->serial++;
+  if (l->known_term_at != 0)
+    {
+      l->term = l->known_term;
+      l->term_revision = l->known_term_at;
+      ask_lease (l);
+      return;
+    }
   l->phase = READING_TERM;
   kq_kv_get (l->config.kv, term_key, TIMEOUT_MS, callback (l, on_term));
 }
@@ -329,25 +356,27 @@
 {
   KqLead *l = arg;
   KqLeadRecord found = { 0 };
-  uint64_t lease = 0;
+  RecordRest rest = { 0 };
   if (!kq_str_eq (i->key, kq_lead_key))
     return;
-  if (!read_record (i->value, &found, &lease))
+  if (!read_record (i->value, &found, &rest))
     {
       kq_log (KQ_LOG_ERROR, PART, "The leader's record can't be read. revision=%llu",
               (unsigned long long)i->revision);
       return;
     }
   found.epoch = i->revision;
-  if (l->phase == WRITING && lease == l->lease)
+  l->known_term = rest.term;
+  l->known_term_at = rest.term > 0 ? i->revision : 0;
+  if (l->phase == WRITING && rest.lease == l->lease)
     return; /* the answer to our write is on its way */
   if (l->phase == LEADING && i->revision <= l->record.epoch)
     return;
   lose (l, "another node leads", now);
   l->record = found;
-  if (led_before_us (l, &found, lease))
+  if (led_before_us (l, &found, rest.lease))
     {
-      end_old_lease (l, lease);
+      end_old_lease (l, rest.lease);
       return;
     }
   kq_log (KQ_LOG_INFO, PART, "Leader. node=%.*s address=%.*s epoch=%llu",
--- a/src/lead/lead_test.c
+++ b/src/lead/lead_test.c
@@ -54,7 +54,8 @@
   bool lose_txn;    /* carried out, not answered */
   bool lease_ended; /* renewals are told so */
   int keeps;        /* renewals asked for */
-  bool slow_keeps;  /* they aren't answered for long */
+  int term_reads;
+  bool slow_keeps; /* they aren't answered for long */
   bool silent;
   bool hold_watch;         /* changes aren't told for now */
   uint64_t gone_untold;    /* revision of a deletion that was held back; 0: none */
@@ -77,6 +78,7 @@
 {
   (void)kv;
   (void)timeout_ms;
+  fake.term_reads += kq_str_eq (key, KQ_STR ("kq/term"));
   add (GET, cb, KQ_MS)->key = kq_str_dup (key);
 }
 
@@ -436,18 +438,71 @@
   assert_true (kq_lead_is_us (r->lead));
 }
 
-/* A leader at that address holds the lead by lease 77, which doesn't end by itself. */
+/* A leader at that address holds the lead by lease 77, which doesn't end by itself.
+ * term 0: it is of the version that doesn't tell. */
 static void
-hold_lead (const char *address)
+hold_lead (const char *address, uint64_t term)
 {
   KqPacker p;
   kq_buf_clear (&fake.lead);
   kq_packer_init (&p, &fake.lead);
-  kq_pack_array (&p, 3);
+  kq_pack_array (&p, term > 0 ? 4 : 3);
   kq_pack_str (&p, KQ_STR ("n1"));
   kq_pack_str (&p, kq_str (address));
   kq_pack_u64 (&p, 77);
-  fake.lead_revision = fake.changed_at = ++fake.revision;
+  if (term > 0)
+    kq_pack_u64 (&p, term);
+  fake.lead_revision = fake.term_revision = fake.changed_at = ++fake.revision;
+  snprintf (fake.term, sizeof fake.term, "%llu",
+            (unsigned long long)(term > 0 ? term : 6));
+}
+
+static void
+vacate_lead (void)
+{
+  fake.lead_revision = 0;
+  fake.changed_at = ++fake.revision;
+}
+
+/* Nobody leads for the time of one call more: with a store that takes 0.2 s a call an
+ * election takes 0.6 s. */
+static void
+test_term_is_known_by_the_record (void **state)
+{
+  Rig *r = *state;
+  hold_lead ("127.0.0.1:2", 4);
+  assert_false (run_until (&r->elected, 1));
+  vacate_lead ();
+  assert_true (run_until (&r->elected, 1));
+  assert_int_equal (r->term, 5);
+  assert_int_equal (fake.term_reads, 0);
+}
+
+static void
+test_term_is_read_after_a_leader_of_an_earlier_version (void **state)
+{
+  Rig *r = *state;
+  hold_lead ("127.0.0.1:2", 0);
+  assert_false (run_until (&r->elected, 1));
+  vacate_lead ();
+  assert_true (run_until (&r->elected, 1));
+  assert_int_equal (r->term, 7);
+  assert_int_equal (fake.term_reads, 1);
+}
+
+/* Run numbers of two leaders are the same: the term is older than it seems. */
+static void
+test_term_that_has_changed_is_read (void **state)
+{
+  Rig *r = *state;
+  hold_lead ("127.0.0.1:2", 4);
+  assert_false (run_until (&r->elected, 1));
+  vacate_lead ();
+  fake.term_revision = ++fake.revision;
+  snprintf (fake.term, sizeof fake.term, "9");
+  assert_true (run_until (&r->elected, 1));
+  assert_int_equal (r->term, 10);
+  assert_int_equal (fake.term_reads, 1);
 }
 
 /* Nobody leads for as long as a dead leader's lease lasts, though its process is back. */
@@ -455,7 +510,7 @@
 test_restarted_leader_gives_up_its_old_lease (void **state)
 {
   Rig *r = *state;
-  hold_lead ("127.0.0.1:1");
+  hold_lead ("127.0.0.1:1", 4);
   assert_true (run_until (&r->elected, 1));
   assert_int_equal (fake.lease_given_up, 77);
 }
@@ -465,7 +520,7 @@
 test_lease_of_another_address_stands (void **state)
 {
   Rig *r = *state;
-  hold_lead ("127.0.0.1:2");
+  hold_lead ("127.0.0.1:2", 4);
   assert_false (run_until (&r->elected, 1));
   assert_int_equal (fake.lease_given_up, 0);
 }
@@ -484,6 +539,11 @@
     cmocka_unit_test_setup_teardown (test_silent_store_leaves_the_lead_open, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_late_word_of_an_earlier_end, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_term_is_known_by_the_record, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_term_is_read_after_a_leader_of_an_earlier_version, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_term_that_has_changed_is_read, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_restarted_leader_gives_up_its_old_lease, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_lease_of_another_address_stands, set_up,
