--- a/src/lead/lead_test.c
+++ b/src/lead/lead_test.c
@@ -49,7 +49,7 @@
   KqBuf lead;
   uint64_t changed_at; /* revision of the last change of the lead */
   uint64_t term_revision;
-  char term[16];
+  char term[24];
   uint64_t next_lease;
   bool lose_txn;    /* carried out, not answered */
   bool lease_ended; /* renewals are told so */
