--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -382,14 +382,15 @@
 submit_by_leader (Request *q, KqTime now)
 {
   KqFrontDesk *d = q->desk;
-  if (!d->config.by_leader (d->config.arg, now))
+  KqTime left = q->deadline - DEADLINE_SLACK_MS * KQ_MS - now;
+  if (left <= 0 || !d->config.by_leader (d->config.arg, now))
     {
       refuse (q, "the store is away", RETRY_STORE_MS, d->counts.refused_store, now);
       return;
     }
   q->step = SUBMIT_LEADER;
   ++*d->counts.by_leader;
-  ask_leader (q, KQ_ASK_ACCEPT, kq_buf_str (&q->stored), LEADER_WRITES, now);
+  ask_leader (q, KQ_ASK_ACCEPT, kq_buf_str (&q->stored), MIN (left, LEADER_WRITES), now);
 }
 
 /* result: a KqAcceptResult, or what says that the leader hasn't tried. */
--- a/src/fleet/front_test.c
+++ b/src/fleet/front_test.c
@@ -167,18 +167,24 @@
 }
 
 static void
-submit (Test *t, KqReachState reach)
+submit_within (Test *t, KqReachState reach, int64_t deadline_ms)
 {
   KqStep step = { .width = 1, .cpu_milli = 100, .away_most = -1 };
   KqSpec spec = { .steps = &step, .n_steps = 1 };
   KqFrontRequest r = { .kind = KQ_FRONT_SUBMIT,
                        .path = KQ_STR ("/jobs/j1"),
                        .spec = &spec,
-                       .deadline_ms = 3000 };
+                       .deadline_ms = deadline_ms };
   world.store = reach;
   kq_front_desk_request (t->desk, NULL, &r, kq_time_now ());
 }
 
+static void
+submit (Test *t, KqReachState reach)
+{
+  submit_within (t, reach, 3000);
+}
+
 /* The client isn't told whether its job was accepted, and can't hand it in again. */
 static void
 test_store_in_doubt_is_asked_before_it_is_written_to (void **state)
@@ -277,23 +283,29 @@
 }
 
 static void
-on_second (struct ev_loop *ev, ev_timer *w, int events)
+on_over (struct ev_loop *ev, ev_timer *w, int events)
 {
   (void)w;
   (void)events;
   ev_break (ev, EVBREAK_ALL);
 }
 
+static void
+run_for (Test *t, double seconds)
+{
+  ev_timer over;
+  ev_timer_init (&over, on_over, seconds, 0);
+  ev_timer_start (kq_loop_ev (t->loop), &over);
+  kq_loop_run (t->loop);
+}
+
 /* A job that was refused as not run runs: the leader's word is lost, the write isn't. */
 static void
 test_leader_without_a_word_leaves_it_open (void **state)
 {
   Test *t = *state;
-  ev_timer second;
   submit_by_leader (t, true);
-  ev_timer_init (&second, on_second, 1.5, 0);
-  ev_timer_start (kq_loop_ev (t->loop), &second);
-  kq_loop_run (t->loop);
+  run_for (t, 1.5);
   assert_int_equal (world.replies, 1);
   assert_int_equal (world.reply.kind, KQ_REPLY_UNKNOWN);
   submit_by_leader (t, true);
@@ -301,6 +313,17 @@
   assert_int_equal (world.reply.kind, KQ_REPLY_UNKNOWN);
 }
 
+/* A client has gone before its answer comes, and doesn't know what became of its job. */
+static void
+test_no_time_for_the_leader_refuses_at_once (void **state)
+{
+  world.led = world.leader_reaches = true;
+  submit_within (*state, KQ_REACH_AWAY, 200);
+  assert_int_equal (world.replies, 1);
+  assert_int_equal (world.reply.kind, KQ_REPLY_REFUSED);
+  assert_int_equal (world.call_of_leader, 0);
+}
+
 #define DESK(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
 int
@@ -320,6 +343,7 @@
           DESK (test_leader_writes_for_a_node_without_the_store),
           DESK (test_no_leader_at_hand_refuses),
           DESK (test_leader_that_has_not_written_refuses),
-          DESK (test_leader_without_a_word_leaves_it_open) };
+          DESK (test_leader_without_a_word_leaves_it_open),
+          DESK (test_no_time_for_the_leader_refuses_at_once) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
