--- a/src/fleet/accepts.c
+++ b/src/fleet/accepts.c
@@ -11,6 +11,9 @@
 #define PART "accepts"
 /* Of the time that a node waits for the answer; its way there and back takes the rest. */
 #define WRITE_MS 700
+/* Nothing is written for so long after a write without an answer: until the leader's
+ * other calls have shown whether it still reaches the store. */
+#define DOUBT (700 * KQ_MS)
 /* Writes under way; each holds its job's text. */
 #define CALLS_MAX 500
 
@@ -26,7 +29,8 @@
 {
   KqKv *kv;
   KqAcceptsOwner owner;
-  GPtrArray *calls; /* Call */
+  GPtrArray *calls;  /* Call */
+  KqTime doubted_at; /* the last write without an answer; 0: none */
 };
 
 KqAccepts *
@@ -86,6 +90,8 @@
   if (a == NULL)
     goto out;
   g_ptr_array_remove_fast (a->calls, c);
+  if (result == KQ_ACCEPT_UNKNOWN)
+    a->doubted_at = now;
   if (result == KQ_ACCEPT_DONE)
     a->owner.answered (a->owner.arg, r->sent_at, now);
   if (r->result == KQ_KV_OK)
@@ -109,13 +115,15 @@
 }
 
 void
-kq_accepts_take (KqAccepts *a, KqPeer *p, uint64_t call, KqStr stored)
+kq_accepts_take (KqAccepts *a, KqPeer *p, uint64_t call, KqStr stored, KqTime now)
 {
+  bool doubt = a->doubted_at != 0 && now - a->doubted_at < DOUBT;
   KqSpec spec;
   Call *c;
-  if (a->calls->len >= CALLS_MAX || !kq_spec_unpack (stored, &spec))
+  if (doubt || a->calls->len >= CALLS_MAX || !kq_spec_unpack (stored, &spec))
     {
-      kq_log (KQ_LOG_WARN, PART, "A node's job isn't written. under_way=%u bytes=%zu",
+      kq_log (KQ_LOG_INFO, PART,
+              "A node's job isn't written. doubt=%d under_way=%u bytes=%zu", doubt,
               a->calls->len, stored.len);
       answer (p, call, KQ_ACCEPT_REFUSED);
       return;
--- a/src/fleet/accepts.h
+++ b/src/fleet/accepts.h
@@ -8,7 +8,8 @@
  * would be refused meanwhile.
  *
  * The leader's word to the node is how its one write ended; a job whose write has no
- * answer may have been accepted. */
+ * answer may have been accepted. After such a write nothing is written for a while: the
+ * store may be going away for the leader as well. */
 
 #include "fleet/link.h"
 #include "port/kv.h"
@@ -36,7 +37,7 @@
 /* Before the store's client; calls that are out are forgotten. */
 void kq_accepts_free (KqAccepts *a);
 /* stored: the job as the store holds it. The peer gets its answer when it is written. */
-void kq_accepts_take (KqAccepts *a, KqPeer *p, uint64_t call, KqStr stored);
+void kq_accepts_take (KqAccepts *a, KqPeer *p, uint64_t call, KqStr stored, KqTime now);
 /* The peer is gone. */
 void kq_accepts_left (KqAccepts *a, const KqPeer *p);
 
--- a/src/fleet/accepts_test.c
+++ b/src/fleet/accepts_test.c
@@ -11,6 +11,8 @@
 
 #include <cmocka.h>
 
+#define START (100 * KQ_SEC)
+
 /* The store and the connections to nodes, played by the test. */
 static struct
 {
@@ -70,19 +72,25 @@
   (void)now;
 }
 
+static void
+take (KqAccepts *a, uint64_t call, KqTime now)
+{
+  KqStep step = { .width = 1, .cpu_milli = 100, .away_most = -1 };
+  KqSpec spec = { .id = KQ_STR ("j1"), .steps = &step, .n_steps = 1 };
+  KqBuf stored = { 0 };
+  kq_spec_pack (&spec, &stored);
+  kq_accepts_take (a, peer, call, kq_buf_str (&stored), now);
+  kq_buf_free (&stored);
+}
+
 static KqAccepts *
 begin (void)
 {
   KqAcceptsOwner owner = { NULL, on_accepted, on_answered };
-  KqStep step = { .width = 1, .cpu_milli = 100, .away_most = -1 };
-  KqSpec spec = { .id = KQ_STR ("j1"), .steps = &step, .n_steps = 1 };
   KqAccepts *a = kq_accepts_new (NULL, &owner);
-  KqBuf stored = { 0 };
   memset (&world, 0, sizeof world);
   kq_log_set_level (KQ_LOG_ERROR);
-  kq_spec_pack (&spec, &stored);
-  kq_accepts_take (a, peer, 5, kq_buf_str (&stored));
-  kq_buf_free (&stored);
+  take (a, 5, START);
   assert_int_equal (world.writes, 1);
   assert_string_equal (world.key, "kq/in/j/j1");
   return a;
@@ -92,7 +100,7 @@
 store_answers (KqKvResult result)
 {
   KqKvReply r = { .result = result, .revision = 9 };
-  world.cb.done (world.cb.arg, &r, kq_time_now ());
+  world.cb.done (world.cb.arg, &r, START);
 }
 
 static void
@@ -165,10 +173,28 @@
   KqAccepts *a = begin ();
   (void)state;
   store_answers (KQ_KV_OK);
-  kq_accepts_take (a, peer, 6, KQ_STR ("damaged"));
+  kq_accepts_take (a, peer, 6, KQ_STR ("damaged"), START);
+  assert_int_equal (world.writes, 1);
+  assert_int_equal (world.call, 6);
+  assert_int_equal (world.value, KQ_ACCEPT_REFUSED);
+  kq_accepts_free (a);
+}
+
+/* Clients are left in doubt one after the other while the store goes away for all. */
+static void
+test_nothing_is_written_after_a_write_without_an_answer (void **state)
+{
+  KqAccepts *a = begin ();
+  (void)state;
+  store_answers (KQ_KV_UNKNOWN);
+  take (a, 6, START + 100 * KQ_MS);
   assert_int_equal (world.writes, 1);
   assert_int_equal (world.call, 6);
   assert_int_equal (world.value, KQ_ACCEPT_REFUSED);
+  take (a, 7, START + KQ_SEC);
+  assert_int_equal (world.writes, 2);
+  store_answers (KQ_KV_OK);
+  assert_int_equal (world.value, KQ_ACCEPT_DONE);
   kq_accepts_free (a);
 }
 
@@ -182,6 +208,7 @@
     cmocka_unit_test (test_refused_write_is_refused),
     cmocka_unit_test (test_node_or_leader_goes_meanwhile),
     cmocka_unit_test (test_what_is_no_job_is_refused),
+    cmocka_unit_test (test_nothing_is_written_after_a_write_without_an_answer),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -240,7 +240,7 @@
   if (i->kind == KQ_CREW_BEAT)
     take_beat (f, p, i->u.beat.store_age_ms, now);
   else if (i->kind == KQ_CREW_ASK && i->u.ask.what == KQ_ASK_ACCEPT)
-    kq_accepts_take (f->accepts, p, i->u.ask.call, i->u.ask.about);
+    kq_accepts_take (f->accepts, p, i->u.ask.call, i->u.ask.about, now);
   else if (i->kind == KQ_CREW_ASK)
     answer_peer (f, p, i, now);
   else if (i->kind == KQ_CREW_JOB || i->kind == KQ_CREW_CANCEL
