The rig looks up a run's job, and what a runner's runs reserve, in one place

sched_soak's check of idle room had parsed task names and summed reservations by itself, as sched_rig_runner does for the check of room.

--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -33,7 +33,13 @@
 void kq_sched_rig_trace_runner (const KqSchedRig *r, int runner, int agent,
                                 const char *what, int64_t detail);
 
+/* The job that a task's name names, with the task's place in it; NULL: none. */
+KqSchedRigJob *kq_sched_rig_job_of (const KqSchedRig *r, const char *task, int32_t *step,
+                                    int32_t *index);
+
 /* Runners. */
+/* What the runs reserve; filling ones reserve nothing. */
+int64_t kq_sched_rig_cpu_used (const KqSchedRig *r, const KqSchedRigRunner *g);
 int64_t kq_sched_rig_clock_of (const KqSchedRig *r, const KqSchedRigRunner *n);
 void kq_sched_rig_runner_tick (KqSchedRig *r, KqSchedRigRunner *g);
 void kq_sched_rig_call_arrives (KqSchedRig *r, KqSchedRigEvent *e);
--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -57,8 +57,8 @@
   return 1000 + (int64_t)((double)(r->now - n->born_at) / KQ_MS * n->rate);
 }
 
-static KqSchedRigJob *
-job_of (KqSchedRig *r, const char *task, int32_t *step, int32_t *index)
+KqSchedRigJob *
+kq_sched_rig_job_of (const KqSchedRig *r, const char *task, int32_t *step, int32_t *index)
 {
   KqStr rest = kq_str (task);
   KqStr id = kq_str_cut (&rest, '.');
@@ -86,13 +86,28 @@
   return n;
 }
 
+int64_t
+kq_sched_rig_cpu_used (const KqSchedRig *r, const KqSchedRigRunner *g)
+{
+  int64_t cpu = 0;
+  for (guint k = 0; k < g->runs->len; k++)
+    {
+      const KqSchedRigRun *run = g_ptr_array_index (g->runs, k);
+      int32_t step;
+      int32_t index;
+      const KqSchedRigJob *j = kq_sched_rig_job_of (r, run->task, &step, &index);
+      if (j != NULL && !j->spec.steps[step].filling)
+        cpu += j->spec.steps[step].cpu_milli;
+    }
+  return cpu;
+}
+
 static void
 check_start (KqSchedRig *r, const KqSchedRigRunner *g, const KqSchedRigRun *run)
 {
   int32_t step;
   int32_t index;
-  KqSchedRigJob *j = job_of (r, run->task, &step, &index);
-  int64_t cpu = 0;
+  KqSchedRigJob *j = kq_sched_rig_job_of (r, run->task, &step, &index);
   if (j == NULL)
     {
       kq_sched_rig_breach (r, "unasked", run->task);
@@ -117,14 +132,7 @@
           kq_sched_rig_breach (r, "before an earlier step", run->task);
         g_free (ended);
       }
-  for (guint k = 0; k < g->runs->len; k++)
-    {
-      KqSchedRigRun *other = g_ptr_array_index (g->runs, k);
-      KqSchedRigJob *o = job_of (r, other->task, &step, &index);
-      if (o != NULL && !o->spec.steps[step].filling)
-        cpu += o->spec.steps[step].cpu_milli;
-    }
-  if (cpu > g->room.cpu_milli)
+  if (kq_sched_rig_cpu_used (r, g) > g->room.cpu_milli)
     kq_sched_rig_breach (r, "over the room", run->task);
 }
 
@@ -165,7 +173,7 @@
   uint32_t number = c->run;
   int32_t step;
   int32_t index;
-  KqSchedRigJob *j = job_of (r, task, &step, &index);
+  KqSchedRigJob *j = kq_sched_rig_job_of (r, task, &step, &index);
   KqSchedRigRun *run;
   if (c->epoch < g->fence)
     return KQ_ORDER_FENCED;
@@ -230,7 +238,7 @@
 {
   int32_t step;
   int32_t index;
-  const KqSchedRigJob *j = job_of (r, e->task, &step, &index);
+  const KqSchedRigJob *j = kq_sched_rig_job_of (r, e->task, &step, &index);
   int begun = GPOINTER_TO_INT (g_hash_table_lookup (r->begun, e->task));
   if (e->lapsed)
     return;
@@ -246,7 +254,7 @@
 {
   int32_t step;
   int32_t index;
-  KqSchedRigJob *j = job_of (r, e->task, &step, &index);
+  KqSchedRigJob *j = kq_sched_rig_job_of (r, e->task, &step, &index);
   int n = GPOINTER_TO_INT (g_hash_table_lookup (r->failed, e->task)) + 1;
   int at = GPOINTER_TO_INT (g_hash_table_lookup (r->failed_at, e->task));
   int begun = GPOINTER_TO_INT (g_hash_table_lookup (r->begun, e->task));
--- a/bench/sched_soak.c
+++ b/bench/sched_soak.c
@@ -385,33 +385,6 @@
   return work / room;
 }
 
-/* The step of a run, and its job. */
-static const KqStep *
-step_of (const KqSchedRig *r, const char *task)
-{
-  KqStr rest = kq_str (task);
-  char *id = kq_str_dup (kq_str_cut (&rest, '.'));
-  const KqSchedRigJob *j = g_hash_table_lookup (r->jobs, id);
-  int64_t step = 0;
-  kq_str_cut (&rest, '.');
-  kq_str_to_i64 (kq_str_cut (&rest, '.'), &step);
-  free (id);
-  return &j->spec.steps[step];
-}
-
-static int64_t
-cpu_used (const KqSchedRig *r, const KqSchedRigRunner *g)
-{
-  int64_t cpu = 0;
-  for (guint n = 0; n < g->runs->len; n++)
-    {
-      const KqSchedRigRun *run = g_ptr_array_index (g->runs, n);
-      const KqStep *step = step_of (r, run->task);
-      cpu += step->filling ? 0 : step->cpu_milli;
-    }
-  return cpu;
-}
-
 /* Whether under half of the room is in use, and that step fits into the rest twice. */
 static bool
 fits_twice (const KqSchedRig *r, const KqStep *step)
@@ -421,7 +394,7 @@
   int64_t fits = 0;
   for (int i = 0; i < r->n_runners; i++)
     {
-      int64_t cpu = cpu_used (r, &r->runners[i]);
+      int64_t cpu = kq_sched_rig_cpu_used (r, &r->runners[i]);
       used += cpu;
       room += r->runners[i].room.cpu_milli;
       fits += (r->runners[i].room.cpu_milli - cpu) / step->cpu_milli;
