Logs tell why a task waits beside free room, and whether a refused order had left

Once a second the leader logs, for the step that has waited longest with no run of its job (or a lost lasting task) while less than half of the service's cpu is reserved, how many runners give which answer, and what holds jobs back: the runner whose earlier runs aren't accounted for, or the lead. kq_steps_waiting_beside_room counts such steps.

An agent's outcome says whether the order never left (a field that version 1 doesn't read); the leader logs it, as it logs the count of failures that makes a runner suspect. kq_place_ask gives the first reason why a runner takes no task; kq_place_may_take is that. No decision changes.

--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -125,6 +125,7 @@
   kq_pack_u64 (p, o->order);
   kq_pack_u64 (p, o->assignment);
   kq_pack_i64 (p, o->lease_left_ms);
+  kq_pack_bool (p, o->unsent);
 }
 
 static void
@@ -143,6 +144,7 @@
   o->order = kq_read_u64 (r);
   o->assignment = kq_read_u64 (r);
   o->lease_left_ms = kq_read_i64 (r);
+  o->unsent = r->left > 0 && kq_read_bool (r); /* not in frames of version 1 */
 }
 
 static void
@@ -292,7 +294,7 @@
 count_fields (const KqAgentItem *i)
 {
   /* By KqAgentItemKind, and for orders by KqOrderKind. */
-  static const uint8_t of_kind[] = { 0, 0, 3, 2, 4, 2, 8, 7, 3, 0, 3, 2, 1, 4, 1, 10, 0 };
+  static const uint8_t of_kind[] = { 0, 0, 3, 2, 4, 2, 8, 8, 3, 0, 3, 2, 1, 4, 1, 10, 0 };
   static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_AGENT_ITEM_ORDER)
     return of_order[i->u.order.kind];
--- a/src/agent/frame_test.c
+++ b/src/agent/frame_test.c
@@ -133,11 +133,14 @@
   KqAgentItem i = { .kind = KQ_AGENT_ITEM_OUTCOME };
   KqAgentItem o;
   (void)state;
-  i.u.outcome = (KqOrderOutcome){
-    .result = KQ_ORDER_OLD_RUN, .order = 3, .assignment = 4, .lease_left_ms = 4900
-  };
+  i.u.outcome = (KqOrderOutcome){ .result = KQ_ORDER_UNHEALTHY,
+                                  .unsent = true,
+                                  .order = 3,
+                                  .assignment = 4,
+                                  .lease_left_ms = 4900 };
   o = round_trip (&i, &b);
-  assert_int_equal (o.u.outcome.result, KQ_ORDER_OLD_RUN);
+  assert_int_equal (o.u.outcome.result, KQ_ORDER_UNHEALTHY);
+  assert_true (o.u.outcome.unsent);
   assert_int_equal (o.u.outcome.order, 3);
   assert_int_equal (o.u.outcome.assignment, 4);
   assert_int_equal (o.u.outcome.lease_left_ms, 4900);
--- a/src/agent/starts.c
+++ b/src/agent/starts.c
@@ -39,9 +39,11 @@
                 "took_ms=%lld",
                 c->task, c->run, runner->id, kq_order_kind_name (c->kind), r->unsent,
                 (long long)((now - r->called_at) / KQ_MS));
-      o = (KqOrderOutcome){
-        .kind = c->kind, .task = kq_str (c->task), .run = c->run, .result = r->result
-      };
+      o = (KqOrderOutcome){ .kind = c->kind,
+                            .task = kq_str (c->task),
+                            .run = c->run,
+                            .result = r->result,
+                            .unsent = r->unsent };
       kq_agent_runner_report_outcome (runner, &o, now);
     }
   runner = kq_agent_call_runner (c);
@@ -77,7 +79,8 @@
       KqOrderOutcome o = { .kind = KQ_ORDER_START,
                            .task = kq_str (st->task),
                            .run = st->run,
-                           .result = KQ_ORDER_UNHEALTHY };
+                           .result = KQ_ORDER_UNHEALTHY,
+                           .unsent = true };
       kq_log (KQ_LOG_INFO, PART, "Start has not left. task=%s run=%u runner=%s", st->task,
               st->run, runner->id);
       kq_agent_runner_report_outcome (runner, &o, now);
--- a/src/agent/versions_test.c
+++ b/src/agent/versions_test.c
@@ -76,6 +76,20 @@
   end (&i);
 }
 
+static void
+outcome_of_version_1 (KqBuf *out)
+{
+  Item i = begin (out, 7, KQ_AGENT_ITEM_OUTCOME, KQ_STR ("r"));
+  kq_pack_i64 (&i.p, KQ_ORDER_START);
+  kq_pack_str (&i.p, KQ_STR ("j.0.1.2"));
+  kq_pack_u64 (&i.p, 7);
+  kq_pack_i64 (&i.p, KQ_ORDER_UNHEALTHY);
+  kq_pack_u64 (&i.p, 3);
+  kq_pack_u64 (&i.p, 4);
+  kq_pack_i64 (&i.p, 4900);
+  end (&i);
+}
+
 static KqAgentItem
 read_one (KqStr *rest)
 {
@@ -96,6 +110,7 @@
   hello_of_version_1 (&b);
   list_of_version_1 (&b);
   ping_of_version_1 (&b);
+  outcome_of_version_1 (&b);
   rest = kq_buf_str (&b);
   i = read_one (&rest);
   assert_int_equal (i.kind, KQ_AGENT_ITEM_HELLO);
@@ -109,6 +124,10 @@
   assert_int_equal (i.kind, KQ_AGENT_ITEM_PING);
   assert_int_equal (i.u.ping.heartbeat_sent_at, 21);
   assert_int_equal (i.u.ping.store_age_ms, -1);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_AGENT_ITEM_OUTCOME);
+  assert_int_equal (i.u.outcome.lease_left_ms, 4900);
+  assert_false (i.u.outcome.unsent);
   kq_buf_free (&b);
 }
 
--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -1,6 +1,6 @@
 /* explain: lines of text that tell operators what a job waits for. */
 
-#include "sched/state.h"
+#include "sched/place.h"
 
 static void
 explain_step (const KqSched *s, const KqOccurrence *o, int32_t step, KqTime now,
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -394,9 +394,9 @@
   if (o->result != KQ_ORDER_OK)
     kq_log (KQ_LOG_INFO, PART,
             "Order not carried out. task=%.*s run=%u runner=%s order=%s result=%s "
-            "believed=%s unsure=%d",
+            "unsent=%d believed=%s unsure=%d",
             KQ_STR_ARG (o->task), o->run, r->id, kq_order_kind_name (o->kind),
-            kq_order_result_name (o->result), run_phase_name (run),
+            kq_order_result_name (o->result), o->unsent, run_phase_name (run),
             run != NULL && run->outcome_unknown);
   if (run == NULL || o->kind == KQ_ORDER_PACE)
     return;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -8,7 +8,8 @@
  * behind those in time: with the objective alone as order every job of a long burst would
  * end just too late. */
 
-#include "sched/state.h"
+#include "sched/place.h"
+#include "sched/waits.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -147,11 +148,13 @@
 }
 
 static void
-collect_waiting_steps (KqSched *s, GArray *waiting, KqTime now)
+collect_waiting_steps (KqSched *s, GArray *waiting, KqWaits *waits, KqTime now)
 {
   for (KqJob *j = s->open_jobs; j != NULL; j = j->next)
     {
-      if (j->state >= KQ_JOB_COMPLETED || hold_back (s, j))
+      bool held_back = j->state < KQ_JOB_COMPLETED && hold_back (s, j);
+      waits->n_held_back += held_back;
+      if (j->state >= KQ_JOB_COMPLETED || held_back)
         continue;
       for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
         for (int32_t i = 0; i < j->spec.n_steps; i++)
@@ -355,10 +358,11 @@
 {
   GArray *waiting = g_array_new (FALSE, FALSE, sizeof (WaitingStep));
   NoRoomList no_room = { 0 };
+  KqWaits waits = { 0 };
   s->passes++;
   s->in_pass = true;
   kq_pools_begin_pass (s);
-  collect_waiting_steps (s, waiting, now);
+  collect_waiting_steps (s, waiting, &waits, now);
   kq_pools_update_kept_free (s, now);
   if (waiting->len > 0)
     qsort (waiting->data, waiting->len, sizeof (WaitingStep), compare_waiting_steps);
@@ -375,6 +379,13 @@
       if (!all_placed)
         note_no_room (&no_room, t, now);
     }
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      const WaitingStep *t = &g_array_index (waiting, WaitingStep, i);
+      if (!t->lost)
+        kq_waits_add (&waits, t->occurrence, t->step, now);
+    }
+  kq_waits_log (&waits, s, now);
   log_closed_window (s, now);
   if (waiting->len > 0
       && (s->next_pass_at == 0 || s->next_pass_at > now + PASS_INTERVAL_MAX))
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -6,6 +6,7 @@
  * other tasks leave unused. Work is spread over the runners, since a filling task is as
  * fast as the cpu left to it, and the loss of one runner then costs each job little. */
 
+#include "sched/place.h"
 #include "sched/harm.h"
 
 #include <stdlib.h>
@@ -104,12 +105,25 @@
   return n;
 }
 
-static bool
-accepts_tasks (const KqRunnerState *r, KqTime now)
+/* Whether the runner takes tasks at all now. */
+static KqPlaceAnswer
+answer_of_runner (const KqRunnerState *r, KqTime now)
 {
-  return r->in_store && r->in_stored_list && r->listed && !r->silent
-         && !r->has_unknown_run && !r->draining && !r->host_leaving && r->agent >= 0
-         && now >= r->suspect_until;
+  if (!r->in_store)
+    return KQ_PLACE_NO_ENTRY;
+  if (!r->in_stored_list)
+    return KQ_PLACE_NOT_STORED;
+  if (r->agent < 0)
+    return KQ_PLACE_NO_AGENT;
+  if (r->silent)
+    return KQ_PLACE_SILENT;
+  if (!r->listed)
+    return KQ_PLACE_NOT_LISTED;
+  if (r->has_unknown_run)
+    return KQ_PLACE_UNKNOWN_RUN;
+  if (r->draining || r->host_leaving)
+    return KQ_PLACE_LEAVING;
+  return now < r->suspect_until ? KQ_PLACE_SUSPECT : KQ_PLACE_TAKES;
 }
 
 /* Share of the runner's serving tasks that have another image, less the share that have
@@ -201,25 +215,50 @@
   return required > START_SPEED_MIN ? required : START_SPEED_MIN;
 }
 
-bool
-kq_place_may_take (const KqSched *s, KqRunnerState *r, const KqOccurrence *o,
-                   int32_t step, bool lost, KqTime now)
+KqPlaceAnswer
+kq_place_ask (const KqSched *s, KqRunnerState *r, const KqOccurrence *o, int32_t step,
+              bool lost, KqTime now)
 {
   const KqStep *p = &o->job->spec.steps[step];
   int image = o->job->images[step];
   bool starved = kq_place_is_starved (o, step, now);
-  if (r->pool != o->job->pool || !accepts_tasks (r, now) || !fits_now (r, p, starved)
-      || !has_label (r, p->label))
-    return false;
+  KqPlaceAnswer a
+      = r->pool != o->job->pool ? KQ_PLACE_OTHER_SERVICE : answer_of_runner (r, now);
+  if (a != KQ_PLACE_TAKES)
+    return a;
+  if (!fits_now (r, p, starved))
+    return KQ_PLACE_NO_ROOM;
+  if (!has_label (r, p->label))
+    return KQ_PLACE_LABEL;
   if (p->per_runner_max > 0 && count_step_runs (r, o, step) >= p->per_runner_max)
-    return false;
+    return KQ_PLACE_PER_RUNNER;
   if (p->lasting && !p->filling && !lost && !starved && !kq_pools_may_place_lasting (r))
-    return false;
+    return KQ_PLACE_KEPT_FREE;
   if (p->filling && r->n_serving > 0 && kq_harm_closed_to_filling (s, r, now))
-    return false;
-  return !p->filling
-         || kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
-                >= start_speed_required (o, step, now);
+    return KQ_PLACE_OVER_TARGET;
+  if (p->filling
+      && kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
+             < start_speed_required (o, step, now))
+    return KQ_PLACE_TOO_SLOW;
+  return KQ_PLACE_TAKES;
+}
+
+const char *
+kq_place_answer_name (KqPlaceAnswer a)
+{
+  static const char *const names[KQ_PLACE_ANSWERS]
+      = { "takes",      "other_service", "no_entry",    "not_stored",
+          "no_agent",   "silent",        "not_listed",  "unknown_run",
+          "leaving",    "suspect",       "no_room",     "label",
+          "per_runner", "kept_free",     "over_target", "too_slow" };
+  return names[a];
+}
+
+bool
+kq_place_may_take (const KqSched *s, KqRunnerState *r, const KqOccurrence *o,
+                   int32_t step, bool lost, KqTime now)
+{
+  return kq_place_ask (s, r, o, step, lost, now) == KQ_PLACE_TAKES;
 }
 
 typedef struct
--- a/src/sched/pools.c
+++ b/src/sched/pools.c
@@ -63,6 +63,7 @@
   for (guint i = 0; i < s->pools->len; i++)
     {
       KqPool *p = g_ptr_array_index (s->pools, i);
+      p->whole_milli = p->reserved_milli = 0;
       p->usable_milli = p->used_milli = p->no_lasting_milli = p->demand_milli = 0;
     }
   for (guint i = 0; i < s->runner_list->len; i++)
@@ -72,7 +73,11 @@
       p->demand_milli += r->used.cpu_milli - r->lasting_milli;
       if (r->n_lasting == 0)
         p->demand_milli += r->filling_milli;
-      if (!r->in_store || r->draining || r->host_leaving || r->silent)
+      if (!r->in_store)
+        continue;
+      p->whole_milli += r->room.cpu_milli;
+      p->reserved_milli += r->used.cpu_milli;
+      if (r->draining || r->host_leaving || r->silent)
         continue;
       p->usable_milli += r->room.cpu_milli;
       p->used_milli += r->used.cpu_milli;
@@ -130,3 +135,9 @@
 {
   return p->used_milli * 100 < p->usable_milli * HALF_RESERVED_PERCENT;
 }
+
+bool
+kq_pools_is_mostly_free (const KqPool *p)
+{
+  return 2 * p->reserved_milli < p->whole_milli;
+}
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -573,15 +573,11 @@
     }
 }
 
-/* Notes when all runs of earlier leaders are accounted for: every runner that an earlier
- * leader used has listed its runs, or has been unreachable beyond the end of its lease.
- * Until then a task of an earlier job may be running unknown to this leader, and starting
- * it could run it twice. Jobs stored in this leader's term can't have runs yet. */
-void
-kq_runners_check_settled (KqSched *s, KqTime now)
+/* The runs of earlier leaders on a runner are accounted for if it has listed its runs, or
+ * has been unreachable beyond the end of its lease. */
+const KqRunnerState *
+kq_runners_first_unaccounted (const KqSched *s, KqTime now)
 {
-  if (s->settled || !s->loaded || now >= s->exclusive_until)
-    return;
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
@@ -589,8 +585,21 @@
       if (r->listed || !r->used_by_earlier_leader || r->gone)
         continue;
       if (!unreachable || now < r->lease_ends + LEASE_MARGIN)
-        return;
+        return r;
     }
+  return NULL;
+}
+
+/* Notes when all runs of earlier leaders are accounted for, on every runner that they
+ * used. Until then a task of an earlier job may be running unknown to this leader, and
+ * starting it could run it twice. Jobs stored in this leader's term can't have runs yet.
+ */
+void
+kq_runners_check_settled (KqSched *s, KqTime now)
+{
+  if (s->settled || !s->loaded || now >= s->exclusive_until
+      || kq_runners_first_unaccounted (s, now) != NULL)
+    return;
   s->settled = true;
   s->pass_needed = true;
   mark_lost_lasting (s, now);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -385,6 +385,9 @@
   *gauge = open;
   gauge = kq_counter (c, "kq_runs_alive", "", "Runs on runners.");
   *gauge = runs;
+  gauge = kq_counter (c, "kq_steps_waiting_beside_room", "",
+                      "Steps of which nothing runs though much room is free.");
+  *gauge = s->steps_idle;
   gauge = kq_counter (c, "kq_runners_known", "", "Runners known to the leader.");
   *gauge = s->runner_list->len;
   gauge = kq_counter (c, "kq_run_starts_under_way", "", "Starts without an answer yet.");
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -113,6 +113,8 @@
   KqStr task;
   uint32_t run;
   KqOrderResult result;
+  bool unsent; /* UNHEALTHY: the order never left the agent; the runner hasn't refused it
+                */
   uint64_t order;
   uint64_t assignment;   /* number in the order TAKE; `order` counts from 0 after each */
   int64_t lease_left_ms; /* as in KqRunnerList; a restarted runner may grant more; -1:
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -195,6 +195,8 @@
 struct KqPool
 {
   char *service;
+  int64_t whole_milli;      /* total cpu, in thousandths, of its runners with an entry */
+  int64_t reserved_milli;   /* the part of whole_milli that is reserved */
   int64_t usable_milli;     /* total cpu, in thousandths, of those that may be used */
   int64_t used_milli;       /* the part of usable_milli that is reserved */
   int64_t no_lasting_milli; /* usable cpu of runners that hold no lasting task */
@@ -339,6 +341,8 @@
   KqDisturb *disturb;
   KqWindow window;
   KqTime window_logged_at; /* time of the last log line on a closed window */
+  KqTime waits_logged_at;  /* time of the last log lines on what tasks wait for */
+  uint64_t steps_idle;     /* KqWaits.n_idle of the last pass */
   GPtrArray *waves;        /* KqWave */
   bool waves_dirty;        /* their progress differs from what was packed last */
   GPtrArray *batch;        /* KqJob: those in the batch that is being stored */
@@ -467,6 +471,8 @@
 void kq_runners_check_leases (KqSched *s, KqTime now);
 /* Assigns runners without an agent to agents, and moves some from overloaded agents. */
 void kq_runners_assign (KqSched *s, KqTime now);
+/* The first runner whose runs of earlier leaders aren't accounted for; NULL: none. */
+const KqRunnerState *kq_runners_first_unaccounted (const KqSched *s, KqTime now);
 /* Sets KqSched.settled once all runs of earlier leaders are accounted for. */
 void kq_runners_check_settled (KqSched *s, KqTime now);
 
@@ -478,26 +484,6 @@
 /* runners.c */
 void kq_runners_free (KqRunnerState *r);
 
-/* place.c */
-/* What a runner's score loses, in units of its whole cpu, for a task that failed or
- * stalled there last: almost any other runner is better. */
-#define KQ_PLACE_AVOID 2.0
-/* Whether a task of the step may go to the runner now, apart from tickets. `lost`: the
- * task is a lasting one that has run before. */
-bool kq_place_may_take (const KqSched *s, KqRunnerState *r, const KqOccurrence *o,
-                        int32_t step, bool lost, KqTime now);
-/* Whether the job is starved: none of its tasks has run for long, though about half of
- * the service's cpu is not reserved. */
-bool kq_place_is_starved (const KqOccurrence *o, int32_t step, KqTime now);
-/* The score of the runner for a task of the step; higher is better. It doesn't count
- * where the task has failed before (KQ_PLACE_AVOID). */
-double kq_place_score (const KqSched *s, const KqRunnerState *r, const KqOccurrence *o,
-                       int32_t step);
-/* Fills `out` with up to `max` runners that may take a task of the step, apart from
- * tickets, the best first; returns how many. */
-int32_t kq_place_candidates (KqSched *s, const KqOccurrence *o, int32_t step, KqTime now,
-                             KqRunnerState **out, int32_t max);
-
 /* pools.c */
 GPtrArray *kq_pools_new (void);
 /* The pool of a service, created if there is none. Owned by the scheduler. */
@@ -513,6 +499,8 @@
 bool kq_pools_may_place_lasting (const KqRunnerState *r);
 /* Whether no more than about half of the service's cpu is reserved. */
 bool kq_pools_is_half_free (const KqPool *p);
+/* Whether less than half of the cpu of all its runners is reserved, usable or not. */
+bool kq_pools_is_mostly_free (const KqPool *p);
 /* Counts a lasting task with that cpu that has been placed on the runner. */
 void kq_pools_count_lasting (const KqRunnerState *r, int32_t cpu_milli);
 
@@ -537,10 +525,6 @@
 /* Drains and takes down hosts of the waves, as many as are due. */
 void kq_maintenance_update (KqSched *s, KqTime now);
 
-/* place.c */
-/* Whether any runner could hold a task of the step if that runner were empty. */
-bool kq_place_any_fits (const KqSched *s, const KqSpec *spec, int32_t step);
-
 /* placing.c */
 typedef struct
 {
--- a/src/sched/suspects.c
+++ b/src/sched/suspects.c
@@ -33,6 +33,7 @@
 kq_runners_count_end (KqRunnerState *r, bool done, KqTime now)
 {
   KqTime pause;
+  double fails;
   decay_counts (r, now);
   if (done)
     {
@@ -47,7 +48,9 @@
   pause = SUSPECT_PAUSE_INITIAL << (r->suspect_times < 4 ? r->suspect_times : 4);
   r->suspect_until = now + (pause < SUSPECT_PAUSE_MAX ? pause : SUSPECT_PAUSE_MAX);
   r->suspect_times++;
+  fails = r->failed_count;
   r->failed_count = SUSPECT_FAILS / 2;
-  kq_log (KQ_LOG_WARN, PART, "Runner is suspect. runner=%s dones=%.1f for_ms=%lld", r->id,
+  kq_log (KQ_LOG_WARN, PART,
+          "Runner is suspect. runner=%s fails=%.1f dones=%.1f for_ms=%lld", r->id, fails,
           r->done_count, (long long)((r->suspect_until - now) / KQ_MS));
 }
