A start that never left its agent doesn't make its runner suspect

Callers saw jobs wait for up to 25 s before their first start beside free room. Before a start is sent its connection is verified by a question; without an answer all starts that wait for it are reported as refused, as `unhealthy`, and the leader took each of these for a task that the runner had failed. Two make a runner suspect: no task for 2, 4, then 8 s. When questions go unanswered for any cause (late answers, a node that stands still, a full link) the whole fleet becomes suspect by turns, though no runner has refused or failed anything, and each later question renews it.

A start that didn't leave tells that the runner wasn't reached in time. That belief is one of its own now: no further start for a second, ended at once by the runner's next list, its own proof that it is reached. A runner that answers 429 or 503 counts as failing as before.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -117,18 +117,34 @@
   kq_sched_fixture_list_runs (d, runner, &row, 1);
 }
 
+static void
+pass_outcome (KqSchedFixture *d, const char *runner, KqOrderOutcome o)
+{
+  o.order = ++d->outcomes_sent;
+  o.lease_left_ms = -1;
+  o.assignment = *assignment (d, kq_str (runner));
+  kq_sched_outcome (d->sched, d->agent, kq_str (runner), &o, d->now);
+}
+
 void
 kq_sched_fixture_outcome (KqSchedFixture *d, KqOrderKind kind, const char *runner,
                           const char *task, uint32_t n, KqOrderResult result)
 {
-  KqOrderOutcome o = { .kind = kind,
-                       .task = kq_str (task),
-                       .run = n,
-                       .result = result,
-                       .order = ++d->outcomes_sent,
-                       .lease_left_ms = -1,
-                       .assignment = *assignment (d, kq_str (runner)) };
-  kq_sched_outcome (d->sched, d->agent, kq_str (runner), &o, d->now);
+  pass_outcome (d, runner,
+                (KqOrderOutcome){
+                    .kind = kind, .task = kq_str (task), .run = n, .result = result });
+}
+
+void
+kq_sched_fixture_start_unsent (KqSchedFixture *d, const char *runner, const char *task,
+                               uint32_t n)
+{
+  pass_outcome (d, runner,
+                (KqOrderOutcome){ .kind = KQ_ORDER_START,
+                                  .task = kq_str (task),
+                                  .run = n,
+                                  .result = KQ_ORDER_UNHEALTHY,
+                                  .unsent = true });
 }
 
 void
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -73,6 +73,9 @@
 /* Passes in the outcome of an order. */
 void kq_sched_fixture_outcome (KqSchedFixture *d, KqOrderKind kind, const char *runner,
                                const char *task, uint32_t run, KqOrderResult result);
+/* Passes in the outcome of a start that never left the agent. */
+void kq_sched_fixture_start_unsent (KqSchedFixture *d, const char *runner,
+                                    const char *task, uint32_t run);
 /* The agent reports the runner as unreachable. */
 void kq_sched_fixture_unreached (KqSchedFixture *d, int agent, const char *runner,
                                  int64_t lease_left_ms);
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -257,6 +257,7 @@
   if (!l->more_ended)
     r->listed = true;
   r->silent = false;
+  r->unsent_until = 0;
   r->heard_at = now;
   kq_runners_extend_lease (r, lease, "list");
   for (size_t i = 0; i < l->n_ended; i++)
@@ -282,12 +283,20 @@
   kq_runners_note_change (s, r);
 }
 
+/* A start that couldn't be sent shows that the agent didn't reach the runner in time, not
+ * that tasks fail there. For so long the runner gets no further start, unless it answers
+ * before. */
+#define UNSENT_PAUSE KQ_SEC
+
 static void
-apply_start_refusal (KqSched *s, KqRun *run, KqOrderResult result, KqTime now)
+apply_start_refusal (KqSched *s, KqRun *run, const KqOrderOutcome *o, KqTime now)
 {
   KqRunnerState *r = run->runner;
   KqTaskState *t = kq_book_task_state (run);
-  if (result == KQ_ORDER_UNHEALTHY)
+  KqOrderResult result = o->result;
+  if (o->unsent)
+    r->unsent_until = now + UNSENT_PAUSE;
+  else if (result == KQ_ORDER_UNHEALTHY)
     kq_runners_count_end (r, false, now);
   if (result == KQ_ORDER_NO_ROOM)
     ++*s->no_room;
@@ -346,7 +355,7 @@
     case KQ_ORDER_UNHEALTHY:
     case KQ_ORDER_OTHER_RUNNER:
     case KQ_ORDER_BAD:
-      apply_start_refusal (s, run, o->result, now);
+      apply_start_refusal (s, run, o, now);
       break;
     }
 }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -123,7 +123,9 @@
     return KQ_PLACE_UNKNOWN_RUN;
   if (r->draining || r->host_leaving)
     return KQ_PLACE_LEAVING;
-  return now < r->suspect_until ? KQ_PLACE_SUSPECT : KQ_PLACE_TAKES;
+  if (now < r->suspect_until)
+    return KQ_PLACE_SUSPECT;
+  return now < r->unsent_until ? KQ_PLACE_UNSENT : KQ_PLACE_TAKES;
 }
 
 /* Share of the runner's serving tasks that have another image, less the share that have
@@ -247,10 +249,10 @@
 kq_place_answer_name (KqPlaceAnswer a)
 {
   static const char *const names[KQ_PLACE_ANSWERS]
-      = { "takes",      "other_service", "no_entry",    "not_stored",
-          "no_agent",   "silent",        "not_listed",  "unknown_run",
-          "leaving",    "suspect",       "no_room",     "label",
-          "per_runner", "kept_free",     "over_target", "too_slow" };
+      = { "takes",       "other_service", "no_entry",    "not_stored", "no_agent",
+          "silent",      "not_listed",    "unknown_run", "leaving",    "suspect",
+          "unsent",      "no_room",       "label",       "per_runner", "kept_free",
+          "over_target", "too_slow" };
   return names[a];
 }
 
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -21,6 +21,7 @@
   KQ_PLACE_UNKNOWN_RUN, /* it lists a run of an unknown job */
   KQ_PLACE_LEAVING,     /* it is draining, or its host is */
   KQ_PLACE_SUSPECT,     /* its tasks keep failing */
+  KQ_PLACE_UNSENT,      /* a start couldn't be sent to it */
   KQ_PLACE_NO_ROOM,
   KQ_PLACE_LABEL,       /* it isn't of the kind or rack that the step needs */
   KQ_PLACE_PER_RUNNER,  /* it has the most runs of the step that it may have */
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -250,6 +250,8 @@
   KqTime counts_at;    /* the time for which both counts hold */
   double slowness; /* actual divided by estimated run time of tasks; 1: like the others */
   KqTime suspect_until;  /* no task is placed there before this time */
+  KqTime unsent_until;   /* no task is placed there before this time, unless it answers: a
+                            start couldn't be sent */
   int suspect_times;     /* times it became suspect since a task was last done there */
   int n_runs;            /* number of all runs that may exist there */
   int n_serving;         /* number of runs of serving tasks there */
