A job waits until a runner has confirmed one of its starts

A job counted as begun once a start was ordered. The same flag turned `pending` into `running` for them.

The flag is set now by what a runner says: the answer to a start, a listed run, a listed end. The histogram kq_job_first_start_ms counts to the confirmation, too.

--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -174,6 +174,14 @@
     s->store_due = due;
 }
 
+void
+kq_book_mark_begun (KqJob *j)
+{
+  j->begun = true;
+  if (j->state == KQ_JOB_WAITING)
+    j->state = KQ_JOB_RUNNING;
+}
+
 void
 kq_book_mark_has_run (KqSched *s, KqJob *j, KqTaskState *t, KqTime now)
 {
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -31,8 +31,7 @@
   run->phase = KQ_RUN_RUNNING;
   run->running_at = now;
   run->pace_unknown = true;
-  if (wanted)
-    t->job->begun = true;
+  kq_book_mark_begun (t->job);
   if (state != NULL && number > state->last_run)
     state->last_run = number;
   if (!wanted)
@@ -48,6 +47,18 @@
   return run;
 }
 
+/* Notes that the runner has confirmed the start that was sent to it. */
+static void
+confirm_start (KqSched *s, KqRun *run, KqTime now)
+{
+  KqJob *j = run->job;
+  if (!j->begun && run->occurrence != NULL)
+    kq_histogram_add (&s->first_start, now - run->occurrence->due_at);
+  kq_book_mark_begun (j);
+  run->phase = KQ_RUN_RUNNING;
+  run->running_at = now;
+}
+
 static void
 apply_run_row (KqSched *s, KqRunnerState *r, const KqRunRow *row, uint64_t order,
                KqTime now)
@@ -73,10 +84,7 @@
   run->outcome_unknown = run->stopped = false;
   run->confirmed = order + 1;
   if (run->phase == KQ_RUN_SENDING)
-    {
-      run->phase = KQ_RUN_RUNNING;
-      run->running_at = now;
-    }
+    confirm_start (s, run, now);
   if (row->percent != run->percent)
     run->last_change_at = now;
   run->percent = row->percent;
@@ -160,6 +168,7 @@
   ++*s->ends[e->reason];
   if (!kq_book_find_task (s, e->task, &t))
     return;
+  kq_book_mark_begun (t.job);
   run = find_run (r, &t, e->run);
   ours = run != NULL && run->occurrence != NULL;
   kq_log (KQ_LOG_DEBUG, PART, "Run ended. task=%.*s run=%u runner=%s how=%s n=%llu",
@@ -328,10 +337,12 @@
     case KQ_ORDER_OK:
       run->outcome_unknown = false;
       run->confirmed = o->order + 1;
-      if (run->phase == KQ_RUN_SENDING)
+      if (run->phase != KQ_RUN_SENDING)
+        kq_book_mark_begun (run->job);
+      else
         {
-          run->phase = KQ_RUN_RUNNING;
-          run->running_at = run->last_change_at = now;
+          confirm_start (s, run, now);
+          run->last_change_at = now;
           kq_histogram_add (&s->start_answer, now - run->placed_at);
           if (!run->resent)
             kq_window_adapt (&s->window, now - run->placed_at);
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -217,11 +217,6 @@
       kq_pools_count_lasting (r, o->job->spec.steps[step].cpu_milli);
       kq_runners_note_change (s, r); /* further lasting tasks may be placed there now */
     }
-  if (!o->job->begun)
-    kq_histogram_add (&s->first_start, now - o->due_at);
-  o->job->begun = true;
-  if (o->job->state == KQ_JOB_WAITING)
-    o->job->state = KQ_JOB_RUNNING;
   kq_run_send_start (s, run, now);
   return run;
 }
@@ -324,12 +319,7 @@
       else
         kq_run_end (s, runs[i], now);
     }
-  if (n == p->width)
-    {
-      o->job->begun = true;
-      o->job->state = KQ_JOB_RUNNING;
-    }
-  else
+  if (n < p->width)
     o->steps[step].rack[0] = '\0';
   log_starts (o, step, &starts);
 out:
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -110,7 +110,7 @@
   KqTime learned_at; /* when this leader learned of it */
   KqJobState state;
   KqJobState stored_state; /* the last state that has been stored */
-  bool begun;              /* some task has been started */
+  bool begun;              /* a runner has confirmed a start of one of its tasks */
   bool cancelled;
   bool dirty; /* progress differs from what is stored */
   KqTime accepted_at;
@@ -397,6 +397,9 @@
  * Lasting tasks count no failures. `where` is avoided next time; NULL: unknown. */
 void kq_book_fail_task (KqSched *s, KqOccurrence *o, int32_t step, int32_t index,
                         uint32_t run, KqRunnerState *where, KqTime now);
+/* Notes that a runner has begun a task of the job: a start that was ordered may come to
+ * nothing. */
+void kq_book_mark_begun (KqJob *j);
 /* Notes that a task of a lasting step runs for the first time. This is stored, since a
  * later leader must know which waiting tasks have lost their runner. */
 void kq_book_mark_has_run (KqSched *s, KqJob *j, KqTaskState *t, KqTime now);
