--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -208,7 +208,7 @@
 new_sched (KqSchedFixture *d, uint64_t epoch)
 {
   KqSchedConfig c = { .epoch = epoch,
-                      .term = 1,
+                      .term = ++d->term,
                       .lease_ms = 5000,
                       .renew_without_leader_ms = 4000,
                       .keep_ms = 60000,
@@ -242,9 +242,19 @@
 {
   kq_buf_clear (&d->used_runners);
   kq_sched_used_runners_pack (d->sched, &d->used_runners);
+  kq_buf_clear (&d->used_agents);
+  kq_sched_used_agents_pack (d->sched, &d->used_agents);
   kq_sched_used_runners_stored (d->sched);
 }
 
+int
+kq_sched_fixture_add_agent (KqSchedFixture *d, const KqAgentInfo *info)
+{
+  int agent = kq_sched_agent_up (d->sched, info, d->now);
+  kq_sched_fixture_store_used_runners (d);
+  return agent;
+}
+
 void
 kq_sched_fixture_new_leader (KqSchedFixture *d)
 {
@@ -252,6 +262,7 @@
   d->outcomes_sent = 0;
   new_sched (d, 20);
   kq_sched_used_runners (d->sched, kq_buf_str (&d->used_runners), d->now);
+  kq_sched_used_agents (d->sched, kq_buf_str (&d->used_agents), d->now);
   add_entries (d);
 }
 
@@ -281,6 +292,7 @@
   KqSchedFixture *d = *state;
   kq_sched_free (d->sched);
   kq_counters_free (d->counters);
+  kq_buf_free (&d->used_agents);
   kq_buf_free (&d->used_runners);
   g_array_free (d->starts_pending, TRUE);
   free (d);
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -21,6 +21,7 @@
   KqSched *sched;
   KqCounters *counters;
   KqTime now;
+  uint32_t term; /* of the present leader */
   int agent;
   int start_orders; /* START orders so far */
   int stop_orders;  /* STOP orders so far */
@@ -41,6 +42,7 @@
   GArray *starts_pending;  /* KqSchedFixtureStart: START orders without an outcome */
   uint64_t outcomes_sent;  /* outcomes passed in so far */
   uint64_t assignment[3];  /* number in the last TAKE order of r0 to r2 */
+  KqBuf used_agents;       /* the stored list of agents, packed */
   KqBuf used_runners;      /* the stored list of runners in use, packed */
   int64_t started_ms;      /* start of the runner process in lists; 1 at first */
   int drop_orders;         /* DROP orders so far */
@@ -49,7 +51,9 @@
 /* cmocka's set-up and tear-down; *state is a KqSchedFixture. */
 int kq_sched_fixture_set_up (void **state);
 int kq_sched_fixture_tear_down (void **state);
-/* Stores the scheduler's list of runners in use. */
+/* Connects a further agent and stores the list of agents; returns its number. */
+int kq_sched_fixture_add_agent (KqSchedFixture *d, const KqAgentInfo *info);
+/* Stores the scheduler's lists of runners in use and of agents. */
 void kq_sched_fixture_store_used_runners (KqSchedFixture *d);
 /* Replaces the scheduler by that of a new leader, which gets the stored list and the
  * runners' entries. The caller passes the jobs in and calls kq_sched_loaded. */
--- a/bench/sched_load.c
+++ b/bench/sched_load.c
@@ -481,6 +481,8 @@
   if (kq_sched_used_runners_pending (l->sched))
     {
       kq_sched_used_runners_pack (l->sched, &used_runners);
+      kq_buf_clear (&used_runners);
+      kq_sched_used_agents_pack (l->sched, &used_runners);
       kq_sched_used_runners_stored (l->sched);
       kq_buf_free (&used_runners);
     }
--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -159,6 +159,10 @@
     {
       g_byte_array_set_size (r->used_runners, 0);
       g_byte_array_append (r->used_runners, (const guint8 *)b.ptr, (guint)b.len);
+      kq_buf_clear (&b);
+      kq_sched_used_agents_pack (r->sched, &b);
+      g_byte_array_set_size (r->used_agents, 0);
+      g_byte_array_append (r->used_agents, (const guint8 *)b.ptr, (guint)b.len);
       kq_sched_used_runners_stored (r->sched);
       r->revision++;
     }
@@ -280,6 +284,10 @@
     kq_sched_used_runners (
         r->sched, kq_str_n ((const char *)r->used_runners->data, r->used_runners->len),
         r->now);
+  if (r->used_agents->len > 0)
+    kq_sched_used_agents (
+        r->sched, kq_str_n ((const char *)r->used_agents->data, r->used_agents->len),
+        r->now);
   load_jobs (r);
   add_entries (r);
   kq_sched_loaded (r->sched, r->now);
@@ -293,6 +301,7 @@
   char name[8];
   snprintf (name, sizeof name, "a%d", n);
   r->agents[n].info.name = kq_name (kq_str (name));
+  r->agents[n].process_started_at = r->now;
   kq_sched_rig_link_init (r, n);
   return n;
 }
@@ -312,6 +321,7 @@
   r->last_start_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->failures = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->last_failure_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  r->used_agents = g_byte_array_new ();
   r->used_runners = g_byte_array_new ();
   for (int i = 0; i < runners; i++)
     {
@@ -344,6 +354,7 @@
   g_hash_table_destroy (r->last_start_ms);
   g_hash_table_destroy (r->failures);
   g_hash_table_destroy (r->last_failure_ms);
+  g_byte_array_free (r->used_agents, TRUE);
   g_byte_array_free (r->used_runners, TRUE);
   for (int i = 0; i < r->n_runners; i++)
     {
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -85,6 +85,8 @@
 {
   KqAgentInfo info;
   KqSchedRigAgentRunner held[KQ_SCHED_RIG_RUNNERS_MAX];
+  KqTime granted_until[KQ_SCHED_RIG_RUNNERS_MAX]; /* leases granted last until then */
+  KqTime process_started_at;
   uint64_t serial;
   uint64_t epoch;             /* the highest received */
   KqTime heard_at;            /* last message of the leader */
@@ -167,8 +169,9 @@
   int n_runners;
   GPtrArray *events;
   /* The store. */
-  GHashTable *jobs;     /* id -> KqSchedRigJob */
-  GHashTable *progress; /* id -> GByteArray */
+  GHashTable *jobs;        /* id -> KqSchedRigJob */
+  GHashTable *progress;    /* id -> GByteArray */
+  GByteArray *used_agents; /* the stored list of agents */
   GByteArray *used_runners;
   uint64_t revision;
   KqTime store_down_until;
--- a/bench/sched_rig_agent.c
+++ b/bench/sched_rig_agent.c
@@ -30,6 +30,17 @@
     h->ends_acked = 0;
 }
 
+/* Records that the runner's lease may last until its end and `more`. */
+static void
+record_grant (KqSchedRig *r, int agent, const KqSchedRigAgentRunner *h, KqTime more)
+{
+  KqSchedRigAgent *a = &r->agents[agent];
+  KqTime *until = &a->granted_until[h - a->held];
+  KqTime ends = r->now + kq_lease_left_ms (&h->lease, r->now) * KQ_MS + more;
+  if (ends > *until)
+    *until = ends;
+}
+
 /* Grants a lease; returns its end on the runner's clock, -1: none may be granted. */
 static int64_t
 grant (KqSchedRig *r, int agent, KqSchedRigAgentRunner *h)
@@ -38,7 +49,9 @@
   if (h->lease.clock_ms < 0 || h->failures > 0 || h->halt != 0
       || since_confirmed > KQ_SCHED_RIG_RENEW_WITHOUT_LEADER_MS * KQ_MS)
     return -1;
-  return kq_lease_grant (&h->lease, KQ_SCHED_RIG_LEASE_MS, r->now);
+  kq_lease_grant (&h->lease, KQ_SCHED_RIG_LEASE_MS, r->now);
+  record_grant (r, agent, h, 0);
+  return h->lease.end_ms;
 }
 
 static void
@@ -247,6 +260,7 @@
     {
       int64_t end = grant (r, agent, h);
       c.lease_end_ms = end >= 0 ? end : h->lease.end_ms;
+      record_grant (r, agent, h, CALL_TIMEOUT);
       c.started_ms = h->lease.started_ms;
     }
   c.task = kq_str_dup (start ? o->u.start.task : o->u.stop.task);
@@ -344,6 +358,22 @@
     }
 }
 
+void
+kq_sched_rig_report_grants (KqSchedRig *r, int agent)
+{
+  const KqSchedRigAgent *a = &r->agents[agent];
+  KqGrantRow rows[KQ_SCHED_RIG_RUNNERS_MAX];
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_GRANTS };
+  i.u.grants.process_age_ms = (r->now - a->process_started_at) / KQ_MS;
+  i.u.grants.rows = rows;
+  for (int n = 0; n < r->n_runners; n++)
+    if (a->granted_until[n] > r->now)
+      rows[i.u.grants.n_rows++]
+          = (KqGrantRow){ kq_str (r->runners[n].id),
+                          (a->granted_until[n] - r->now) / KQ_MS + 1 };
+  kq_sched_rig_send_leader (r, agent, r->epoch, &i);
+}
+
 void
 kq_sched_rig_agent_tick (KqSchedRig *r, int agent)
 {
@@ -361,6 +391,8 @@
   KqSchedRigAgent *a = &r->agents[agent];
   kq_sched_rig_break_link (r, agent, notify_leader);
   kq_sched_rig_release_all (r, agent);
+  memset (a->granted_until, 0, sizeof a->granted_until);
+  a->process_started_at = r->now;
   a->epoch = 0;
   a->leader_known_at = r->now + span;
 }
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -66,6 +66,8 @@
 void kq_sched_rig_leader_heard (KqSchedRig *r, int agent, uint64_t epoch);
 /* The leader knows the agent as connected at `at` or later. */
 void kq_sched_rig_leader_confirmed (KqSchedRig *r, int agent, uint64_t epoch, KqTime at);
+/* The agent tells the leader which leases it has granted. */
+void kq_sched_rig_report_grants (KqSchedRig *r, int agent);
 /* The agent releases all its runners. */
 void kq_sched_rig_release_all (KqSchedRig *r, int agent);
 
--- a/bench/sched_rig_link.c
+++ b/bench/sched_rig_link.c
@@ -86,6 +86,7 @@
   kq_sched_rig_send_leader (r, agent, r->epoch, &hello);
   kq_sched_rig_release_all (r, agent);
   kq_sched_rig_leader_confirmed (r, agent, r->epoch, r->now);
+  kq_sched_rig_report_grants (r, agent);
 }
 
 static void
@@ -178,6 +179,9 @@
       kq_sched_unreached (r->sched, number, i->runner, i->u.unreached.assignment,
                           i->u.unreached.lease_left_ms, r->now);
       break;
+    case KQ_AGENT_ITEM_GRANTS:
+      kq_sched_grants (r->sched, number, &i->u.grants, r->now);
+      break;
     default:
       break;
     }
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -3,6 +3,7 @@
 #include "agent/state.h"
 #include "base/log.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -133,6 +134,21 @@
   a->sends_changes = false;
 }
 
+void
+kq_agent_report_grants (KqAgent *a, uint64_t epoch, KqTime now)
+{
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_GRANTS };
+  KqGrantRow *rows;
+  assert (g_hash_table_size (a->runners) == 0);
+  rows = kq_grants_list (a->grants, now, &i.u.grants.n_rows);
+  i.u.grants.process_age_ms = (now - a->created_at) / KQ_MS;
+  i.u.grants.rows = rows;
+  kq_log (KQ_LOG_INFO, PART, "Reporting leases granted before. epoch=%llu leases=%zu",
+          (unsigned long long)epoch, i.u.grants.n_rows);
+  a->config.notice (a->config.arg, epoch, &i);
+  free (rows);
+}
+
 void
 kq_agent_use_changes (KqAgent *a, bool known)
 {
@@ -144,7 +160,9 @@
 {
   KqAgent *a = kq_alloc (sizeof *a);
   a->config = *c;
-  a->leader_confirmed_at = kq_time_now (); /* no runner is assigned yet */
+  a->created_at = kq_time_now ();
+  a->leader_confirmed_at = a->created_at; /* no runner is assigned yet */
+  a->grants = kq_grants_new ();
   a->runners
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kq_agent_runner_free);
   a->renewals = kq_counter (c->counters, "kq_runner_renewals_total", "",
@@ -162,6 +180,7 @@
   if (a == NULL)
     return;
   g_hash_table_destroy (a->runners);
+  kq_grants_free (a->grants);
   free (a);
 }
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -43,6 +43,10 @@
  * on. The leader that assigned them has assigned them to other agents, or will assign
  * them again. */
 void kq_agent_release_all (KqAgent *a);
+/* Reports to the leader of that epoch until when leases that were granted before may last
+ * (KQ_AGENT_ITEM_GRANTS). Call after kq_agent_release_all, once the leader can take it.
+ */
+void kq_agent_report_grants (KqAgent *a, uint64_t epoch, KqTime now);
 /* Sets whether the leader understands KQ_AGENT_ITEM_CHANGES; false at first and after
  * kq_agent_release_all. */
 void kq_agent_use_changes (KqAgent *a, bool known);
--- a/src/agent/agent_runner.c
+++ b/src/agent/agent_runner.c
@@ -120,7 +120,10 @@
   if (runner->lease.clock_ms < 0 || runner->failures > 0 || runner->halt != 0
       || !leader_honours_leases (runner->agent, now))
     return -1;
-  return kq_lease_grant (&runner->lease, runner->agent->config.lease_ms, now);
+  kq_lease_grant (&runner->lease, runner->agent->config.lease_ms, now);
+  kq_grants_record (runner->agent->grants, runner->id,
+                    now + kq_lease_left_ms (&runner->lease, now) * KQ_MS);
+  return runner->lease.end_ms;
 }
 
 void
--- a/src/agent/agent_test.c
+++ b/src/agent/agent_test.c
@@ -36,6 +36,8 @@
   uint64_t halt;
   int64_t lease_left_ms;
   int unreached;
+  size_t grants;      /* rows of the last GRANTS */
+  int64_t granted_ms; /* in the last of them */
 } t;
 
 static void
@@ -116,6 +118,11 @@
       t.result = i->u.outcome.result;
       t.lease_left_ms = i->u.outcome.lease_left_ms;
     }
+  else if (i->kind == KQ_AGENT_ITEM_GRANTS)
+    {
+      t.grants = i->u.grants.n_rows;
+      t.granted_ms = t.grants > 0 ? i->u.grants.rows[0].left_ms : 0;
+    }
   else if (i->kind == KQ_AGENT_ITEM_UNREACHED)
     {
       t.assignment = i->u.unreached.assignment;
@@ -507,6 +514,47 @@
   assert_int_equal (t.result, KQ_ORDER_UNHEALTHY);
 }
 
+/* Guards against a task that runs twice: a new leader isn't told of a lease that this
+ * agent has granted to a runner it has released since. */
+static void
+test_leases_of_released_runners_are_reported (void **state)
+{
+  KqTime now = kq_time_now ();
+  (void)state;
+  assign_runner (1);
+  kq_agent_release_all (t.agent);
+  kq_agent_report_grants (t.agent, EPOCH, now);
+  assert_int_equal (t.grants, 0); /* none before the leader has had a list */
+  t.leader_renews = true;
+  assign_runner (2);
+  answer_poll (KQ_ORDER_OK, 1, 1000, now);
+  run_loop ();
+  kq_agent_release_all (t.agent);
+  kq_agent_report_grants (t.agent, EPOCH + 1, now + 10 * KQ_MS);
+  assert_int_equal (t.grants, 1);
+  assert_in_range (t.granted_ms, LEASE_MS - 100, LEASE_MS + 300);
+  kq_agent_report_grants (t.agent, EPOCH + 1, now + 2 * LEASE_MS * KQ_MS);
+  assert_int_equal (t.grants, 0);
+}
+
+/* As above, for a start: it carries the end of a lease that was granted before. */
+static void
+test_lease_of_a_start_is_reported (void **state)
+{
+  KqTime now = kq_time_now ();
+  (void)state;
+  assign_runner (1);
+  answer_poll (KQ_ORDER_OK, 1, 1000, now);
+  run_loop ();
+  answer_verification (KQ_ORDER_OK, now, now);
+  order_start (1, now);
+  assert_int_equal (t.starts, 1);
+  kq_agent_release_all (t.agent);
+  kq_agent_report_grants (t.agent, EPOCH + 1, now);
+  assert_int_equal (t.grants, 1);
+  assert_true (t.granted_ms >= LEASE_MS);
+}
+
 int
 main (void)
 {
@@ -529,6 +577,10 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_start_waits_for_a_verified_connection, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_leases_of_released_runners_are_reported, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_lease_of_a_start_is_reported, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_start_that_cannot_be_sent_is_refused, set_up,
                                      tear_down),
   };
--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -206,6 +206,9 @@
     case KQ_AGENT_ITEM_ADVICE:
       kq_agent_item_pack_advice (p, &i->u.advice);
       break;
+    case KQ_AGENT_ITEM_GRANTS:
+      kq_agent_item_pack_grants (p, &i->u.grants);
+      break;
     case KQ_AGENT_ITEM_PING:
       kq_pack_i64 (p, i->u.ping.heartbeat_sent_at);
       kq_pack_i64 (p, i->u.ping.store_age_ms);
@@ -277,6 +280,9 @@
     case KQ_AGENT_ITEM_ADVICE:
       kq_agent_item_read_advice (r, &i->u.advice);
       return;
+    case KQ_AGENT_ITEM_GRANTS:
+      kq_agent_item_read_grants (r, &i->u.grants);
+      return;
     case KQ_AGENT_ITEM_PING:
       i->u.ping.heartbeat_sent_at = kq_read_i64 (r);
       i->u.ping.store_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
@@ -294,7 +300,8 @@
 count_fields (const KqAgentItem *i)
 {
   /* By KqAgentItemKind, and for orders by KqOrderKind. */
-  static const uint8_t of_kind[] = { 0, 0, 3, 2, 4, 2, 8, 8, 3, 0, 3, 2, 1, 4, 1, 10, 0 };
+  static const uint8_t of_kind[]
+      = { 0, 0, 3, 2, 4, 2, 8, 8, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2 };
   static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_AGENT_ITEM_ORDER)
     return of_order[i->u.order.kind];
@@ -333,7 +340,7 @@
       || !kq_unpacked_open (&u, kq_str_n (rest->ptr + sizeof n, n), &r))
     return false;
   kind = kq_read_i64 (&r);
-  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_LEAVE)
+  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_GRANTS)
     {
       out->kind = (KqAgentItemKind)kind;
       out->runner = kq_read_str (&r);
@@ -368,6 +375,11 @@
       i->u.changes.list.ended = NULL;
       i->u.changes.running = (KqRunDelta){ 0 };
     }
+  else if (i->kind == KQ_AGENT_ITEM_GRANTS)
+    {
+      free ((void *)i->u.grants.rows);
+      i->u.grants.rows = NULL;
+    }
   else if (i->kind == KQ_AGENT_ITEM_ADVICE)
     {
       free ((void *)i->u.advice.reply.rows);
--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -37,7 +37,8 @@
   /* from version 2 on */
   KQ_AGENT_ITEM_WELCOME, /* leader to node: the answer to HELLO */
   KQ_AGENT_ITEM_CHANGES, /* node to leader: the difference from the last list */
-  KQ_AGENT_ITEM_LEAVE    /* node to leader: planned stop; all its runners are released */
+  KQ_AGENT_ITEM_LEAVE,   /* node to leader: planned stop; all its runners are released */
+  KQ_AGENT_ITEM_GRANTS   /* node to leader: the leases that it has granted before */
 } KqAgentItemKind;
 
 typedef enum
@@ -95,6 +96,7 @@
     } changes;
     KqOrderOutcome outcome;
     KqStepAdvice advice;
+    KqGrantList grants;
     struct
     {
       int64_t lease_left_ms;
--- a/src/agent/frame_rows.c
+++ b/src/agent/frame_rows.c
@@ -235,3 +235,36 @@
     }
   kq_read_array_end (r, &rows);
 }
+
+void
+kq_agent_item_pack_grants (KqPacker *p, const KqGrantList *l)
+{
+  kq_pack_i64 (p, l->process_age_ms);
+  kq_pack_array (p, l->n_rows);
+  for (size_t i = 0; i < l->n_rows; i++)
+    {
+      kq_pack_array (p, 2);
+      kq_pack_str (p, l->rows[i].runner);
+      kq_pack_i64 (p, l->rows[i].left_ms);
+    }
+}
+
+void
+kq_agent_item_read_grants (KqReader *r, KqGrantList *l)
+{
+  KqReader list;
+  KqGrantRow *rows;
+  size_t n;
+  l->process_age_ms = kq_read_i64 (r);
+  n = kq_agent_item_open_rows (r, &list);
+  l->rows = rows = kq_alloc ((n + 1) * sizeof *rows);
+  while (!list.bad && list.left > 0)
+    {
+      KqReader one;
+      kq_read_array (&list, &one);
+      rows[l->n_rows].runner = kq_read_str (&one);
+      rows[l->n_rows++].left_ms = kq_read_i64 (&one);
+      kq_read_array_end (&list, &one);
+    }
+  kq_read_array_end (r, &list);
+}
--- a/src/agent/frame_rows.h
+++ b/src/agent/frame_rows.h
@@ -21,4 +21,8 @@
 void kq_agent_item_pack_advice (KqPacker *p, const KqStepAdvice *a);
 void kq_agent_item_read_advice (KqReader *r, KqStepAdvice *a);
 
+/* GRANTS */
+void kq_agent_item_pack_grants (KqPacker *p, const KqGrantList *l);
+void kq_agent_item_read_grants (KqReader *r, KqGrantList *l);
+
 #endif
--- a/src/agent/frame_test.c
+++ b/src/agent/frame_test.c
@@ -155,6 +155,24 @@
   kq_buf_free (&b);
 }
 
+static void
+test_grants_round_trip (void **state)
+{
+  KqGrantRow rows[] = { { KQ_STR ("r1"), 4000 }, { KQ_STR ("r2"), 1 } };
+  KqBuf b = { 0 };
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_GRANTS };
+  KqAgentItem o;
+  (void)state;
+  i.u.grants = (KqGrantList){ 12345, rows, 2 };
+  o = round_trip (&i, &b);
+  assert_int_equal (o.u.grants.process_age_ms, 12345);
+  assert_int_equal (o.u.grants.n_rows, 2);
+  assert_true (kq_str_eq (o.u.grants.rows[1].runner, KQ_STR ("r2")));
+  assert_int_equal (o.u.grants.rows[0].left_ms, 4000);
+  kq_agent_item_clear (&o);
+  kq_buf_free (&b);
+}
+
 static void
 test_heartbeats_round_trip (void **state)
 {
@@ -253,6 +271,7 @@
           cmocka_unit_test (test_orders_round_trip),
           cmocka_unit_test (test_advice_round_trips),
           cmocka_unit_test (test_outcome_and_unreached_round_trip),
+          cmocka_unit_test (test_grants_round_trip),
           cmocka_unit_test (test_heartbeats_round_trip),
           cmocka_unit_test (test_every_kind_round_trips),
           cmocka_unit_test (test_damaged_bytes_are_refused),
--- a/src/agent/starts.c
+++ b/src/agent/starts.c
@@ -53,12 +53,23 @@
   kq_agent_call_free (c);
 }
 
+/* A start carries a lease's end also when none may be granted, and may arrive as late as
+ * its call ends. */
+static void
+record_lease_of_start (const KqAgentRunner *runner, KqTime now)
+{
+  int64_t left_ms = kq_lease_left_ms (&runner->lease, now);
+  kq_grants_record (runner->agent->grants, runner->id,
+                    now + (KQ_AGENT_CALL_MS + left_ms) * KQ_MS);
+}
+
 static void
 send_start (KqAgentRunner *runner, KqStart *st, KqTime now)
 {
   KqRunnerDest to = kq_agent_runner_dest (runner, KQ_AGENT_CALL_MS);
   KqAgentCall *c = kq_agent_call_new (runner, KQ_ORDER_START, kq_str (st->task), st->run);
   int64_t end = kq_agent_runner_grant_lease (runner, now);
+  record_lease_of_start (runner, now);
   c->start = st;
   to.opened_before = runner->conns.verified_at;
   kq_runner_start (runner->agent->config.calls, &to, kq_str (st->task), st->run,
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -5,6 +5,7 @@
 
 #include "agent/agent.h"
 #include "agent/conns.h"
+#include "agent/grants.h"
 #include "agent/lease.h"
 
 #include <ev.h>
@@ -59,6 +60,8 @@
 {
   KqAgentConfig config;
   GHashTable *runners; /* id -> KqAgentRunner */
+  KqGrants *grants;    /* leases granted to these runners and to earlier ones */
+  KqTime created_at;
   uint64_t epoch;
   uint64_t serial;            /* the last number given as KqAgentRunner.serial or halt */
   KqTime heard_at;            /* when a leader's last message arrived */
--- a/src/fleet/batch.c
+++ b/src/fleet/batch.c
@@ -10,9 +10,9 @@
 #define CALL_TIMEOUT_MS 1200
 /* Delay after a refusal or no answer; meanwhile progress is kept in memory. */
 #define RETRY_DELAY (200 * KQ_MS)
-/* Progress rows of one transaction. The other 5 operations are the two checks, the
- * sequence key, the list of runners and the learned data. */
-#define ROWS_MAX (KQ_KV_TXN_MAX - 5)
+/* Progress rows of one transaction. The other 6 operations are the two checks, the
+ * sequence key, the lists of runners and of agents and the learned data. */
+#define ROWS_MAX (KQ_KV_TXN_MAX - 6)
 /* How often a transaction includes the learned data (which tasks disturb which): a few
  * kilobytes that change slowly. */
 #define LEARNED_PERIOD (4 * KQ_SEC)
@@ -37,6 +37,7 @@
   KqProgress rows[ROWS_MAX];
   size_t n_rows;
   KqBuf runners;     /* the list of runners to be written; empty: none */
+  KqBuf agents;      /* the list of agents to be written with `runners` */
   KqBuf learned;     /* the learned data as last written */
   KqTime learned_at; /* when `learned` was written */
   KqTime retry_at;
@@ -48,6 +49,7 @@
 destroy (KqBatch *b)
 {
   kq_buf_free (&b->runners);
+  kq_buf_free (&b->agents);
   kq_buf_free (&b->learned);
   free (b);
 }
@@ -201,7 +203,7 @@
 {
   KqKvCheck checks[2]
       = { { kq_leader_key, b->config.epoch }, { KQ_STR (KQ_KEY_SEQUENCE), b->sequence } };
-  KqKvPut puts[ROWS_MAX + 3];
+  KqKvPut puts[ROWS_MAX + 4];
   KqStr keys[ROWS_MAX];
   KqStr removes[ROWS_MAX];
   KqKvTxn t = { checks, 2, puts, 0, removes, 0 };
@@ -211,6 +213,7 @@
     {
       puts[t.n_puts++]
           = (KqKvPut){ KQ_STR (KQ_KEY_RUNNERS), kq_buf_str (&b->runners), 0 };
+      puts[t.n_puts++] = (KqKvPut){ KQ_STR (KQ_KEY_AGENTS), kq_buf_str (&b->agents), 0 };
       b->runners_sent = true;
     }
   if (now - b->learned_at >= LEARNED_PERIOD)
@@ -255,8 +258,12 @@
     }
   if (!b->batch_open)
     {
-      if (b->runners.len == 0)
-        kq_sched_used_runners_pack (b->config.sched, &b->runners);
+      if (b->runners.len == 0
+          && kq_sched_used_runners_pack (b->config.sched, &b->runners))
+        {
+          kq_buf_clear (&b->agents);
+          kq_sched_used_agents_pack (b->config.sched, &b->agents);
+        }
       b->n_rows = kq_sched_store_begin (b->config.sched, b->rows, ROWS_MAX, now);
       b->batch_open = b->n_rows > 0;
     }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -165,6 +165,7 @@
   f->leader = kq_leader_new (&c, now);
   kq_sched_set_exclusive_until (kq_leader_sched (f->leader),
                                 kq_election_valid_until (f->election));
+  kq_agent_report_grants (f->agent, epoch, now);
 }
 
 static void
@@ -256,6 +257,7 @@
   KqFleet *f = arg;
   kq_agent_release_all (f->agent);
   kq_agent_leader_confirmed (f->agent, kq_election_record (f->election)->epoch, now);
+  kq_agent_report_grants (f->agent, kq_election_record (f->election)->epoch, now);
 }
 
 static void
--- a/src/fleet/keys.h
+++ b/src/fleet/keys.h
@@ -9,10 +9,11 @@
  *   kq/in/x/ID   the job's cancellation
  *   kq/p/ID      the job's progress, written by the leader
  *   kq/runners   runners on which runs may exist, for the next leader
- *   kq/learned   which tasks disturb which, for the next leader
- *   kq/waves     state of maintenance waves
- *   kq/seq       written with every transaction of progress, so that one that is carried
- *                out late, after its answer was lost, cannot overwrite a newer one */
+ *   kq/agents    nodes whose leases may last, for the next leader; written with the
+ * former kq/learned   which tasks disturb which, for the next leader kq/waves     state
+ * of maintenance waves kq/seq       written with every transaction of progress, so that
+ * one that is carried out late, after its answer was lost, cannot overwrite a newer one
+ */
 
 #include "base/str.h"
 
@@ -21,6 +22,7 @@
 #define KQ_KEY_CANCEL "kq/in/x/"
 #define KQ_KEY_PROGRESS "kq/p/"
 #define KQ_KEY_RUNNERS "kq/runners"
+#define KQ_KEY_AGENTS "kq/agents"
 #define KQ_KEY_LEARNED "kq/learned"
 #define KQ_KEY_WAVES "kq/waves"
 #define KQ_KEY_SEQUENCE "kq/seq"
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -26,6 +26,7 @@
   LOAD_WAVES,   /* state of maintenance waves */
   LOAD_LEARNED, /* which tasks disturb which, learned by earlier leaders */
   LOAD_RUNNERS, /* runners on which runs of earlier leaders may exist */
+  LOAD_AGENTS,  /* nodes that may have granted leases to them */
   LOAD_JOBS,    /* accepted jobs and cancellations */
   LOAD_PROGRESS,
   LOAD_ENTRIES, /* the runners' own entries in the store */
@@ -287,7 +288,8 @@
 /* Keys of the phases that load a single value. */
 static const char *const value_keys[] = { [LOAD_WAVES] = KQ_KEY_WAVES,
                                           [LOAD_LEARNED] = KQ_KEY_LEARNED,
-                                          [LOAD_RUNNERS] = KQ_KEY_RUNNERS };
+                                          [LOAD_RUNNERS] = KQ_KEY_RUNNERS,
+                                          [LOAD_AGENTS] = KQ_KEY_AGENTS };
 
 static bool
 load_value (KqLeader *l, KqStr value, KqTime now)
@@ -296,6 +298,8 @@
     return kq_sched_waves_stored (l->sched, value);
   if (l->phase == LOAD_LEARNED)
     return kq_sched_learned (l->sched, value);
+  if (l->phase == LOAD_AGENTS)
+    return kq_sched_used_agents (l->sched, value, now);
   return kq_sched_used_runners (l->sched, value, now);
 }
 
@@ -355,6 +359,7 @@
     case LOAD_WAVES:
     case LOAD_LEARNED:
     case LOAD_RUNNERS:
+    case LOAD_AGENTS:
       l->call_pending = true;
       kq_kv_get (l->config.kv, kq_str (value_keys[l->phase]), CALL_TIMEOUT_MS, cb);
       break;
@@ -523,7 +528,8 @@
   int agent = p == NULL ? l->own_agent : kq_peer_agent (p);
   bool from_runner = i->kind == KQ_AGENT_ITEM_LIST || i->kind == KQ_AGENT_ITEM_OUTCOME
                      || i->kind == KQ_AGENT_ITEM_UNREACHED
-                     || i->kind == KQ_AGENT_ITEM_ADVICE;
+                     || i->kind == KQ_AGENT_ITEM_ADVICE
+                     || i->kind == KQ_AGENT_ITEM_GRANTS;
   /* The connection has been replaced by a newer one of the same node. Its agent number of
    * -1 must not reach the scheduler, where -1 marks runners without an agent. */
   if (from_runner && agent < 0)
@@ -550,6 +556,9 @@
     case KQ_AGENT_ITEM_FENCED:
       l->config.deposed (l->config.arg, "a runner has seen a higher epoch", now);
       break;
+    case KQ_AGENT_ITEM_GRANTS:
+      kq_sched_grants (l->sched, agent, &i->u.grants, now);
+      break;
     case KQ_AGENT_ITEM_ADVICE:
       kq_sched_advice (l->sched, agent, &i->u.advice, now);
       break;
--- a/src/sched/acknowledge_test.c
+++ b/src/sched/acknowledge_test.c
@@ -29,7 +29,7 @@
   store_progress (d);
   assert_int_equal (d->ends_acked, 1);
   kq_sched_agent_down (d->sched, d->agent, false, d->now);
-  d->agent = kq_sched_agent_up (d->sched, &next, d->now);
+  d->agent = kq_sched_fixture_add_agent (d, &next);
   kq_sched_fixture_run (d, 300 * KQ_MS);
   d->ends_acked = 0;
   kq_sched_fixture_list_partial (d, "r0", &end);
@@ -46,7 +46,7 @@
   KqEndRow end = { 1, KQ_STR ("zz.0.0.0"), 1, KQ_END_DONE, KQ_STR ("") };
   kq_sched_fixture_list_partial (d, "r0", &end);
   kq_sched_agent_down (d->sched, d->agent, false, d->now);
-  d->agent = kq_sched_agent_up (d->sched, &next, d->now);
+  d->agent = kq_sched_fixture_add_agent (d, &next);
   kq_sched_fixture_run (d, 300 * KQ_MS);
   kq_sched_fixture_list_partial (d, "r0", &end);
   assert_int_equal (d->ends_acked, 0);
--- a/src/sched/agents.c
+++ b/src/sched/agents.c
@@ -54,12 +54,33 @@
     a->lost[a->n_lost++] = a->list[agent].info.name;
 }
 
+int
+kq_agents_leader_needed (const KqAgents *a)
+{
+  int leader = -1;
+  for (int i = 0; i < a->n; i++)
+    if (a->list[i].up && !a->list[i].info.leader)
+      return -1;
+    else if (a->list[i].up)
+      leader = i;
+  return leader;
+}
+
+void
+kq_agents_set_stored (KqAgents *a, KqStr name)
+{
+  for (int i = 0; i < a->n; i++)
+    if (a->list[i].up && kq_str_eq (kq_name_str (&a->list[i].info.name), name))
+      a->list[i].stored = true;
+}
+
 static int
 count_usable (const KqAgents *a, bool include_leader)
 {
   int n = 0;
   for (int i = 0; i < a->n; i++)
-    n += a->list[i].up && (include_leader || !a->list[i].info.leader);
+    n += a->list[i].up && a->list[i].stored
+         && (include_leader || !a->list[i].info.leader);
   return n;
 }
 
@@ -91,7 +112,8 @@
       const KqAgentState *g = &a->list[i];
       int64_t share = g->info.share_milli > 0 ? g->info.share_milli : 1;
       int64_t load;
-      if (!g->up || (g->info.leader && !include_leader) || at_unlisted_limit (g))
+      if (!g->up || !g->stored || (g->info.leader && !include_leader)
+          || at_unlisted_limit (g))
         continue;
       load = (int64_t)(g->runners + 1) * 1000 * 1000 / share;
       if (!kq_str_eq (kq_name_str (&g->info.failure_domain), failure_domain))
@@ -114,7 +136,7 @@
   if (g->info.leader && !include_leader)
     return g->runners > 0;
   for (int i = 0; i < a->n; i++)
-    if (a->list[i].up && (include_leader || !a->list[i].info.leader))
+    if (a->list[i].up && a->list[i].stored && (include_leader || !a->list[i].info.leader))
       shares += a->list[i].info.share_milli;
   if (shares == 0)
     return false;
--- a/src/sched/agents.h
+++ b/src/sched/agents.h
@@ -24,6 +24,8 @@
 {
   KqAgentInfo info;
   bool up;
+  bool stored;         /* it is in the stored list of agents (sched/grantors.h) */
+  bool used;           /* it has been assigned runners */
   int runners;         /* number of runners assigned to it */
   int unlisted;        /* runners whose first list to it hasn't arrived */
   int advice_requests; /* unanswered requests to the advice service */
@@ -43,6 +45,10 @@
 int kq_agents_up (KqAgents *a, const KqAgentInfo *info);
 /* planned: it was shut down on purpose, and isn't counted as lost. */
 void kq_agents_down (KqAgents *a, int agent, bool planned);
+/* The leader's own agent if it has to be used, as no other is up; -1: it needn't be. */
+int kq_agents_leader_needed (const KqAgents *a);
+/* Notes that the agent of that name is in the stored list: it may be given runners. */
+void kq_agents_set_stored (KqAgents *a, KqStr name);
 /* The best agent for one more runner in a failure domain; -1: none is up, or all are at
  * the bound on runners whose first list hasn't arrived.
  *
--- a/src/sched/disturb_test.c
+++ b/src/sched/disturb_test.c
@@ -107,7 +107,10 @@
                       agent_info ("c", "s", 300, false) };
   (void)state;
   for (int i = 0; i < 3; i++)
-    assert_int_equal (kq_agents_up (&a, &h[i]), i);
+    {
+      assert_int_equal (kq_agents_up (&a, &h[i]), i);
+      kq_agents_set_stored (&a, kq_name_str (&h[i].name));
+    }
   for (int i = 0; i < 40; i++)
     a.list[kq_agents_pick (&a, KQ_STR ("n"))].runners++;
   assert_int_equal (a.list[0].runners, 0);
--- /dev/null
+++ b/src/sched/grantors.c
@@ -0,0 +1,252 @@
+#include "sched/grantors.h"
+
+#include "wire/pack.h"
+
+#include <stdlib.h>
+
+/* Version of the stored format, its first field. */
+#define FORMAT_VERSION 1
+/* How long a call of an agent may be under way. */
+#define CALL_MAX (900 * KQ_MS)
+
+static void
+free_grantor (gpointer p)
+{
+  KqGrantor *g = p;
+  g_hash_table_destroy (g->leases);
+  free (g);
+}
+
+GPtrArray *
+kq_grantors_new (void)
+{
+  return g_ptr_array_new_with_free_func (free_grantor);
+}
+
+static KqGrantor *
+find_grantor (const KqSched *s, KqStr name)
+{
+  for (guint i = 0; i < s->grantors->len; i++)
+    {
+      KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      if (kq_str_eq (kq_name_str (&g->name), name))
+        return g;
+    }
+  return NULL;
+}
+
+static KqGrantor *
+find_or_add (KqSched *s, KqStr name)
+{
+  KqGrantor *g = find_grantor (s, name);
+  if (g != NULL)
+    return g;
+  g = kq_alloc (sizeof *g);
+  g->name = kq_name (name);
+  g->gone = true; /* it has granted nothing yet */
+  g->leases = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
+  g_ptr_array_add (s->grantors, g);
+  return g;
+}
+
+void
+kq_grantors_agent_up (KqSched *s, const KqName *name)
+{
+  KqGrantor *g = find_or_add (s, kq_name_str (name));
+  g->up = true;
+  g->gone = false;
+  if (g->in_stored_list)
+    kq_agents_set_stored (&s->agents, kq_name_str (name));
+  else
+    s->used_runners_dirty = true;
+}
+
+void
+kq_grantors_agent_down (KqSched *s, const KqName *name, KqTime now)
+{
+  KqGrantor *g = find_grantor (s, kq_name_str (name));
+  if (g == NULL)
+    return;
+  g->up = false;
+  g->gone_at = kq_runners_latest_unseen_lease_end (s, now);
+}
+
+void
+kq_grantors_check_leader (KqSched *s, KqTime now)
+{
+  int needed = kq_agents_leader_needed (&s->agents);
+  for (int i = 0; i < s->agents.n; i++)
+    {
+      KqAgentState *a = &s->agents.list[i];
+      KqGrantor *g
+          = a->info.leader ? find_grantor (s, kq_name_str (&a->info.name)) : NULL;
+      if (i == needed && (g == NULL || !g->up))
+        kq_grantors_agent_up (s, &a->info.name);
+      if (i == needed || g == NULL || !g->up || a->runners > 0)
+        continue;
+      kq_grantors_agent_down (s, &a->info.name, now);
+      if (!a->used && !g->earlier)
+        g->gone_at = now;
+      a->stored = a->used = false;
+    }
+}
+
+void
+kq_grantors_check (KqSched *s, KqTime now)
+{
+  if (now >= s->exclusive_until)
+    return;
+  for (guint i = 0; i < s->grantors->len; i++)
+    {
+      KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      if (g->up || g->gone || now < g->gone_at)
+        continue;
+      g->gone = true;
+      s->used_runners_dirty = true;
+    }
+  if (!s->grantors_complete
+      && now >= kq_runners_latest_unseen_lease_end (s, s->started_at))
+    s->grantors_complete = s->used_runners_dirty = true;
+}
+
+bool
+kq_sched_used_agents (KqSched *s, KqStr stored, KqTime now)
+{
+  KqUnpacked u;
+  KqReader r;
+  bool good;
+  bool complete;
+  if (!kq_unpacked_open (&u, stored, &r))
+    return false;
+  good = kq_read_i64 (&r) == FORMAT_VERSION;
+  /* A leader of a version without this list may have been between. */
+  complete = kq_read_u64 (&r) + 1 == s->config.term;
+  complete = kq_read_bool (&r) && complete;
+  while (good && !r.bad && r.left > 0)
+    {
+      KqGrantor *g = find_or_add (s, kq_read_str (&r));
+      g->earlier = g->in_sent_list = g->in_stored_list = true;
+      g->gone = false;
+      kq_agents_set_stored (&s->agents, kq_name_str (&g->name));
+      g->gone_at = kq_runners_latest_unseen_lease_end (s, now);
+    }
+  good = good && !r.bad;
+  s->grantors_complete = s->earlier_grantors_known = good && complete;
+  kq_unpacked_close (&u);
+  return good;
+}
+
+void
+kq_sched_used_agents_pack (KqSched *s, KqBuf *out)
+{
+  KqPacker p;
+  size_t n = 0;
+  for (guint i = 0; i < s->grantors->len; i++)
+    {
+      KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      g->in_sent_list = !g->gone;
+      n += g->in_sent_list;
+    }
+  kq_packer_init (&p, out);
+  kq_pack_array (&p, 3 + n);
+  kq_pack_i64 (&p, FORMAT_VERSION);
+  kq_pack_u64 (&p, s->config.term);
+  kq_pack_bool (&p, s->grantors_complete);
+  for (guint i = 0; i < s->grantors->len; i++)
+    {
+      const KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      if (g->in_sent_list)
+        kq_pack_str (&p, kq_name_str (&g->name));
+    }
+}
+
+void
+kq_grantors_stored (KqSched *s)
+{
+  for (guint i = 0; i < s->grantors->len; i++)
+    {
+      KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      g->in_stored_list = g->in_sent_list;
+      if (g->in_stored_list)
+        kq_agents_set_stored (&s->agents, kq_name_str (&g->name));
+      else if (g->up)
+        s->used_runners_dirty = true; /* it has connected since the list was packed */
+    }
+  s->assign_soon = true;
+}
+
+static void
+raise_end (KqGrantor *g, KqStr runner, KqTime ends)
+{
+  char *id = kq_str_dup (runner);
+  KqTime *known = g_hash_table_lookup (g->leases, id);
+  if (known == NULL)
+    {
+      known = kq_alloc (sizeof *known);
+      g_hash_table_insert (g->leases, id, known);
+    }
+  else
+    free (id);
+  if (ends > *known)
+    *known = ends;
+}
+
+void
+kq_sched_grants (KqSched *s, int agent, const KqGrantList *l, KqTime now)
+{
+  KqGrantor *g = find_or_add (s, kq_name_str (&s->agents.list[agent].info.name));
+  KqTime restart_ends
+      = now - l->process_age_ms * KQ_MS + CALL_MAX + kq_runners_longest_lease (s);
+  if (s->settled)
+    return;
+  g->reported = true;
+  if (restart_ends > g->restart_ends)
+    g->restart_ends = restart_ends;
+  for (size_t i = 0; i < l->n_rows; i++)
+    raise_end (g, l->rows[i].runner, now + l->rows[i].left_ms * KQ_MS);
+}
+
+static KqTime
+latest_reported_end (const KqSched *s, const KqRunnerState *r)
+{
+  KqTime latest = 0;
+  for (guint i = 0; i < s->grantors->len; i++)
+    {
+      const KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      const KqTime *lease = g_hash_table_lookup (g->leases, r->id);
+      if (g->earlier && g->restart_ends > latest)
+        latest = g->restart_ends;
+      if (lease != NULL && *lease > latest)
+        latest = *lease;
+    }
+  return latest;
+}
+
+void
+kq_grantors_apply (KqSched *s, KqTime now)
+{
+  KqTime longest = 0;
+  if (!s->earlier_grantors_known || s->settled)
+    return;
+  for (guint i = 0; i < s->grantors->len; i++)
+    {
+      const KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      if (g->earlier && !g->reported)
+        return;
+    }
+  s->earlier_grantors_known = false; /* applied */
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      KqTime ends = latest_reported_end (s, r);
+      if (ends < r->earlier_lease_ends)
+        r->earlier_lease_ends = ends;
+      if (r->used_by_earlier_leader && !r->listed && r->earlier_lease_ends > longest)
+        longest = r->earlier_lease_ends;
+    }
+  kq_log (KQ_LOG_INFO, PART,
+          "All agents of earlier leaders have told their leases. agents=%u after_ms=%lld "
+          "longest_left_ms=%lld",
+          s->grantors->len, (long long)((now - s->started_at) / KQ_MS),
+          (long long)(longest > now ? (longest - now) / KQ_MS : 0));
+}
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -257,7 +257,7 @@
             "heard_ms_ago=%lld lease_left_ms=%lld",
             r->id, r->n_runs, l->n_running, l->n_ended,
             (long long)((now - r->heard_at) / KQ_MS),
-            (long long)((r->lease_ends - now) / KQ_MS));
+            (long long)((kq_runners_lease_end (r) - now) / KQ_MS));
   /* These ends were acknowledged through an earlier agent, which may not have passed the
    * acknowledgement on. */
   if (!r->listed && l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
@@ -267,6 +267,7 @@
     r->listed = true;
   r->silent = false;
   r->unsent_until = 0;
+  r->renewed = true;
   r->heard_at = now;
   kq_runners_extend_lease (r, lease, "list");
   for (size_t i = 0; i < l->n_ended; i++)
--- a/src/sched/orders_test.c
+++ b/src/sched/orders_test.c
@@ -359,7 +359,7 @@
   KqAgentInfo strong = { .name = kq_name (KQ_STR ("b")), .share_milli = 9000 };
   int b;
   start_on_r0 (d);
-  b = kq_sched_agent_up (d->sched, &strong, d->now);
+  b = kq_sched_fixture_add_agent (d, &strong);
   kq_sched_fixture_run (d, 300 * KQ_MS);
   expect_wait_for_the_earlier_agent (d, b);
 }
@@ -528,12 +528,12 @@
   KqSchedFixture *d = *state;
   KqAgentInfo b = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
   KqAgentInfo c = { .name = kq_name (KQ_STR ("c")), .share_milli = 1000 };
-  int n = kq_sched_agent_up (d->sched, &b, d->now);
+  int n = kq_sched_fixture_add_agent (d, &b);
   assert_false (kq_sched_agents_lost (d->sched));
   kq_sched_agent_down (d->sched, n, false, d->now);
-  kq_sched_agent_up (d->sched, &c, d->now);
+  kq_sched_fixture_add_agent (d, &c);
   assert_true (kq_sched_agents_lost (d->sched));
-  kq_sched_agent_up (d->sched, &b, d->now);
+  kq_sched_fixture_add_agent (d, &b);
   assert_false (kq_sched_agents_lost (d->sched));
 }
 
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -9,6 +9,7 @@
  * end just too late. */
 
 #include "sched/place.h"
+#include "sched/placing.h"
 #include "sched/waits.h"
 
 #include <stdlib.h>
--- a/src/sched/placing.c
+++ b/src/sched/placing.c
@@ -6,6 +6,8 @@
  * only the score of the runner that gets it. A step that found no runner looks only at
  * runners that have changed since. */
 
+#include "sched/placing.h"
+
 #include "sched/place.h"
 
 /* Interval at which a step that finds no runner searches all of them again: what it
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -1,7 +1,7 @@
 /* runners: the state of each runner, its assignment to an agent, and the expiry of its
  * lease, after which nothing can run there any more. */
 
-#include "sched/state.h"
+#include "sched/grantors.h"
 
 #include <stdlib.h>
 
@@ -79,20 +79,38 @@
   s->changed_last = r;
 }
 
-/* The length of a lease by the slowest clock that is allowed for. */
-static KqTime
-longest_lease (const KqSched *s)
+KqTime
+kq_runners_longest_lease (const KqSched *s)
 {
   return s->config.lease_ms * KQ_MS * (100 + CLOCK_DRIFT_PERCENT) / 100;
 }
 
-/* Latest end of a lease granted by an agent from which this leader gets no reports: one
- * of an earlier leader, or one that was lost or replaced now. Such an agent goes on
- * renewing for renew_without_leader_ms. */
-static KqTime
-latest_unseen_lease_end (const KqSched *s, KqTime now)
+KqTime
+kq_runners_latest_unseen_lease_end (const KqSched *s, KqTime now)
 {
-  return now + s->config.renew_without_leader_ms * KQ_MS + longest_lease (s);
+  return now + s->config.renew_without_leader_ms * KQ_MS + kq_runners_longest_lease (s);
+}
+
+KqTime
+kq_runners_lease_end (const KqRunnerState *r)
+{
+  return r->lease_ends > r->earlier_lease_ends ? r->lease_ends : r->earlier_lease_ends;
+}
+
+bool
+kq_runners_lease_is_over (const KqRunnerState *r, KqTime now)
+{
+  bool renewing = r->agent >= 0 && r->renewed && !r->silent;
+  return !renewing && now >= kq_runners_lease_end (r) + LEASE_MARGIN;
+}
+
+/* Notes that no lease is left on the runner. */
+static void
+set_lease_over (KqRunnerState *r, const char *from, KqTime now)
+{
+  r->lease_ends = now;
+  r->earlier_lease_ends = 0;
+  r->lease_from = from;
 }
 
 /* The name of the agent's node; "" for -1. */
@@ -136,12 +154,13 @@
 drop_agent (KqSched *s, KqRunnerState *r, KqTime now)
 {
   KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
-  KqTime ends = latest_unseen_lease_end (s, now);
   s->agents.list[r->agent].runners--;
   if (s->agents.list[r->agent].up)
     s->config.order (s->config.arg, r->agent, &drop);
   r->agent = -1;
-  kq_runners_extend_lease (r, ends, "agent changed");
+  if (r->renewed)
+    kq_runners_extend_lease (r, kq_runners_latest_unseen_lease_end (s, now),
+                             "agent changed");
 }
 
 void
@@ -163,8 +182,8 @@
 {
   for (const KqRun *run = r->runs; run != NULL; run = run->next)
     if (run->outcome_unknown || (run->order_pending && run->phase == KQ_RUN_SENDING))
-      kq_runners_extend_lease (r, run->retry_at + START_IN_FLIGHT_MAX + longest_lease (s),
-                               "start");
+      kq_runners_extend_lease (
+          r, run->retry_at + START_IN_FLIGHT_MAX + kq_runners_longest_lease (s), "start");
 }
 
 static KqRunnerState *
@@ -182,7 +201,8 @@
   r->agent = -1;
   r->slowness = 1;
   r->counts_at = r->heard_at = now;
-  r->lease_ends = s->loaded ? now : latest_unseen_lease_end (s, now);
+  r->lease_ends = now;
+  r->earlier_lease_ends = s->loaded ? 0 : kq_runners_latest_unseen_lease_end (s, now);
   r->lease_from = s->loaded ? "entry" : "earlier leader";
   g_hash_table_insert (s->runners, r->id, r);
   g_ptr_array_add (s->runner_list, r);
@@ -255,7 +275,7 @@
             "heard_ms_ago=%lld lease_over_ms=%lld lease_from=%s",
             r->id, r->n_runs, why, KQ_STR_ARG (node),
             (long long)((now - r->heard_at) / KQ_MS),
-            (long long)((now - r->lease_ends) / KQ_MS), r->lease_from);
+            (long long)((now - kq_runners_lease_end (r)) / KQ_MS), r->lease_from);
   while (r->runs != NULL)
     {
       char name[96];
@@ -307,13 +327,14 @@
               "Runner has a new agent. runner=%s agent=%.*s was=%.*s runs=%d silent=%d "
               "lease_left_ms=%lld",
               r->id, KQ_STR_ARG (node), KQ_STR_ARG (was), r->n_runs, r->silent,
-              (long long)((r->lease_ends - now) / KQ_MS));
+              (long long)((kq_runners_lease_end (r) - now) / KQ_MS));
     }
   if (r->agent >= 0)
     drop_agent (s, r, now);
   r->agent = agent;
-  r->watched = r->stale_logged = false;
+  r->watched = r->stale_logged = r->renewed = false;
   r->listed = false; /* the new agent knows neither the runner's clock nor its runs */
+  s->agents.list[agent].used = true;
   s->agents.list[agent].runners++;
   s->agents.list[agent].unlisted++;
   r->assignment = ++s->assignments;
@@ -356,6 +377,7 @@
   s->assign_soon = false;
   if (!s->loaded)
     return;
+  kq_grantors_check_leader (s, now);
   total = count_unlisted (s);
   for (guint i = 0; i < s->runner_list->len; i++)
     {
@@ -377,6 +399,8 @@
   int n = kq_agents_up (&s->agents, info);
   (void)now;
   s->pass_needed = true;
+  if (n >= 0 && !info->leader)
+    kq_grantors_agent_up (s, &info->name);
   return n;
 }
 
@@ -401,15 +425,17 @@
 void
 kq_sched_agent_down (KqSched *s, int agent, bool planned, KqTime now)
 {
-  KqTime ends = latest_unseen_lease_end (s, now);
+  KqTime ends = kq_runners_latest_unseen_lease_end (s, now);
   kq_agents_down (&s->agents, agent, planned);
+  kq_grantors_agent_down (s, &s->agents.list[agent].info.name, now);
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       if (r->agent != agent)
         continue;
       r->agent = -1;
-      kq_runners_extend_lease (r, ends, "lost agent");
+      if (r->renewed)
+        kq_runners_extend_lease (r, ends, "lost agent");
       for (KqRun *run = r->runs; run != NULL; run = run->next)
         kq_run_mark_orders_lost (s, run);
     }
@@ -432,8 +458,7 @@
 {
   end_lost_runs (s, r, "its host was taken down", now);
   r->gone = true;
-  r->lease_ends = now;
-  r->lease_from = "host taken down";
+  set_lease_over (r, "host taken down", now);
   s->used_runners_dirty = true;
 }
 
@@ -480,8 +505,7 @@
   end_lost_runs (s, r, "another runner at its address", now);
   r->listed = false;
   r->silent = true;
-  r->lease_ends = now;
-  r->lease_from = "other runner";
+  set_lease_over (r, "other runner", now);
 }
 
 static void
@@ -531,14 +555,13 @@
 void
 kq_runners_check_leases (KqSched *s, KqTime now)
 {
+  kq_grantors_check (s, now);
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      /* An agent that has yet to report may be renewing the lease. */
-      bool unreachable = r->agent < 0 || r->silent;
       if (r->in_sent_list != kq_runners_may_run (r))
         s->used_runners_dirty = true;
-      if (!unreachable || now < r->lease_ends + LEASE_MARGIN || now >= s->exclusive_until)
+      if (now >= s->exclusive_until || !kq_runners_lease_is_over (r, now))
         continue;
       if (r->n_runs > 0)
         {
@@ -553,57 +576,3 @@
         }
     }
 }
-
-/* Marks the steps whose lasting tasks ran under an earlier leader and run nowhere now, so
- * that these tasks get the priority of lost tasks. Without the mark short jobs that could
- * still meet their objective took all free room, and a lasting task was away for 22 s
- * after a change of leader. */
-static void
-mark_lost_lasting (KqSched *s, KqTime now)
-{
-  for (KqJob *j = s->open_jobs; j != NULL; j = j->next)
-    {
-      if (j->revision >= s->config.epoch)
-        continue;
-      for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
-        for (int32_t i = 0; i < j->spec.n_steps; i++)
-          if (o->steps[i].lost_since == 0
-              && kq_book_has_lost_waiting (&o->steps[i], &j->spec.steps[i]))
-            o->steps[i].lost_since = now;
-    }
-}
-
-/* The runs of earlier leaders on a runner are accounted for if it has listed its runs, or
- * has been unreachable beyond the end of its lease. */
-const KqRunnerState *
-kq_runners_first_unaccounted (const KqSched *s, KqTime now)
-{
-  for (guint i = 0; i < s->runner_list->len; i++)
-    {
-      const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      bool unreachable = r->agent < 0 || r->silent;
-      if (r->listed || !r->used_by_earlier_leader || r->gone)
-        continue;
-      if (!unreachable || now < r->lease_ends + LEASE_MARGIN)
-        return r;
-    }
-  return NULL;
-}
-
-/* Notes when all runs of earlier leaders are accounted for, on every runner that they
- * used. Until then a task of an earlier job may be running unknown to this leader, and
- * starting it could run it twice. Jobs stored in this leader's term can't have runs yet.
- */
-void
-kq_runners_check_settled (KqSched *s, KqTime now)
-{
-  if (s->settled || !s->loaded || now >= s->exclusive_until
-      || kq_runners_first_unaccounted (s, now) != NULL)
-    return;
-  s->settled = true;
-  s->pass_needed = true;
-  mark_lost_lasting (s, now);
-  kq_log (KQ_LOG_INFO, PART,
-          "All runs of earlier leaders are accounted for. after_ms=%lld",
-          (long long)((now - s->started_at) / KQ_MS));
-}
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,4 +1,4 @@
-#include "sched/state.h"
+#include "sched/grantors.h"
 
 #include "wire/pack.h"
 
@@ -97,6 +97,8 @@
   s->pools = kq_pools_new ();
   s->batch = g_ptr_array_new ();
   s->waves = kq_maintenance_new_waves ();
+  s->grantors = kq_grantors_new ();
+  s->grantors_complete = c->term <= 1; /* there was no leader before */
   s->started_at = s->next_check_at = s->stored_at = now;
   s->store_due = s->exclusive_until = KQ_TIME_NEVER;
   s->slowness_mean = 1;
@@ -117,6 +119,7 @@
   g_ptr_array_free (s->pools, TRUE);
   g_ptr_array_free (s->batch, TRUE);
   g_ptr_array_free (s->waves, TRUE);
+  g_ptr_array_free (s->grantors, TRUE);
   kq_disturb_free (s->disturb);
   free (s);
 }
@@ -293,6 +296,7 @@
 kq_sched_loaded (KqSched *s, KqTime now)
 {
   s->loaded = true;
+  s->used_runners_dirty = true; /* the stored lists carry this leader's term */
   s->pass_needed = true;
   for (KqJob *j = s->open_jobs; j != NULL; j = j->next)
     if (j->created == 0 || j->spec.n_occurrences > 0)
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -137,6 +137,21 @@
   bool more_ended; /* the runner has further ends: lists that follow have them */
 } KqRunnerList;
 
+/* A lease that an agent has granted. */
+typedef struct
+{
+  KqStr runner;
+  int64_t left_ms; /* it may last this much longer */
+} KqGrantRow;
+
+/* What an agent that has connected knows of leases granted by its node before. */
+typedef struct
+{
+  int64_t process_age_ms; /* its earlier processes have granted none since */
+  const KqGrantRow *rows;
+  size_t n_rows;
+} KqGrantList;
+
 typedef struct
 {
   uint64_t
@@ -168,6 +183,9 @@
 /* Restores the list of runners that earlier leaders used (kq_sched_used_runners_pack).
  * False: it can't be read. */
 bool kq_sched_used_runners (KqSched *s, KqStr stored, KqTime now);
+/* Restores the list of agents that earlier leaders used (kq_sched_used_agents_pack).
+ * False: it can't be read. */
+bool kq_sched_used_agents (KqSched *s, KqStr stored, KqTime now);
 /* Restores the disturbance model of an earlier leader (kq_sched_learned_pack); before any
  * job. False: it can't be read. */
 bool kq_sched_learned (KqSched *s, KqStr stored);
@@ -209,6 +227,10 @@
 void kq_sched_unreached (KqSched *s, int agent, KqStr runner, uint64_t assignment,
                          int64_t lease_left_ms, KqTime now);
 
+/* Takes an agent's report of the leases that it has granted under earlier leaders; it has
+ * released all runners before. */
+void kq_sched_grants (KqSched *s, int agent, const KqGrantList *l, KqTime now);
+
 /* Takes the answer to an order KQ_ORDER_ADVISE. */
 void kq_sched_advice (KqSched *s, int agent, const KqStepAdvice *a, KqTime now);
 
@@ -240,6 +262,8 @@
  * after inputs, and at the time that it returned. wall_ms is Unix time. */
 KqTime kq_sched_run (KqSched *s, KqTime now, int64_t wall_ms);
 
+/* Whether all runs of earlier leaders are accounted for: until then their jobs wait. */
+bool kq_sched_settled (const KqSched *s);
 /* The job's state for its client account; an end shows only once it is stored. */
 KqJobState kq_sched_state (const KqSched *s, KqStr id);
 /* The number of jobs in the queue that were accepted and have not started a task yet. */
@@ -276,7 +300,11 @@
 bool kq_sched_used_runners_pending (const KqSched *s);
 /* Appends the list in its stored form. False: it hasn't changed, nothing is appended. */
 bool kq_sched_used_runners_pack (KqSched *s, KqBuf *out);
-/* Notes that the list packed last has been stored: orders to its runners may be given. */
+/* Appends the list of agents in its stored form: those that may have granted leases that
+ * last. To be stored together with the list of runners, whenever that is packed. */
+void kq_sched_used_agents_pack (KqSched *s, KqBuf *out);
+/* Notes that the lists packed last have been stored: orders to their runners and agents
+ * may be given. */
 void kq_sched_used_runners_stored (KqSched *s);
 
 #endif
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -234,7 +234,10 @@
   bool listed;          /* it has listed its runs to this leader since it last started */
   bool silent;          /* its agent gets no answer from it */
   bool has_unknown_run; /* it lists a run of an unknown job, whose size is unknown */
-  KqTime lease_ends;    /* latest time at which a run may still exist there */
+  KqTime lease_ends;    /* latest end of a lease granted under this leader */
+  KqTime earlier_lease_ends; /* as lease_ends, under earlier leaders */
+  bool renewed; /* its agent may have granted leases since it was assigned: it has listed
+                   the runner's runs */
   const char *lease_from; /* where that time comes from, for logs */
   bool stale_logged;      /* a message of an earlier assignment was ignored and logged */
   KqTime heard_at;        /* when its last list arrived */
@@ -342,12 +345,16 @@
   double slowness_mean; /* as KqRunnerState.slowness, over all runners */
   KqDisturb *disturb;
   KqWindow window;
-  KqTime window_logged_at; /* time of the last log line on a closed window */
-  KqTime waits_logged_at;  /* time of the last log lines on what tasks wait for */
-  uint64_t steps_idle;     /* KqWaits.n_idle of the last pass */
-  GPtrArray *waves;        /* KqWave */
-  bool waves_dirty;        /* their progress differs from what was packed last */
-  GPtrArray *batch;        /* KqJob: those in the batch that is being stored */
+  KqTime window_logged_at;     /* time of the last log line on a closed window */
+  KqTime waits_logged_at;      /* time of the last log lines on what tasks wait for */
+  uint64_t steps_idle;         /* KqWaits.n_idle of the last pass */
+  GPtrArray *grantors;         /* KqGrantor */
+  bool grantors_complete;      /* they are all that may have granted leases that last */
+  bool earlier_grantors_known; /* those of earlier leaders are known, and their leases
+                                  aren't applied yet (kq_grantors_apply) */
+  GPtrArray *waves;            /* KqWave */
+  bool waves_dirty;            /* their progress differs from what was packed last */
+  GPtrArray *batch;            /* KqJob: those in the batch that is being stored */
   /* Counters; make_counters has their names and help texts. */
   uint64_t *starts;
   uint64_t *runners_examined; /* runners examined by searches for a task's runner */
@@ -458,6 +465,16 @@
 /* Notes that the runner's host has been taken down. Once the runner is unreachable as
  * well, its runs are ended without waiting for its lease. */
 void kq_runners_note_taken_down (KqSched *s, KqStr id, KqTime now);
+/* The length of a lease by the slowest clock that is allowed for. */
+KqTime kq_runners_longest_lease (const KqSched *s);
+/* Latest end of a lease granted by an agent from which this leader gets no reports: one
+ * of an earlier leader, or one that was lost or replaced now. Such an agent goes on
+ * renewing for renew_without_leader_ms. */
+KqTime kq_runners_latest_unseen_lease_end (const KqSched *s, KqTime now);
+/* The latest time at which a run may still exist on the runner. */
+KqTime kq_runners_lease_end (const KqRunnerState *r);
+/* Whether that time is over, and no agent can be renewing the lease. */
+bool kq_runners_lease_is_over (const KqRunnerState *r, KqTime now);
 /* Notes that a run may exist on the runner until `ends`, unless a later time is known.
  * `from` says where that time comes from, for logs, and must stay valid. */
 void kq_runners_extend_lease (KqRunnerState *r, KqTime ends, const char *from);
@@ -476,6 +493,7 @@
 void kq_runners_check_leases (KqSched *s, KqTime now);
 /* Assigns runners without an agent to agents, and moves some from overloaded agents. */
 void kq_runners_assign (KqSched *s, KqTime now);
+/* settle.c */
 /* The first runner whose runs of earlier leaders aren't accounted for; NULL: none. */
 const KqRunnerState *kq_runners_first_unaccounted (const KqSched *s, KqTime now);
 /* Sets KqSched.settled once all runs of earlier leaders are accounted for. */
@@ -530,37 +548,6 @@
 /* Drains and takes down hosts of the waves, as many as are due. */
 void kq_maintenance_update (KqSched *s, KqTime now);
 
-/* placing.c */
-typedef struct
-{
-  KqRunnerState *runner;
-  double score;
-} KqPlacingCandidate;
-
-/* The search for runners for the waiting tasks of one step. */
-typedef struct
-{
-  KqSched *sched;
-  KqOccurrence *occurrence;
-  int32_t step;
-  KqTime now;
-  bool built;         /* the heap has been filled */
-  bool lost;          /* the heap is for lasting tasks that have run before */
-  bool rack_known;    /* the heap was filled after a one-rack step's rack was chosen */
-  GArray *heap;       /* KqPlacingCandidate */
-  bool full_search;   /* the search is over all runners, not just changed ones */
-  guint n_unsearched; /* runners that aren't searched yet */
-  bool has_last;      /* `last` holds a runner */
-  KqPlacingCandidate last; /* the previous task's runner, which isn't in the heap */
-} KqPlacing;
-
-void kq_placing_begin (KqPlacing *p, KqSched *s, KqOccurrence *o, int32_t step,
-                       KqTime now);
-/* Returns the best runner now for the task with that index; NULL: none. The task must be
- * placed there before the next call. */
-KqRunnerState *kq_placing_next (KqPlacing *p, int32_t index);
-void kq_placing_end (KqPlacing *p);
-
 /* pass.c */
 /* Makes one placing pass: starts the waiting tasks for which there is room. */
 void kq_pass (KqSched *s, KqTime now);
--- a/src/sched/store.c
+++ b/src/sched/store.c
@@ -5,7 +5,7 @@
  * the progress that follows from them is stored; otherwise the next leader would start a
  * done task again. */
 
-#include "sched/state.h"
+#include "sched/grantors.h"
 
 #include "wire/pack.h"
 
@@ -173,4 +173,5 @@
         kq_runners_note_change (s, r);
       r->in_stored_list = r->in_sent_list;
     }
+  kq_grantors_stored (s);
 }
--- a/src/sched/takeover_test.c
+++ b/src/sched/takeover_test.c
@@ -62,11 +62,26 @@
   return kq_sched_agent_up (f->sched, &info, f->now);
 }
 
+static void
+store_lists (Fleet *f)
+{
+  KqBuf list = { 0 };
+  if (kq_sched_used_runners_pack (f->sched, &list))
+    {
+      kq_sched_used_agents_pack (f->sched, &list);
+      kq_sched_used_runners_stored (f->sched);
+    }
+  kq_buf_free (&list);
+}
+
 static void
 run (Fleet *f, KqTime span)
 {
   for (KqTime end = f->now + span; f->now < end; f->now += 10 * KQ_MS)
-    kq_sched_run (f->sched, f->now, f->now / KQ_MS);
+    {
+      store_lists (f);
+      kq_sched_run (f->sched, f->now, f->now / KQ_MS);
+    }
 }
 
 /* Sends the first list of all runners that have been assigned to an agent. */
@@ -97,7 +112,6 @@
                       .keep_ms = 60000,
                       .order = on_order,
                       .arg = f };
-  KqBuf known = { 0 };
   kq_log_set_level (KQ_LOG_ERROR);
   f->now = 100 * KQ_SEC;
   c.counters = f->counters = kq_counters_new ();
@@ -115,9 +129,7 @@
       kq_sched_entry (f->sched, &e, f->now);
     }
   kq_sched_loaded (f->sched, f->now);
-  kq_sched_used_runners_pack (f->sched, &known);
-  kq_sched_used_runners_stored (f->sched);
-  kq_buf_free (&known);
+  store_lists (f);
   *state = f;
   return 0;
 }
--- a/src/sched/window_test.c
+++ b/src/sched/window_test.c
@@ -125,7 +125,7 @@
   int before;
   submit_wide_job (d);
   kq_sched_agent_down (d->sched, d->agent, true, d->now);
-  d->agent = kq_sched_agent_up (d->sched, &info, d->now);
+  d->agent = kq_sched_fixture_add_agent (d, &info);
   kq_sched_fixture_run (d, 100 * KQ_MS);
   before = d->start_orders;
   for (int i = 0; i < 3; i++)
