--- a/src/fleet/batch.c
+++ b/src/fleet/batch.c
@@ -32,11 +32,12 @@
   bool sequence_known;
   uint64_t sequence;       /* revision of the sequence key; 0: it doesn't exist */
   bool last_write_unknown; /* the last write got no answer */
-  bool batch_open;         /* rows hold the scheduler's batch, which isn't stored yet */
-  bool runners_sent;       /* the last write included `runners` */
+  /* `rows` and `runners` hold what is to be stored, and don't change until it is: an
+   * earlier write of them may be carried out late, and then counts for all of them. */
+  bool batch_open;
   KqProgress rows[ROWS_MAX];
   size_t n_rows;
-  KqBuf runners;     /* the list of runners to be written; empty: none */
+  KqBuf runners;     /* the list of runners in the open batch; empty: none */
   KqBuf learned;     /* the learned data as last written */
   KqTime learned_at; /* when `learned` was written */
   KqTime retry_at;
@@ -80,7 +81,7 @@
   KqTime due;
   if (b->phase != IDLE)
     return KQ_TIME_NEVER;
-  if (b->batch_open || !b->sequence_known || b->runners.len > 0)
+  if (b->batch_open || !b->sequence_known)
     return b->retry_at;
   due = kq_sched_used_runners_pending (b->config.sched)
             ? 0
@@ -91,14 +92,12 @@
 static void
 finish_write (KqBatch *b, KqTime now)
 {
-  bool runners = b->runners_sent;
   b->last_write_unknown = false;
   b->batch_open = false;
   b->n_rows = 0;
-  if (runners)
+  if (b->runners.len > 0)
     {
       kq_buf_clear (&b->runners);
-      b->runners_sent = false;
       kq_sched_used_runners_stored (b->config.sched);
     }
   kq_sched_stored (b->config.sched, true, now);
@@ -208,11 +207,7 @@
   size_t n_keys = 0;
   puts[t.n_puts++] = (KqKvPut){ KQ_STR (KQ_KEY_SEQUENCE), KQ_STR ("1"), 0 };
   if (b->runners.len > 0)
-    {
-      puts[t.n_puts++]
-          = (KqKvPut){ KQ_STR (KQ_KEY_RUNNERS), kq_buf_str (&b->runners), 0 };
-      b->runners_sent = true;
-    }
+    puts[t.n_puts++] = (KqKvPut){ KQ_STR (KQ_KEY_RUNNERS), kq_buf_str (&b->runners), 0 };
   if (now - b->learned_at >= LEARNED_PERIOD)
     {
       b->learned_at = now;
@@ -255,11 +250,10 @@
     }
   if (!b->batch_open)
     {
-      if (b->runners.len == 0)
-        kq_sched_used_runners_pack (b->config.sched, &b->runners);
+      kq_sched_used_runners_pack (b->config.sched, &b->runners);
       b->n_rows = kq_sched_store_begin (b->config.sched, b->rows, ROWS_MAX, now);
-      b->batch_open = b->n_rows > 0;
+      b->batch_open = b->n_rows > 0 || b->runners.len > 0;
     }
-  if (b->n_rows > 0 || b->runners.len > 0)
+  if (b->batch_open)
     write_rows (b, now);
 }
