A write of the waves' state that is carried out late doesn't replace a newer one

What operators could see: a wave that stays `running` after all its hosts have had their maintenance, and, after a change of leader, a host that is taken down twice.

Cause: the write of kq/waves and of the statuses was conditional on the leader alone. One that got no answer could be carried out seconds later, after its repeat, and put the older state back; nothing wrote the newer one again.

Why this is enough: each write also requires the revision that the key had after the previous one, as writes of progress do. Of two writes that expect the same revision the store carries out one. A refused write learns the present revision from the refusal and is repeated, so an unknown revision costs one more call, and the leader is deposed only if the leader's key has changed.

--- a/src/fleet/waves.c
+++ b/src/fleet/waves.c
@@ -16,8 +16,8 @@
 #define MAINTENANCE_TIMEOUT_MS 1500 /* of a call to the control plane */
 #define RETRY_DELAY (300 * KQ_MS)   /* after a failed write of the waves' state */
 /* Maximum number of waves whose status one transaction can write besides `record` and the
- * check. */
-#define STATUS_MAX (KQ_KV_TXN_MAX - 2)
+ * two checks. */
+#define STATUS_MAX (KQ_KV_TXN_MAX - 3)
 
 struct KqWaves
 {
@@ -27,6 +27,7 @@
   bool freed;
   int calls_pending; /* outstanding calls to the control plane */
   KqTime retry_at;
+  uint64_t revision;      /* of the waves' key, as far as known; 0: it doesn't exist */
   KqBuf record;           /* state of all waves, for the next leader */
   KqBuf keys[STATUS_MAX]; /* keys and values of the status of each wave, for operators */
   KqBuf values[STATUS_MAX];
@@ -154,6 +155,28 @@
                         (KqMaintenanceCallback){ on_maintenance, c });
 }
 
+/* A check failed. The waves' key may have another revision than expected: an earlier
+ * leader has written it, or a write of this one was carried out without an answer. Then
+ * the next write expects the present one. */
+static void
+handle_conflict (KqWaves *w, const KqKvReply *r, KqTime now)
+{
+  uint64_t leader_revision = 0;
+  w->revision = 0;
+  for (size_t i = 0; i < r->n_items; i++)
+    if (kq_str_eq (r->items[i].key, kq_leader_key))
+      leader_revision = r->items[i].revision;
+    else if (kq_str_eq (r->items[i].key, KQ_STR (KQ_KEY_WAVES)))
+      w->revision = r->items[i].revision;
+  if (leader_revision != w->config.epoch)
+    {
+      w->config.deposed (w->config.arg, "the store has another leader", now);
+      return;
+    }
+  w->retry_at = now;
+  w->config.changed (w->config.arg);
+}
+
 static void
 on_written (void *arg, const KqKvReply *r, KqTime now)
 {
@@ -166,6 +189,7 @@
     }
   if (r->result == KQ_KV_OK)
     {
+      w->revision = r->revision;
       w->config.answered (w->config.arg, r->called_at, now);
       return;
     }
@@ -173,7 +197,7 @@
   kq_sched_waves_failed (w->config.sched);
   w->retry_at = now + RETRY_DELAY;
   if (r->result == KQ_KV_CONFLICT)
-    w->config.deposed (w->config.arg, "the store has another leader", now);
+    handle_conflict (w, r, now);
 }
 
 static void
@@ -192,9 +216,10 @@
 void
 kq_waves_write (KqWaves *w, KqTime now)
 {
-  KqKvCheck check = { kq_leader_key, w->config.epoch };
+  KqKvCheck checks[2]
+      = { { kq_leader_key, w->config.epoch }, { KQ_STR (KQ_KEY_WAVES), w->revision } };
   KqKvPut puts[1 + STATUS_MAX];
-  KqKvTxn t = { .checks = &check, .n_checks = 1, .puts = puts };
+  KqKvTxn t = { .checks = checks, .n_checks = 2, .puts = puts };
   if (w->write_pending || now < w->retry_at || !kq_sched_waves_pending (w->config.sched))
     return;
   kq_buf_clear (&w->record);
--- a/src/fleet/waves.h
+++ b/src/fleet/waves.h
@@ -6,7 +6,9 @@
  * A wave is an operator's request for maintenance of a set of hosts. Requests are
  * followed in the store; the scheduler decides when each host goes down. The state of all
  * waves is written to the store together with the status for operators, in one
- * transaction that is conditional on this node still being leader. */
+ * transaction that is conditional on this node still being leader, and on the state's key
+ * still having the revision of the previous transaction: one whose answer was lost may be
+ * carried out seconds later, and must not overwrite a newer state. */
 
 #include "port/kv.h"
 #include "sched/sched.h"
