A node that can't decode a leader's message connects again

What callers could see: tasks that never start. The rest of such a message was dropped in silence; its start orders stayed pending at the leader, which waits for their outcome as long as the connection lives.

Evidence: test_damaged_message_of_the_leader_ends_the_connection (new) failed before (the node stayed connected).

Why this is enough: on a new connection the leader assigns the runners again and counts the orders given before as lost, so that it repeats them. A leader already does the same with a node's message.

--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -309,6 +309,13 @@
         l->config.owner.from_leader (l->config.owner.arg, m->u.agent.epoch, &i, now);
       kq_agent_item_clear (&i);
     }
+  if (l->leader_conn != c || l->leaving || rest.len == 0)
+    return;
+  /* The rest may hold orders whose outcome the leader waits for. On a new connection it
+   * assigns the runners again, and no longer waits for these. */
+  kq_log (KQ_LOG_ERROR, PART, "The leader's message cannot be decoded. error=%d left=%zu",
+          KQ_ERR_FRAME_FORMAT, rest.len);
+  close_leader_conn (l, "damaged");
 }
 
 static void
--- a/src/fleet/link_test.c
+++ b/src/fleet/link_test.c
@@ -1,6 +1,8 @@
+#include "base/listen.h"
 #include "base/log.h"
 #include "bench/guard.h"
 #include "fleet/link.h"
+#include "wire/msg.h"
 
 #include <ev.h>
 
@@ -10,6 +12,8 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -294,6 +298,54 @@
   assert_int_equal (t->cancels, 1);
 }
 
+/* Accepts one connection, which it returns, and sends a message whose second item can't
+ * be decoded. */
+static int
+send_damaged_orders (int listener)
+{
+  KqAgentItem ping = { .kind = KQ_AGENT_ITEM_PING };
+  KqMsg m = { .kind = KQ_MSG_AGENT };
+  KqBuf items = { 0 };
+  KqBuf frame = { 0 };
+  int fd = accept (listener, NULL, NULL);
+  assert_true (fd >= 0);
+  kq_agent_item_pack (&ping, &items);
+  kq_buf_add (&items, "\xc1", 1); /* a byte that msgpack doesn't use */
+  m.u.agent.epoch = EPOCH;
+  m.u.agent.items = kq_buf_str (&items);
+  kq_msg_pack (&m, &frame);
+  assert_int_equal (write (fd, frame.ptr, frame.len), frame.len);
+  kq_buf_free (&items);
+  kq_buf_free (&frame);
+  return fd;
+}
+
+/* Guards against tasks that never start: the rest of a leader's message can't be decoded,
+ * and the leader goes on waiting for the outcome of the orders in it. The node has to
+ * connect again, whereupon the leader gives its orders anew. */
+static void
+test_damaged_message_of_the_leader_ends_the_connection (void **state)
+{
+  Fixture *t = *state;
+  char address[32];
+  int port;
+  int fd;
+  int listener = kq_listen ("127.0.0.1", 0, &port);
+  assert_true (listener >= 0);
+  snprintf (address, sizeof address, "127.0.0.1:%d", port);
+  kq_link_set_leader (t->node, kq_str (address), EPOCH, kq_time_now ());
+  t->until_pings = 1;
+  loop_run_with_timeout (t->node_loop, 0.1);
+  assert_true (kq_link_connected (t->node));
+  fd = send_damaged_orders (listener);
+  loop_run_with_timeout (t->node_loop, 0.1);
+  loop_run_with_timeout (t->node_loop, 0.1);
+  assert_int_equal (t->pings, 1);
+  assert_false (kq_link_connected (t->node));
+  close (fd);
+  close (listener);
+}
+
 int
 main (void)
 {
@@ -307,6 +359,8 @@
     cmocka_unit_test_setup_teardown (test_changes_arrive_as_lists, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_changes_to_another_list_end_the_connection,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_damaged_message_of_the_leader_ends_the_connection, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_planned_leave_is_announced, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_leadership_is_lost_within_a_message, set_up,
                                      tear_down)
