A runner of which its agent says nothing any more is assigned anew

What callers could see: a task that may run, has room and never starts, or, after a change of leader, all tasks of earlier jobs waiting for ever.

Cause: that an order will have an outcome, and that an assigned runner will be listed or reported as silent, rests on the agent alone. One that has dropped the runner (no word of a leader for 4 s, a higher fence), or ignores the leader's orders, says nothing, and nothing at the leader ended the wait while the connection lived.

Why this is enough: while it has a runner, an agent sends a list or reports a silence every few seconds whatever the runner does, so 24 checks (6 s) without either mean that it hasn't. The runner then counts as silent, which ends every wait for it at the end of its lease, and is assigned anew, which counts the orders given as lost and has them repeated after its next list. An agent that has reported a silence, or was just assigned the runner, renews nothing, so the lease is extended once only. Checks are counted rather than time: a leader that has hung makes none.

The fixture of the scheduler's tests let runs of 8 to 20 s pass without a word of an agent, which no agent does. Its agents now say something that tells nothing every second, unless a test makes them mute; the tests that use it are as they were.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -5,10 +5,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+static size_t
+index_of (KqStr runner)
+{
+  return (size_t)(runner.ptr[1] - '0') % 3;
+}
+
 static uint64_t *
 assignment (KqSchedFixture *d, KqStr runner)
 {
-  return &d->assignment[(size_t)(runner.ptr[1] - '0') % 3];
+  return &d->assignment[index_of (runner)];
 }
 
 static void
@@ -24,13 +30,15 @@
 on_order (void *arg, int agent, const KqOrder *o)
 {
   KqSchedFixture *d = arg;
-  (void)agent;
   if (o->kind == KQ_ORDER_STOP)
     d->stop_orders++;
   if (o->kind == KQ_ORDER_DROP)
     d->drop_orders++;
   if (o->kind == KQ_ORDER_TAKE)
-    *assignment (d, o->runner) = o->u.take.assignment;
+    {
+      *assignment (d, o->runner) = o->u.take.assignment;
+      d->taken_by[index_of (o->runner)] = agent;
+    }
   if (o->kind == KQ_ORDER_PACE)
     {
       d->pace_orders++;
@@ -68,11 +76,31 @@
   kq_str_copy (host, d->last_host_down, sizeof d->last_host_down);
 }
 
+/* Passes in an outcome for a task that doesn't exist, from each runner's agent. */
+static void
+report_nothing (KqSchedFixture *d)
+{
+  static const char *const runners[] = { "r0", "r1", "r2" };
+  d->reported_at = d->now;
+  for (size_t i = 0; i < 3; i++)
+    {
+      KqOrderOutcome o = { .kind = KQ_ORDER_PACE,
+                           .task = KQ_STR ("none.0.0.0"),
+                           .lease_left_ms = -1,
+                           .assignment = d->assignment[i] };
+      kq_sched_outcome (d->sched, d->taken_by[i], kq_str (runners[i]), &o, d->now);
+    }
+}
+
 void
 kq_sched_fixture_run (KqSchedFixture *d, KqTime span)
 {
   for (KqTime end = d->now + span; d->now < end; d->now += 10 * KQ_MS)
-    kq_sched_run (d->sched, d->now, d->now / KQ_MS);
+    {
+      kq_sched_run (d->sched, d->now, d->now / KQ_MS);
+      if (!d->mute && d->now - d->reported_at >= KQ_SEC)
+        report_nothing (d);
+    }
 }
 
 static void
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -41,6 +41,9 @@
   GArray *starts_pending;  /* KqSchedFixtureStart: START orders without an outcome */
   uint64_t outcomes_sent;  /* outcomes passed in so far */
   uint64_t assignment[3];  /* number in the last TAKE order of r0 to r2 */
+  int taken_by[3];         /* the agent that got that order */
+  bool mute;               /* the agents say nothing while the scheduler runs */
+  KqTime reported_at;      /* when they last said something */
   KqBuf used_runners;      /* the stored list of runners in use, packed */
   int64_t started_ms;      /* start of the runner process in lists; 1 at first */
   int drop_orders;         /* DROP orders so far */
@@ -54,7 +57,8 @@
 /* Replaces the scheduler by that of a new leader, which gets the stored list and the
  * runners' entries. The caller passes the jobs in and calls kq_sched_loaded. */
 void kq_sched_fixture_new_leader (KqSchedFixture *d);
-/* Runs the scheduler every 10 ms for the span. */
+/* Runs the scheduler every 10 ms for the span. Unless mute, each agent sends something
+ * about its runners every second that tells nothing of them. */
 void kq_sched_fixture_run (KqSchedFixture *d, KqTime span);
 /* Passes in a list of the runner with these ends and no runs. */
 void kq_sched_fixture_list (KqSchedFixture *d, const char *runner, const KqEndRow *ends,
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -1,7 +1,7 @@
 /* lists: applies what agents report of runners: lists of running and ended runs, and the
  * results of orders. */
 
-#include "sched/state.h"
+#include "sched/reports.h"
 
 #include <string.h>
 
@@ -231,7 +231,7 @@
 {
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTime lease = now + l->lease_left_ms * KQ_MS;
-  if (r == NULL || !kq_runners_is_current_agent (s, r, agent, l->assignment, "list"))
+  if (r == NULL || !kq_reports_is_current_agent (s, r, agent, l->assignment, "list"))
     return;
   if (l->started_ms != 0 && r->started_ms != 0 && l->started_ms != r->started_ms)
     {
@@ -384,7 +384,7 @@
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTaskRef t;
   KqRun *run;
-  if (r == NULL || !kq_runners_is_current_agent (s, r, agent, o->assignment, "outcome")
+  if (r == NULL || !kq_reports_is_current_agent (s, r, agent, o->assignment, "outcome")
       || !kq_book_find_task (s, o->task, &t))
     return;
   ++*s->results[o->result];
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -1,7 +1,7 @@
 /* runners: the state of each runner, its assignment to an agent, and the expiry of its
  * lease, after which nothing can run there any more. */
 
-#include "sched/state.h"
+#include "sched/reports.h"
 
 #include <stdlib.h>
 
@@ -95,13 +95,6 @@
   return now + s->config.renew_without_leader_ms * KQ_MS + longest_lease (s);
 }
 
-/* The name of the agent's node; "" for -1. */
-static KqStr
-agent_node (const KqSched *s, int agent)
-{
-  return agent >= 0 ? kq_name_str (&s->agents.list[agent].info.name) : KQ_STR ("");
-}
-
 void
 kq_runners_extend_lease (KqRunnerState *r, KqTime ends, const char *from)
 {
@@ -111,37 +104,16 @@
   r->lease_from = from;
 }
 
-bool
-kq_runners_is_current_agent (const KqSched *s, KqRunnerState *r, int agent,
-                             uint64_t assignment, const char *what)
-{
-  if (r->agent == agent && r->assignment == assignment)
-    return true;
-  if (!r->stale_logged)
-    {
-      KqStr from = agent_node (s, agent);
-      KqStr current = agent_node (s, r->agent);
-      kq_log (KQ_LOG_INFO, PART,
-              "Ignoring a message of an earlier agent. runner=%s what=%s from=%.*s "
-              "agent=%.*s",
-              r->id, what, KQ_STR_ARG (from), KQ_STR_ARG (current));
-    }
-  r->stale_logged = true;
-  return false;
-}
-
-/* Takes the runner from its agent. The agent goes on renewing the lease until the order
- * arrives or it counts the leader as lost; its last lists may be in flight. */
-static void
-drop_agent (KqSched *s, KqRunnerState *r, KqTime now)
+void
+kq_runners_drop_agent (KqSched *s, KqRunnerState *r, bool may_renew, KqTime now)
 {
   KqOrder drop = { .kind = KQ_ORDER_DROP, .runner = kq_str (r->id) };
-  KqTime ends = latest_unseen_lease_end (s, now);
   s->agents.list[r->agent].runners--;
   if (s->agents.list[r->agent].up)
     s->config.order (s->config.arg, r->agent, &drop);
   r->agent = -1;
-  kq_runners_extend_lease (r, ends, "agent changed");
+  if (may_renew)
+    kq_runners_extend_lease (r, latest_unseen_lease_end (s, now), "agent changed");
 }
 
 void
@@ -228,7 +200,7 @@
   if (!r->in_stored_list)
     s->used_runners_dirty = true;
   if (moved && r->agent >= 0)
-    drop_agent (s, r, now);
+    kq_runners_drop_agent (s, r, true, now);
   kq_runners_note_change (s, r);
 }
 
@@ -248,7 +220,7 @@
 static void
 end_lost_runs (KqSched *s, KqRunnerState *r, const char *why, KqTime now)
 {
-  KqStr node = agent_node (s, r->agent);
+  KqStr node = kq_reports_agent_node (s, r->agent);
   if (r->n_runs > 0)
     kq_log (KQ_LOG_WARN, PART,
             "Runs lost without a report. runner=%s runs=%d why=%s agent=%.*s "
@@ -301,8 +273,8 @@
   KqOrder o = { .kind = KQ_ORDER_TAKE, .runner = kq_str (r->id) };
   if (r->agent >= 0 || r->listed || r->silent)
     {
-      KqStr node = agent_node (s, agent);
-      KqStr was = agent_node (s, r->agent);
+      KqStr node = kq_reports_agent_node (s, agent);
+      KqStr was = kq_reports_agent_node (s, r->agent);
       kq_log (KQ_LOG_INFO, PART,
               "Runner has a new agent. runner=%s agent=%.*s was=%.*s runs=%d silent=%d "
               "lease_left_ms=%lld",
@@ -310,9 +282,10 @@
               (long long)((r->lease_ends - now) / KQ_MS));
     }
   if (r->agent >= 0)
-    drop_agent (s, r, now);
+    kq_runners_drop_agent (s, r, true, now);
   r->agent = agent;
   r->watched = r->stale_logged = false;
+  r->unreported_checks = 0;
   r->listed = false; /* the new agent knows neither the runner's clock nor its runs */
   s->agents.list[agent].runners++;
   s->agents.list[agent].unlisted++;
@@ -454,8 +427,8 @@
 {
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTime ends = now + lease_left_ms * KQ_MS;
-  if (r == NULL || r->gone
-      || !kq_runners_is_current_agent (s, r, agent, assignment, "silence"))
+  if (r == NULL || !kq_reports_is_current_agent (s, r, agent, assignment, "silence")
+      || r->gone)
     return;
   s->assign_soon = s->assign_soon || !r->listed;
   if (!r->silent)
@@ -475,7 +448,7 @@
                           KqTime now)
 {
   KqRunnerState *r = kq_runners_find (s, runner);
-  if (r == NULL || !kq_runners_is_current_agent (s, r, agent, assignment, "other runner"))
+  if (r == NULL || !kq_reports_is_current_agent (s, r, agent, assignment, "other runner"))
     return;
   end_lost_runs (s, r, "another runner at its address", now);
   r->listed = false;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,4 +1,4 @@
-#include "sched/state.h"
+#include "sched/reports.h"
 
 #include "wire/pack.h"
 
@@ -326,6 +326,8 @@
   s->wall_minus_now_ms = wall_ms - now / KQ_MS;
   if (!s->loaded)
     return now + CHECK_INTERVAL;
+  if (now >= s->next_check_at)
+    kq_reports_check (s, now);
   if (s->assign_soon || now >= s->next_check_at)
     kq_runners_assign (s, now);
   if (now >= s->next_check_at)
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -235,6 +235,7 @@
   KqTime lease_ends;    /* latest time at which a run may still exist there */
   const char *lease_from; /* where that time comes from, for logs */
   bool stale_logged;      /* a message of an earlier assignment was ignored and logged */
+  int unreported_checks;  /* checks since its agent's last report: sched/reports.h */
   KqTime heard_at;        /* when its last list arrived */
   int agent;              /* the agent assigned to it; -1: none */
   uint64_t assignment;    /* number of its assignment to the agent (order TAKE) */
@@ -452,11 +453,10 @@
 /* Notes that a run may exist on the runner until `ends`, unless a later time is known.
  * `from` says where that time comes from, for logs, and must stay valid. */
 void kq_runners_extend_lease (KqRunnerState *r, KqTime ends, const char *from);
-/* Whether a message of that agent and assignment belongs to the runner's present
- * assignment. If not, it is late and must be ignored; the first such message is logged,
- * `what` naming its kind. */
-bool kq_runners_is_current_agent (const KqSched *s, KqRunnerState *r, int agent,
-                                  uint64_t assignment, const char *what);
+/* Takes the runner from its agent. may_renew: until the order arrives or it counts the
+ * leader as lost, the agent goes on renewing the lease; its last lists may be in flight.
+ */
+void kq_runners_drop_agent (KqSched *s, KqRunnerState *r, bool may_renew, KqTime now);
 /* Ends or stops the runs from before a restart of the runner, which was noticed by a list
  * that its agent requested after sending `order` results. */
 void kq_runners_handle_restart (KqSched *s, KqRunnerState *r, uint64_t order, KqTime now);
