A late list of the process before a restart isn't taken for another restart

What callers could see: a task that runs twice. After such a list the agent computes the next lease by the clock of the process that is gone; the young process takes that end for one far ahead, and the leader is told of a shorter lease.

Cause: only answers without the time of the process's start were compared with the restart that had been noticed. A list names it, and a different one always counted as a restart whose clock holds, also when the list had been asked for before.

Evidence: test_late_list_of_the_process_before_a_restart (new) failed before: a lease to 35200 on the runner's clock instead of 5100.

Why this is enough: what was asked for before the restart was noticed, names another process than the present one and has a higher clock doesn't change the clock by which leases are computed. Whichever process it came from, a lease by the lower clock is too short rather than too long. It still counts as another process for acknowledgements and verified connections, which start anew.

--- a/src/agent/agent_test.c
+++ b/src/agent/agent_test.c
@@ -396,6 +396,28 @@
   answer_start (100, later, later);
 }
 
+/* Guards against a task that runs twice: a list from the process before a restart, which
+ * arrives after one from the process since, is taken for another restart. The next lease
+ * is computed from its clock, and ends later than the leader is told. */
+static void
+test_late_list_of_the_process_before_a_restart (void **state)
+{
+  KqTime now = kq_time_now ();
+  KqTime later = now + 500 * KQ_MS;
+  KqRunnerReply earlier
+      = { .clock_ms = 30200, .started_ms = 1, .called_at = now, .send_started_at = now };
+  (void)state;
+  assign_runner (1);
+  answer_poll (KQ_ORDER_OK, 1, 30000, now);
+  answer_poll (KQ_ORDER_OK, 2, 100, later);
+  assert_non_null (t.verification.done); /* has been in flight since the first list */
+  t.verification.done (t.verification.arg, &earlier, later);
+  t.verification.done = NULL;
+  t.lease_end_ms = -1;
+  run_loop ();
+  assert_int_equal (t.lease_end_ms, 100 + LEASE_MS);
+}
+
 /* Guards against a task that runs twice: a start reaches a restarted runner, and the
  * leader doesn't learn of the lease that the task has there. */
 static void
@@ -521,6 +543,8 @@
     cmocka_unit_test_setup_teardown (test_delayed_messages_grant_nothing, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_clock_after_a_restart, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_late_list_of_the_process_before_a_restart,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_start_after_a_restart_reports_its_lease, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_clock_after_a_restart_and_reassignment, set_up,
--- a/src/agent/lease.c
+++ b/src/agent/lease.c
@@ -28,6 +28,15 @@
   return n->clock_ms < least_clock_ms (l, now) - length_ms;
 }
 
+/* Whether the answer names another process than the present one, and the call was sent
+ * before the last restart was noticed: by its clock it comes from the process before. */
+static bool
+is_from_earlier_process (const KqLease *l, const KqLeaseReply *n, KqTime now)
+{
+  return n->started_ms != 0 && l->started_ms != 0 && n->started_ms != l->started_ms
+         && n->sent_at < l->restart_seen_at && n->clock_ms > least_clock_ms (l, now);
+}
+
 bool
 kq_lease_update (KqLease *l, const KqLeaseReply *n, int64_t length_ms, KqTime now)
 {
@@ -35,6 +44,10 @@
   bool restarted;
   if (n->clock_ms < 0 || (n->started_ms == 0 && n->sent_at < l->restart_seen_at))
     return false;
+  /* Should it come from a later process after all, a lease by the present one's lower
+   * clock is too short rather than too long. */
+  if (is_from_earlier_process (l, n, now))
+    return true;
   restarted = shows_restart (l, n, length_ms, now);
   if (restarted)
     {
--- a/src/agent/lease.h
+++ b/src/agent/lease.h
@@ -32,7 +32,8 @@
 
 void kq_lease_init (KqLease *l);
 /* Updates *l from a runner's answer. length_ms: the full length of a lease. True: the
- * runner has restarted, and numbers its ends from 1 again. */
+ * answer comes from another process than the last one did; each numbers its ends from 1.
+ */
 bool kq_lease_update (KqLease *l, const KqLeaseReply *n, int64_t length_ms, KqTime now);
 /* Time until the lease has certainly ended, in ms of this node's clock, also if the
  * runner's clock is slow; -1: the runner's clock isn't known. */
