Stored ends that an agent reports again are acknowledged again

What could be seen: a runner that goes on listing ends whose effects are stored, and five polls a second of it, until another task ends there.

Cause: the leader acknowledges each end once. An agent that takes an answer for one of another process forgets the acknowledgement and reports the ends again, which the leader only noticed in the first list after a change of agent.

Evidence: test_agent_that_reports_stored_ends_again_is_told (new) failed before (no acknowledgement).

Why this is enough: a repeated end shows that the acknowledgement hasn't arrived, whatever the cause. Agents send an end once as long as they remember it, so this costs no message otherwise.

--- a/src/sched/acknowledge_test.c
+++ b/src/sched/acknowledge_test.c
@@ -36,6 +36,22 @@
   assert_int_equal (d->ends_acked, 1);
 }
 
+/* Guards against ends that a runner lists for ever, and more calls to it: its agent
+ * forgets the acknowledgement, as it believes that the runner has restarted, and reports
+ * the ends again. */
+static void
+test_agent_that_reports_stored_ends_again_is_told (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqEndRow end = { 1, KQ_STR ("zz.0.0.0"), 1, KQ_END_DONE, KQ_STR ("") };
+  kq_sched_fixture_list (d, "r0", &end, 1);
+  store_progress (d);
+  assert_int_equal (d->ends_acked, 1);
+  d->ends_acked = 0;
+  kq_sched_fixture_list (d, "r0", &end, 1);
+  assert_int_equal (d->ends_acked, 1);
+}
+
 /* Guards against an acknowledgement before the end is stored: the runner would forget an
  * end that no later leader knows of. */
 static void
@@ -60,6 +76,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_next_agent_is_told_of_stored_ends,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_agent_that_reports_stored_ends_again_is_told,
+                                     kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (
         test_next_agent_is_not_told_of_ends_before_they_are_stored,
         kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -249,9 +249,9 @@
             r->id, r->n_runs, l->n_running, l->n_ended,
             (long long)((now - r->heard_at) / KQ_MS),
             (long long)((r->lease_ends - now) / KQ_MS));
-  /* These ends were acknowledged through an earlier agent, which may not have passed the
-   * acknowledgement on. */
-  if (!r->listed && l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
+  /* These ends were acknowledged, but an earlier agent may not have passed it on, or this
+   * one may have forgotten it at an apparent restart of the runner. */
+  if (l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
     kq_runners_acknowledge (s, r);
   s->assign_soon = s->assign_soon || !r->listed;
   if (!l->more_ended)
