A call that waits for a connection ends at its timeout

What could be seen: an order, or a poll, whose outcome comes seconds late, while the runner's other calls hang: its start's room stays reserved, and the task waits.

Cause: libcurl 7.88 doesn't apply its timeout to a transfer that waits because the allowed number of connections to its host are in use. It noticed only when another call ended.

Evidence: test_call_that_waits_for_a_connection_times_out (new) failed before: a call with a timeout of 300 ms ended after 3900 ms, with the calls before it.

Why this is enough: the check for inactive calls, ten times a second, also ends calls of which nothing has been sent when their time is over. They have had no effect, and are reported so. Calls that have been sent are still timed by libcurl, which reads an answer that has arrived before it gives up.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -54,6 +54,7 @@
   KqTime last_activity;
   KqTime idle_limit_us;   /* the present timeout of inactivity */
   KqTime idle_timeout_us; /* the one from the response's first byte on */
+  KqTime ends_at;         /* when total_ms is over; KQ_TIME_NEVER: no limit */
   KqBuf head;             /* header lines received so far */
   int64_t length;         /* Content-Length; -1: unknown */
   bool head_delivered;
@@ -318,6 +319,17 @@
   return 0;
 }
 
+/* Whether the call has timed out and libcurl won't notice: it is inactive, or it waits
+ * for a connection while others use all that are allowed to its host. */
+static bool
+has_timed_out (const KqHttpCall *c, KqTime now)
+{
+  if (c->send_started_at == 0 && now > c->ends_at)
+    return true;
+  return c->idle_limit_us > 0 && !c->paused && !c->read_paused
+         && now - c->last_activity > c->idle_limit_us;
+}
+
 /* Ends inactive calls. A target that accepts a connection and never responds would
  * otherwise hold the call, and its slot, until total_ms, or forever if that is 0. */
 static void
@@ -331,8 +343,7 @@
       next = c->next;
       if (c->cancelled)
         free_call (c);
-      else if (c->idle_limit_us > 0 && !c->paused && !c->read_paused
-               && now - c->last_activity > c->idle_limit_us)
+      else if (has_timed_out (c, now))
         {
           c->idle = true;
           finish_call (c, CURLE_OPERATION_TIMEDOUT);
@@ -542,6 +553,7 @@
                                                   : c->idle_timeout_us;
   c->opened_before = r->opened_before;
   restart_idle_time (c);
+  c->ends_at = r->total_ms > 0 ? c->last_activity + r->total_ms * KQ_MS : KQ_TIME_NEVER;
   set_options (c, r);
   set_headers (c, r);
   c->next = cl->first;
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -331,6 +331,39 @@
   assert_int_equal (f->outcome, KQ_HTTP_TIMED_OUT);
 }
 
+static void
+on_other_done (void *arg, KqHttpCall *c, KqHttpOutcome outcome)
+{
+  (void)arg;
+  (void)c;
+  (void)outcome;
+}
+
+/* Guards against a call that ends seconds after its timeout, or never: all connections to
+ * its target are in use by calls with longer timeouts, and it waits for one. */
+static void
+test_call_that_waits_for_a_connection_times_out (void **state)
+{
+  Fixture *f = *state;
+  KqHttpRequest longer = { .method = "GET", .total_ms = 4000 };
+  KqHttpRequest shorter = { .method = "GET", .total_ms = 300 };
+  KqHttpCallback other = { f, NULL, NULL, NULL, on_other_done };
+  char url[128];
+  KqTime begun;
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/never",
+            kq_http_server_port (f->server));
+  longer.url = url;
+  for (int i = 0; i < 4; i++)
+    kq_http_call (f->client, &longer, &other);
+  loop_run_with_timeout (f->loop, 0.1);
+  begun = kq_time_now ();
+  start (f, "/never", &shorter);
+  run (f);
+  assert_true (f->done);
+  assert_int_equal (f->outcome, KQ_HTTP_NOT_SENT);
+  assert_in_range (kq_time_now () - begun, 200 * KQ_MS, 1000 * KQ_MS);
+}
+
 /* A listening socket outside of the event loop, so that a test can send a response while
  * the loop is blocked. */
 static int
@@ -478,6 +511,8 @@
     cmocka_unit_test_setup_teardown (test_blocked_first_write_is_sent, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_call_uses_old_connection_only, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_call_that_waits_for_a_connection_times_out,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_unresponsive_target_times_out, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_timed_out_calls_end_together, set_up,
