--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "http/curl_headers.h"
+
 #include <curl/curl.h>
 #include <ev.h>
 #include <glib.h>
@@ -396,47 +398,6 @@
   free (cl);
 }
 
-static bool
-has_header (const KqHttpRequest *r, const char *name)
-{
-  size_t n = strlen (name);
-  for (size_t i = 0; i < r->n_headers; i++)
-    {
-      if (r->headers[i].name.len == n
-          && strncasecmp (r->headers[i].name.ptr, name, n) == 0)
-        return true;
-    }
-  return false;
-}
-
-static void
-set_headers (KqHttpCall *c, const KqHttpRequest *r)
-{
-  /* Headers that libcurl would add; removed unless the caller sets them. */
-  static const char *const added[] = { "Accept", "Content-Type", "User-Agent", "Expect" };
-  KqBuf line = { 0 };
-  for (size_t i = 0; i < r->n_headers; i++)
-    {
-      kq_buf_clear (&line);
-      /* libcurl sends a header without a value only if it ends in a semicolon. */
-      if (r->headers[i].value.len == 0)
-        kq_buf_printf (&line, "%.*s;", KQ_STR_ARG (r->headers[i].name));
-      else
-        kq_buf_printf (&line, "%.*s: %.*s", KQ_STR_ARG (r->headers[i].name),
-                       KQ_STR_ARG (r->headers[i].value));
-      c->headers = curl_slist_append (c->headers, line.ptr);
-    }
-  for (size_t i = 0; i < sizeof added / sizeof added[0]; i++)
-    {
-      kq_buf_clear (&line);
-      kq_buf_printf (&line, "%s:", added[i]);
-      if (!has_header (r, added[i]))
-        c->headers = curl_slist_append (c->headers, line.ptr);
-    }
-  kq_buf_free (&line);
-  curl_easy_setopt (c->easy, CURLOPT_HTTPHEADER, c->headers);
-}
-
 static void
 set_body (KqHttpCall *c, const KqHttpRequest *r)
 {
@@ -555,7 +516,8 @@
   restart_idle_time (c);
   c->ends_at = r->total_ms > 0 ? c->last_activity + r->total_ms * KQ_MS : KQ_TIME_NEVER;
   set_options (c, r);
-  set_headers (c, r);
+  c->headers = kq_curl_headers (r);
+  curl_easy_setopt (c->easy, CURLOPT_HTTPHEADER, c->headers);
   c->next = cl->first;
   if (cl->first != NULL)
     cl->first->prev = c;
