A node whose own record is reported while it reads it back becomes leader

What could be seen: no leader for 1.5 s and an election more, after the answer to the write that made a node leader was lost.

Cause: the node reads the record back to see who leads. If its watch reported the record meanwhile, the node took it for another one's, dropped the answer to the read and never renewed the lease.

Evidence: test_own_record_is_reported_while_it_is_read_back (new) failed before (not elected in 2 s).

Why this is enough: a record with the lease of the write whose answer is awaited is this node's own, and the read after the write decides, as the answer to the write would.

--- a/src/election/election.c
+++ b/src/election/election.c
@@ -378,8 +378,9 @@
   record.epoch = i->revision;
   e->known_term = extra.term;
   e->known_term_revision = extra.term > 0 ? i->revision : 0;
-  if (e->phase == WRITING_RECORD && extra.lease == e->lease)
-    return; /* the answer to our own write is still to come */
+  if ((e->phase == WRITING_RECORD || e->phase == CHECKING_RECORD)
+      && extra.lease == e->lease)
+    return; /* the answer to our own write, or to the read after it, is still to come */
   if (e->phase == LEADING && i->revision <= e->record.epoch)
     return;
   stop_leading (e, "another node leads", now);
--- a/src/election/election_test.c
+++ b/src/election/election_test.c
@@ -56,6 +56,8 @@
   int term_reads;
   bool slow_renewals; /* renewals are answered after a minute */
   bool unavailable;
+  bool slow_reads;
+  int record_reads;            /* of the leader's record */
   bool hold_watch;             /* watches aren't answered for now */
   uint64_t held_back_deletion; /* revision of a deletion that was held back; 0: none */
   uint64_t revoked_lease;      /* the last lease revoked by a call; 0: none */
@@ -78,7 +80,8 @@
   (void)kv;
   (void)timeout_ms;
   fake.term_reads += kq_str_eq (key, KQ_STR ("kq/term"));
-  add (GET, cb, KQ_MS)->key = kq_str_dup (key);
+  fake.record_reads += kq_str_eq (key, kq_leader_key);
+  add (GET, cb, fake.slow_reads ? 100 * KQ_MS : KQ_MS)->key = kq_str_dup (key);
 }
 
 void
@@ -373,6 +376,20 @@
   assert_int_equal (r->epoch, fake.leader_revision);
 }
 
+/* Guards against a time without a leader, for the length of a lease: the write's answer
+ * is lost, and while the node reads the record back, its watch reports it. The node takes
+ * it for another one's. */
+static void
+test_own_record_is_reported_while_it_is_read_back (void **state)
+{
+  Rig *r = *state;
+  fake.lose_txn_answer = fake.slow_reads = fake.hold_watch = true;
+  assert_true (run_until (&fake.record_reads, 1));
+  fake.hold_watch = false;
+  assert_true (run_until (&r->elected, 1));
+  assert_int_equal (r->epoch, fake.leader_revision);
+}
+
 static void
 test_expired_lease_ends_leadership (void **state)
 {
@@ -536,6 +553,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_vacant_leadership_is_taken, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_lost_answer_to_the_write, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_own_record_is_reported_while_it_is_read_back,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_expired_lease_ends_leadership, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_deleted_key_ends_leadership, set_up, tear_down),
