A test holds that a lost page and a lost history are made up for

That a leader knows each accepted job rests on kq_follow alone when the node's message is lost; no test had it list a second page, or list again after a 410. No fault was found: it passes on the code as it was.

--- a/src/fleet/follow_test.c
+++ b/src/fleet/follow_test.c
@@ -8,6 +8,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -21,6 +22,11 @@
   KqKvCallback cb;
   int answered;
   int failed;
+  int lists;
+  char after[16]; /* of the last page asked for */
+  int items;      /* reported by the follower */
+  int gone;
+  char last[16]; /* the last key reported or gone */
 } store;
 
 void
@@ -39,8 +45,9 @@
 {
   (void)kv;
   (void)prefix;
-  (void)after;
   (void)answer_ms;
+  store.lists++;
+  kq_str_copy (after, store.after, sizeof store.after);
   store.cb = cb;
 }
 
@@ -58,17 +65,19 @@
 on_item (void *arg, const KqKvItem *i, KqTime now)
 {
   (void)arg;
-  (void)i;
   (void)now;
+  store.items++;
+  kq_str_copy (i->key, store.last, sizeof store.last);
 }
 
 static void
 on_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
   (void)arg;
-  (void)key;
   (void)revision;
   (void)now;
+  store.gone++;
+  kq_str_copy (key, store.last, sizeof store.last);
 }
 
 static void
@@ -172,12 +181,66 @@
     assert_in_range (kq_follow_retry_ms (&rand, n, false), 50, 400);
 }
 
+static void
+answer_page (KqKvItem *items, size_t n, bool more)
+{
+  KqKvReply r = { .result = KQ_KV_OK, .items = items, .n_items = n, .more = more };
+  r.revision = 7;
+  store.cb.done (store.cb.arg, &r, kq_time_now ());
+}
+
+/* Runs the loop until n pages have been asked for. */
+static void
+await_list (KqLoop *loop, int n)
+{
+  for (int i = 0; i < 1000 && store.lists < n; i++)
+    ev_run (kq_loop_ev (loop), EVRUN_ONCE);
+  assert_int_equal (store.lists, n);
+}
+
+/* Guards against accepted jobs that no leader knows: the answer to a page of the list is
+ * lost, or the history that the watch needs is gone. */
+static void
+test_lost_page_and_lost_history_are_made_up_for (void **state)
+{
+  KqLoop *loop = kq_loop_new ();
+  KqFollowOwner owner = { NULL, on_item, on_gone, on_synced, on_answered, on_failed };
+  KqKvItem a = { .key = KQ_STR ("j/a"), .revision = 2 };
+  KqKvItem b = { .key = KQ_STR ("j/b"), .revision = 3 };
+  KqKvItem c[2] = { b, { .key = KQ_STR ("j/c"), .revision = 9 } };
+  KqFollow *f;
+  (void)state;
+  memset (&store, 0, sizeof store);
+  kq_log_set_level (KQ_LOG_ERROR);
+  f = kq_follow_new (loop, NULL, KQ_STR ("j/"), WAIT_MS, 0, &owner);
+  answer_page (&a, 1, true);
+  answer (KQ_KV_UNKNOWN); /* the second page */
+  await_list (loop, 3);
+  assert_string_equal (store.after, "j/a");
+  answer_page (&b, 1, false);
+  assert_int_equal (store.items, 2);
+  assert_int_equal (store.watches, 1);
+
+  answer (KQ_KV_COMPACTED);
+  await_list (loop, 4);
+  assert_string_equal (store.after, "");
+  answer_page (c, 2, false);
+  assert_int_equal (store.items, 3); /* j/c is new, j/b is known */
+  assert_int_equal (store.gone, 1);
+  assert_string_equal (store.last, "j/a");
+  assert_int_equal (store.watches, 2);
+  kq_follow_free (f);
+  answer (KQ_KV_UNKNOWN);
+  kq_loop_free (loop);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_cut_answers_are_retried_apart),
           cmocka_unit_test (test_silent_store_is_retried_often),
-          cmocka_unit_test (test_return_of_the_store_is_noticed_at_once) };
+          cmocka_unit_test (test_return_of_the_store_is_noticed_at_once),
+          cmocka_unit_test (test_lost_page_and_lost_history_are_made_up_for) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
