A read that the store refuses at once is repeated after a pause

What could be seen: hundreds of reads a second from each client's question for a state, while the store refuses or resets calls; all of them are paid for and count against its limit.

Cause: writes and the read before a cancellation were repeated after a growing delay, the reads for a state at once.

Evidence: test_refused_read_is_repeated_after_a_pause (new) failed before (the next read was sent in the callback of the refused one). test_job_that_no_leader_knows_is_read (new) passed before: it holds that only the store's own answer makes a 410.

Why this is enough: all repeats of a request go through the same delay now, and end with the same limits as before.

--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -301,7 +301,7 @@
         refuse (q, "the store doesn't answer", RETRY_STORE_MS,
                 q->handler->counts.refused_store, now);
       else if (may_retry (q, now))
-        read_from_store (q, q->step);
+        schedule_retry (q, q->step, now);
       else
         refuse (q, "the store can't be read", RETRY_STORE_MS,
                 q->handler->counts.refused_store, now);
--- a/src/fleet/front_test.c
+++ b/src/fleet/front_test.c
@@ -23,12 +23,14 @@
 static struct
 {
   CallKind call; /* the outstanding one */
+  char key[32];  /* of the last read */
   int timeout_ms;
   KqKvCallback cb;
   KqReachState store;
   bool leader_reaches_store; /* the leader reaches the store */
   bool has_leader;           /* there is a leader */
-  uint64_t leader_call;      /* the last query to the leader; 0: none */
+  uint64_t leader_call;      /* the last job that the leader is to write; 0: none */
+  uint64_t state_call;       /* the last question for a job's state; 0: none */
   int replies;
   KqFrontReply reply; /* the last one */
 } fake;
@@ -37,7 +39,7 @@
 kq_kv_get (KqKv *kv, KqStr key, int timeout_ms, KqKvCallback cb)
 {
   (void)kv;
-  (void)key;
+  kq_str_copy (key, fake.key, sizeof fake.key);
   fake.call = GET;
   fake.timeout_ms = timeout_ms;
   fake.cb = cb;
@@ -102,6 +104,8 @@
   (void)now;
   if (fake.has_leader && query->u.ask.what == KQ_ASK_ACCEPT)
     fake.leader_call = query->u.ask.call;
+  if (fake.has_leader && query->u.ask.what == KQ_ASK_STATE)
+    fake.state_call = query->u.ask.call;
   return fake.has_leader;
 }
 
@@ -328,6 +332,64 @@
   assert_int_equal (fake.leader_call, 0);
 }
 
+static void
+ask_for_state (Test *t)
+{
+  KqFrontRequest r
+      = { .kind = KQ_FRONT_READ, .path = KQ_STR ("/jobs/j1"), .deadline_ms = 3000 };
+  fake.store = KQ_REACH_UP;
+  kq_front_handler_request (t->handler, NULL, &r, kq_time_now ());
+}
+
+/* Guards against a job that is accepted and said not to exist: the leader hasn't heard of
+ * it yet, or there is no leader. Only the store knows that there is none. */
+static void
+test_job_that_no_leader_knows_is_read (void **state)
+{
+  static const KqKvResult found[] = { KQ_KV_OK, KQ_KV_NOT_FOUND };
+  static const KqReplyKind replies[] = { KQ_REPLY_STATE, KQ_REPLY_NO_JOB };
+  Test *t = *state;
+  for (int i = 0; i < 2; i++)
+    {
+      fake.has_leader = true;
+      ask_for_state (t);
+      kq_front_handler_answer (t->handler, fake.state_call, KQ_JOB_UNKNOWN,
+                               kq_time_now ());
+      assert_string_equal (fake.key, "kq/in/j/j1");
+      answer (found[i]);
+      assert_int_equal (fake.reply.kind, replies[i]);
+
+      fake.has_leader = false;
+      ask_for_state (t);
+      assert_string_equal (fake.key, "kq/p/j1");
+      answer (KQ_KV_NOT_FOUND);
+      assert_string_equal (fake.key, "kq/in/x/j1");
+      answer (KQ_KV_NOT_FOUND);
+      assert_string_equal (fake.key, "kq/in/j/j1");
+      answer (found[i]);
+      assert_int_equal (fake.reply.kind, replies[i]);
+    }
+}
+
+/* Guards against hundreds of calls a second to a store in trouble: a read that it refuses
+ * at once is repeated at once. */
+static void
+test_refused_read_is_repeated_after_a_pause (void **state)
+{
+  Test *t = *state;
+  ask_for_state (t);
+  assert_int_equal (fake.call, GET);
+  answer (KQ_KV_REFUSED);
+  assert_int_equal (fake.call, NO_CALL);
+  run_for (t, 0.25);
+  assert_int_equal (fake.call, GET);
+  assert_string_equal (fake.key, "kq/p/j1");
+  answer (KQ_KV_NOT_FOUND);
+  assert_string_equal (fake.key, "kq/in/x/j1");
+  answer (KQ_KV_OK);
+  assert_int_equal (fake.reply.kind, KQ_REPLY_STATE);
+}
+
 #define FIXTURE_TEST(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
 int
@@ -348,6 +410,8 @@
           FIXTURE_TEST (test_no_leader_refuses),
           FIXTURE_TEST (test_leader_without_a_write_refuses),
           FIXTURE_TEST (test_leader_without_a_reply_leaves_the_outcome_unknown),
-          FIXTURE_TEST (test_no_time_for_the_leader_refuses_at_once) };
+          FIXTURE_TEST (test_no_time_for_the_leader_refuses_at_once),
+          FIXTURE_TEST (test_job_that_no_leader_knows_is_read),
+          FIXTURE_TEST (test_refused_read_is_repeated_after_a_pause) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
