Changed jobs take turns in the batches of progress, and ends are acknowledged under load

What callers could see: beside a slow store, or with many jobs at work, some completed jobs shown as running until the load falls. What runners saw: ends that are never acknowledged meanwhile. A runner lists 500 of them; tasks that end after those aren't seen to end, and their room isn't used.

Cause: a batch holds 27 jobs and took the first changed ones in the order of a hash table, so with more than 27 that keep changing it was always the same ones. Ends were acknowledged only by a batch that left none out. And jobs left out were due again only if an end had been received.

Why this is enough: the jobs that changed first are stored first, so each is stored after those that waited before it. When a batch leaves some out, the ends received so far are marked; they are covered once a batch leaves out only jobs that became dirty after the mark, as each job that they changed has been stored since. The order is a count, not a time, so that the clocks of callers don't matter.

--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -167,6 +167,8 @@
 mark_dirty (KqSched *s, KqJob *j, KqTime now, bool urgent)
 {
   KqTime due = s->stored_at + (urgent ? STORE_INTERVAL_URGENT : STORE_INTERVAL);
+  if (!j->dirty)
+    j->dirty_number = ++s->dirty_count;
   j->dirty = true;
   if (due < now)
     due = now;
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -236,7 +236,7 @@
   if (l->started_ms != 0 && r->started_ms != 0 && l->started_ms != r->started_ms)
     {
       kq_runners_handle_restart (s, r, l->order, now);
-      r->ends_seen = r->ends_stored = r->ends_batch = 0;
+      r->ends_seen = r->ends_stored = r->ends_batch = r->ends_marked = 0;
       r->failed_count = r->done_count = 0;
       r->suspect_until = 0;
     }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -112,7 +112,8 @@
   KqJobState stored_state; /* the last state that has been stored */
   bool begun;              /* some task has been started */
   bool cancelled;
-  bool dirty; /* progress differs from what is stored */
+  bool dirty;            /* progress differs from what is stored */
+  uint64_t dirty_number; /* KqSched.dirty_count when it became so */
   KqTime accepted_at;
   KqTime ended_at;
   KqSpent spent; /* totals for the log line at its end */
@@ -241,6 +242,7 @@
   uint64_t assignment;    /* number of its assignment to the agent (order TAKE) */
   uint64_t ends_seen;     /* the highest KqEndRow.number in its lists */
   uint64_t ends_batch;    /* the highest whose effects are stored or in the open batch */
+  uint64_t ends_marked;   /* the highest at KqSched.ends_mark */
   uint64_t ends_stored;   /* the highest whose effects are stored */
   bool watched;           /* its agent has been told to report often */
   /* Its health, by the ends of tasks there. */
@@ -256,8 +258,7 @@
   int n_lasting;         /* number of lasting tasks there that aren't filling */
   int64_t lasting_milli; /* cpu that the n_lasting tasks reserve, as a part of `used` */
   int serving_images[KQ_DISTURB_IMAGES_MAX];    /* serving tasks per image */
-  double filling_shares[KQ_DISTURB_IMAGES_MAX]; /* share of the cpu that each filling
-                                                   image asks for */
+  double filling_shares[KQ_DISTURB_IMAGES_MAX]; /* cpu share that each image asks for */
   uint32_t filling_images; /* a bit for each image with a share above */
   KqRun *serving_runs;     /* runs of tasks with a latency target */
   uint64_t closed_pass;    /* the placing pass for which closed_to_filling was computed */
@@ -322,20 +323,20 @@
   uint64_t changes;            /* number of calls of kq_runners_note_change so far */
   KqRunnerState *changed_last; /* all runners, the last changed first */
   guint scan_from;             /* index of the runner at which the next search begins */
-  bool used_runners_dirty;     /* the list of used runners has changed since it was last
-                                  packed */
-  bool assign_soon;            /* an agent may be able to take a runner that has none */
-  int64_t wall_minus_now_ms;   /* Unix time less KqTime, in ms */
+  bool used_runners_dirty; /* the list of used runners differs from the one packed last */
+  bool assign_soon;        /* an agent may be able to take a runner that has none */
+  int64_t wall_minus_now_ms; /* Unix time less KqTime, in ms */
   KqTime started_at;
   KqTime exclusive_until; /* no other node can be leader before this time */
   bool job_held_back;     /* a job waits until no other leader is possible again */
-  KqTime
-      next_pass_at; /* the next placing pass is due then at the latest; 0: none is due */
-  KqTime next_check_at; /* next check of runs, leases, agents, jobs and waves */
+  KqTime next_pass_at;    /* the next placing pass is due by then; 0: none is due */
+  KqTime next_check_at;   /* next check of runs, leases, agents, jobs and waves */
   KqTime store_due; /* when changed progress is due to be stored; KQ_TIME_NEVER: none */
   KqTime stored_at; /* when the last batch was begun */
   bool batch_open;  /* a batch has been begun and not ended by kq_sched_stored */
   bool ends_dirty;  /* some received ends aren't covered by a batch yet */
+  uint64_t dirty_count; /* how often a job has become dirty */
+  uint64_t ends_mark;   /* dirty_count when all ends_marked were set; 0: they aren't */
   double slowness_mean; /* as KqRunnerState.slowness, over all runners */
   KqDisturb *disturb;
   KqWindow window;
--- a/src/sched/store.c
+++ b/src/sched/store.c
@@ -18,49 +18,89 @@
  */
 #define KEYS_PER_JOB 3
 
+static bool
+has_expired (const KqSched *s, const KqJob *j, KqTime now)
+{
+  return j->stored_state >= KQ_JOB_COMPLETED && !j->dirty && j->n_runs == 0
+         && now - j->ended_at > s->config.keep_ms * KQ_MS;
+}
+
+/* Changed jobs before expired ones, and those first that changed first. */
+static gint
+compare_jobs (gconstpointer a, gconstpointer b)
+{
+  const KqJob *x = *(KqJob *const *)a;
+  const KqJob *y = *(KqJob *const *)b;
+  if (x->dirty != y->dirty)
+    return x->dirty ? -1 : 1;
+  return x->dirty_number < y->dirty_number ? -1 : x->dirty_number > y->dirty_number;
+}
+
+/* Notes which ends are covered by the batch or stored already. left: the dirty_number of
+ * the first changed job that the batch leaves out; UINT64_MAX: it leaves none out. Under
+ * load it always does. Then the present ends are marked, and covered by the first batch
+ * that leaves out only jobs that changed later. */
+static void
+note_covered_ends (KqSched *s, uint64_t left)
+{
+  bool all = left == UINT64_MAX;
+  bool marked = s->ends_mark != 0 && s->ends_mark < left;
+  bool mark = s->ends_mark == 0 || marked;
+  for (guint i = 0; i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      if (all)
+        r->ends_batch = r->ends_seen;
+      else if (marked && r->ends_marked > r->ends_batch)
+        r->ends_batch = r->ends_marked;
+      if (mark)
+        r->ends_marked = r->ends_seen;
+    }
+  if (all)
+    s->ends_mark = 0;
+  else if (mark)
+    s->ends_mark = s->dirty_count;
+  if (all)
+    s->ends_dirty = false;
+}
+
 size_t
 kq_sched_store_begin (KqSched *s, KqProgress *rows, size_t max, KqTime now)
 {
+  GPtrArray *jobs = g_ptr_array_new ();
   GHashTableIter it;
   gpointer value;
   size_t n = 0;
   size_t units = 0;
-  bool more = false;
+  uint64_t left = UINT64_MAX;
+  s->store_due = KQ_TIME_NEVER;
   g_hash_table_iter_init (&it, s->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value))
+    if (((KqJob *)value)->dirty || has_expired (s, value, now))
+      g_ptr_array_add (jobs, value);
+  g_ptr_array_sort (jobs, compare_jobs);
+  for (guint i = 0; i < jobs->len; i++)
     {
-      KqJob *j = value;
-      bool expired = j->stored_state >= KQ_JOB_COMPLETED && !j->dirty && j->n_runs == 0
-                     && now - j->ended_at > s->config.keep_ms * KQ_MS;
-      if (!j->dirty && !expired)
-        continue;
-      units += expired ? KEYS_PER_JOB : 1;
+      KqJob *j = g_ptr_array_index (jobs, i);
+      units += j->dirty ? 1 : KEYS_PER_JOB;
       if (units > max)
         {
-          more = true;
+          left = j->dirty ? j->dirty_number : UINT64_MAX;
+          s->store_due = now + ACKNOWLEDGE_INTERVAL;
           break;
         }
       kq_buf_clear (&j->batch);
-      if (!expired)
+      if (j->dirty)
         kq_progress_pack (j, &j->batch);
       rows[n].id = j->spec.id;
       rows[n].value = kq_buf_str (&j->batch);
-      rows[n++].remove = expired;
+      rows[n++].remove = !j->dirty;
       j->dirty = false;
       g_ptr_array_add (s->batch, j);
     }
-  if (!more)
-    {
-      /* All changes by the ends received so far are in this batch or already stored. */
-      for (guint i = 0; i < s->runner_list->len; i++)
-        {
-          KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-          r->ends_batch = r->ends_seen;
-        }
-      s->ends_dirty = false;
-    }
+  g_ptr_array_free (jobs, TRUE);
+  note_covered_ends (s, left);
   s->batch_open = true;
-  s->store_due = KQ_TIME_NEVER;
   s->stored_at = now;
   if (n == 0)
     kq_sched_stored (s, true, now);
