--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -568,16 +568,7 @@
     case KQ_AGENT_ITEM_CANCEL:
       handle_cancel (l, i->u.cancel.id, now);
       break;
-    case KQ_AGENT_ITEM_ORDER:
-    case KQ_AGENT_ITEM_ANSWER:
-    case KQ_AGENT_ITEM_PING:
-    case KQ_AGENT_ITEM_HELLO:
-    case KQ_AGENT_ITEM_HEARTBEAT:
-    case KQ_AGENT_ITEM_ASK:
-    case KQ_AGENT_ITEM_UNKNOWN:
-    case KQ_AGENT_ITEM_WELCOME:
-    case KQ_AGENT_ITEM_CHANGES: /* fleet/link.c has turned these into a LIST */
-    case KQ_AGENT_ITEM_LEAVE:
+    default: /* not from a node, or handled by fleet/fleet.c or fleet/link.c */
       break;
     }
 }
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "http/curl_headers.h"
+
 #include <curl/curl.h>
 #include <ev.h>
 #include <glib.h>
@@ -54,6 +56,7 @@
   KqTime last_activity;
   KqTime idle_limit_us;   /* the present timeout of inactivity */
   KqTime idle_timeout_us; /* the one from the response's first byte on */
+  KqTime ends_at;         /* when total_ms is over; KQ_TIME_NEVER: no limit */
   KqBuf head;             /* header lines received so far */
   int64_t length;         /* Content-Length; -1: unknown */
   bool head_delivered;
@@ -318,6 +321,17 @@
   return 0;
 }
 
+/* Whether the call has timed out and libcurl won't notice: it is inactive, or it waits
+ * for a connection while others use all that are allowed to its host. */
+static bool
+has_timed_out (const KqHttpCall *c, KqTime now)
+{
+  if (c->send_started_at == 0 && now > c->ends_at)
+    return true;
+  return c->idle_limit_us > 0 && !c->paused && !c->read_paused
+         && now - c->last_activity > c->idle_limit_us;
+}
+
 /* Ends inactive calls. A target that accepts a connection and never responds would
  * otherwise hold the call, and its slot, until total_ms, or forever if that is 0. */
 static void
@@ -331,8 +345,7 @@
       next = c->next;
       if (c->cancelled)
         free_call (c);
-      else if (c->idle_limit_us > 0 && !c->paused && !c->read_paused
-               && now - c->last_activity > c->idle_limit_us)
+      else if (has_timed_out (c, now))
         {
           c->idle = true;
           finish_call (c, CURLE_OPERATION_TIMEDOUT);
@@ -385,47 +398,6 @@
   free (cl);
 }
 
-static bool
-has_header (const KqHttpRequest *r, const char *name)
-{
-  size_t n = strlen (name);
-  for (size_t i = 0; i < r->n_headers; i++)
-    {
-      if (r->headers[i].name.len == n
-          && strncasecmp (r->headers[i].name.ptr, name, n) == 0)
-        return true;
-    }
-  return false;
-}
-
-static void
-set_headers (KqHttpCall *c, const KqHttpRequest *r)
-{
-  /* Headers that libcurl would add; removed unless the caller sets them. */
-  static const char *const added[] = { "Accept", "Content-Type", "User-Agent", "Expect" };
-  KqBuf line = { 0 };
-  for (size_t i = 0; i < r->n_headers; i++)
-    {
-      kq_buf_clear (&line);
-      /* libcurl sends a header without a value only if it ends in a semicolon. */
-      if (r->headers[i].value.len == 0)
-        kq_buf_printf (&line, "%.*s;", KQ_STR_ARG (r->headers[i].name));
-      else
-        kq_buf_printf (&line, "%.*s: %.*s", KQ_STR_ARG (r->headers[i].name),
-                       KQ_STR_ARG (r->headers[i].value));
-      c->headers = curl_slist_append (c->headers, line.ptr);
-    }
-  for (size_t i = 0; i < sizeof added / sizeof added[0]; i++)
-    {
-      kq_buf_clear (&line);
-      kq_buf_printf (&line, "%s:", added[i]);
-      if (!has_header (r, added[i]))
-        c->headers = curl_slist_append (c->headers, line.ptr);
-    }
-  kq_buf_free (&line);
-  curl_easy_setopt (c->easy, CURLOPT_HTTPHEADER, c->headers);
-}
-
 static void
 set_body (KqHttpCall *c, const KqHttpRequest *r)
 {
@@ -542,8 +514,10 @@
                                                   : c->idle_timeout_us;
   c->opened_before = r->opened_before;
   restart_idle_time (c);
+  c->ends_at = r->total_ms > 0 ? c->last_activity + r->total_ms * KQ_MS : KQ_TIME_NEVER;
   set_options (c, r);
-  set_headers (c, r);
+  c->headers = kq_curl_headers (r);
+  curl_easy_setopt (c->easy, CURLOPT_HTTPHEADER, c->headers);
   c->next = cl->first;
   if (cl->first != NULL)
     cl->first->prev = c;
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -1,7 +1,7 @@
 /* lists: applies what agents report of runners: lists of running and ended runs, and the
  * results of orders. */
 
-#include "sched/state.h"
+#include "sched/reports.h"
 
 #include <string.h>
 
@@ -240,12 +240,12 @@
 {
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTime lease = now + l->lease_left_ms * KQ_MS;
-  if (r == NULL || !kq_runners_is_current_agent (s, r, agent, l->assignment, "list"))
+  if (r == NULL || !kq_reports_is_current_agent (s, r, agent, l->assignment, "list"))
     return;
   if (l->started_ms != 0 && r->started_ms != 0 && l->started_ms != r->started_ms)
     {
       kq_runners_handle_restart (s, r, l->order, now);
-      r->ends_seen = r->ends_stored = r->ends_batch = 0;
+      r->ends_seen = r->ends_stored = r->ends_batch = r->ends_marked = 0;
       r->failed_count = r->done_count = 0;
       r->suspect_until = 0;
     }
@@ -258,9 +258,9 @@
             r->id, r->n_runs, l->n_running, l->n_ended,
             (long long)((now - r->heard_at) / KQ_MS),
             (long long)((kq_runners_lease_end (r) - now) / KQ_MS));
-  /* These ends were acknowledged through an earlier agent, which may not have passed the
-   * acknowledgement on. */
-  if (!r->listed && l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
+  /* These ends were acknowledged, but an earlier agent may not have passed it on, or this
+   * one may have forgotten it at an apparent restart of the runner. */
+  if (l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
     kq_runners_acknowledge (s, r);
   s->assign_soon = s->assign_soon || !r->listed;
   if (!l->more_ended)
@@ -405,7 +405,7 @@
   KqRunnerState *r = kq_runners_find (s, runner);
   KqTaskRef t;
   KqRun *run;
-  if (r == NULL || !kq_runners_is_current_agent (s, r, agent, o->assignment, "outcome")
+  if (r == NULL || !kq_reports_is_current_agent (s, r, agent, o->assignment, "outcome")
       || !kq_book_find_task (s, o->task, &t))
     return;
   ++*s->results[o->result];
