A runner on a host that was to be maintained takes tasks again once its host is back

Callers saw waiting tasks beside free room: the runner's flag host_leaving was set on the runner that had an entry when its host began to drain, and cleared on the one that had an entry when the host was back. If the entry was missing at that moment (an outage of the store), or another runner of the host had one, the first one got no tasks for good.

The flag now follows from the phases of the waves' hosts, at each check, call and entry. A repeated call keeps the runner of the first one as the old runner, as an unanswered call may have been carried out; else the new runner would be taken for the old one.

test_runner_whose_entry_was_missing_is_used_again and test_runner_beside_another_on_its_host_is_used_again failed before (0 starts, 1 expected).

--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -248,13 +248,11 @@
 }
 
 static void
-begin_drain (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
+begin_drain (const KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
 {
-  KqRunnerState *r = runner_on (s, h->host);
+  const KqRunnerState *r = runner_on (s, h->host);
   h->phase = KQ_HOST_DRAINING;
   h->since = now;
-  if (r != NULL)
-    r->host_leaving = true;
   kq_log (KQ_LOG_INFO, PART,
           "Draining a host for maintenance. wave=%lld host=%s runner=%s runs=%d",
           (long long)w->number, h->host, r != NULL ? r->id : "-",
@@ -265,8 +263,13 @@
 call_maintenance (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
 {
   const KqRunnerState *r = runner_on (s, h->host);
-  free (h->old_runner);
-  h->old_runner = r != NULL ? kq_str_dup (kq_str (r->id)) : NULL;
+  /* An unanswered call may have been carried out: the runner that is there when it is
+   * repeated may be the new one. */
+  if (h->phase != KQ_HOST_CALLED || h->old_runner == NULL)
+    {
+      free (h->old_runner);
+      h->old_runner = r != NULL ? kq_str_dup (kq_str (r->id)) : NULL;
+    }
   h->phase = KQ_HOST_CALLED;
   h->since = now;
   h->again_at = KQ_TIME_NEVER; /* until the answer */
@@ -280,16 +283,50 @@
   return r != NULL && (h->old_runner == NULL || strcmp (r->id, h->old_runner) != 0);
 }
 
+/* Whether the maintenance of the host may still end the runner, which is on it. */
+static bool
+may_end_runner (const KqWaveHost *h, const KqRunnerState *r)
+{
+  switch (h->phase)
+    {
+    case KQ_HOST_WAITING:
+    case KQ_HOST_BACK:
+      return false;
+    case KQ_HOST_DRAINING:
+      return true;
+    case KQ_HOST_CALLED:
+    case KQ_HOST_DOWN:
+      break;
+    }
+  return h->old_runner == NULL || !is_new_runner (r, h);
+}
+
+bool
+kq_maintenance_may_end (const KqSched *s, const KqRunnerState *r)
+{
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      const KqWave *w = g_ptr_array_index (s->waves, i);
+      for (size_t k = 0; k < w->n_hosts; k++)
+        if (may_end_runner (&w->hosts[k], r) && strcmp (w->hosts[k].host, r->host) == 0)
+          return true;
+    }
+  return false;
+}
+
+/* Sets host_leaving of all runners by the phases of their hosts. An entry may be missing
+ * or new at any change of phase, so no single change could set and clear it. */
 static void
-return_to_service (KqSched *s, const KqWaveHost *h)
+update_leaving (KqSched *s)
 {
-  KqRunnerState *r = runner_on (s, h->host);
-  if (r != NULL)
+  for (guint i = 0; i < s->runner_list->len; i++)
     {
-      r->host_leaving = false;
-      kq_runners_note_change (s, r);
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      bool before = r->host_leaving;
+      r->host_leaving = kq_maintenance_may_end (s, r);
+      if (before && !r->host_leaving)
+        kq_runners_note_change (s, r);
     }
-  s->pass_needed = true;
 }
 
 /* Whether the host can be used again. During the time that a maintenance takes, a new
@@ -326,10 +363,7 @@
       break;
     case KQ_HOST_DOWN:
       if (is_back (s, h, r, now))
-        {
-          h->phase = KQ_HOST_BACK;
-          return_to_service (s, h);
-        }
+        h->phase = KQ_HOST_BACK;
       break;
     }
 }
@@ -369,6 +403,7 @@
       if (w->requested)
         update_wave (s, w, now);
     }
+  update_leaving (s);
 }
 
 /* Whether the runner that was on the host at the call started before the wave, so that
@@ -405,12 +440,10 @@
     case KQ_MAINTENANCE_FOREIGN:
       h->phase = KQ_HOST_BACK; /* it has gone for good: nothing to wait for */
       s->waves_dirty = true;
-      return_to_service (s, h);
       break;
     case KQ_MAINTENANCE_BUSY:
       h->phase = KQ_HOST_WAITING;
       h->again_at = now + RETRY_BUSY;
-      return_to_service (s, h);
       break;
     case KQ_MAINTENANCE_LIMITED:
       h->again_at = now + RETRY_LIMITED;
@@ -420,6 +453,7 @@
       h->again_at = now + RETRY_UNANSWERED;
       break;
     }
+  update_leaving (s);
 }
 
 /* Version of the stored format, its first field. */
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -30,17 +30,23 @@
   kq_sched_fixture_run (d, SETTLE);
 }
 
-/* Replaces the host's runner by a new one, as a maintenance does. */
 static void
-replace_runner (KqSchedFixture *d, const char *old, const char *id, const char *host)
+add_entry (KqSchedFixture *d, const char *id, const char *host)
 {
   KqRunnerEntry e = { .id = kq_str (id),
                       .service = KQ_STR ("desk"),
                       .address = KQ_STR ("127.0.0.1:1"),
                       .host = kq_str (host),
                       .room = { 4000, 16000, 0 } };
-  kq_sched_entry_gone (d->sched, kq_str (old), d->now);
   kq_sched_entry (d->sched, &e, d->now);
+}
+
+/* Replaces the host's runner by a new one, as a maintenance does. */
+static void
+replace_runner (KqSchedFixture *d, const char *old, const char *id, const char *host)
+{
+  kq_sched_entry_gone (d->sched, kq_str (old), d->now);
+  add_entry (d, id, host);
   kq_sched_fixture_run (d, 2 * KQ_SEC + SETTLE);
 }
 
@@ -228,6 +234,56 @@
   assert_string_equal (d->runner, "r0");
 }
 
+/* Guards against a runner that gets no tasks for good. Its entry was missing when its
+ * host came back into service, and came again later: an outage of the store had removed
+ * it. */
+static void
+test_runner_whose_entry_was_missing_is_used_again (void **state)
+{
+  KqSchedFixture *d = *state;
+  kq_sched_fixture_run (d, FIRST_CALL);
+  request_wave (d, 1, 1);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->hosts_down, 1);
+  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r0"), d->now);
+  for (int i = 0; i < 24; i++)
+    {
+      kq_sched_fixture_list (d, "r0", NULL, 0);
+      kq_sched_fixture_run (d, 500 * KQ_MS);
+    }
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  add_entry (d, "r0", "h0");
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r0");
+}
+
+/* As above: for a while the host has two entries, and the call comes to nothing, as the
+ * host is busy. */
+static void
+test_runner_beside_another_on_its_host_is_used_again (void **state)
+{
+  KqSchedFixture *d = *state;
+  kq_sched_fixture_run (d, FIRST_CALL);
+  add_entry (d, "r2", "h1");
+  kq_sched_fixture_store_used_runners (d);
+  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_list (d, "r2", NULL, 0);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  request_wave (d, 2, 2);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->hosts_down, 2);
+  add_entry (d, "r1", "h1");
+  kq_sched_maintenance_ended (d->sched, 4, KQ_STR ("h1"), KQ_MAINTENANCE_BUSY, d->now);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r2");
+}
+
 static bool
 is_in_stored_list (KqSchedFixture *d, const char *id)
 {
@@ -334,6 +390,8 @@
     FIXTURE_TEST (test_tasks_that_may_not_be_away),
     FIXTURE_TEST (test_next_leader_continues_wave),
     FIXTURE_TEST (test_host_that_was_done_before_is_used_again),
+    FIXTURE_TEST (test_runner_whose_entry_was_missing_is_used_again),
+    FIXTURE_TEST (test_runner_beside_another_on_its_host_is_used_again),
     FIXTURE_TEST (test_runner_taken_down_is_not_waited_for),
     FIXTURE_TEST (test_drained_runner_is_not_waited_for),
     FIXTURE_TEST (test_drained_runner_with_an_end_is_waited_for),
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -215,6 +215,7 @@
   set_string (&r->host, e->host);
   r->room = e->room;
   r->in_store = true;
+  r->host_leaving = kq_maintenance_may_end (s, r);
   if (r->gone && e->started_ms != r->started_ms)
     {
       r->gone = r->taken_down = false;
@@ -371,33 +372,6 @@
     }
 }
 
-int
-kq_sched_agent_up (KqSched *s, const KqAgentInfo *info, KqTime now)
-{
-  int n = kq_agents_up (&s->agents, info);
-  (void)now;
-  s->pass_needed = true;
-  return n;
-}
-
-int
-kq_sched_agent_find (const KqSched *s, KqStr name)
-{
-  for (int i = 0; i < s->agents.n; i++)
-    {
-      const KqAgentState *a = &s->agents.list[i];
-      if (a->up && kq_str_eq (kq_name_str (&a->info.name), name))
-        return i;
-    }
-  return -1;
-}
-
-int
-kq_sched_agent_share (const KqSched *s, int agent)
-{
-  return s->agents.list[agent].info.share_milli;
-}
-
 void
 kq_sched_agent_down (KqSched *s, int agent, bool planned, KqTime now)
 {
@@ -418,12 +392,6 @@
   s->pass_needed = true;
 }
 
-bool
-kq_sched_agents_lost (const KqSched *s)
-{
-  return s->agents.n_lost > 0;
-}
-
 /* Ends all runs of a runner whose host is down for maintenance. Neither this leader nor a
  * later one has to wait for its lease: waiting delayed all earlier jobs for 9 s after a
  * change of leader with 18 hosts down. */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -305,6 +305,39 @@
           (long long)((now - s->started_at) / KQ_MS));
 }
 
+int
+kq_sched_agent_up (KqSched *s, const KqAgentInfo *info, KqTime now)
+{
+  int n = kq_agents_up (&s->agents, info);
+  (void)now;
+  s->pass_needed = true;
+  return n;
+}
+
+int
+kq_sched_agent_find (const KqSched *s, KqStr name)
+{
+  for (int i = 0; i < s->agents.n; i++)
+    {
+      const KqAgentState *a = &s->agents.list[i];
+      if (a->up && kq_str_eq (kq_name_str (&a->info.name), name))
+        return i;
+    }
+  return -1;
+}
+
+int
+kq_sched_agent_share (const KqSched *s, int agent)
+{
+  return s->agents.list[agent].info.share_milli;
+}
+
+bool
+kq_sched_agents_lost (const KqSched *s)
+{
+  return s->agents.n_lost > 0;
+}
+
 static void
 update_jobs (KqSched *s, KqTime now)
 {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -216,7 +216,8 @@
   char *rack;
   char *kind;
   char *host;            /* its target host; "": not known */
-  bool host_leaving;     /* its host will be taken down for maintenance soon */
+  bool host_leaving;     /* the maintenance of its host may still end it; follows from
+                            the phases of the waves' hosts */
   KqRoom room;           /* its whole capacity */
   KqRoom used;           /* what runs that may exist there reserve; filling ones no cpu */
   int64_t filling_milli; /* cpu that its filling runs ask for; not in `used` */
@@ -536,6 +537,9 @@
 GPtrArray *kq_maintenance_new_waves (void);
 /* Drains and takes down hosts of the waves, as many as are due. */
 void kq_maintenance_update (KqSched *s, KqTime now);
+/* Whether a wave takes the runner's host down and may still end the runner, which must
+ * get no tasks then. */
+bool kq_maintenance_may_end (const KqSched *s, const KqRunnerState *r);
 
 /* place.c */
 /* Whether any runner could hold a task of the step if that runner were empty. */
