A pace order that was lost is given again

Callers saw filling tasks at pace 0 that were believed to be at full speed until they counted as stalled, and filling tasks at full speed beside a serving task over its target that were believed to be slowed: the pace was recorded when its order was sent, and the result of the order was ignored.

An order that was refused for the moment, has no answer, or was given to an agent that was lost since leaves the pace unknown, and it is ordered again with the runner's next list. As an order without an answer may be carried out seconds later, after a newer one, the newest pace is then repeated each second until that can't happen any more, and once more at the end. A repeat of the same pace doesn't count as progress. A reported load at full speed ends the doubt only where full speed is what was ordered; else the order has been lost.

--- a/src/sched/harm_test.c
+++ b/src/sched/harm_test.c
@@ -139,6 +139,23 @@
   assert_int_equal (d->stop_orders, 0);
 }
 
+/* Reports tails that rise and fall, with a filling task that takes slack, until the
+ * latter is slowed; returns the number of the next report. */
+static int
+report_until_slowed (KqSchedFixture *d, const Setup *s)
+{
+  int n;
+  for (n = 0; n < 56 && d->slow_pace_orders == 0; n++)
+    {
+      double wave = sin (2 * M_PI * n * 0.5 / PERIOD_S);
+      double alone = TARGET_MS * (0.45 + 0.2 * wave);
+      double slack = TARGET_MS / alone - 0.7;
+      report (d, s, n, TARGET_MS / slack, alone);
+    }
+  assert_true (d->slow_pace_orders > 0);
+  return n;
+}
+
 /* A filling task that takes slack from a serving task must be slowed. The serving task
  * beside it is over its target whenever the load is high; this must be found within the
  * first two periods of the load. */
@@ -149,14 +166,30 @@
   Setup s;
   set_up_serving (d, &s);
   start_filling (d, &s);
-  for (int n = 0; n < 56 && d->slow_pace_orders == 0; n++)
+  report_until_slowed (d, &s);
+}
+
+/* Guards against a serving task over its target for long: the order that slows the
+ * filling task beside it was lost, and the load reported shows that task at full speed.
+ */
+static void
+test_lost_order_to_slow_is_repeated (void **state)
+{
+  KqSchedFixture *d = *state;
+  Setup s;
+  int n;
+  int orders;
+  set_up_serving (d, &s);
+  start_filling (d, &s);
+  n = report_until_slowed (d, &s);
+  for (int i = 0; i < 4; i++)
     {
-      double wave = sin (2 * M_PI * n * 0.5 / PERIOD_S);
-      double alone = TARGET_MS * (0.45 + 0.2 * wave);
-      double slack = TARGET_MS / alone - 0.7;
-      report (d, &s, n, TARGET_MS / slack, alone);
+      orders = d->slow_pace_orders;
+      kq_sched_fixture_outcome (d, KQ_ORDER_PACE, s.filling.runner, s.filling.task,
+                                s.filling.run, KQ_ORDER_UNHEALTHY);
+      report (d, &s, n + i, TARGET_MS * 1.5, TARGET_MS * 0.6);
+      assert_int_equal (d->slow_pace_orders, orders + 1);
     }
-  assert_true (d->slow_pace_orders > 0);
 }
 
 int
@@ -167,6 +200,8 @@
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_disturbing_filling_task_is_slowed,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_lost_order_to_slow_is_repeated,
+                                     kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -108,16 +108,17 @@
     to = 0;
   if (to > 100 - CHANGE_MIN_PERCENT / 2)
     to = 100;
-  if (run->pace_unknown || kq_pace_worth_order (run->pace, to))
+  if (kq_run_pace_is_doubtful (run, now) || kq_pace_worth_order (run->pace, to))
     kq_run_set_pace (s, run, to, now);
 }
 
-/* Clears pace_unknown if the reported load shows that the task runs at full speed, so
- * that no earlier leader has slowed it. */
+/* Clears pace_unknown if the reported load shows that the task runs at full speed, as it
+ * should. */
 static void
 check_full_speed (KqRun *run)
 {
-  if (run->load >= kq_run_step (run)->cpu_milli * FULL_SPEED_LOAD_PERCENT / 100)
+  if (run->pace == 100
+      && run->load >= kq_run_step (run)->cpu_milli * FULL_SPEED_LOAD_PERCENT / 100)
     run->pace_unknown = false;
 }
 
@@ -129,7 +130,7 @@
       if (!kq_run_step (run)->filling || run->phase != KQ_RUN_RUNNING)
         continue;
       check_full_speed (run);
-      if (run->pace < 100 || run->pace_unknown)
+      if (run->pace < 100 || kq_run_pace_is_doubtful (run, now))
         order_pace (s, run, 100, now);
     }
 }
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -8,6 +8,10 @@
 /* An unanswered order is sent again after this time. A runner treats repeats of a start
  * as one start. */
 #define ORDER_RETRY_INTERVAL (150 * KQ_MS)
+/* How long after a pace order without an answer it may still be carried out, and the
+ * interval at which the newest pace is ordered again during that time. */
+#define PACE_LATE_MAX (14 * KQ_SEC)
+#define PACE_REPEAT_INTERVAL KQ_SEC
 /* Rounding error allowed in sums of shares. */
 #define SHARE_EPSILON 0.001
 
@@ -145,9 +149,54 @@
   run->start_in_window = false;
 }
 
+static void
+doubt_pace (KqRun *run, bool may_be_late)
+{
+  run->pace_unknown = true;
+  if (may_be_late)
+    run->pace_late_until = run->paced_at + PACE_LATE_MAX;
+}
+
+void
+kq_run_pace_answered (KqRun *run, KqOrderResult result)
+{
+  if (run->paces_unanswered > 0)
+    run->paces_unanswered--;
+  switch (result)
+    {
+    case KQ_ORDER_UNKNOWN:
+      doubt_pace (run, true);
+      break;
+    case KQ_ORDER_LATE:
+    case KQ_ORDER_UNHEALTHY:
+      doubt_pace (run, false);
+      break;
+    case KQ_ORDER_OK:
+    case KQ_ORDER_FENCED: /* for good: a repeat would be refused as well */
+    case KQ_ORDER_OLD_RUN:
+    case KQ_ORDER_NO_ROOM:
+    case KQ_ORDER_NO_TICKET:
+    case KQ_ORDER_OTHER_RUNNER:
+    case KQ_ORDER_BAD:
+      break;
+    }
+}
+
+bool
+kq_run_pace_is_doubtful (const KqRun *run, KqTime now)
+{
+  return run->pace_unknown
+         || (run->pace_late_until != 0
+             && (now >= run->pace_late_until
+                 || now - run->paced_at >= PACE_REPEAT_INTERVAL));
+}
+
 void
 kq_run_mark_orders_lost (KqSched *s, KqRun *run)
 {
+  if (run->paces_unanswered > 0)
+    doubt_pace (run, true);
+  run->paces_unanswered = 0;
   if (run->order_pending)
     run->outcome_unknown = true;
   run->order_pending = false;
@@ -271,8 +320,8 @@
 {
   char name[96];
   KqOrder o = { .kind = KQ_ORDER_PACE };
-  if ((run->pace == percent && !run->pace_unknown) || run->phase != KQ_RUN_RUNNING
-      || run->runner->agent < 0)
+  if ((run->pace == percent && !kq_run_pace_is_doubtful (run, now))
+      || run->phase != KQ_RUN_RUNNING || run->runner->agent < 0)
     return;
   kq_book_task_name (run, name);
   kq_log (KQ_LOG_DEBUG, PART,
@@ -280,10 +329,15 @@
           "heard_ms_ago=%lld",
           name, run->number, run->runner->id, percent, run->pace,
           (long long)((now - run->runner->heard_at) / KQ_MS));
+  if (run->pace != percent)
+    run->last_change_at = now;
   account_slowed_time (run, percent, now);
   run->pace = percent;
   run->pace_unknown = false;
-  run->last_change_at = now;
+  if (now >= run->pace_late_until)
+    run->pace_late_until = 0;
+  run->paced_at = now;
+  run->paces_unanswered++;
   o.runner = kq_str (run->runner->id);
   o.u.pace.task = kq_str (name);
   o.u.pace.run = run->number;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -176,14 +176,19 @@
   KqTime retry_at;       /* when an order without an answer is due to be repeated */
   double cpu_share;      /* cpu that it asks for, divided by the runner's whole cpu */
   int percent;           /* last reported progress, as in KqRunRow */
-  int load;           /* as in KqRunRow: a serving task's tail in ms, else cpu in use in
-                         thousandths; -1: not reported yet */
-  int pace;           /* last ordered pace, in percent */
-  bool pace_unknown;  /* an earlier leader may have ordered another pace */
-  KqTime slowed_at;   /* since when its pace is below 100; 0: it isn't */
-  bool in_list;       /* kq_sched_list has found it in the list that it is reading */
-  KqServing *serving; /* of a task with a latency target; else NULL */
-  char *checkpoint;   /* the last that its runner has reported; NULL: none */
+  int load;          /* as in KqRunRow: a serving task's tail in ms, else cpu in use in
+                        thousandths; -1: not reported yet */
+  int pace;          /* last ordered pace, in percent */
+  bool pace_unknown; /* it may have another pace: one ordered by an earlier leader, or the
+                        last order may not have been carried out */
+  int paces_unanswered;   /* pace orders of its agent without an outcome yet */
+  KqTime paced_at;        /* when its pace was last ordered */
+  KqTime pace_late_until; /* until then a pace order without an answer may be carried out,
+                             after newer ones; 0: none */
+  KqTime slowed_at;       /* since when its pace is below 100; 0: it isn't */
+  bool in_list;           /* kq_sched_list has found it in the list that it is reading */
+  KqServing *serving;     /* of a task with a latency target; else NULL */
+  char *checkpoint;       /* the last that its runner has reported; NULL: none */
   KqRunnerState *runner;
   KqRun *next; /* in the runner's list */
   KqRun *prev;
@@ -429,6 +434,10 @@
 void kq_run_send_stop (KqSched *s, KqRun *run, KqTime now);
 /* Orders a pace, in percent of full speed, unless a running run has it already. */
 void kq_run_set_pace (KqSched *s, KqRun *run, int percent, KqTime now);
+/* Whether the run's pace must be ordered again, even if it stays the same. */
+bool kq_run_pace_is_doubtful (const KqRun *run, KqTime now);
+/* Takes the result of a pace order. */
+void kq_run_pace_answered (KqRun *run, KqOrderResult result);
 /* Stores a reported checkpoint; an empty one is ignored. */
 void kq_run_set_checkpoint (KqRun *run, KqStr checkpoint);
 const KqStep *kq_run_step (const KqRun *run);
