A filling step that finds no runner holds back only steps that need as much

Callers saw filling tasks wait beside free room: a step whose image would disturb the serving tasks on all runners, or that had just come and asked for full speed, was recorded as having found no room, and each later filling step with tasks as large wasn't looked at in that pass, whatever its image and however slow it would have accepted to be.

What a filling step needs now includes its image and the speed that it asks for; a step isn't tried only if one that needs no more has found nothing. A recorded need that a newer one covers is replaced, so that the list doesn't fill up with images.

test_image_that_harms_does_not_hold_back_others and test_step_that_asks_for_more_speed_does_not_hold_back_others failed before (2 starts, 3 expected).

--- a/src/sched/harm_test.c
+++ b/src/sched/harm_test.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "bench/sched_fixture.h"
+#include "sched/disturb.h"
 
 #include <math.h>
 #include <setjmp.h>
@@ -192,6 +193,76 @@
     }
 }
 
+/* Teaches the scheduler that "harms" takes much slack from "serves", and "mild" none. */
+static void
+learn_images (KqSchedFixture *d)
+{
+  KqDisturb *m = kq_disturb_new ();
+  KqBuf stored = { 0 };
+  int serving = kq_disturb_serving (m, KQ_STR ("serves"));
+  int harms = kq_disturb_filling (m, KQ_STR ("harms"));
+  int mild = kq_disturb_filling (m, KQ_STR ("mild"));
+  for (int i = 0; i < 200; i++)
+    {
+      double shares[KQ_DISTURB_IMAGES_MAX] = { 0 };
+      shares[i % 2 == 0 ? harms : mild] = 0.3;
+      kq_disturb_learn (m, serving, i % 2 == 0 ? 0.3 * 7 : 0, 0.04, shares);
+    }
+  kq_disturb_pack (m, &stored);
+  assert_true (kq_sched_learned (d->sched, kq_buf_str (&stored)));
+  kq_buf_free (&stored);
+  kq_disturb_free (m);
+}
+
+static KqStep
+filling_step (const char *image, int32_t cpu_milli, int32_t estimate_ms)
+{
+  KqStep fills = kq_sched_fixture_step ();
+  fills.filling = true;
+  fills.cpu_milli = cpu_milli;
+  fills.estimate_ms = estimate_ms;
+  fills.image = kq_str (image);
+  return fills;
+}
+
+/* Guards against a filling task that waits beside free room: a step of another image
+ * found no runner, as that image would disturb the serving tasks on all of them. */
+static void
+test_image_that_harms_does_not_hold_back_others (void **state)
+{
+  KqSchedFixture *d = *state;
+  Setup s;
+  learn_images (d);
+  set_up_serving (d, &s);
+  for (int n = 0; n < 10; n++)
+    report_alone (d, &s, TARGET_MS * 0.7);
+  kq_sched_fixture_submit (d, "bb", filling_step ("harms", 500, 60000), false);
+  kq_sched_fixture_submit (d, "cc", filling_step ("mild", 600, 90000), false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  assert_int_equal (d->start_orders, 3);
+  assert_int_equal (strncmp (d->task, "cc", 2), 0);
+}
+
+/* As above, with one image: a step that has just come asks for full speed, and one that
+ * has waited for long takes the half of it that there is. */
+static void
+test_step_that_asks_for_more_speed_does_not_hold_back_others (void **state)
+{
+  KqSchedFixture *d = *state;
+  Setup s;
+  learn_images (d);
+  set_up_serving (d, &s);
+  for (int n = 0; n < 60; n++)
+    report_alone (d, &s, TARGET_MS * 0.5);
+  kq_sched_fixture_submit (d, "bb", filling_step ("harms", 500, 60000), false);
+  kq_sched_fixture_submit (d, "cc", filling_step ("harms", 500, 30), false);
+  report_alone (d, &s, TARGET_MS * 0.5);
+  report_alone (d, &s, TARGET_MS * 0.5);
+  report_alone (d, &s, TARGET_MS * 0.5);
+  assert_int_equal (d->start_orders, 3);
+  assert_int_equal (strncmp (d->task, "cc", 2), 0);
+}
+
 int
 main (void)
 {
@@ -202,6 +273,11 @@
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_lost_order_to_slow_is_repeated,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_image_that_harms_does_not_hold_back_others,
+                                     kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_step_that_asks_for_more_speed_does_not_hold_back_others,
+        kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -52,14 +52,17 @@
   FOR_ANY       /* any room, also what is kept free of lasting tasks */
 } RoomKind;
 
-/* The task size of a step that found no room in this pass: steps that need the same kind
- * of room, with tasks at least as large, aren't tried. */
+/* The needs of a step that found no room in this pass: steps that need the same kind of
+ * room, and at least as much, aren't tried. */
 typedef struct
 {
   const KqPool *pool;
   RoomKind kind;
   int32_t cpu_milli;
   int32_t mem_mb;
+  /* Of a filling step, as its place depends on what it does to serving tasks: */
+  int image;
+  double speed; /* the share of its full speed that it asks for */
 } NoRoom;
 #define NO_ROOM_MAX 16
 
@@ -81,15 +84,39 @@
   return starved || t->occurrence->steps[t->step].lost_since != 0 ? FOR_ANY : FOR_LASTING;
 }
 
-static bool
-known_no_room (const NoRoomList *m, const WaitingStep *t, KqTime now)
+static NoRoom
+make_needs (const WaitingStep *t, KqTime now)
 {
   const KqJob *j = t->occurrence->job;
   const KqStep *p = &j->spec.steps[t->step];
-  RoomKind kind = room_kind (t, now);
+  NoRoom n = { .pool = j->pool,
+               .kind = room_kind (t, now),
+               .cpu_milli = p->cpu_milli,
+               .mem_mb = p->mem_mb,
+               .image = -1 };
+  if (p->filling)
+    {
+      n.image = j->images[t->step];
+      n.speed = kq_place_speed_required (t->occurrence, t->step, now);
+    }
+  return n;
+}
+
+/* Whether `a` needs the same kind of room as `b`, and at least as much. */
+static bool
+needs_as_much (const NoRoom *a, const NoRoom *b)
+{
+  return a->kind == b->kind && a->pool == b->pool && a->image == b->image
+         && a->speed >= b->speed && a->cpu_milli >= b->cpu_milli
+         && a->mem_mb >= b->mem_mb;
+}
+
+static bool
+known_no_room (const NoRoomList *m, const WaitingStep *t, KqTime now)
+{
+  NoRoom needs = make_needs (t, now);
   for (int i = 0; i < m->n; i++)
-    if (m->list[i].kind == kind && m->list[i].pool == j->pool
-        && p->cpu_milli >= m->list[i].cpu_milli && p->mem_mb >= m->list[i].mem_mb)
+    if (needs_as_much (&needs, &m->list[i]))
       return true;
   return false;
 }
@@ -99,14 +126,21 @@
 {
   const KqSpec *spec = &t->occurrence->job->spec;
   const KqStep *p = &spec->steps[t->step];
-  RoomKind kind = room_kind (t, now);
+  NoRoom needs = make_needs (t, now);
   /* Not recorded: a step with further limits, which other steps don't have; one that
    * waits for a ticket rather than for room; one that may use any room, as both filling
    * and lasting steps have that kind. */
-  if (m->n == NO_ROOM_MAX || p->label.len > 0 || p->per_runner_max > 0 || p->gpus > 0
-      || p->gang || spec->advised || kind == FOR_ANY)
+  if (p->label.len > 0 || p->per_runner_max > 0 || p->gpus > 0 || p->gang || spec->advised
+      || needs.kind == FOR_ANY)
     return;
-  m->list[m->n++] = (NoRoom){ t->occurrence->job->pool, kind, p->cpu_milli, p->mem_mb };
+  for (int i = 0; i < m->n; i++)
+    if (needs_as_much (&m->list[i], &needs))
+      {
+        m->list[i] = needs; /* it covers what that one covers */
+        return;
+      }
+  if (m->n < NO_ROOM_MAX)
+    m->list[m->n++] = needs;
 }
 
 static WaitingStep
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -185,10 +185,8 @@
          && kq_pools_is_half_free (o->job->pool);
 }
 
-/* The share of its full speed that a filling task must be able to work at to start: the
- * longer it has waited, the less. */
-static double
-start_speed_required (const KqOccurrence *o, int32_t step, KqTime now)
+double
+kq_place_speed_required (const KqOccurrence *o, int32_t step, KqTime now)
 {
   const KqStepState *st = &o->steps[step];
   double half_speed_wait
@@ -219,7 +217,7 @@
     return false;
   return !p->filling
          || kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
-                >= start_speed_required (o, step, now);
+                >= kq_place_speed_required (o, step, now);
 }
 
 typedef struct
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -499,6 +499,9 @@
 /* Whether the job is starved: none of its tasks has run for long, though about half of
  * the service's cpu is not reserved. */
 bool kq_place_is_starved (const KqOccurrence *o, int32_t step, KqTime now);
+/* The share of its full speed that a filling task of the step must be able to work at to
+ * start: the longer it has waited, the less. */
+double kq_place_speed_required (const KqOccurrence *o, int32_t step, KqTime now);
 /* The score of the runner for a task of the step; higher is better. It doesn't count
  * where the task has failed before (KQ_PLACE_AVOID). */
 double kq_place_score (const KqSched *s, const KqRunnerState *r, const KqOccurrence *o,
