A step counts as starved by what is known to run, and lasting tasks each for themselves

Callers saw a job with nothing running wait beside free room: the limits on placing filling and lasting tasks are dropped for a job without runs, and any run that may exist counted, also one whose start had no answer and was never carried out, at a silent runner, for the whole of that runner's lease. And a lasting task waited for as long as other tasks of its job ran, where the only runners that may have it (max_per_server, a label) are those kept free of lasting tasks; the longest chain of short jobs decides how long these are kept.

Now a run counts while its runner lists it, or for two seconds from its placement; and lasting tasks are starved after the same two seconds whatever else of their job runs, if half of the room is free.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -51,9 +51,13 @@
  * its full speed. Tasks that start at once where they are slowed push tail latencies over
  * their targets until the first report. */
 #define HALF_SPEED_WAIT_LENGTHS 30
-/* A job is starved if it has no run, has waited for this long, and about half of the room
- * is free. Most limits on placing its filling and lasting tasks are then dropped. */
+/* A step is starved if it has waited for this long and about half of the room is free,
+ * though nothing of its job runs, or its tasks are lasting ones. Most limits on placing
+ * its filling and lasting tasks are then dropped. */
 #define STARVED_AFTER (2 * KQ_SEC)
+/* A run whose runner hasn't listed its runs for this long may have ended. Lists come at
+ * least every 2 s. */
+#define HEARD_WITHIN (3500 * KQ_MS)
 
 /* Cpu of the runner in thousandths that is left after the filling tasks already there. */
 static int64_t
@@ -177,12 +181,25 @@
   return score_by_kind (s, r, o, step) - score_penalty (s, r, o, step);
 }
 
+/* Whether something of the job runs, as far as is known. A run whose start was ordered
+ * some time ago and has no answer may not exist. */
+static bool
+is_at_work (const KqJob *j, KqTime now)
+{
+  for (const KqRun *run = j->run_list; run != NULL; run = run->job_next)
+    if (now - run->placed_at <= STARVED_AFTER
+        || (run->running_at != 0 && now - run->runner->heard_at <= HEARD_WITHIN))
+      return true;
+  return false;
+}
+
 bool
 kq_place_is_starved (const KqOccurrence *o, int32_t step, KqTime now)
 {
+  const KqStep *p = &o->job->spec.steps[step];
   KqTime since = o->steps[step].waits_since;
-  return o->job->n_runs == 0 && since != 0 && now - since > STARVED_AFTER
-         && kq_pools_is_half_free (o->job->pool);
+  return since != 0 && now - since > STARVED_AFTER && kq_pools_is_half_free (o->job->pool)
+         && ((p->lasting && !p->filling) || !is_at_work (o->job, now));
 }
 
 double
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -496,8 +496,9 @@
  * task is a lasting one that has run before. */
 bool kq_place_may_take (const KqSched *s, KqRunnerState *r, const KqOccurrence *o,
                         int32_t step, bool lost, KqTime now);
-/* Whether the job is starved: none of its tasks has run for long, though about half of
- * the service's cpu is not reserved. */
+/* Whether the step is starved: its tasks have waited for long, though about half of the
+ * service's cpu is not reserved, and nothing of its job runs. Lasting tasks are starved
+ * whatever else of their job runs. */
 bool kq_place_is_starved (const KqOccurrence *o, int32_t step, KqTime now);
 /* The share of its full speed that a filling task of the step must be able to work at to
  * start: the longer it has waited, the less. */
