A runner that is back under its id after a maintenance is known to be alive

Two faults, seen by tests. If the entry of the new process came before its agent's report that the old one is silent, the runner was taken for gone, by the old process's start, and stayed so: it got no tasks for good and no later leader waited for it. And if the new process listed its runs before any silence was reported, the mark that its host had been taken down stayed: at its next short silence its runs were ended at once, and their tasks could run twice.

A list from a runner that counts as gone, or from its next process, now ends both marks, and a runner whose entry is of a next process isn't taken for gone.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -233,9 +233,12 @@
   KqTime lease = now + l->lease_left_ms * KQ_MS;
   if (r == NULL || !kq_runners_is_current_agent (s, r, agent, l->assignment, "list"))
     return;
+  if (r->gone)
+    kq_runners_note_alive (r);
   if (l->started_ms != 0 && r->started_ms != 0 && l->started_ms != r->started_ms)
     {
       kq_runners_handle_restart (s, r, l->order, now);
+      kq_runners_note_alive (r);
       r->ends_seen = r->ends_stored = r->ends_batch = 0;
       r->failed_count = r->done_count = 0;
       r->suspect_until = 0;
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -330,6 +330,70 @@
   assert_false (is_in_stored_list (d, runner));
 }
 
+/* Takes h0 down, with r0 on it. */
+static void
+take_h0_down (KqSchedFixture *d)
+{
+  kq_sched_fixture_run (d, FIRST_CALL);
+  request_wave (d, 1, 1);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->hosts_down, 1);
+  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+}
+
+/* Guards against a runner that gets no tasks for good. Its host was taken down, and it is
+ * back under the same id, in the store before its agent reports the silence. */
+static void
+test_runner_back_under_its_id_is_used_again (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqRunnerEntry e = { .id = KQ_STR ("r0"),
+                      .service = KQ_STR ("desk"),
+                      .address = KQ_STR ("127.0.0.1:1"),
+                      .host = KQ_STR ("h0"),
+                      .started_ms = 2,
+                      .room = { 4000, 16000, 0 } };
+  take_h0_down (d);
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_fixture_unreached (d, d->agent, "r0", 4500);
+  kq_sched_fixture_run (d, SETTLE);
+  d->started_ms = 2;
+  for (int i = 0; i < 8; i++)
+    {
+      kq_sched_fixture_list (d, "r0", NULL, 0);
+      kq_sched_fixture_run (d, 500 * KQ_MS);
+      kq_sched_fixture_store_used_runners (d);
+    }
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r0");
+}
+
+/* Guards against a task that runs twice: the runner that is back under its id is silent
+ * later on, and its runs may go on until its lease is over. */
+static void
+test_later_silence_of_a_runner_back_under_its_id (void **state)
+{
+  KqSchedFixture *d = *state;
+  take_h0_down (d);
+  kq_sched_fixture_run (d, 3 * KQ_SEC);
+  d->started_ms = 2;
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r0");
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+  add_entry (d, "r1", "h1");
+  kq_sched_fixture_unreached (d, d->agent, "r0", 4500);
+  kq_sched_fixture_run (d, KQ_SEC);
+  assert_int_equal (d->start_orders, 1);
+}
+
 static KqRunnerEntry
 draining_entry (void)
 {
@@ -393,6 +457,8 @@
     FIXTURE_TEST (test_runner_whose_entry_was_missing_is_used_again),
     FIXTURE_TEST (test_runner_beside_another_on_its_host_is_used_again),
     FIXTURE_TEST (test_runner_taken_down_is_not_waited_for),
+    FIXTURE_TEST (test_runner_back_under_its_id_is_used_again),
+    FIXTURE_TEST (test_later_silence_of_a_runner_back_under_its_id),
     FIXTURE_TEST (test_drained_runner_is_not_waited_for),
     FIXTURE_TEST (test_drained_runner_with_an_end_is_waited_for),
   };
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -8,7 +8,7 @@
  * behind those in time: with the objective alone as order every job of a long burst would
  * end just too late. */
 
-#include "sched/state.h"
+#include "sched/placing.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/sched/placing.c
+++ b/src/sched/placing.c
@@ -6,7 +6,7 @@
  * only the score of the runner that gets it. A step that found no runner looks only at
  * runners that have changed since. */
 
-#include "sched/state.h"
+#include "sched/placing.h"
 
 /* Interval at which a step that finds no runner searches all of them again: what it
  * accepts, and what is kept free, change with time without any change of a runner. */
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -190,6 +190,14 @@
   return r;
 }
 
+void
+kq_runners_note_alive (KqRunnerState *r)
+{
+  if (r->gone)
+    r->in_stored_list = r->in_sent_list;
+  r->gone = r->taken_down = false;
+}
+
 void
 kq_sched_entry (KqSched *s, const KqRunnerEntry *e, KqTime now)
 {
@@ -216,11 +224,9 @@
   r->room = e->room;
   r->in_store = true;
   r->host_leaving = kq_maintenance_may_end (s, r);
+  r->entry_started_ms = e->started_ms;
   if (r->gone && e->started_ms != r->started_ms)
-    {
-      r->gone = r->taken_down = false;
-      r->in_stored_list = r->in_sent_list;
-    }
+    kq_runners_note_alive (r);
   if (r->draining && !e->draining && !r->in_sent_list)
     r->in_stored_list = false; /* no start before it is in the stored list again */
   if (e->draining && !r->draining)
@@ -392,14 +398,16 @@
   s->pass_needed = true;
 }
 
-/* Ends all runs of a runner whose host is down for maintenance. Neither this leader nor a
+/* Ends all runs of a runner whose host is down for maintenance. It is gone, unless its
+ * next process, under the same id, has an entry already. Neither this leader nor a
  * later one has to wait for its lease: waiting delayed all earlier jobs for 9 s after a
  * change of leader with 18 hosts down. */
 static void
 end_taken_down (KqSched *s, KqRunnerState *r, KqTime now)
 {
   end_lost_runs (s, r, "its host was taken down", now);
-  r->gone = true;
+  r->taken_down = r->gone
+      = r->entry_started_ms == 0 || r->entry_started_ms == r->started_ms;
   r->lease_ends = now;
   r->lease_from = "host taken down";
   s->used_runners_dirty = true;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -227,12 +227,14 @@
   KqRoom used;           /* what runs that may exist there reserve; filling ones no cpu */
   int64_t filling_milli; /* cpu that its filling runs ask for; not in `used` */
   int64_t started_ms;    /* start of its process, Unix time; 0: not known */
-  bool in_store;         /* it has an entry in the store now */
-  bool in_stored_list;   /* it is in the stored list of runners in use */
-  bool in_sent_list;     /* it is in the list that was packed last, to be stored */
+  int64_t entry_started_ms;    /* as started_ms, of the process that wrote its entry */
+  bool in_store;               /* it has an entry in the store now */
+  bool in_stored_list;         /* it is in the stored list of runners in use */
+  bool in_sent_list;           /* it is in the list that was packed last, to be stored */
   bool used_by_earlier_leader; /* an earlier leader may have started runs there */
-  bool taken_down;             /* its host has been taken down for maintenance */
-  bool gone;                   /* taken down and unreachable: no run is left there */
+  bool taken_down; /* its host has been taken down for maintenance, and ended its process
+                    */
+  bool gone;       /* taken down and unreachable: no run is left there */
   bool draining;
   KqTime drain_ends;    /* while draining: it doesn't leave before this time */
   bool listed;          /* it has listed its runs to this leader since it last started */
@@ -459,6 +461,8 @@
 /* Notes that the runner's host has been taken down. Once the runner is unreachable as
  * well, its runs are ended without waiting for its lease. */
 void kq_runners_note_taken_down (KqSched *s, KqStr id, KqTime now);
+/* Notes that a process of the runner is there which no maintenance has ended. */
+void kq_runners_note_alive (KqRunnerState *r);
 /* Notes that a run may exist on the runner until `ends`, unless a later time is known.
  * `from` says where that time comes from, for logs, and must stay valid. */
 void kq_runners_extend_lease (KqRunnerState *r, KqTime ends, const char *from);
@@ -558,37 +562,6 @@
 /* Whether any runner could hold a task of the step if that runner were empty. */
 bool kq_place_any_fits (const KqSched *s, const KqSpec *spec, int32_t step);
 
-/* placing.c */
-typedef struct
-{
-  KqRunnerState *runner;
-  double score;
-} KqPlacingCandidate;
-
-/* The search for runners for the waiting tasks of one step. */
-typedef struct
-{
-  KqSched *sched;
-  KqOccurrence *occurrence;
-  int32_t step;
-  KqTime now;
-  bool built;         /* the heap has been filled */
-  bool lost;          /* the heap is for lasting tasks that have run before */
-  bool rack_known;    /* the heap was filled after a one-rack step's rack was chosen */
-  GArray *heap;       /* KqPlacingCandidate */
-  bool full_search;   /* the search is over all runners, not just changed ones */
-  guint n_unsearched; /* runners that aren't searched yet */
-  bool has_last;      /* `last` holds a runner */
-  KqPlacingCandidate last; /* the previous task's runner, which isn't in the heap */
-} KqPlacing;
-
-void kq_placing_begin (KqPlacing *p, KqSched *s, KqOccurrence *o, int32_t step,
-                       KqTime now);
-/* Returns the best runner now for the task with that index; NULL: none. The task must be
- * placed there before the next call. */
-KqRunnerState *kq_placing_next (KqPlacing *p, int32_t index);
-void kq_placing_end (KqPlacing *p);
-
 /* pass.c */
 /* Makes one placing pass: starts the waiting tasks for which there is room. */
 void kq_pass (KqSched *s, KqTime now);
