A drain that waits for a task that waits for room is given up

Callers saw a lasting task wait for good during a wave of maintenance, with room for it on the hosts that were being drained: these took no tasks, and went on draining because other tasks of the same step on them must not be stopped while that task is away (may_miss).

Such a drain is given up after 2.5 s; the host takes tasks again, and is drained later.

test_drains_that_wait_for_a_task_let_it_in failed before (3 starts in 15 s, 4 expected).

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -26,7 +26,11 @@
   KqSchedFixture *d = arg;
   (void)agent;
   if (o->kind == KQ_ORDER_STOP)
-    d->stop_orders++;
+    {
+      d->stop_orders++;
+      kq_str_copy (o->runner, d->stopped_runner, sizeof d->stopped_runner);
+      kq_str_copy (o->u.stop.task, d->stopped_task, sizeof d->stopped_task);
+    }
   if (o->kind == KQ_ORDER_DROP)
     d->drop_orders++;
   if (o->kind == KQ_ORDER_TAKE)
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -28,6 +28,8 @@
   char task[96];
   uint32_t run;
   char ticket[32];
+  char stopped_runner[16]; /* this and the next one: of the last STOP order */
+  char stopped_task[96];
   int pace_orders;         /* PACE orders so far */
   int slow_pace_orders;    /* those with less than 100 percent */
   int advise_orders;       /* ADVISE orders so far */
--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -23,6 +23,11 @@
 /* Longest drain of a host: tasks that can't save their progress may go on so long. Tasks
  * that must not be interrupted now make it longer. */
 #define DRAIN_MAX (2 * KQ_SEC)
+/* A drain is given up after this time if a task must not be interrupted because another
+ * task of its step has waited for room for as long: the host's own room may be what that
+ * task needs. RETRY_BLOCKED later the host may be drained again. */
+#define DRAIN_BLOCKED_MAX (2500 * KQ_MS)
+#define RETRY_BLOCKED (4 * KQ_SEC)
 /* A task that is expected to end within this time isn't stopped. */
 #define ENDS_SOON_MS 500
 /* After this time a host counts as back, also without a new runner. */
@@ -184,6 +189,21 @@
   return r->n_runs == 0 || (!protected_left && now - since >= DRAIN_MAX);
 }
 
+/* Whether the drain of the runner's host waits for a task that waits for room. */
+static bool
+drain_is_blocked (const KqRunnerState *r, KqTime now)
+{
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    {
+      KqTime since
+          = run->occurrence != NULL ? run->occurrence->steps[run->step].waits_since : 0;
+      if (run->phase == KQ_RUN_RUNNING && since != 0 && now - since >= DRAIN_BLOCKED_MAX
+          && !may_interrupt (run))
+        return true;
+    }
+  return false;
+}
+
 /* How many hosts of the wave must be drained or down at once for it to end in time. */
 static int32_t
 needed_at_once (const KqWave *w, KqTime now)
@@ -356,6 +376,15 @@
     case KQ_HOST_DRAINING:
       if (r == NULL || drain_host (s, r, h->since, now))
         call_maintenance (s, w, h, now);
+      else if (now - h->since >= DRAIN_BLOCKED_MAX && drain_is_blocked (r, now))
+        {
+          kq_log (
+              KQ_LOG_INFO, PART,
+              "Giving up a drain, as a task waits for room. wave=%lld host=%s runs=%d",
+              (long long)w->number, h->host, r->n_runs);
+          h->phase = KQ_HOST_WAITING;
+          h->again_at = now + RETRY_BLOCKED;
+        }
       break;
     case KQ_HOST_CALLED:
       if (now >= h->again_at)
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -394,6 +394,65 @@
   assert_int_equal (d->start_orders, 1);
 }
 
+/* Passes in lists of both runners with the tasks of job "aa", each at work, that run
+ * there according to `on` (0: r0, 1: r1, -1: nowhere). */
+static void
+list_tasks (KqSchedFixture *d, const int on[3])
+{
+  static const char *const names[] = { "aa.0.0.0", "aa.0.0.1", "aa.0.0.2" };
+  for (int r = 0; r < 2; r++)
+    {
+      KqRunRow rows[3];
+      size_t n = 0;
+      for (int i = 0; i < 3; i++)
+        if (on[i] == r)
+          rows[n++] = (KqRunRow){
+            .task = kq_str (names[i]), .run = 1, .checkpoint = KQ_STR (""), .percent = 100
+          };
+      kq_sched_fixture_list_runs (d, r == 0 ? "r0" : "r1", rows, n);
+    }
+}
+
+/* Guards against a lasting task that waits for good: all hosts with room for it are being
+ * drained, and the other tasks of its step there may not be stopped while it is away. */
+static void
+test_drains_that_wait_for_a_task_let_it_in (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep serving = kq_sched_fixture_step ();
+  KqSchedFixtureStart stopped = { 0 };
+  int on[3] = { -1, -1, -1 };
+  serving.lasting = true;
+  serving.width = 3;
+  serving.max_unavailable = 1;
+  serving.per_runner_max = 2;
+  kq_sched_fixture_submit (d, "aa", serving, false);
+  kq_sched_fixture_run (d, 6 * KQ_SEC);
+  assert_int_equal (d->starts_pending->len, 3);
+  for (int i = 0; i < 3; i++)
+    {
+      stopped = g_array_index (d->starts_pending, KqSchedFixtureStart, i);
+      on[stopped.task[strlen (stopped.task) - 1] - '0'] = stopped.runner[1] - '0';
+    }
+  kq_sched_fixture_accept_starts (d);
+  list_tasks (d, on);
+  request_wave (d, 2, 2);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->stop_orders, 1);
+  memcpy (stopped.task, d->stopped_task, sizeof stopped.task);
+  on[stopped.task[strlen (stopped.task) - 1] - '0'] = -1;
+  kq_sched_fixture_outcome (d, KQ_ORDER_STOP, d->stopped_runner, stopped.task, 1,
+                            KQ_ORDER_OK);
+  for (int i = 0; i < 30 && d->start_orders == 3; i++)
+    {
+      list_tasks (d, on);
+      kq_sched_fixture_run (d, 500 * KQ_MS);
+    }
+  assert_int_equal (d->start_orders, 4);
+  assert_string_equal (d->task, stopped.task);
+  assert_int_equal (d->stop_orders, 1);
+}
+
 static KqRunnerEntry
 draining_entry (void)
 {
@@ -459,6 +518,7 @@
     FIXTURE_TEST (test_runner_taken_down_is_not_waited_for),
     FIXTURE_TEST (test_runner_back_under_its_id_is_used_again),
     FIXTURE_TEST (test_later_silence_of_a_runner_back_under_its_id),
+    FIXTURE_TEST (test_drains_that_wait_for_a_task_let_it_in),
     FIXTURE_TEST (test_drained_runner_is_not_waited_for),
     FIXTURE_TEST (test_drained_runner_with_an_end_is_waited_for),
   };
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -278,7 +278,7 @@
 };
 
 /* Progress of a host of a maintenance wave. Phases follow in this order, except that a
- * host that was not up when called waits again. */
+ * host that was not up when called, or whose drain was given up, waits again. */
 typedef enum
 {
   KQ_HOST_WAITING,
