A run number below one that the runner knows is left far behind at once

A task that was started more than a thousand times in one leader's term, as runners went on refusing it, had run numbers above those of the next term. The next leader's starts were refused as old one by one, each costing the time until the next list, so that the task waited for minutes. The refusal of a run of which nothing else is known now skips as many numbers as a term has.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -339,7 +339,11 @@
       run->stopped = false;
       break; /* kq_watch_progress sends it again */
     case KQ_ORDER_OLD_RUN:
-      /* The run has already ended at the runner: its end is listed, or it was stopped. */
+      /* The run has already ended at the runner: its end is listed, or it was stopped. Or
+       * an earlier leader has used more numbers than KQ_RUNS_PER_TERM: the next run skips
+       * as many, as each attempt takes until the next list. */
+      if (run->phase == KQ_RUN_SENDING && kq_book_task_state (run) != NULL)
+        kq_book_task_state (run)->last_run = run->number + KQ_RUNS_PER_TERM;
       run->outcome_unknown = false;
       run->confirmed = o->order + 1;
       break;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -30,9 +30,6 @@
 /* A pass follows at the latest after this time while tasks wait, even if nothing has
  * happened: ranks change with time, and so does what a waiting task accepts. */
 #define PASS_INTERVAL_MAX (500 * KQ_MS)
-/* The run numbers of term N begin above N - 1 times this; no task is started so often in
- * one term. */
-#define RUNS_PER_TERM 1000
 
 typedef struct
 {
@@ -231,7 +228,7 @@
 static uint32_t
 next_run (const KqSched *s, const KqTaskState *t)
 {
-  uint32_t base = (s->config.term > 0 ? s->config.term - 1 : 0) * RUNS_PER_TERM;
+  uint32_t base = (s->config.term > 0 ? s->config.term - 1 : 0) * KQ_RUNS_PER_TERM;
   return (t->last_run > base ? t->last_run : base) + 1;
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -416,6 +416,9 @@
 void kq_book_forget (KqSched *s, KqJob *j);
 
 /* runs.c */
+/* The run numbers of term N begin above N - 1 times this. A task is started so often in
+ * one term only if runners go on refusing it. */
+#define KQ_RUNS_PER_TERM 1000
 /* Records a new run on the runner and reserves its room; sends no order. It becomes the
  * current run of its task in `o`; NULL: no task needs it. Owned by the runner. */
 KqRun *kq_run_new (KqSched *s, KqJob *j, KqOccurrence *o, int32_t step, int32_t index,
