A gang that is starved is placed as a whole

Callers saw a gang of filling tasks wait beside free room for as long as filling tasks of other jobs ran: its first task was placed without the limits, as nothing of its job ran; that run, whose start hadn't been ordered, then counted as running, and the limits held for the second. Only runs whose start has been ordered count now.

test_starved_gang_is_placed_as_a_whole failed before (4 starts, 7 expected).

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -182,12 +182,13 @@
 }
 
 /* Whether something of the job runs, as far as is known. A run whose start was ordered
- * some time ago and has no answer may not exist. */
+ * some time ago and has no answer may not exist. One whose start hasn't been ordered is
+ * that of a gang which is being placed: all of it must be placed in the same way. */
 static bool
 is_at_work (const KqJob *j, KqTime now)
 {
   for (const KqRun *run = j->run_list; run != NULL; run = run->job_next)
-    if (now - run->placed_at <= STARVED_AFTER
+    if ((run->retry_at != 0 && now - run->placed_at <= STARVED_AFTER)
         || (run->running_at != 0 && now - run->runner->heard_at <= HEARD_WITHIN))
       return true;
   return false;
--- a/src/sched/starved_test.c
+++ b/src/sched/starved_test.c
@@ -108,6 +108,31 @@
   g_array_free (runs, TRUE);
 }
 
+/* Guards against a gang that waits beside free room: only its first task was placed
+ * beside filling tasks of other jobs. */
+static void
+test_starved_gang_is_placed_as_a_whole (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep fills = kq_sched_fixture_step ();
+  GArray *runs;
+  fills.filling = true;
+  fills.estimate_ms = 600000;
+  fills.image = KQ_STR ("fills");
+  fills.cpu_milli = 2000;
+  fills.width = 6;
+  kq_sched_fixture_submit (d, "first", fills, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 4);
+  runs = accept_starts (d);
+  fills.width = 3;
+  fills.gang = true;
+  kq_sched_fixture_submit (d, "gang", fills, false);
+  run_with_lists (d, runs, NULL, STARVED_AFTER);
+  assert_int_equal (d->start_orders, 7);
+  g_array_free (runs, TRUE);
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -118,6 +143,7 @@
   const struct CMUnitTest tests[] = {
     FIXTURE_TEST (test_run_that_may_not_exist_does_not_feed_a_job),
     FIXTURE_TEST (test_lasting_task_is_not_held_back_by_others_of_its_job),
+    FIXTURE_TEST (test_starved_gang_is_placed_as_a_whole),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
