--- a/src/sched/held_runs_test.c
+++ b/src/sched/held_runs_test.c
@@ -90,6 +90,54 @@
   assert_true (d->run > known);
 }
 
+/* A run of a job that isn't known, and so of unknown size, keeps tasks away from its
+ * runner until a list shows that it is gone, and no longer. */
+static void
+test_run_of_an_unknown_job_keeps_tasks_away_while_listed (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqRunRow row = { .task = KQ_STR ("zz.0.0.0"), .run = 1, .checkpoint = KQ_STR ("") };
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_list_runs (d, "r0", &row, 1);
+  assert_int_equal (d->stop_orders, 1);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, KQ_SEC);
+  assert_int_equal (d->start_orders, 0);
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 1);
+}
+
+/* A gang whose members haven't all begun is started again once the runs of the attempt
+ * have ended, under one new number. */
+static void
+test_gang_is_started_again_when_its_last_run_has_ended (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep step = kq_sched_fixture_step ();
+  KqRunRow row = { .task = KQ_STR ("aa.0.0.0"), .run = 1, .checkpoint = KQ_STR ("") };
+  KqSchedFixtureStart first;
+  KqSchedFixtureStart second;
+  step.gang = true;
+  step.width = 2;
+  kq_sched_fixture_submit (d, "aa", step, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 2);
+  first = g_array_index (d->starts_pending, KqSchedFixtureStart, 0);
+  second = g_array_index (d->starts_pending, KqSchedFixtureStart, 1);
+  row.task = kq_str (first.task);
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, first.runner, first.task, 1, KQ_ORDER_OK);
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, second.runner, second.task, 1,
+                            KQ_ORDER_NO_ROOM);
+  kq_sched_fixture_list_runs (d, first.runner, &row, 1);
+  kq_sched_fixture_run (d, KQ_SEC);
+  assert_int_equal (d->start_orders, 2);
+  kq_sched_fixture_list (d, first.runner, NULL, 0);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 4);
+  assert_int_equal (d->run, 2);
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -102,6 +150,8 @@
     FIXTURE_TEST (test_run_accepted_and_never_listed_ends_with_the_next_list),
     FIXTURE_TEST (test_stop_of_a_lost_agent_is_repeated),
     FIXTURE_TEST (test_number_far_below_that_of_an_earlier_run),
+    FIXTURE_TEST (test_run_of_an_unknown_job_keeps_tasks_away_while_listed),
+    FIXTURE_TEST (test_gang_is_started_again_when_its_last_run_has_ended),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
