A late answer of the advice service refuses only the runners it is about

Found by reading: a request that isn't answered within 2.5 s is repeated, also through the same agent. The answer to the first one then counted as that to the second, and the runners that only the second had named counted as refused, for good; its own answer was ignored. A step whose allowed runners are among these would wait for ever. The late answer's tickets are used now, and the newer request goes on.

test_late_answer_refuses_no_other_runner failed before (0 starts, 1 expected). No deployment at hand uses advice.

--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -63,9 +63,11 @@
 {
   KqTicket *rows;
   int32_t n_rows;
-  int agent;       /* the agent whose request for this step is unanswered; -1: none */
-  KqTime asked_at; /* when that request was sent */
-  KqTime again_at; /* earliest time of the next request */
+  int agent;        /* the agent whose request for this step is unanswered; -1: none */
+  KqTime asked_at;  /* when that request was sent */
+  KqTime again_at;  /* earliest time of the next request */
+  int late_agent;   /* the agent of the last request that wasn't answered in time */
+  int late_answers; /* answers to such requests that late_agent may still send */
 } KqTickets;
 
 typedef struct
--- a/src/sched/tickets.c
+++ b/src/sched/tickets.c
@@ -102,8 +102,24 @@
   for (KqJob *j = s->open_jobs; j != NULL; j = j->next)
     for (KqOccurrence *o = j->occurrences; j->spec.advised && o != NULL; o = o->next)
       for (int32_t i = 0; i < j->spec.n_steps; i++)
-        if (o->steps[i].tickets != NULL && o->steps[i].tickets->agent == agent)
-          drop_request (o->steps[i].tickets);
+        {
+          KqTickets *a = o->steps[i].tickets;
+          if (a != NULL && a->agent == agent)
+            drop_request (a);
+          if (a != NULL && a->late_agent == agent)
+            a->late_answers = 0;
+        }
+}
+
+/* Drops a request that wasn't answered in time; its answer may still come. */
+static void
+drop_late_request (KqTickets *a)
+{
+  if (a->late_agent != a->agent)
+    a->late_answers = 0;
+  a->late_agent = a->agent;
+  a->late_answers++;
+  drop_request (a);
 }
 
 /* The agent with the fewest outstanding requests; -1: all have REQUESTS_PER_HOST_MAX.
@@ -162,7 +178,7 @@
       st->tickets->agent = -1;
     }
   if (st->tickets->agent >= 0 && now - st->tickets->asked_at >= ANSWER_TIMEOUT)
-    drop_request (st->tickets);
+    drop_late_request (st->tickets);
   if (s->next_pass_at == 0)
     s->next_pass_at = now + RETRY_DELAY;
   if (st->tickets->agent >= 0 || now < st->tickets->again_at)
@@ -232,6 +248,8 @@
 kq_sched_advice (KqSched *s, int agent, const KqStepAdvice *a, KqTime now)
 {
   KqStepState *st = find_step (s, a->step);
+  KqTickets *t = st != NULL ? st->tickets : NULL;
+  bool late = t != NULL && t->late_answers > 0 && t->late_agent == agent;
   ++*s->advices[a->reply.result];
   if (s->agents.list[agent].advice_requests > 0)
     s->agents.list[agent].advice_requests--;
@@ -239,27 +257,35 @@
           "Answer of the advice service. step=%.*s result=%d good=%zu valid_ms=%lld",
           KQ_STR_ARG (a->step), a->reply.result, a->reply.n_rows,
           (long long)a->reply.valid_ms);
-  if (st == NULL || st->tickets == NULL || st->tickets->agent != agent)
+  if (t == NULL || (t->agent != agent && !late))
     return;
   s->pass_needed = true;
+  /* A late answer is about the runners of its own request: its tickets can be used, but
+   * it refuses none of those that are asked about now. */
+  if (late)
+    t->late_answers--;
   if (a->reply.result != KQ_ADVICE_OK)
     {
-      st->tickets->again_at = now + RETRY_DELAY;
-      drop_request (st->tickets);
+      if (late)
+        return;
+      t->again_at = now + RETRY_DELAY;
+      drop_request (t);
       return;
     }
-  st->tickets->agent = -1;
+  if (!late)
+    t->agent = -1;
   /* Validity counts from the request, as the ticket can't be older. */
   for (size_t i = 0; i < a->reply.n_rows; i++)
     {
       const KqAdviceRow *allowed = &a->reply.rows[i];
       KqRunnerState *r = kq_runners_find (s, allowed->runner);
-      KqTicket *row = r != NULL ? find_row (st->tickets, r) : NULL;
+      KqTicket *row = r != NULL ? find_row (t, r) : NULL;
       if (row == NULL)
         continue;
       free (row->ticket);
       row->ticket = kq_str_dup (allowed->ticket);
-      row->valid_until = st->tickets->asked_at + a->reply.valid_ms * KQ_MS - VALID_MARGIN;
+      row->valid_until = t->asked_at + a->reply.valid_ms * KQ_MS - VALID_MARGIN;
     }
-  mark_refused (st->tickets);
+  if (!late)
+    mark_refused (t);
 }
--- a/src/sched/tickets_test.c
+++ b/src/sched/tickets_test.c
@@ -101,6 +101,37 @@
   assert_int_equal (d->advise_orders, 1);
 }
 
+/* Guards against a step that waits for good: the late answer to an earlier request, which
+ * was about one runner only, must not count as a refusal of those that are asked about
+ * now. */
+static void
+test_late_answer_refuses_no_other_runner (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqRunnerEntry r1 = { .id = KQ_STR ("r1"),
+                       .service = KQ_STR ("desk"),
+                       .address = KQ_STR ("127.0.0.1:1"),
+                       .draining = true,
+                       .room = { 4000, 16000, 0 } };
+  kq_sched_entry (d->sched, &r1, d->now);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), true);
+  kq_sched_fixture_run (d, PASS_TIME);
+  assert_int_equal (d->advise_orders, 1);
+  assert_int_equal (d->advise_runners, 1);
+  r1.draining = false;
+  kq_sched_entry (d->sched, &r1, d->now);
+  kq_sched_fixture_run (d, 3 * KQ_SEC);
+  assert_int_equal (d->advise_orders, 2);
+  assert_int_equal (d->advise_runners, 2);
+  kq_sched_fixture_advise (d, "aa.0.0", KQ_ADVICE_OK, "", NULL, 3000);
+  kq_sched_fixture_run (d, PASS_TIME);
+  assert_int_equal (d->start_orders, 0);
+  kq_sched_fixture_advise (d, "aa.0.0", KQ_ADVICE_OK, "r1", "t-1", 3000);
+  kq_sched_fixture_run (d, PASS_TIME);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r1");
+}
+
 /* Ten steps wait and one host can ask: only two requests are outstanding, and each
  * answer lets the next one be sent. More would wait in the service's queue, ahead of
  * urgent ones. */
@@ -173,6 +204,7 @@
     FIXTURE_TEST (test_busy_service_is_asked_again),
     FIXTURE_TEST (test_refused_ticket_is_replaced),
     FIXTURE_TEST (test_queue_that_becomes_advised),
+    FIXTURE_TEST (test_late_answer_refuses_no_other_runner),
     FIXTURE_TEST (test_few_requests_are_outstanding_at_a_time),
     FIXTURE_TEST (test_headroom_is_computed_in_each_pass),
   };
