A task that fails wherever it runs takes no runner out of use

Callers saw jobs wait beside free room, for as long as one bad task lived: a lasting task that always failed was started again each time, on another runner each time, and each failure counted against the runner.

A step whose tasks have failed on several runners, with none done since and none that had worked for five seconds, is now at fault itself, and its failures count against no runner. A runner on which alone a step's tasks fail is avoided as before.

The soak checks now also that no lasting task waits for 6 s beside free room, that other jobs don't while lasting ones run, and that no run and no start is believed to be under way when all jobs have ended.

--- a/bench/sched_soak.c
+++ b/bench/sched_soak.c
@@ -17,6 +17,10 @@
   ((KQ_SCHED_RIG_RENEW_WITHOUT_LEADER_MS + KQ_SCHED_RIG_LEASE_MS + 1000) * KQ_MS)
 /* The longest that a job may have no run while half of the cpu is free. */
 #define IDLE_MAX (3 * KQ_SEC)
+/* The same for a lasting task, whatever else of its job runs, and how long that is
+ * checked. */
+#define LASTING_IDLE_MAX (6 * KQ_SEC)
+#define LASTING_CHECK (12 * KQ_SEC)
 #define CHECK_INTERVAL (100 * KQ_MS)
 
 /* Target values of the delays of an agent's connections. They are approached in steps, as
@@ -434,21 +438,75 @@
     }
 }
 
+/* idle_since: since when a task of each lasting job has had no run although two more fit;
+ * 0: all run, or they don't fit. */
 static void
-settle (Soak *s)
+check_lasting (Soak *s, KqTime *idle_since)
+{
+  KqSchedRig *r = &s->rig;
+  for (int n = 0; n < s->jobs; n++)
+    {
+      char id[16];
+      const KqSchedRigJob *j;
+      const KqStep *step;
+      snprintf (id, sizeof id, "j%d", n);
+      j = g_hash_table_lookup (r->jobs, id);
+      step = &j->spec.steps[0];
+      if (!step->lasting || step->per_runner_max > 0 || job_ended (r, id)
+          || kq_sched_rig_running (r, id) >= step->width || !fits_twice (r, step))
+        idle_since[n] = 0;
+      else if (idle_since[n] == 0)
+        idle_since[n] = r->now;
+      else if (r->now - idle_since[n] > LASTING_IDLE_MAX)
+        {
+          kq_sched_rig_breach (r, "lasting task waits beside free room", id);
+          idle_since[n] = r->now;
+        }
+    }
+}
+
+/* Before the lasting jobs are cancelled. */
+static void
+settle_lasting (Soak *s)
 {
   KqTime idle_since[JOBS_MAX] = { 0 };
+  KqTime lasting_idle_since[JOBS_MAX] = { 0 };
   KqTime from = s->rig.now;
+  while (s->rig.now < from + LEASES_EXPIRED_AFTER + LASTING_CHECK)
+    {
+      kq_sched_rig_run (&s->rig, CHECK_INTERVAL);
+      if (s->rig.now - from <= LEASES_EXPIRED_AFTER)
+        continue;
+      check_idle (s, idle_since);
+      check_lasting (s, lasting_idle_since);
+    }
+}
+
+static void
+settle (Soak *s)
+{
+  KqTime idle_since[JOBS_MAX] = { 0 };
   KqTime needed = work_left (s) + SETTLE_MARGIN;
-  KqTime until = from + (needed > SETTLE_MIN ? needed : SETTLE_MIN);
+  KqTime until = s->rig.now + (needed > SETTLE_MIN ? needed : SETTLE_MIN);
   while (s->rig.now < until)
     {
       kq_sched_rig_run (&s->rig, CHECK_INTERVAL);
-      if (s->rig.now - from > LEASES_EXPIRED_AFTER)
-        check_idle (s, idle_since);
+      check_idle (s, idle_since);
     }
 }
 
+/* Nothing may be believed to run, or to be on its way, when all jobs have ended. */
+static void
+check_nothing_left (Soak *s)
+{
+  static const char *const gauges[] = { "kq_runs_alive", "kq_run_starts_under_way" };
+  KqSchedRig *r = &s->rig;
+  kq_sched_gauges (r->sched);
+  for (size_t i = 0; i < sizeof gauges / sizeof gauges[0]; i++)
+    if (*kq_counter (r->counters, gauges[i], "", "") != 0)
+      kq_sched_rig_breach (r, "is not 0 at the end", gauges[i]);
+}
+
 /* After the last fault every job has to end. */
 static void
 check_end (Soak *s)
@@ -491,6 +549,7 @@
       kq_sched_rig_run (&s->rig, (KqTime)(10 + below (s, 250)) * KQ_MS);
     }
   end_faults (s);
+  settle_lasting (s);
   for (int i = 0; i < s->jobs; i++)
     {
       /* Lasting jobs never end and would keep the others waiting. */
@@ -503,6 +562,7 @@
     }
   settle (s);
   check_end (s);
+  check_nothing_left (s);
   broken = s->rig.breaches;
   snprintf (why, (size_t)why_size, "%s", s->rig.first_breach);
   kq_sched_rig_clear (&s->rig);
--- /dev/null
+++ b/src/sched/blame_test.c
@@ -0,0 +1,89 @@
+#include "bench/sched_fixture.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* Lets the last run that was started fail on its runner, a moment after its start. */
+static void
+fail_last (KqSchedFixture *d, uint64_t numbers[2])
+{
+  KqEndRow end = { .run = d->run, .reason = KQ_END_FAILED };
+  char runner[16];
+  char task[96];
+  memcpy (runner, d->runner, sizeof runner);
+  memcpy (task, d->task, sizeof task);
+  end.task = kq_str (task);
+  end.number = ++numbers[runner[1] - '0'];
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, runner, task, d->run, KQ_ORDER_OK);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  kq_sched_fixture_list (d, runner, &end, 1);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+}
+
+/* Starts a job and expects that a task of it is started soon. */
+static void
+expect_start (KqSchedFixture *d, const char *id)
+{
+  kq_sched_fixture_submit (d, id, kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, 200 * KQ_MS);
+  assert_string_equal (kq_job_state_name (kq_sched_state (d->sched, kq_str (id))),
+                       "running");
+}
+
+/* Guards against jobs that wait beside free room: a lasting task that fails wherever it
+ * runs is started again and again, and took one runner after the other out of use. */
+static void
+test_task_that_fails_everywhere_leaves_runners_in_use (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep lasting = kq_sched_fixture_step ();
+  uint64_t numbers[2] = { 0 };
+  lasting.lasting = true;
+  kq_sched_fixture_submit (d, "aa", lasting, false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  for (int i = 1; i <= 12; i++)
+    {
+      assert_int_equal (d->start_orders, i);
+      fail_last (d, numbers);
+    }
+  expect_start (d, "bb");
+}
+
+/* Guards against a faulty runner that is used on: the tasks of a step fail on one runner,
+ * whose other tasks are done. */
+static void
+test_runner_where_alone_a_step_fails_is_avoided (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep step = kq_sched_fixture_step ();
+  uint64_t numbers[2] = { 0 };
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  step.width = 3;
+  step.cpu_milli = 3000; /* one at a time */
+  kq_sched_fixture_submit (d, "aa", step, false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  fail_last (d, numbers);
+  fail_last (d, numbers);
+  assert_int_equal (d->start_orders, 2);
+  kq_sched_fixture_run (d, 3 * KQ_SEC);
+  assert_int_equal (d->start_orders, 3);
+}
+
+#define FIXTURE_TEST(test)                                                               \
+  cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
+                                   kq_sched_fixture_tear_down)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    FIXTURE_TEST (test_task_that_fails_everywhere_leaves_runners_in_use),
+    FIXTURE_TEST (test_runner_where_alone_a_step_fails_is_avoided),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -255,6 +255,8 @@
   free (t->checkpoint);
   t->checkpoint = NULL;
   p->done++;
+  p->failed_on = NULL;
+  p->fails_anywhere = false;
   mark_dirty (s, o->job, now, false);
   if (p->done < o->job->spec.steps[step].width)
     return;
@@ -266,6 +268,23 @@
     kq_book_open_steps (o);
 }
 
+/* A task that has run for this long has worked there: its failure has to do with no
+ * earlier one. */
+#define WORKED_FOR (5 * KQ_SEC)
+
+/* A step whose tasks fail wherever they run would take one runner after the other out of
+ * use: a lasting task is started again each time. */
+bool
+kq_book_failure_blames_runner (KqStepState *st, KqRunnerState *r, KqTime ran)
+{
+  if (ran >= WORKED_FOR)
+    st->fails_anywhere = false;
+  else if (st->failed_on != NULL && st->failed_on != r)
+    st->fails_anywhere = true;
+  st->failed_on = r;
+  return !st->fails_anywhere;
+}
+
 bool
 kq_book_run_has_failed (const KqTaskState *t, uint32_t run)
 {
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -157,11 +157,13 @@
   KqTaskRef t;
   KqRun *run;
   bool ours;
+  KqTime ran;
   ++*s->ends[e->reason];
   if (!kq_book_find_task (s, e->task, &t))
     return;
   run = find_run (r, &t, e->run);
   ours = run != NULL && run->occurrence != NULL;
+  ran = run != NULL && run->running_at != 0 ? now - run->running_at : 0;
   kq_log (KQ_LOG_DEBUG, PART, "Run ended. task=%.*s run=%u runner=%s how=%s n=%llu",
           KQ_STR_ARG (e->task), e->run, r->id, kq_end_reason_name (e->reason),
           (unsigned long long)e->number);
@@ -184,7 +186,9 @@
     kq_run_end (s, run, now);
   if (e->reason != KQ_END_FAILED)
     return;
-  if (ours || t.occurrence != NULL)
+  if (t.occurrence != NULL
+          ? kq_book_failure_blames_runner (&t.occurrence->steps[t.step], r, ran)
+          : ours)
     kq_runners_count_end (r, false, now);
   if (t.occurrence != NULL)
     kq_book_fail_task (s, t.occurrence, t.step, t.index, e->run, r, now);
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -486,6 +486,8 @@
       for (int32_t i = 0; i < j->spec.n_steps; i++)
         {
           kq_tickets_forget_runner (&o->steps[i], r);
+          if (o->steps[i].failed_on == r)
+            o->steps[i].failed_on = NULL;
           for (int32_t k = 0; k < j->spec.steps[i].width; k++)
             if (o->steps[i].tasks[k].avoid == r)
               o->steps[i].tasks[k].avoid = NULL;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -87,7 +87,9 @@
   bool open;          /* the steps that it depends on are done: its tasks may start */
   char rack[24]; /* of a one-rack step: the rack of its first placed task; "": none is
                     placed */
-  KqLoadTrend load_trend; /* of a serving step */
+  KqLoadTrend load_trend;   /* of a serving step */
+  KqRunnerState *failed_on; /* where a task failed last, with none done since; or NULL */
+  bool fails_anywhere;      /* as above, but tasks have failed on several runners */
   KqTaskState *tasks;
 } KqStepState;
 
@@ -388,6 +390,9 @@
 KqTaskState *kq_book_task_state (const KqRun *r);
 /* Whether the task's run with that number has been counted as failed. */
 bool kq_book_run_has_failed (const KqTaskState *t, uint32_t run);
+/* Notes that a task of the step failed on the runner, after `ran` there. Returns whether
+ * that speaks against the runner rather than the step. */
+bool kq_book_failure_blames_runner (KqStepState *st, KqRunnerState *r, KqTime ran);
 /* Records a failed run, with no further effect on task or job. */
 void kq_book_add_failure (KqTaskState *t, uint32_t run);
 KqOccurrence *kq_book_add_occurrence (KqJob *j, int32_t number, KqTime due_at);
