Filling tasks slowed to nothing don't make their runner suspect

Callers saw jobs wait beside free room: filling tasks that the leader itself had slowed to pace 0 for a serving task made no progress, were stopped as stalled after 3 s, and counted as failures of the runner. Two of them took the runner out of use for 2 to 8 s.

A stalled task counts against its runner only at full speed.

test_tasks_slowed_to_nothing_leave_their_runner_in_use failed before (the job stayed waiting).

--- a/src/sched/blame_test.c
+++ b/src/sched/blame_test.c
@@ -74,6 +74,51 @@
   assert_int_equal (d->start_orders, 3);
 }
 
+/* Lists r0's serving task with that tail, and two filling tasks without progress. */
+static void
+list_filling_beside_serving (KqSchedFixture *d, int tail_ms)
+{
+  KqRunRow rows[3] = { { .task = KQ_STR ("aa.0.0.0"), .percent = 100, .load = tail_ms },
+                       { .task = KQ_STR ("bb.0.0.0"), .percent = 10, .load = 400 },
+                       { .task = KQ_STR ("bb.0.0.1"), .percent = 10, .load = 400 } };
+  for (int i = 0; i < 3; i++)
+    {
+      rows[i].run = 1;
+      rows[i].checkpoint = KQ_STR ("");
+    }
+  kq_sched_fixture_list_runs (d, "r0", rows, 3);
+  kq_sched_fixture_run (d, 500 * KQ_MS);
+}
+
+/* Guards against jobs that wait beside free room: filling tasks that were slowed to
+ * nothing for a serving task were taken for stalled ones, and their runner for faulty. */
+static void
+test_tasks_slowed_to_nothing_leave_their_runner_in_use (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep serving = kq_sched_fixture_step ();
+  KqStep filling = kq_sched_fixture_step ();
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  serving.lasting = true;
+  serving.target_ms = 10;
+  serving.image = KQ_STR ("serves");
+  kq_sched_fixture_submit (d, "aa", serving, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  filling.filling = true;
+  filling.width = 2;
+  filling.image = KQ_STR ("fills");
+  kq_sched_fixture_submit (d, "bb", filling, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 3);
+  kq_sched_fixture_accept_starts (d);
+  list_filling_beside_serving (d, 5);
+  for (int i = 0; i < 16 && d->stop_orders < 2; i++)
+    list_filling_beside_serving (d, 14);
+  assert_int_equal (d->stop_orders, 2);
+  assert_true (d->slow_pace_orders > 0);
+  expect_start (d, "cc");
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -83,6 +128,7 @@
 {
   const struct CMUnitTest tests[] = {
     FIXTURE_TEST (test_task_that_fails_everywhere_leaves_runners_in_use),
+    FIXTURE_TEST (test_tasks_slowed_to_nothing_leave_their_runner_in_use),
     FIXTURE_TEST (test_runner_where_alone_a_step_fails_is_avoided),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -113,8 +113,10 @@
       if (t != NULL)
         t->avoid = r;
       ++*s->stops_stalled;
-      if (run->occurrence == NULL
-          || kq_book_failure_blames_runner (&run->occurrence->steps[run->step], r, 0))
+      if (run->pace == 100
+          && (run->occurrence == NULL
+              || kq_book_failure_blames_runner (&run->occurrence->steps[run->step], r,
+                                                0)))
         kq_runners_count_end (r, false, now);
       kq_run_stop (s, run, "stands still", now);
     }
