--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -181,17 +181,27 @@
   return score_by_kind (s, r, o, step) - score_penalty (s, r, o, step);
 }
 
+/* Whether a run of the job has been ordered to start a moment ago. One whose start hasn't
+ * been ordered is that of a gang which is being placed: all of it must be placed in the
+ * same way. */
+static bool
+has_new_run (const KqJob *j, KqTime now)
+{
+  for (const KqRun *run = j->run_list; run != NULL; run = run->job_next)
+    if (run->retry_at != 0 && now - run->placed_at <= STARVED_AFTER)
+      return true;
+  return false;
+}
+
 /* Whether something of the job runs, as far as is known. A run whose start was ordered
- * some time ago and has no answer may not exist. One whose start hasn't been ordered is
- * that of a gang which is being placed: all of it must be placed in the same way. */
+ * some time ago and has no answer may not exist. */
 static bool
 is_at_work (const KqJob *j, KqTime now)
 {
   for (const KqRun *run = j->run_list; run != NULL; run = run->job_next)
-    if ((run->retry_at != 0 && now - run->placed_at <= STARVED_AFTER)
-        || (run->running_at != 0 && now - run->runner->heard_at <= HEARD_WITHIN))
+    if (run->running_at != 0 && now - run->runner->heard_at <= HEARD_WITHIN)
       return true;
-  return false;
+  return has_new_run (j, now);
 }
 
 bool
@@ -199,8 +209,11 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   KqTime since = o->steps[step].waits_since;
-  return since != 0 && now - since > STARVED_AFTER && kq_pools_is_half_free (o->job->pool)
-         && ((p->lasting && !p->filling) || !is_at_work (o->job, now));
+  if (since == 0 || now - since <= STARVED_AFTER || !kq_pools_is_half_free (o->job->pool))
+    return false;
+  if (!p->lasting)
+    return !is_at_work (o->job, now);
+  return !p->filling || !has_new_run (o->job, now);
 }
 
 double
--- a/src/sched/starved_test.c
+++ b/src/sched/starved_test.c
@@ -108,6 +108,35 @@
   g_array_free (runs, TRUE);
 }
 
+/* As above, for lasting tasks that use what others leave unused: they are placed one
+ * after the other, as each may disturb serving tasks until the next report. */
+static void
+test_lasting_filling_tasks_are_placed_one_by_one (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep fills = kq_sched_fixture_step ();
+  GArray *runs;
+  fills.filling = true;
+  fills.estimate_ms = 600000;
+  fills.image = KQ_STR ("fills");
+  fills.cpu_milli = 2000;
+  fills.width = 6;
+  kq_sched_fixture_submit (d, "first", fills, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 4);
+  runs = accept_starts (d);
+  fills.width = 2;
+  fills.lasting = true;
+  kq_sched_fixture_submit (d, "second", fills, false);
+  run_with_lists (d, runs, NULL, STARVED_AFTER);
+  assert_int_equal (d->start_orders, 5);
+  g_array_append_vals (runs, d->starts_pending->data, d->starts_pending->len);
+  kq_sched_fixture_accept_starts (d);
+  run_with_lists (d, runs, NULL, STARVED_AFTER);
+  assert_int_equal (d->start_orders, 6);
+  g_array_free (runs, TRUE);
+}
+
 /* Guards against a gang that waits beside free room: only its first task was placed
  * beside filling tasks of other jobs. */
 static void
@@ -143,6 +172,7 @@
   const struct CMUnitTest tests[] = {
     FIXTURE_TEST (test_run_that_may_not_exist_does_not_feed_a_job),
     FIXTURE_TEST (test_lasting_task_is_not_held_back_by_others_of_its_job),
+    FIXTURE_TEST (test_lasting_filling_tasks_are_placed_one_by_one),
     FIXTURE_TEST (test_starved_gang_is_placed_as_a_whole),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
