--- a/src/sched/harm_test.c
+++ b/src/sched/harm_test.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "bench/sched_fixture.h"
+#include "sched/disturb.h"
 
 #include <math.h>
 #include <setjmp.h>
@@ -139,6 +140,23 @@
   assert_int_equal (d->stop_orders, 0);
 }
 
+/* Reports tails that rise and fall, with a filling task that takes slack, until the
+ * latter is slowed; returns the number of the next report. */
+static int
+report_until_slowed (KqSchedFixture *d, const Setup *s)
+{
+  int n;
+  for (n = 0; n < 56 && d->slow_pace_orders == 0; n++)
+    {
+      double wave = sin (2 * M_PI * n * 0.5 / PERIOD_S);
+      double alone = TARGET_MS * (0.45 + 0.2 * wave);
+      double slack = TARGET_MS / alone - 0.7;
+      report (d, s, n, TARGET_MS / slack, alone);
+    }
+  assert_true (d->slow_pace_orders > 0);
+  return n;
+}
+
 /* A filling task that takes slack from a serving task must be slowed. The serving task
  * beside it is over its target whenever the load is high; this must be found within the
  * first two periods of the load. */
@@ -149,14 +167,100 @@
   Setup s;
   set_up_serving (d, &s);
   start_filling (d, &s);
-  for (int n = 0; n < 56 && d->slow_pace_orders == 0; n++)
+  report_until_slowed (d, &s);
+}
+
+/* Guards against a serving task over its target for long: the order that slows the
+ * filling task beside it was lost, and the load reported shows that task at full speed.
+ */
+static void
+test_lost_order_to_slow_is_repeated (void **state)
+{
+  KqSchedFixture *d = *state;
+  Setup s;
+  int n;
+  int orders;
+  set_up_serving (d, &s);
+  start_filling (d, &s);
+  n = report_until_slowed (d, &s);
+  for (int i = 0; i < 4; i++)
     {
-      double wave = sin (2 * M_PI * n * 0.5 / PERIOD_S);
-      double alone = TARGET_MS * (0.45 + 0.2 * wave);
-      double slack = TARGET_MS / alone - 0.7;
-      report (d, &s, n, TARGET_MS / slack, alone);
+      orders = d->slow_pace_orders;
+      kq_sched_fixture_outcome (d, KQ_ORDER_PACE, s.filling.runner, s.filling.task,
+                                s.filling.run, KQ_ORDER_UNHEALTHY);
+      report (d, &s, n + i, TARGET_MS * 1.5, TARGET_MS * 0.6);
+      assert_int_equal (d->slow_pace_orders, orders + 1);
     }
-  assert_true (d->slow_pace_orders > 0);
+}
+
+/* Teaches the scheduler that "harms" takes much slack from "serves", and "mild" none. */
+static void
+learn_images (KqSchedFixture *d)
+{
+  KqDisturb *m = kq_disturb_new ();
+  KqBuf stored = { 0 };
+  int serving = kq_disturb_serving (m, KQ_STR ("serves"));
+  int harms = kq_disturb_filling (m, KQ_STR ("harms"));
+  int mild = kq_disturb_filling (m, KQ_STR ("mild"));
+  for (int i = 0; i < 200; i++)
+    {
+      double shares[KQ_DISTURB_IMAGES_MAX] = { 0 };
+      shares[i % 2 == 0 ? harms : mild] = 0.3;
+      kq_disturb_learn (m, serving, i % 2 == 0 ? 0.3 * 7 : 0, 0.04, shares);
+    }
+  kq_disturb_pack (m, &stored);
+  assert_true (kq_sched_learned (d->sched, kq_buf_str (&stored)));
+  kq_buf_free (&stored);
+  kq_disturb_free (m);
+}
+
+static KqStep
+filling_step (const char *image, int32_t cpu_milli, int32_t estimate_ms)
+{
+  KqStep fills = kq_sched_fixture_step ();
+  fills.filling = true;
+  fills.cpu_milli = cpu_milli;
+  fills.estimate_ms = estimate_ms;
+  fills.image = kq_str (image);
+  return fills;
+}
+
+/* Guards against a filling task that waits beside free room: a step of another image
+ * found no runner, as that image would disturb the serving tasks on all of them. */
+static void
+test_image_that_harms_does_not_hold_back_others (void **state)
+{
+  KqSchedFixture *d = *state;
+  Setup s;
+  learn_images (d);
+  set_up_serving (d, &s);
+  for (int n = 0; n < 10; n++)
+    report_alone (d, &s, TARGET_MS * 0.7);
+  kq_sched_fixture_submit (d, "bb", filling_step ("harms", 500, 60000), false);
+  kq_sched_fixture_submit (d, "cc", filling_step ("mild", 600, 90000), false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  assert_int_equal (d->start_orders, 3);
+  assert_int_equal (strncmp (d->task, "cc", 2), 0);
+}
+
+/* As above, with one image: a step that has just come asks for full speed, and one that
+ * has waited for long takes the half of it that there is. */
+static void
+test_step_that_asks_for_more_speed_does_not_hold_back_others (void **state)
+{
+  KqSchedFixture *d = *state;
+  Setup s;
+  learn_images (d);
+  set_up_serving (d, &s);
+  for (int n = 0; n < 60; n++)
+    report_alone (d, &s, TARGET_MS * 0.5);
+  kq_sched_fixture_submit (d, "bb", filling_step ("harms", 500, 60000), false);
+  kq_sched_fixture_submit (d, "cc", filling_step ("harms", 500, 30), false);
+  report_alone (d, &s, TARGET_MS * 0.5);
+  report_alone (d, &s, TARGET_MS * 0.5);
+  report_alone (d, &s, TARGET_MS * 0.5);
+  assert_int_equal (d->start_orders, 3);
+  assert_int_equal (strncmp (d->task, "cc", 2), 0);
 }
 
 int
@@ -167,6 +271,13 @@
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_disturbing_filling_task_is_slowed,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_lost_order_to_slow_is_repeated,
+                                     kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_image_that_harms_does_not_hold_back_others,
+                                     kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_step_that_asks_for_more_speed_does_not_hold_back_others,
+        kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -165,12 +165,14 @@
   KqTaskRef t;
   KqRun *run;
   bool ours;
+  KqTime ran;
   ++*s->ends[e->reason];
   if (!kq_book_find_task (s, e->task, &t))
     return;
   kq_book_mark_begun (t.job);
   run = find_run (r, &t, e->run);
   ours = run != NULL && run->occurrence != NULL;
+  ran = run != NULL && run->running_at != 0 ? now - run->running_at : 0;
   kq_log (KQ_LOG_DEBUG, PART, "Run ended. task=%.*s run=%u runner=%s how=%s n=%llu",
           KQ_STR_ARG (e->task), e->run, r->id, kq_end_reason_name (e->reason),
           (unsigned long long)e->number);
@@ -193,7 +195,9 @@
     kq_run_end (s, run, now);
   if (e->reason != KQ_END_FAILED)
     return;
-  if (ours || t.occurrence != NULL)
+  if (t.occurrence != NULL
+          ? kq_book_failure_blames_runner (&t.occurrence->steps[t.step], r, ran)
+          : ours)
     kq_runners_count_end (r, false, now);
   if (t.occurrence != NULL)
     kq_book_fail_task (s, t.occurrence, t.step, t.index, e->run, r, now);
@@ -242,9 +246,12 @@
   KqTime lease = now + l->lease_left_ms * KQ_MS;
   if (r == NULL || !kq_reports_is_current_agent (s, r, agent, l->assignment, "list"))
     return;
+  if (r->gone)
+    kq_runners_note_alive (r);
   if (l->started_ms != 0 && r->started_ms != 0 && l->started_ms != r->started_ms)
     {
       kq_runners_handle_restart (s, r, l->order, now);
+      kq_runners_note_alive (r);
       r->ends_seen = r->ends_stored = r->ends_batch = r->ends_marked = 0;
       r->failed_count = r->done_count = 0;
       r->suspect_until = 0;
@@ -357,7 +364,11 @@
       run->stopped = false;
       break; /* kq_watch_progress sends it again */
     case KQ_ORDER_OLD_RUN:
-      /* The run has already ended at the runner: its end is listed, or it was stopped. */
+      /* The run has already ended at the runner: its end is listed, or it was stopped. Or
+       * an earlier leader has used more numbers than KQ_RUNS_PER_TERM: the next run skips
+       * as many, as each attempt takes until the next list. */
+      if (run->phase == KQ_RUN_SENDING && kq_book_task_state (run) != NULL)
+        kq_book_task_state (run)->last_run = run->number + KQ_RUNS_PER_TERM;
       run->outcome_unknown = false;
       run->confirmed = o->order + 1;
       break;
@@ -419,8 +430,13 @@
             KQ_STR_ARG (o->task), o->run, r->id, kq_order_kind_name (o->kind),
             kq_order_result_name (o->result), o->unsent, run_phase_name (run),
             run != NULL && run->outcome_unknown);
-  if (run == NULL || o->kind == KQ_ORDER_PACE)
+  if (run == NULL)
     return;
+  if (o->kind == KQ_ORDER_PACE)
+    {
+      kq_run_pace_answered (run, o->result);
+      return;
+    }
   run->order_pending = false;
   if (o->kind == KQ_ORDER_START)
     {
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -30,17 +30,23 @@
   kq_sched_fixture_run (d, SETTLE);
 }
 
-/* Replaces the host's runner by a new one, as a maintenance does. */
 static void
-replace_runner (KqSchedFixture *d, const char *old, const char *id, const char *host)
+add_entry (KqSchedFixture *d, const char *id, const char *host)
 {
   KqRunnerEntry e = { .id = kq_str (id),
                       .service = KQ_STR ("desk"),
                       .address = KQ_STR ("127.0.0.1:1"),
                       .host = kq_str (host),
                       .room = { 4000, 16000, 0 } };
-  kq_sched_entry_gone (d->sched, kq_str (old), d->now);
   kq_sched_entry (d->sched, &e, d->now);
+}
+
+/* Replaces the host's runner by a new one, as a maintenance does. */
+static void
+replace_runner (KqSchedFixture *d, const char *old, const char *id, const char *host)
+{
+  kq_sched_entry_gone (d->sched, kq_str (old), d->now);
+  add_entry (d, id, host);
   kq_sched_fixture_run (d, 2 * KQ_SEC + SETTLE);
 }
 
@@ -228,6 +234,56 @@
   assert_string_equal (d->runner, "r0");
 }
 
+/* Guards against a runner that gets no tasks for good. Its entry was missing when its
+ * host came back into service, and came again later: an outage of the store had removed
+ * it. */
+static void
+test_runner_whose_entry_was_missing_is_used_again (void **state)
+{
+  KqSchedFixture *d = *state;
+  kq_sched_fixture_run (d, FIRST_CALL);
+  request_wave (d, 1, 1);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->hosts_down, 1);
+  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r0"), d->now);
+  for (int i = 0; i < 24; i++)
+    {
+      kq_sched_fixture_list (d, "r0", NULL, 0);
+      kq_sched_fixture_run (d, 500 * KQ_MS);
+    }
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  add_entry (d, "r0", "h0");
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r0");
+}
+
+/* As above: for a while the host has two entries, and the call comes to nothing, as the
+ * host is busy. */
+static void
+test_runner_beside_another_on_its_host_is_used_again (void **state)
+{
+  KqSchedFixture *d = *state;
+  kq_sched_fixture_run (d, FIRST_CALL);
+  add_entry (d, "r2", "h1");
+  kq_sched_fixture_store_used_runners (d);
+  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_list (d, "r2", NULL, 0);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  request_wave (d, 2, 2);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->hosts_down, 2);
+  add_entry (d, "r1", "h1");
+  kq_sched_maintenance_ended (d->sched, 4, KQ_STR ("h1"), KQ_MAINTENANCE_BUSY, d->now);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r2");
+}
+
 static bool
 is_in_stored_list (KqSchedFixture *d, const char *id)
 {
@@ -274,6 +330,129 @@
   assert_false (is_in_stored_list (d, runner));
 }
 
+/* Takes h0 down, with r0 on it. */
+static void
+take_h0_down (KqSchedFixture *d)
+{
+  kq_sched_fixture_run (d, FIRST_CALL);
+  request_wave (d, 1, 1);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->hosts_down, 1);
+  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+}
+
+/* Guards against a runner that gets no tasks for good. Its host was taken down, and it is
+ * back under the same id, in the store before its agent reports the silence. */
+static void
+test_runner_back_under_its_id_is_used_again (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqRunnerEntry e = { .id = KQ_STR ("r0"),
+                      .service = KQ_STR ("desk"),
+                      .address = KQ_STR ("127.0.0.1:1"),
+                      .host = KQ_STR ("h0"),
+                      .started_ms = 2,
+                      .room = { 4000, 16000, 0 } };
+  take_h0_down (d);
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_fixture_unreached (d, d->agent, "r0", 4500);
+  kq_sched_fixture_run (d, SETTLE);
+  d->started_ms = 2;
+  for (int i = 0; i < 8; i++)
+    {
+      kq_sched_fixture_list (d, "r0", NULL, 0);
+      kq_sched_fixture_run (d, 500 * KQ_MS);
+      kq_sched_fixture_store_used_runners (d);
+    }
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r0");
+}
+
+/* Guards against a task that runs twice: the runner that is back under its id is silent
+ * later on, and its runs may go on until its lease is over. */
+static void
+test_later_silence_of_a_runner_back_under_its_id (void **state)
+{
+  KqSchedFixture *d = *state;
+  take_h0_down (d);
+  kq_sched_fixture_run (d, 3 * KQ_SEC);
+  d->started_ms = 2;
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r0");
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+  add_entry (d, "r1", "h1");
+  kq_sched_fixture_unreached (d, d->agent, "r0", 4500);
+  kq_sched_fixture_run (d, KQ_SEC);
+  assert_int_equal (d->start_orders, 1);
+}
+
+/* Passes in lists of both runners with the tasks of job "aa", each at work, that run
+ * there according to `on` (0: r0, 1: r1, -1: nowhere). */
+static void
+list_tasks (KqSchedFixture *d, const int on[3])
+{
+  static const char *const names[] = { "aa.0.0.0", "aa.0.0.1", "aa.0.0.2" };
+  for (int r = 0; r < 2; r++)
+    {
+      KqRunRow rows[3];
+      size_t n = 0;
+      for (int i = 0; i < 3; i++)
+        if (on[i] == r)
+          rows[n++] = (KqRunRow){
+            .task = kq_str (names[i]), .run = 1, .checkpoint = KQ_STR (""), .percent = 100
+          };
+      kq_sched_fixture_list_runs (d, r == 0 ? "r0" : "r1", rows, n);
+    }
+}
+
+/* Guards against a lasting task that waits for good: all hosts with room for it are being
+ * drained, and the other tasks of its step there may not be stopped while it is away. */
+static void
+test_drains_that_wait_for_a_task_let_it_in (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep serving = kq_sched_fixture_step ();
+  KqSchedFixtureStart stopped = { 0 };
+  int on[3] = { -1, -1, -1 };
+  serving.lasting = true;
+  serving.width = 3;
+  serving.max_unavailable = 1;
+  serving.per_runner_max = 2;
+  kq_sched_fixture_submit (d, "aa", serving, false);
+  kq_sched_fixture_run (d, 6 * KQ_SEC);
+  assert_int_equal (d->starts_pending->len, 3);
+  for (int i = 0; i < 3; i++)
+    {
+      stopped = g_array_index (d->starts_pending, KqSchedFixtureStart, i);
+      on[stopped.task[strlen (stopped.task) - 1] - '0'] = stopped.runner[1] - '0';
+    }
+  kq_sched_fixture_accept_starts (d);
+  list_tasks (d, on);
+  request_wave (d, 2, 2);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->stop_orders, 1);
+  memcpy (stopped.task, d->stopped_task, sizeof stopped.task);
+  on[stopped.task[strlen (stopped.task) - 1] - '0'] = -1;
+  kq_sched_fixture_outcome (d, KQ_ORDER_STOP, d->stopped_runner, stopped.task, 1,
+                            KQ_ORDER_OK);
+  for (int i = 0; i < 30 && d->start_orders == 3; i++)
+    {
+      list_tasks (d, on);
+      kq_sched_fixture_run (d, 500 * KQ_MS);
+    }
+  assert_int_equal (d->start_orders, 4);
+  assert_string_equal (d->task, stopped.task);
+  assert_int_equal (d->stop_orders, 1);
+}
+
 static KqRunnerEntry
 draining_entry (void)
 {
@@ -334,7 +513,12 @@
     FIXTURE_TEST (test_tasks_that_may_not_be_away),
     FIXTURE_TEST (test_next_leader_continues_wave),
     FIXTURE_TEST (test_host_that_was_done_before_is_used_again),
+    FIXTURE_TEST (test_runner_whose_entry_was_missing_is_used_again),
+    FIXTURE_TEST (test_runner_beside_another_on_its_host_is_used_again),
     FIXTURE_TEST (test_runner_taken_down_is_not_waited_for),
+    FIXTURE_TEST (test_runner_back_under_its_id_is_used_again),
+    FIXTURE_TEST (test_later_silence_of_a_runner_back_under_its_id),
+    FIXTURE_TEST (test_drains_that_wait_for_a_task_let_it_in),
     FIXTURE_TEST (test_drained_runner_is_not_waited_for),
     FIXTURE_TEST (test_drained_runner_with_an_end_is_waited_for),
   };
--- a/src/sched/placing.h
+++ b/src/sched/placing.h
@@ -1,7 +1,8 @@
 #ifndef KQ_SCHED_PLACING_H
 #define KQ_SCHED_PLACING_H
 
-/* placing: finds runners for the tasks of a step, one after the other. */
+/* placing: the search for runners for the waiting tasks of one step, one task after the
+ * other. */
 
 #include "sched/state.h"
 
--- a/src/sched/room_test.c
+++ b/src/sched/room_test.c
@@ -90,7 +90,7 @@
 test_job_without_a_run_gets_one_beside_filling_tasks (void **state)
 {
   KqSchedRig *r = kq_sched_rig_new (2, (KqRoom){ 16000, 64000, 0 }, 1);
-  KqStep fills = kq_sched_rig_step (30, 2000, 400);
+  KqStep fills = kq_sched_rig_step (30, 2000, 4000);
   (void)state;
   fills.filling = true;
   kq_sched_rig_submit (r, "first", &fills, 1, 3, 600 * KQ_SEC, -1);
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -183,6 +183,14 @@
   return r;
 }
 
+void
+kq_runners_note_alive (KqRunnerState *r)
+{
+  if (r->gone)
+    r->in_stored_list = r->in_sent_list;
+  r->gone = r->taken_down = false;
+}
+
 void
 kq_sched_entry (KqSched *s, const KqRunnerEntry *e, KqTime now)
 {
@@ -208,11 +216,10 @@
   set_string (&r->host, e->host);
   r->room = e->room;
   r->in_store = true;
+  r->host_leaving = kq_maintenance_may_end (s, r);
+  r->entry_started_ms = e->started_ms;
   if (r->gone && e->started_ms != r->started_ms)
-    {
-      r->gone = r->taken_down = false;
-      r->in_stored_list = r->in_sent_list;
-    }
+    kq_runners_note_alive (r);
   if (r->draining && !e->draining && !r->in_sent_list)
     r->in_stored_list = false; /* no start before it is in the stored list again */
   if (e->draining && !r->draining)
@@ -367,35 +374,6 @@
     }
 }
 
-int
-kq_sched_agent_up (KqSched *s, const KqAgentInfo *info, KqTime now)
-{
-  int n = kq_agents_up (&s->agents, info);
-  (void)now;
-  s->pass_needed = true;
-  if (n >= 0 && !info->leader)
-    kq_grantors_agent_up (s, &info->name);
-  return n;
-}
-
-int
-kq_sched_agent_find (const KqSched *s, KqStr name)
-{
-  for (int i = 0; i < s->agents.n; i++)
-    {
-      const KqAgentState *a = &s->agents.list[i];
-      if (a->up && kq_str_eq (kq_name_str (&a->info.name), name))
-        return i;
-    }
-  return -1;
-}
-
-int
-kq_sched_agent_share (const KqSched *s, int agent)
-{
-  return s->agents.list[agent].info.share_milli;
-}
-
 void
 kq_sched_agent_down (KqSched *s, int agent, bool planned, KqTime now)
 {
@@ -418,20 +396,16 @@
   s->pass_needed = true;
 }
 
-bool
-kq_sched_agents_lost (const KqSched *s)
-{
-  return s->agents.n_lost > 0;
-}
-
-/* Ends all runs of a runner whose host is down for maintenance. Neither this leader nor a
+/* Ends all runs of a runner whose host is down for maintenance. It is gone, unless its
+ * next process, under the same id, has an entry already. Neither this leader nor a
  * later one has to wait for its lease: waiting delayed all earlier jobs for 9 s after a
  * change of leader with 18 hosts down. */
 static void
 end_taken_down (KqSched *s, KqRunnerState *r, KqTime now)
 {
   end_lost_runs (s, r, "its host was taken down", now);
-  r->gone = true;
+  r->taken_down = r->gone
+      = r->entry_started_ms == 0 || r->entry_started_ms == r->started_ms;
   set_lease_over (r, "host taken down", now);
   s->used_runners_dirty = true;
 }
@@ -508,6 +482,8 @@
       for (int32_t i = 0; i < j->spec.n_steps; i++)
         {
           kq_tickets_forget_runner (&o->steps[i], r);
+          if (o->steps[i].failed_on == r)
+            o->steps[i].failed_on = NULL;
           for (int32_t k = 0; k < j->spec.steps[i].width; k++)
             if (o->steps[i].tasks[k].avoid == r)
               o->steps[i].tasks[k].avoid = NULL;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -63,9 +63,11 @@
 {
   KqTicket *rows;
   int32_t n_rows;
-  int agent;       /* the agent whose request for this step is unanswered; -1: none */
-  KqTime asked_at; /* when that request was sent */
-  KqTime again_at; /* earliest time of the next request */
+  int agent;        /* the agent whose request for this step is unanswered; -1: none */
+  KqTime asked_at;  /* when that request was sent */
+  KqTime again_at;  /* earliest time of the next request */
+  int late_agent;   /* the agent of the last request that wasn't answered in time */
+  int late_answers; /* answers to such requests that late_agent may still send */
 } KqTickets;
 
 typedef struct
@@ -85,7 +87,9 @@
   bool open;          /* the steps that it depends on are done: its tasks may start */
   char rack[24]; /* of a one-rack step: the rack of its first placed task; "": none is
                     placed */
-  KqLoadTrend load_trend; /* of a serving step */
+  KqLoadTrend load_trend;   /* of a serving step */
+  KqRunnerState *failed_on; /* where a task failed last, with none done since; or NULL */
+  bool fails_anywhere;      /* as above, but tasks have failed on several runners */
   KqTaskState *tasks;
 } KqStepState;
 
@@ -177,14 +181,19 @@
   KqTime retry_at;       /* when an order without an answer is due to be repeated */
   double cpu_share;      /* cpu that it asks for, divided by the runner's whole cpu */
   int percent;           /* last reported progress, as in KqRunRow */
-  int load;           /* as in KqRunRow: a serving task's tail in ms, else cpu in use in
-                         thousandths; -1: not reported yet */
-  int pace;           /* last ordered pace, in percent */
-  bool pace_unknown;  /* an earlier leader may have ordered another pace */
-  KqTime slowed_at;   /* since when its pace is below 100; 0: it isn't */
-  bool in_list;       /* kq_sched_list has found it in the list that it is reading */
-  KqServing *serving; /* of a task with a latency target; else NULL */
-  char *checkpoint;   /* the last that its runner has reported; NULL: none */
+  int load;          /* as in KqRunRow: a serving task's tail in ms, else cpu in use in
+                        thousandths; -1: not reported yet */
+  int pace;          /* last ordered pace, in percent */
+  bool pace_unknown; /* it may have another pace: one ordered by an earlier leader, or the
+                        last order may not have been carried out */
+  int paces_unanswered;   /* pace orders of its agent without an outcome yet */
+  KqTime paced_at;        /* when its pace was last ordered */
+  KqTime pace_late_until; /* until then a pace order without an answer may be carried out,
+                             after newer ones; 0: none */
+  KqTime slowed_at;       /* since when its pace is below 100; 0: it isn't */
+  bool in_list;           /* kq_sched_list has found it in the list that it is reading */
+  KqServing *serving;     /* of a task with a latency target; else NULL */
+  char *checkpoint;       /* the last that its runner has reported; NULL: none */
   KqRunnerState *runner;
   KqRun *next; /* in the runner's list */
   KqRun *prev;
@@ -219,17 +228,20 @@
   char *rack;
   char *kind;
   char *host;            /* its target host; "": not known */
-  bool host_leaving;     /* its host will be taken down for maintenance soon */
+  bool host_leaving;     /* the maintenance of its host may still end it; follows from
+                            the phases of the waves' hosts */
   KqRoom room;           /* its whole capacity */
   KqRoom used;           /* what runs that may exist there reserve; filling ones no cpu */
   int64_t filling_milli; /* cpu that its filling runs ask for; not in `used` */
   int64_t started_ms;    /* start of its process, Unix time; 0: not known */
-  bool in_store;         /* it has an entry in the store now */
-  bool in_stored_list;   /* it is in the stored list of runners in use */
-  bool in_sent_list;     /* it is in the list that was packed last, to be stored */
+  int64_t entry_started_ms;    /* as started_ms, of the process that wrote its entry */
+  bool in_store;               /* it has an entry in the store now */
+  bool in_stored_list;         /* it is in the stored list of runners in use */
+  bool in_sent_list;           /* it is in the list that was packed last, to be stored */
   bool used_by_earlier_leader; /* an earlier leader may have started runs there */
-  bool taken_down;             /* its host has been taken down for maintenance */
-  bool gone;                   /* taken down and unreachable: no run is left there */
+  bool taken_down; /* its host has been taken down for maintenance, and ended its process
+                    */
+  bool gone;       /* taken down and unreachable: no run is left there */
   bool draining;
   KqTime drain_ends;    /* while draining: it doesn't leave before this time */
   bool listed;          /* it has listed its runs to this leader since it last started */
@@ -279,7 +291,7 @@
 };
 
 /* Progress of a host of a maintenance wave. Phases follow in this order, except that a
- * host that was not up when called waits again. */
+ * host that was not up when called, or whose drain was given up, waits again. */
 typedef enum
 {
   KQ_HOST_WAITING,
@@ -393,6 +405,9 @@
 KqTaskState *kq_book_task_state (const KqRun *r);
 /* Whether the task's run with that number has been counted as failed. */
 bool kq_book_run_has_failed (const KqTaskState *t, uint32_t run);
+/* Notes that a task of the step failed on the runner, after `ran` there. Returns whether
+ * that speaks against the runner rather than the step. */
+bool kq_book_failure_blames_runner (KqStepState *st, KqRunnerState *r, KqTime ran);
 /* Records a failed run, with no further effect on task or job. */
 void kq_book_add_failure (KqTaskState *t, uint32_t run);
 KqOccurrence *kq_book_add_occurrence (KqJob *j, int32_t number, KqTime due_at);
@@ -426,6 +441,9 @@
 void kq_book_forget (KqSched *s, KqJob *j);
 
 /* runs.c */
+/* The run numbers of term N begin above N - 1 times this. A task is started so often in
+ * one term only if runners go on refusing it. */
+#define KQ_RUNS_PER_TERM 1000
 /* Records a new run on the runner and reserves its room; sends no order. It becomes the
  * current run of its task in `o`; NULL: no task needs it. Owned by the runner. */
 KqRun *kq_run_new (KqSched *s, KqJob *j, KqOccurrence *o, int32_t step, int32_t index,
@@ -446,6 +464,10 @@
 void kq_run_send_stop (KqSched *s, KqRun *run, KqTime now);
 /* Orders a pace, in percent of full speed, unless a running run has it already. */
 void kq_run_set_pace (KqSched *s, KqRun *run, int percent, KqTime now);
+/* Whether the run's pace must be ordered again, even if it stays the same. */
+bool kq_run_pace_is_doubtful (const KqRun *run, KqTime now);
+/* Takes the result of a pace order. */
+void kq_run_pace_answered (KqRun *run, KqOrderResult result);
 /* Stores a reported checkpoint; an empty one is ignored. */
 void kq_run_set_checkpoint (KqRun *run, KqStr checkpoint);
 const KqStep *kq_run_step (const KqRun *run);
@@ -477,6 +499,8 @@
 KqTime kq_runners_lease_end (const KqRunnerState *r);
 /* Whether that time is over, and no agent can be renewing the lease. */
 bool kq_runners_lease_is_over (const KqRunnerState *r, KqTime now);
+/* Notes that a process of the runner is there which no maintenance has ended. */
+void kq_runners_note_alive (KqRunnerState *r);
 /* Notes that a run may exist on the runner until `ends`, unless a later time is known.
  * `from` says where that time comes from, for logs, and must stay valid. */
 void kq_runners_extend_lease (KqRunnerState *r, KqTime ends, const char *from);
@@ -548,6 +572,9 @@
 GPtrArray *kq_maintenance_new_waves (void);
 /* Drains and takes down hosts of the waves, as many as are due. */
 void kq_maintenance_update (KqSched *s, KqTime now);
+/* Whether a wave takes the runner's host down and may still end the runner, which must
+ * get no tasks then. */
+bool kq_maintenance_may_end (const KqSched *s, const KqRunnerState *r);
 
 /* pass.c */
 /* Makes one placing pass: starts the waiting tasks for which there is room. */
