--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -20,6 +20,9 @@
 
 #define KQ_SCHED_RIG_RUNNERS_MAX 32
 #define KQ_SCHED_RIG_AGENTS_MAX 8
+#define KQ_SCHED_RIG_WAVES_MAX 8
+/* As fails_index of a job: each of its tasks always fails. */
+#define KQ_SCHED_RIG_ALL_FAIL (-2)
 
 typedef struct
 {
@@ -29,7 +32,11 @@
   KqTime length;
   bool fails;
   bool lasting;
-  bool stalled; /* makes no progress and never ends */
+  bool stalled;    /* makes no progress and never ends */
+  bool gang_ended; /* with the gang, as gang_end says */
+  KqEndReason gang_end;
+  bool gang_complete; /* all members of its gang have run at once */
+  int pace;           /* percent; only if the rig models load */
 } KqSchedRigRun;
 
 typedef struct
@@ -45,8 +52,16 @@
 typedef struct
 {
   char id[16];
+  char host[16];
+  char kind[8];
+  char rack[8];
   KqRoom room;
   bool alive;
+  bool in_store; /* its entry is in the store */
+  bool draining;
+  KqTime up_again_at;        /* when its host is back from maintenance; 0: it is up */
+  KqTime unsent_until;       /* starts and stops for it aren't sent, as unsent_percent */
+  KqTime unhealthy_until;    /* it refuses starts and stops as UNHEALTHY */
   KqTime cut_until;          /* calls and answers are lost */
   KqTime replies_lost_until; /* calls arrive, answers are lost */
   double rate;               /* of its clock, relative to the rig's time */
@@ -121,6 +136,7 @@
   uint64_t serial; /* of the assignment that it belongs to */
   uint64_t epoch;
   KqOrderKind kind; /* KQ_ORDER_TAKE stands for a poll */
+  int percent;      /* of KQ_ORDER_PACE */
   char *task;
   uint32_t run;
   int64_t lease_end_ms; /* lease granted with the call; -1: none */
@@ -152,6 +168,29 @@
                         the runner's list */
 } KqSchedRigEvent;
 
+/* A wave of maintenance. */
+typedef struct
+{
+  int64_t number;
+  KqTime requested_at;
+  KqTime duration;
+  int32_t cap;
+  uint32_t hosts; /* a bit for each host, by the number of its first runner */
+  uint32_t begun; /* the hosts that have been taken down for this wave */
+} KqSchedRigWave;
+
+/* A call to the control plane. */
+typedef struct
+{
+  int host;
+  int64_t wave;
+  uint64_t epoch;
+  uint64_t leader_serial;
+  KqTime arrives_at;  /* KQ_TIME_NEVER: it has arrived, or is lost */
+  KqTime answered_at; /* the leader gets the result then */
+  KqMaintenanceResult result;
+} KqSchedRigHostCall;
+
 typedef struct
 {
   KqTime now;
@@ -163,6 +202,7 @@
   uint32_t term;
   KqSchedRigAgent agents[KQ_SCHED_RIG_AGENTS_MAX];
   int n_agents;
+  bool models_load; /* runs report their load, and filling ones work by their pace */
   KqSchedRigRunner runners[KQ_SCHED_RIG_RUNNERS_MAX];
   int n_runners;
   GPtrArray *events;
@@ -172,10 +212,25 @@
   GByteArray *used_runners;
   uint64_t revision;
   KqTime store_down_until;
+  GByteArray *waves_stored;
   /* Faults of calls to runners. */
-  int lost_percent;   /* no answer; half of them don't reach the runner either */
-  int late_percent;   /* reach the runner 1 to 6 s late; no answer */
-  int unsent_percent; /* starts and stops that aren't sent and fail as UNHEALTHY */
+  int lost_percent;        /* no answer; half of them don't reach the runner either */
+  int late_percent;        /* reach the runner 1 to 6 s late; no answer */
+  int unsent_percent;      /* starts and stops that aren't sent and fail as UNHEALTHY */
+  int late_orders_percent; /* starts and stops: reach the runner 2 to 12 s late; no answer
+                            */
+  /* The control plane. */
+  KqSchedRigWave waves[KQ_SCHED_RIG_WAVES_MAX];
+  int n_waves;
+  int n_hosts;
+  KqTime host_down_until[KQ_SCHED_RIG_RUNNERS_MAX];
+  int64_t host_down_for[KQ_SCHED_RIG_RUNNERS_MAX]; /* the last wave that took it down */
+  uint64_t host_fence[KQ_SCHED_RIG_RUNNERS_MAX];
+  GArray *host_calls;        /* KqSchedRigHostCall */
+  KqTime down_again_at;      /* when a host went down soon after it had come back */
+  KqTime control_away_until; /* it answers nothing and does nothing */
+  int control_lost_percent;  /* calls without an answer; half of them do nothing */
+  bool new_ids_after_upkeep; /* a host comes back with a new runner id, if one is left */
   /* State of the invariant checks. */
   int breaches; /* number of breaches */
   char first_breach[200];
@@ -194,9 +249,10 @@
   bool cancelled;
   KqTime cancelled_at;
   int attempts;
-  KqSpec spec;         /* strings point into stored */
-  int32_t fails_index; /* tasks with this index always fail; -1: none */
-  KqTime length;       /* of each run */
+  KqSpec spec;             /* strings point into stored */
+  int32_t fails_index;     /* tasks with this index always fail; -1: none */
+  KqTime length;           /* of each run */
+  KqTime overloaded_until; /* its serving tasks are over their target by themselves */
 } KqSchedRigJob;
 
 /* Sets up a rig with one agent. */
@@ -215,6 +271,14 @@
 void kq_sched_rig_submit (KqSchedRig *r, const char *id, const KqStep *steps, int n,
                           int attempts, KqTime length, int32_t fails_index);
 void kq_sched_rig_cancel (KqSchedRig *r, const char *id);
+/* As kq_sched_rig_submit, for a whole spec; attempts etc. are the spec's own. */
+void kq_sched_rig_submit_spec (KqSchedRig *r, const KqSpec *spec, KqTime length,
+                               int32_t fails_index);
+/* Passes the runner's entry to the leader, or its removal if !in_store. */
+void kq_sched_rig_entry (KqSchedRig *r, int n);
+/* Requests a wave of maintenance of these hosts. False: there are too many waves. */
+bool kq_sched_rig_request_wave (KqSchedRig *r, uint32_t hosts, int32_t cap,
+                                KqTime duration);
 /* Runs everything for the span, in ticks of 10 ms. */
 void kq_sched_rig_run (KqSchedRig *r, KqTime span);
 /* The leader fails; a new one loads its state from the store. */
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -11,6 +11,8 @@
 /* Length of a lease, and the longest that a runner accepts. */
 #define KQ_SCHED_RIG_LEASE_MS 5000
 #define KQ_SCHED_RIG_RENEW_WITHOUT_LEADER_MS 4000
+#define KQ_SCHED_RIG_TICK (10 * KQ_MS)
+#define KQ_SCHED_RIG_MAINTENANCE_MS 2000
 /* One way, of calls, answers and messages. */
 #define KQ_SCHED_RIG_LATENCY (5 * KQ_MS)
 
@@ -58,6 +60,20 @@
 /* The call fails with KQ_ORDER_UNHEALTHY, as no connection could be made. */
 void kq_sched_rig_not_sent (KqSchedRig *r, const KqSchedRigCall *c);
 
+/* Gangs. */
+/* Whether a member of a gang ends now since the others have ended or don't come. */
+bool kq_sched_rig_gang_ends (KqSchedRig *r, KqSchedRigRun *run, KqEndReason *why);
+/* Whether it is a member of a gang that makes no progress yet. */
+bool kq_sched_rig_gang_waits (const KqSchedRig *r, const KqSchedRigRun *run);
+
+/* Load. */
+/* The share of its full speed at which a filling run works. */
+double kq_sched_rig_speed (const KqSchedRig *r, const KqSchedRigRunner *g,
+                           const KqSchedRigRun *run);
+/* As KqRunRow.load; -1 unless the rig models load. */
+int kq_sched_rig_load (const KqSchedRig *r, const KqSchedRigRunner *g,
+                       const KqSchedRigRun *run);
+
 /* Agents. */
 void kq_sched_rig_agent_tick (KqSchedRig *r, int agent);
 void kq_sched_rig_agent_answer (KqSchedRig *r, const KqSchedRigEvent *e);
@@ -69,6 +85,20 @@
 /* The agent releases all its runners. */
 void kq_sched_rig_release_all (KqSchedRig *r, int agent);
 
+/* Maintenance. */
+/* KqSchedConfig.maintenance; arg is the rig. */
+void kq_sched_rig_maintenance (void *arg, KqStr host, int64_t wave);
+/* Carries out and answers the calls that are due, and brings hosts up again. */
+void kq_sched_rig_maintenance_tick (KqSchedRig *r);
+/* Passes the waves to a new leader. */
+void kq_sched_rig_load_waves (KqSchedRig *r);
+/* Stores the waves' progress, if it has changed. */
+void kq_sched_rig_store_waves (KqSchedRig *r);
+/* Ends the runner's process. */
+void kq_sched_rig_kill_runner (KqSchedRig *r, int n);
+/* Adds a runner on that host. */
+void kq_sched_rig_init_runner (KqSchedRig *r, int n, KqRoom room, int host);
+
 /* Connections. */
 void kq_sched_rig_link_init (KqSchedRig *r, int agent);
 void kq_sched_rig_link_tick (KqSchedRig *r, int agent);
