A runner that comes back under its id after maintenance is no longer one that was taken down

What was seen: tasks ran twice at a time, or again after they were done; the runner was then never used again.

Cause: when a maintenance call is answered OK the runner is marked taken_down, so that its runs end without waiting for its lease once it is unreachable too. Only an entry with another start time took that mark away, and only after the runner had been found unreachable. If the new process listed its runs before any silence was reported, the mark stayed, and the next silence, minutes later, ended all runs of the new process at once while they went on. The runner was then 'gone', and no message ended that either: its entry's start time is the known one, so it wasn't in the stored list of runners any more.

Evidence: test_runner_restarted_after_maintenance_keeps_its_runs failed before (a second start, 0x2 != 0x1).

Why it works: a list with another start time comes from another process than the one that was ended with its host, so both marks are taken away there.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -226,6 +226,16 @@
   s->config.order (s->config.arg, r->agent, &o);
 }
 
+/* The process that was ended with its host is over; what holds for it doesn't hold for
+ * the next one. Nothing starts there before the runner is in the stored list again. */
+static void
+note_up_again (KqRunnerState *r)
+{
+  if (r->gone)
+    r->in_stored_list = r->in_sent_list;
+  r->gone = r->taken_down = false;
+}
+
 void
 kq_sched_list (KqSched *s, int agent, KqStr runner, const KqRunnerList *l, KqTime now)
 {
@@ -239,6 +249,7 @@
       r->ends_seen = r->ends_stored = r->ends_batch = 0;
       r->failed_count = r->done_count = 0;
       r->suspect_until = 0;
+      note_up_again (r);
     }
   if (l->started_ms != 0)
     r->started_ms = l->started_ms;
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -274,6 +274,39 @@
   assert_false (is_in_stored_list (d, runner));
 }
 
+/* Guards against a task that runs twice, and a runner that is never used again. A runner
+ * that has started again under its id after the maintenance of its host is no longer one
+ * that was taken down: if it falls silent later, its tasks wait for its lease. */
+static void
+test_runner_restarted_after_maintenance_keeps_its_runs (void **state)
+{
+  KqSchedFixture *d = *state;
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_run (d, FIRST_CALL);
+  request_wave (d, 1, 1);
+  kq_sched_fixture_run (d, SETTLE);
+  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_run (d, 2 * KQ_SEC);
+  d->started_ms = 2;
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1);
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+  replace_runner (d, "r1", "r2", "h1");
+  is_in_stored_list (d, "r2");
+  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_list (d, "r2", NULL, 0);
+  kq_sched_fixture_unreached (d, d->agent, "r0", 4500);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 1); /* it may still run on r0 */
+  kq_sched_entry_gone (d->sched, KQ_STR ("r2"), d->now);
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->start_orders, 2); /* its list shows that the task is gone */
+  assert_string_equal (d->runner, "r0");
+}
+
 static KqRunnerEntry
 draining_entry (void)
 {
@@ -335,6 +368,7 @@
     FIXTURE_TEST (test_next_leader_continues_wave),
     FIXTURE_TEST (test_host_that_was_done_before_is_used_again),
     FIXTURE_TEST (test_runner_taken_down_is_not_waited_for),
+    FIXTURE_TEST (test_runner_restarted_after_maintenance_keeps_its_runs),
     FIXTURE_TEST (test_drained_runner_is_not_waited_for),
     FIXTURE_TEST (test_drained_runner_with_an_end_is_waited_for),
   };
