A lost lasting filling task runs again beside other filling tasks

Cause: filling tasks of other jobs had taken all unused cpu. The limits on filling tasks are dropped only for a job without any run, and others of this job ran. A failed search for a filling task also kept it from being tried in that pass.

Evidence: test_lost_lasting_filling_task_runs_again failed before (2 of 4 run).

Why it works: a lasting task that has been lost for as long as a starved job waits now takes any room, as that job's tasks do, if about half of the room is free.

--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -75,7 +75,7 @@
   const KqStep *p = &t->occurrence->job->spec.steps[t->step];
   bool starved = kq_place_is_starved (t->occurrence, t->step, now);
   if (p->filling)
-    return starved ? FOR_ANY : FOR_FILLING;
+    return starved || t->lost ? FOR_ANY : FOR_FILLING;
   if (!p->lasting)
     return FOR_RESERVED;
   return starved || t->occurrence->steps[t->step].lost_since != 0 ? FOR_ANY : FOR_LASTING;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -52,7 +52,8 @@
  * their targets until the first report. */
 #define HALF_SPEED_WAIT_LENGTHS 30
 /* A job is starved if it has no run, has waited for this long, and about half of the room
- * is free. Most limits on placing its filling and lasting tasks are then dropped. */
+ * is free. Most limits on placing its filling and lasting tasks are then dropped, and
+ * likewise for a lasting task that has been lost for this long. */
 #define STARVED_AFTER (2 * KQ_SEC)
 
 /* Cpu of the runner in thousandths that is left after the filling tasks already there. */
@@ -64,17 +65,16 @@
 }
 
 /* Whether a task of the step fits beside what is reserved, and, for a filling task,
- * whether enough cpu is unused. A starved job's filling task may go beside others without
- * unused cpu. */
+ * whether enough cpu is unused. any_room: it may go beside others without unused cpu. */
 static bool
-fits_now (const KqRunnerState *r, const KqStep *p, bool starved)
+fits_now (const KqRunnerState *r, const KqStep *p, bool any_room)
 {
   if (r->used.mem_mb + p->mem_mb > r->room.mem_mb
       || r->used.gpus + p->gpus > r->room.gpus)
     return false;
   if (!p->filling)
     return r->used.cpu_milli + p->cpu_milli <= r->room.cpu_milli;
-  return starved
+  return any_room
          || cpu_left_to_filling (r)
                 >= (int64_t)p->cpu_milli * FILLING_UNUSED_MIN_PERCENT / 100;
 }
@@ -185,6 +185,17 @@
          && kq_pools_is_half_free (o->job->pool);
 }
 
+/* Whether a task of the step takes any room: its job is starved, or it is a lasting task
+ * that has been lost for as long. The latter must run whether others of its job do. */
+static bool
+takes_any_room (const KqOccurrence *o, int32_t step, bool lost, KqTime now)
+{
+  KqTime since = o->steps[step].lost_since;
+  return kq_place_is_starved (o, step, now)
+         || (lost && since != 0 && now - since >= STARVED_AFTER
+             && kq_pools_is_half_free (o->job->pool));
+}
+
 /* The share of its full speed that a filling task must be able to work at to start: the
  * longer it has waited, the less. */
 static double
@@ -196,8 +207,6 @@
   double waited = st->waits_since != 0 ? (double)(now - st->waits_since) : 0;
   double required
       = half_speed_wait > 0 ? half_speed_wait / (half_speed_wait + waited) : 0;
-  if (kq_place_is_starved (o, step, now))
-    return 0;
   return required > START_SPEED_MIN ? required : START_SPEED_MIN;
 }
 
@@ -207,17 +216,17 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   int image = o->job->images[step];
-  bool starved = kq_place_is_starved (o, step, now);
-  if (r->pool != o->job->pool || !accepts_tasks (r, now) || !fits_now (r, p, starved)
+  bool any_room = takes_any_room (o, step, lost, now);
+  if (r->pool != o->job->pool || !accepts_tasks (r, now) || !fits_now (r, p, any_room)
       || !has_label (r, p->label))
     return false;
   if (p->per_runner_max > 0 && count_step_runs (r, o, step) >= p->per_runner_max)
     return false;
-  if (p->lasting && !p->filling && !lost && !starved && !kq_pools_may_place_lasting (r))
+  if (p->lasting && !p->filling && !lost && !any_room && !kq_pools_may_place_lasting (r))
     return false;
   if (p->filling && r->n_serving > 0 && kq_harm_closed_to_filling (s, r, now))
     return false;
-  return !p->filling
+  return !p->filling || any_room
          || kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
                 >= start_speed_required (o, step, now);
 }
--- a/src/sched/room_test.c
+++ b/src/sched/room_test.c
@@ -103,12 +103,35 @@
   assert_int_equal (kq_sched_rig_free (r), 0);
 }
 
+/* Guards against a filling task that lasts and never runs again after it has lost its
+ * runner: filling tasks of other jobs use all that is left of the cpu, while hardly any
+ * of it is reserved. */
+static void
+test_lost_lasting_filling_task_runs_again (void **state)
+{
+  KqSchedRig *r = kq_sched_rig_new (2, (KqRoom){ 16000, 64000, 0 }, 1);
+  KqStep lasts = lasting_step (4, 2000);
+  KqStep fills = kq_sched_rig_step (60, 2000, 600000);
+  (void)state;
+  lasts.filling = fills.filling = true;
+  kq_sched_rig_submit (r, "lasts", &lasts, 1, 3, 600 * KQ_SEC, -1);
+  kq_sched_rig_run (r, KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "lasts"), 4);
+  kq_sched_rig_submit (r, "fills", &fills, 1, 3, 600 * KQ_SEC, -1);
+  kq_sched_rig_run (r, KQ_SEC);
+  kq_sched_rig_restart_runner (r, 0);
+  kq_sched_rig_run (r, 6 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "lasts"), 4);
+  assert_int_equal (kq_sched_rig_free (r), 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_large_short_tasks_find_room_beside_lasting),
           cmocka_unit_test (test_lasting_task_lost_in_a_change_of_leader),
-          cmocka_unit_test (test_job_without_a_run_gets_one_beside_filling_tasks) };
+          cmocka_unit_test (test_job_without_a_run_gets_one_beside_filling_tasks),
+          cmocka_unit_test (test_lost_lasting_filling_task_runs_again) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
