A starved job uses suspect runners

Cause: a job that can't succeed fails on one runner after the other. Each counts its failures, and within a second the whole fleet is suspect, for 2 to 8 s. No other job starts meanwhile, though the runners are sound.

Why it works: a job that is starved (no run, waited 2 s, about half of the room is free) may use suspect runners, with one task at a time, as it is no longer starved once that one runs. A step that may use any room isn't passed over either because another step found none on runners that aren't suspect.

--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -74,11 +74,13 @@
 {
   const KqStep *p = &t->occurrence->job->spec.steps[t->step];
   bool starved = kq_place_is_starved (t->occurrence, t->step, now);
+  if (starved || t->lost)
+    return FOR_ANY;
   if (p->filling)
-    return starved || t->lost ? FOR_ANY : FOR_FILLING;
+    return FOR_FILLING;
   if (!p->lasting)
     return FOR_RESERVED;
-  return starved || t->occurrence->steps[t->step].lost_since != 0 ? FOR_ANY : FOR_LASTING;
+  return t->occurrence->steps[t->step].lost_since != 0 ? FOR_ANY : FOR_LASTING;
 }
 
 static bool
@@ -101,8 +103,8 @@
   const KqStep *p = &spec->steps[t->step];
   RoomKind kind = room_kind (t, now);
   /* Not recorded: a step with further limits, which other steps don't have; one that
-   * waits for a ticket rather than for room; one that may use any room, as both filling
-   * and lasting steps have that kind. */
+   * waits for a ticket rather than for room; one that may use any room, as steps of
+   * all sorts have that kind. */
   if (m->n == NO_ROOM_MAX || p->label.len > 0 || p->per_runner_max > 0 || p->gpus > 0
       || p->gang || spec->advised || kind == FOR_ANY)
     return;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -52,8 +52,9 @@
  * their targets until the first report. */
 #define HALF_SPEED_WAIT_LENGTHS 30
 /* A job is starved if it has no run, has waited for this long, and about half of the room
- * is free. Most limits on placing its filling and lasting tasks are then dropped, and
- * likewise for a lasting task that has been lost for this long. */
+ * is free. It may then use suspect runners, and most limits on placing its filling and
+ * lasting tasks are dropped. Likewise for a lasting task that has been lost for this
+ * long. */
 #define STARVED_AFTER (2 * KQ_SEC)
 
 /* Cpu of the runner in thousandths that is left after the filling tasks already there. */
@@ -105,11 +106,10 @@
 }
 
 static bool
-accepts_tasks (const KqRunnerState *r, KqTime now)
+accepts_tasks (const KqRunnerState *r)
 {
   return r->in_store && r->in_stored_list && r->listed && !r->silent
-         && !r->has_unknown_run && !r->draining && !r->host_leaving && r->agent >= 0
-         && now >= r->suspect_until;
+         && !r->has_unknown_run && !r->draining && !r->host_leaving && r->agent >= 0;
 }
 
 /* Share of the runner's serving tasks that have another image, less the share that have
@@ -217,9 +217,12 @@
   const KqStep *p = &o->job->spec.steps[step];
   int image = o->job->images[step];
   bool any_room = takes_any_room (o, step, lost, now);
-  if (r->pool != o->job->pool || !accepts_tasks (r, now) || !fits_now (r, p, any_room)
+  if (r->pool != o->job->pool || !accepts_tasks (r) || !fits_now (r, p, any_room)
       || !has_label (r, p->label))
     return false;
+  /* If all runners are suspect, the tasks that failed there are the likely cause. */
+  if (now < r->suspect_until && !any_room)
+    return false;
   if (p->per_runner_max > 0 && count_step_runs (r, o, step) >= p->per_runner_max)
     return false;
   if (p->lasting && !p->filling && !lost && !any_room && !kq_pools_may_place_lasting (r))
--- a/src/sched/room_test.c
+++ b/src/sched/room_test.c
@@ -103,6 +103,24 @@
   assert_int_equal (kq_sched_rig_free (r), 0);
 }
 
+/* Guards against a fleet left unused: the tasks of a job that can't succeed fail on all
+ * runners, all of which become suspect, and another job waits for as long. */
+static void
+test_job_runs_though_all_runners_are_suspect (void **state)
+{
+  KqSchedRig *r = kq_sched_rig_new (2, (KqRoom){ 4000, 16000, 0 }, 1);
+  KqStep fails = kq_sched_rig_step (8, 1000, 100);
+  KqStep brief = kq_sched_rig_step (1, 500, 20000);
+  (void)state;
+  kq_sched_rig_submit (r, "fails", &fails, 1, 4, 100 * KQ_MS, KQ_SCHED_RIG_ALL_FAIL);
+  kq_sched_rig_run (r, 300 * KQ_MS);
+  assert_int_equal (kq_sched_rig_running (r, "fails"), 0);
+  kq_sched_rig_submit (r, "brief", &brief, 1, 3, 20 * KQ_SEC, -1);
+  kq_sched_rig_run (r, 3 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "brief"), 1);
+  assert_int_equal (kq_sched_rig_free (r), 0);
+}
+
 /* Guards against a filling task that lasts and never runs again after it has lost its
  * runner: filling tasks of other jobs use all that is left of the cpu, while hardly any
  * of it is reserved. */
@@ -132,6 +150,7 @@
       = { cmocka_unit_test (test_large_short_tasks_find_room_beside_lasting),
           cmocka_unit_test (test_lasting_task_lost_in_a_change_of_leader),
           cmocka_unit_test (test_job_without_a_run_gets_one_beside_filling_tasks),
+          cmocka_unit_test (test_job_runs_though_all_runners_are_suspect),
           cmocka_unit_test (test_lost_lasting_filling_task_runs_again) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
