Runners that are about to leave count when a job is taken for starved

Cause: limits on placing are dropped when about half of the service's cpu is not reserved, but runners whose host waits for maintenance were left out of the sum. With several hosts waiting, over half of the others' cpu was reserved; the tasks weren't placed, so the hosts couldn't go down, so they went on being left out.

Why it works: about half has to be free of all cpu, or of that of the runners that stay. The users' rule is about the whole service.

--- a/src/sched/pools.c
+++ b/src/sched/pools.c
@@ -64,6 +64,7 @@
     {
       KqPool *p = g_ptr_array_index (s->pools, i);
       p->usable_milli = p->used_milli = p->no_lasting_milli = p->demand_milli = 0;
+      p->whole_milli = p->reserved_milli = 0;
     }
   for (guint i = 0; i < s->runner_list->len; i++)
     {
@@ -72,7 +73,11 @@
       p->demand_milli += r->used.cpu_milli - r->lasting_milli;
       if (r->n_lasting == 0)
         p->demand_milli += r->filling_milli;
-      if (!r->in_store || r->draining || r->host_leaving || r->silent)
+      if (!r->in_store || r->silent)
+        continue;
+      p->whole_milli += r->room.cpu_milli;
+      p->reserved_milli += r->used.cpu_milli;
+      if (r->draining || r->host_leaving)
         continue;
       p->usable_milli += r->room.cpu_milli;
       p->used_milli += r->used.cpu_milli;
@@ -121,6 +126,7 @@
 kq_pools_count_lasting (const KqRunnerState *r, int32_t cpu_milli)
 {
   r->pool->used_milli += cpu_milli;
+  r->pool->reserved_milli += cpu_milli;
   if (r->n_lasting == 1)
     r->pool->no_lasting_milli -= r->room.cpu_milli;
 }
@@ -128,5 +134,6 @@
 bool
 kq_pools_is_half_free (const KqPool *p)
 {
-  return p->used_milli * 100 < p->usable_milli * HALF_RESERVED_PERCENT;
+  return p->used_milli * 100 < p->usable_milli * HALF_RESERVED_PERCENT
+         || p->reserved_milli * 100 < p->whole_milli * HALF_RESERVED_PERCENT;
 }
--- a/src/sched/room_test.c
+++ b/src/sched/room_test.c
@@ -143,6 +143,29 @@
   assert_int_equal (kq_sched_rig_free (r), 0);
 }
 
+/* Guards against a filling job that waits as long as hosts can't go down for maintenance:
+ * what is reserved on the other hosts is over half of their cpu, but not of all cpu. */
+static void
+test_starved_job_runs_while_hosts_wait_for_maintenance (void **state)
+{
+  KqSchedRig *r = kq_sched_rig_new (3, (KqRoom){ 4000, 16000, 0 }, 1);
+  KqStep reserves = kq_sched_rig_step (1, 2500, 600000);
+  KqStep fills = kq_sched_rig_step (1, 4000, 600000);
+  (void)state;
+  fills.filling = true;
+  r->control_away_until = r->now + 600 * KQ_SEC;
+  kq_sched_rig_run (r, 4 * KQ_SEC);
+  assert_true (kq_sched_rig_request_wave (r, 6, 2, 9 * KQ_SEC));
+  kq_sched_rig_run (r, KQ_SEC);
+  kq_sched_rig_submit (r, "reserves", &reserves, 1, 3, 600 * KQ_SEC, -1);
+  kq_sched_rig_run (r, KQ_SEC);
+  assert_int_equal (r->runners[0].runs->len, 1);
+  kq_sched_rig_submit (r, "fills", &fills, 1, 3, 600 * KQ_SEC, -1);
+  kq_sched_rig_run (r, 3 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "fills"), 1);
+  assert_int_equal (kq_sched_rig_free (r), 0);
+}
+
 int
 main (void)
 {
@@ -151,6 +174,7 @@
           cmocka_unit_test (test_lasting_task_lost_in_a_change_of_leader),
           cmocka_unit_test (test_job_without_a_run_gets_one_beside_filling_tasks),
           cmocka_unit_test (test_job_runs_though_all_runners_are_suspect),
-          cmocka_unit_test (test_lost_lasting_filling_task_runs_again) };
+          cmocka_unit_test (test_lost_lasting_filling_task_runs_again),
+          cmocka_unit_test (test_starved_job_runs_while_hosts_wait_for_maintenance) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -197,6 +197,8 @@
   char *service;
   int64_t usable_milli;     /* total cpu, in thousandths, of those that may be used */
   int64_t used_milli;       /* the part of usable_milli that is reserved */
+  int64_t whole_milli;      /* as usable_milli, with runners that are about to leave */
+  int64_t reserved_milli;   /* the part of whole_milli that is reserved */
   int64_t no_lasting_milli; /* usable cpu of runners that hold no lasting task */
   int64_t demand_milli; /* cpu that tasks other than lasting ones need: running ones that
                            reserve cpu, filling ones on runners without lasting tasks, and
@@ -511,7 +513,7 @@
 void kq_pools_update_kept_free (KqSched *s, KqTime now);
 /* Whether a lasting task on the runner leaves enough cpu free of lasting tasks. */
 bool kq_pools_may_place_lasting (const KqRunnerState *r);
-/* Whether no more than about half of the service's cpu is reserved. */
+/* Whether about half of the cpu is not reserved, with or without runners that leave. */
 bool kq_pools_is_half_free (const KqPool *p);
 /* Counts a lasting task with that cpu that has been placed on the runner. */
 void kq_pools_count_lasting (const KqRunnerState *r, int32_t cpu_milli);
