A change of pace that wasn't carried out is ordered again

What callers saw: a filling task stays at pace 0, or goes on at full speed beside a serving task over its target, for as long as it runs.

Cause: the leader takes a pace for set when it is ordered. The outcome of the order was ignored: without an answer, refused by an unhealthy runner, never sent or lost with its agent, it wasn't repeated, as the wanted pace was the one believed.

Why it works: such a run's pace counts as unknown, as that of a run of an earlier leader, and is ordered again with the runner's next list, unless the reported load shows full speed.

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -409,8 +409,14 @@
             KQ_STR_ARG (o->task), o->run, r->id, kq_order_kind_name (o->kind),
             kq_order_result_name (o->result), run_phase_name (run),
             run != NULL && run->outcome_unknown);
-  if (run == NULL || o->kind == KQ_ORDER_PACE)
+  if (run == NULL)
     return;
+  if (o->kind == KQ_ORDER_PACE)
+    {
+      /* The next list has the pace ordered again. */
+      run->pace_unknown = run->pace_unknown || o->result != KQ_ORDER_OK;
+      return;
+    }
   run->order_pending = false;
   if (o->kind == KQ_ORDER_START)
     {
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -151,6 +151,7 @@
   if (run->order_pending)
     run->outcome_unknown = true;
   run->order_pending = false;
+  run->pace_unknown = kq_run_step (run)->filling;
   kq_run_leave_window (s, run);
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -179,7 +179,7 @@
   int load;           /* as in KqRunRow: a serving task's tail in ms, else cpu in use in
                          thousandths; -1: not reported yet */
   int pace;           /* last ordered pace, in percent */
-  bool pace_unknown;  /* an earlier leader may have ordered another pace */
+  bool pace_unknown;  /* its pace may be another one */
   KqTime slowed_at;   /* since when its pace is below 100; 0: it isn't */
   bool in_list;       /* kq_sched_list has found it in the list that it is reading */
   KqServing *serving; /* of a task with a latency target; else NULL */
