A starved filling job starts beside serving tasks that are over their target

Cause: no filling task starts beside a serving task that has been over its target for too long, and that limit held for starved jobs as well. If the serving tasks of all suitable runners are over by their own load, nothing ends the wait.

Why it works: one task of a starved job starts there.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -227,11 +227,12 @@
     return false;
   if (p->lasting && !p->filling && !lost && !any_room && !kq_pools_may_place_lasting (r))
     return false;
-  if (p->filling && r->n_serving > 0 && kq_harm_closed_to_filling (s, r, now))
+  if (!p->filling || any_room)
+    return true; /* beside a serving task over its target it is set to pace 0 */
+  if (r->n_serving > 0 && kq_harm_closed_to_filling (s, r, now))
     return false;
-  return !p->filling || any_room
-         || kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
-                >= start_speed_required (o, step, now);
+  return kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
+         >= start_speed_required (o, step, now);
 }
 
 typedef struct
--- a/src/sched/room_test.c
+++ b/src/sched/room_test.c
@@ -166,6 +166,40 @@
   assert_int_equal (kq_sched_rig_free (r), 0);
 }
 
+/* Guards against a filling job that waits as long as serving tasks on all runners are
+ * over their target by their own load: one of its tasks starts, and is held at pace 0. */
+static void
+test_starved_job_runs_beside_overloaded_serving_tasks (void **state)
+{
+  KqSchedRig *r = kq_sched_rig_new (2, (KqRoom){ 16000, 64000, 0 }, 1);
+  KqStep serves = lasting_step (2, 4000);
+  KqStep fills = kq_sched_rig_step (3, 2000, 600000);
+  KqSchedRigJob *j;
+  (void)state;
+  r->models_load = true;
+  serves.target_ms = 50;
+  serves.per_runner_max = 1;
+  serves.image = KQ_STR ("s");
+  fills.filling = true;
+  fills.image = KQ_STR ("f");
+  kq_sched_rig_submit (r, "serves", &serves, 1, 3, 600 * KQ_SEC, -1);
+  kq_sched_rig_run (r, 10 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "serves"), 2);
+  j = g_hash_table_lookup (r->jobs, "serves");
+  j->overloaded_until = r->now + 600 * KQ_SEC;
+  kq_sched_rig_run (r, 5 * KQ_SEC);
+  kq_sched_rig_submit (r, "fills", &fills, 1, 3, 600 * KQ_SEC, -1);
+  kq_sched_rig_run (r, 3 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "fills"), 1);
+  for (int i = 0; i < 2; i++)
+    for (guint k = 0; k < r->runners[i].runs->len; k++)
+      {
+        const KqSchedRigRun *run = g_ptr_array_index (r->runners[i].runs, k);
+        assert_int_equal (run->pace, run->task[0] == 'f' ? 0 : 100);
+      }
+  assert_int_equal (kq_sched_rig_free (r), 0);
+}
+
 int
 main (void)
 {
@@ -175,6 +209,7 @@
           cmocka_unit_test (test_job_without_a_run_gets_one_beside_filling_tasks),
           cmocka_unit_test (test_job_runs_though_all_runners_are_suspect),
           cmocka_unit_test (test_lost_lasting_filling_task_runs_again),
-          cmocka_unit_test (test_starved_job_runs_while_hosts_wait_for_maintenance) };
+          cmocka_unit_test (test_starved_job_runs_while_hosts_wait_for_maintenance),
+          cmocka_unit_test (test_starved_job_runs_beside_overloaded_serving_tasks) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
