Room on hosts that wait for maintenance isn't kept back for good

What was seen: on the rig jobs had nothing running beside free room (LOST), lasting tasks stayed away for minutes, and waves never ended.

Cause: a host that drains or waits for the control plane's answer takes no tasks. Two things end that only if others act. A host with a task that must not be interrupted (max_unavailable) waits until the other tasks of its step are at work; if one of these has lost its runner and fits only on hosts that drain, both wait for ever. And an empty host whose call gets no answer waits as long as the control plane is away.

Evidence: test_host_that_cannot_be_emptied_is_used_meanwhile and test_starved_job_runs_on_hosts_that_cannot_go_down failed before (nothing started).

Why it works: a host on which no run has ended for 4 s goes back to service, in each wave, and is drained again 4 s later, then after twice as long each time, so that tasks aren't moved in vain. While a host can't go down, a starved job that ends by itself may use it. The host still counts as unavailable for the wave's cap, and is taken down as before when the control plane answers.

The records of waves move from state.h to maintenance.c, their only user.

--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -23,6 +23,13 @@
 /* Longest drain of a host: tasks that can't save their progress may go on so long. Tasks
  * that must not be interrupted now make it longer. */
 #define DRAIN_MAX (2 * KQ_SEC)
+/* A host on which no run has ended for this time goes back to service for DRAIN_AGAIN,
+ * and for twice as long each further time, as each drain stops tasks: those that must not
+ * be interrupted may wait for others of their step, and these for room that only hosts
+ * that drain have. */
+#define DRAIN_STUCK (4 * KQ_SEC)
+#define DRAIN_AGAIN (4 * KQ_SEC)
+#define DRAIN_AGAIN_MAX (32 * KQ_SEC)
 /* A task that is expected to end within this time isn't stopped. */
 #define ENDS_SOON_MS 500
 /* After this time a host counts as back, also without a new runner. */
@@ -41,6 +48,42 @@
 /* How much the clocks of hosts may differ. */
 #define CLOCK_SKEW_MS 5000
 
+/* Progress of a host of a maintenance wave. Phases follow in this order, except that a
+ * host that was not up when called, or can't be emptied, waits again. */
+typedef enum
+{
+  KQ_HOST_WAITING,
+  KQ_HOST_DRAINING, /* takes no new tasks, its tasks are moved */
+  KQ_HOST_CALLED,   /* the call to take it down was sent, and may have been carried out */
+  KQ_HOST_DOWN,     /* it is down for maintenance */
+  KQ_HOST_BACK      /* it has a new runner, or is gone for good */
+} KqHostPhase;
+
+typedef struct
+{
+  char *host;
+  KqHostPhase phase;
+  KqTime since;     /* start of the phase */
+  KqTime again_at;  /* earliest time of the next attempt */
+  char *old_runner; /* id of the runner there when the call was made; NULL: none */
+  int runs_left;    /* while it drains: fewest runs there */
+  KqTime moved_at;  /* when runs_left last became smaller */
+  int postponed;    /* how often it couldn't be emptied */
+} KqWaveHost;
+
+typedef struct
+{
+  int64_t number;
+  bool requested; /* the operators' request has been read, not only the stored progress */
+  int32_t cap;    /* most hosts that may be drained or down at once */
+  KqTime ends_at; /* the end of the time allowed for it */
+  int64_t ends_wall_ms; /* ends_at as Unix time; 0: not known */
+  int64_t duration_ms;  /* length of the time allowed for it */
+  bool completed;       /* each host was taken down, or is gone for good */
+  KqWaveHost *hosts;
+  size_t n_hosts;
+} KqWave;
+
 /* Whether the host has been taken down, or is gone for good. */
 static bool
 has_gone_down (const KqWaveHost *h)
@@ -181,6 +224,7 @@
       else if (p->lasting || (p->checkpoints && left_ms > ENDS_SOON_MS))
         kq_run_stop (s, run, "its host goes down for maintenance", now);
     }
+  r->host_waits = protected_left;
   return r->n_runs == 0 || (!protected_left && now - since >= DRAIN_MAX);
 }
 
@@ -252,9 +296,13 @@
 {
   KqRunnerState *r = runner_on (s, h->host);
   h->phase = KQ_HOST_DRAINING;
-  h->since = now;
+  h->since = h->moved_at = now;
+  h->runs_left = r != NULL ? r->n_runs : 0;
   if (r != NULL)
-    r->host_leaving = true;
+    {
+      r->host_leaving = true;
+      r->host_waits = false;
+    }
   kq_log (KQ_LOG_INFO, PART,
           "Draining a host for maintenance. wave=%lld host=%s runner=%s runs=%d",
           (long long)w->number, h->host, r != NULL ? r->id : "-",
@@ -286,7 +334,7 @@
   KqRunnerState *r = runner_on (s, h->host);
   if (r != NULL)
     {
-      r->host_leaving = false;
+      r->host_leaving = r->host_waits = false;
       kq_runners_note_change (s, r);
     }
   s->pass_needed = true;
@@ -307,6 +355,38 @@
          || (r != NULL && !r->silent && r->heard_at >= h->since + STILL_ALIVE_AFTER);
 }
 
+/* Whether the runs on a host that drains don't become fewer than they have been; starved
+ * jobs may start others meanwhile. */
+static bool
+is_stuck (KqWaveHost *h, const KqRunnerState *r, KqTime now)
+{
+  if (r->n_runs < h->runs_left)
+    {
+      h->moved_at = now;
+      h->runs_left = r->n_runs;
+    }
+  return now - h->moved_at >= DRAIN_STUCK;
+}
+
+static void
+postpone (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
+{
+  KqTime pause;
+  kq_log (KQ_LOG_INFO, PART,
+          "A host can't be drained for maintenance yet. wave=%lld host=%s runs=%d",
+          (long long)w->number, h->host, h->runs_left);
+  pause = DRAIN_AGAIN << (h->postponed < 3 ? h->postponed : 3);
+  h->postponed++;
+  h->phase = KQ_HOST_WAITING;
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      KqWaveHost *same = find_host (g_ptr_array_index (s->waves, i), kq_str (h->host));
+      if (same != NULL && same->phase == KQ_HOST_WAITING)
+        same->again_at = now + (pause < DRAIN_AGAIN_MAX ? pause : DRAIN_AGAIN_MAX);
+    }
+  return_to_service (s, h);
+}
+
 static void
 update_host (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
 {
@@ -319,10 +399,15 @@
     case KQ_HOST_DRAINING:
       if (r == NULL || drain_host (s, r, h->since, now))
         call_maintenance (s, w, h, now);
+      else if (is_stuck (h, r, now))
+        postpone (s, w, h, now);
       break;
     case KQ_HOST_CALLED:
-      if (now >= h->again_at)
-        call_maintenance (s, w, h, now);
+      if (now < h->again_at)
+        break;
+      if (r != NULL)
+        r->host_waits = true; /* the control plane is away, or takes no more calls */
+      call_maintenance (s, w, h, now);
       break;
     case KQ_HOST_DOWN:
       if (is_back (s, h, r, now))
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -175,6 +175,36 @@
   assert_int_equal (d->hosts_down, 1); /* the other host */
 }
 
+/* Guards against room that is kept back for good: a host that holds a task that must not
+ * be interrupted can't go down, and is used meanwhile. */
+static void
+test_host_that_cannot_be_emptied_is_used_meanwhile (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep serving = kq_sched_fixture_step ();
+  char task[96];
+  uint32_t run;
+  serving.lasting = true;
+  serving.max_unavailable = 0;
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "aa", serving, false);
+  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+  memcpy (task, d->task, sizeof task);
+  run = d->run;
+  request_wave (d, 1, 1);
+  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_submit (d, "bb", serving, false);
+  for (int i = 0; i < 10; i++)
+    {
+      kq_sched_fixture_list_serving (d, "r0", task, run, 5);
+      kq_sched_fixture_run (d, 500 * KQ_MS);
+    }
+  assert_int_equal (d->start_orders, 2);
+  assert_int_equal (d->stop_orders, 0);
+  assert_int_equal (d->hosts_down, 0);
+}
+
 /* Guards against hosts taken down twice after the loss of all nodes during a wave: the
  * next leader goes on with the hosts that are left. */
 static void
@@ -365,6 +395,7 @@
     FIXTURE_TEST (test_earlier_new_runner_is_not_taken_for_the_next),
     FIXTURE_TEST (test_unanswered_call_is_repeated),
     FIXTURE_TEST (test_tasks_that_may_not_be_away),
+    FIXTURE_TEST (test_host_that_cannot_be_emptied_is_used_meanwhile),
     FIXTURE_TEST (test_next_leader_continues_wave),
     FIXTURE_TEST (test_host_that_was_done_before_is_used_again),
     FIXTURE_TEST (test_runner_taken_down_is_not_waited_for),
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -109,7 +109,7 @@
 accepts_tasks (const KqRunnerState *r)
 {
   return r->in_store && r->in_stored_list && r->listed && !r->silent
-         && !r->has_unknown_run && !r->draining && !r->host_leaving && r->agent >= 0;
+         && !r->has_unknown_run && !r->draining && r->agent >= 0;
 }
 
 /* Share of the runner's serving tasks that have another image, less the share that have
@@ -220,6 +220,8 @@
   if (r->pool != o->job->pool || !accepts_tasks (r) || !fits_now (r, p, any_room)
       || !has_label (r, p->label))
     return false;
+  if (r->host_leaving && !(r->host_waits && any_room && !p->lasting))
+    return false;
   /* If all runners are suspect, the tasks that failed there are the likely cause. */
   if (now < r->suspect_until && !any_room)
     return false;
--- a/src/sched/room_test.c
+++ b/src/sched/room_test.c
@@ -166,6 +166,24 @@
   assert_int_equal (kq_sched_rig_free (r), 0);
 }
 
+/* Guards against a job that waits as long as the control plane is away: all hosts are
+ * empty and wait for it. */
+static void
+test_starved_job_runs_on_hosts_that_cannot_go_down (void **state)
+{
+  KqSchedRig *r = kq_sched_rig_new (2, (KqRoom){ 4000, 16000, 0 }, 1);
+  KqStep brief = kq_sched_rig_step (1, 500, 20000);
+  (void)state;
+  r->control_away_until = r->now + 600 * KQ_SEC;
+  kq_sched_rig_run (r, 4 * KQ_SEC);
+  assert_true (kq_sched_rig_request_wave (r, 3, 2, 9 * KQ_SEC));
+  kq_sched_rig_run (r, 3 * KQ_SEC);
+  kq_sched_rig_submit (r, "brief", &brief, 1, 3, 20 * KQ_SEC, -1);
+  kq_sched_rig_run (r, 3 * KQ_SEC);
+  assert_int_equal (kq_sched_rig_running (r, "brief"), 1);
+  assert_int_equal (kq_sched_rig_free (r), 0);
+}
+
 /* Guards against a filling job that waits as long as serving tasks on all runners are
  * over their target by their own load: one of its tasks starts, and is held at pace 0. */
 static void
@@ -210,6 +228,7 @@
           cmocka_unit_test (test_job_runs_though_all_runners_are_suspect),
           cmocka_unit_test (test_lost_lasting_filling_task_runs_again),
           cmocka_unit_test (test_starved_job_runs_while_hosts_wait_for_maintenance),
+          cmocka_unit_test (test_starved_job_runs_on_hosts_that_cannot_go_down),
           cmocka_unit_test (test_starved_job_runs_beside_overloaded_serving_tasks) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -219,6 +219,8 @@
   char *kind;
   char *host;            /* its target host; "": not known */
   bool host_leaving;     /* its host will be taken down for maintenance soon */
+  bool host_waits;       /* but can't be now: it holds tasks that must not be interrupted,
+                            or a call has failed */
   KqRoom room;           /* its whole capacity */
   KqRoom used;           /* what runs that may exist there reserve; filling ones no cpu */
   int64_t filling_milli; /* cpu that its filling runs ask for; not in `used` */
@@ -271,39 +273,6 @@
   KqRunnerState *changed_after;
 };
 
-/* Progress of a host of a maintenance wave. Phases follow in this order, except that a
- * host that was not up when called waits again. */
-typedef enum
-{
-  KQ_HOST_WAITING,
-  KQ_HOST_DRAINING, /* takes no new tasks, its tasks are moved */
-  KQ_HOST_CALLED,   /* the call to take it down was sent, and may have been carried out */
-  KQ_HOST_DOWN,     /* it is down for maintenance */
-  KQ_HOST_BACK      /* it has a new runner, or is gone for good */
-} KqHostPhase;
-
-typedef struct
-{
-  char *host;
-  KqHostPhase phase;
-  KqTime since;     /* start of the phase */
-  KqTime again_at;  /* earliest time of the next attempt */
-  char *old_runner; /* id of the runner there when the call was made; NULL: none */
-} KqWaveHost;
-
-typedef struct
-{
-  int64_t number;
-  bool requested; /* the operators' request has been read, not only the stored progress */
-  int32_t cap;    /* most hosts that may be drained or down at once */
-  KqTime ends_at; /* the end of the time allowed for it */
-  int64_t ends_wall_ms; /* ends_at as Unix time; 0: not known */
-  int64_t duration_ms;  /* length of the time allowed for it */
-  bool completed;       /* each host was taken down, or is gone for good */
-  KqWaveHost *hosts;
-  size_t n_hosts;
-} KqWave;
-
 struct KqSched
 {
   KqSchedConfig config;
@@ -341,7 +310,7 @@
   KqDisturb *disturb;
   KqWindow window;
   KqTime window_logged_at; /* time of the last log line on a closed window */
-  GPtrArray *waves;        /* KqWave */
+  GPtrArray *waves;        /* KqWave, of maintenance.c */
   bool waves_dirty;        /* their progress differs from what was packed last */
   GPtrArray *batch;        /* KqJob: those in the batch that is being stored */
   /* Counters; make_counters has their names and help texts. */
