A drain that may fail again doesn't stop tasks in vain

Cause: a drain stops all tasks that may be interrupted at once, also while the host can't go down for a task that must not be.

Why it works: once a drain of the host has failed, tasks without a bound on interruptions are stopped only when no task there is left that must wait. First attempts go as before.

--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -208,16 +208,30 @@
   return away < p->max_unavailable;
 }
 
-/* Stops the runs that can go on elsewhere. Returns whether the host may go down now. */
 static bool
-drain_host (KqSched *s, KqRunnerState *r, KqTime since, KqTime now)
+holds_protected (const KqRunnerState *r)
 {
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    if (run->phase == KQ_RUN_RUNNING && !may_interrupt (run))
+      return true;
+  return false;
+}
+
+/* Stops the runs that can go on elsewhere. Returns whether the host may go down now. If
+ * it couldn't be emptied before, tasks that may always be interrupted are stopped only
+ * once those that must not be now are gone: they may have no other room. */
+static bool
+drain_host (KqSched *s, KqRunnerState *r, KqWaveHost *h, KqTime now)
+{
+  bool waits = h->postponed > 0 && holds_protected (r);
   bool protected_left = false;
+  if (waits)
+    h->since = now;
   for (KqRun *run = r->runs; run != NULL; run = run->next)
     {
       const KqStep *p = kq_run_step (run);
       int64_t left_ms = (int64_t)p->estimate_ms * (100 - run->percent) / 100;
-      if (run->phase != KQ_RUN_RUNNING)
+      if (run->phase != KQ_RUN_RUNNING || (waits && p->max_unavailable < 0))
         continue;
       if (!may_interrupt (run))
         protected_left = true;
@@ -225,7 +239,7 @@
         kq_run_stop (s, run, "its host goes down for maintenance", now);
     }
   r->host_waits = protected_left;
-  return r->n_runs == 0 || (!protected_left && now - since >= DRAIN_MAX);
+  return r->n_runs == 0 || (!protected_left && now - h->since >= DRAIN_MAX);
 }
 
 /* How many hosts of the wave must be drained or down at once for it to end in time. */
@@ -397,7 +411,7 @@
     case KQ_HOST_BACK:
       break;
     case KQ_HOST_DRAINING:
-      if (r == NULL || drain_host (s, r, h->since, now))
+      if (r == NULL || drain_host (s, r, h, now))
         call_maintenance (s, w, h, now);
       else if (is_stuck (h, r, now))
         postpone (s, w, h, now);
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -205,6 +205,51 @@
   assert_int_equal (d->hosts_down, 0);
 }
 
+/* Runs for the span, with r0's lists of these two lasting tasks; bb_run 0: not of bb. */
+static void
+list_two_tasks (KqSchedFixture *d, uint32_t bb_run, KqTime span)
+{
+  KqRunRow rows[2];
+  for (int i = 0; i < 2; i++)
+    rows[i] = (KqRunRow){ .task = i == 0 ? KQ_STR ("aa.0.0.0") : KQ_STR ("bb.0.0.0"),
+                          .run = i == 0 ? 1 : bb_run,
+                          .checkpoint = KQ_STR (""),
+                          .percent = 100,
+                          .load = -1 };
+  for (KqTime until = d->now + span; d->now < until;)
+    {
+      kq_sched_fixture_list_runs (d, "r0", rows, bb_run > 0 ? 2 : 1);
+      kq_sched_fixture_run (d, 500 * KQ_MS);
+    }
+}
+
+/* Guards against a lasting task that is stopped again and again: each drain of its host
+ * stopped it, though the host can't go down for another task there. */
+static void
+test_task_is_not_stopped_again_in_vain (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep step = kq_sched_fixture_step ();
+  step.lasting = true;
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "bb", step, false);
+  step.max_unavailable = 0;
+  kq_sched_fixture_submit (d, "aa", step, false);
+  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_accept_starts (d);
+  list_two_tasks (d, 1, KQ_SEC);
+  request_wave (d, 1, 1);
+  kq_sched_fixture_run (d, SETTLE);
+  assert_int_equal (d->stop_orders, 1);
+  kq_sched_fixture_outcome (d, KQ_ORDER_STOP, "r0", "bb.0.0.0", 1, KQ_ORDER_OK);
+  list_two_tasks (d, 0, 6 * KQ_SEC);
+  assert_int_equal (d->start_orders, 3);
+  kq_sched_fixture_accept_starts (d);
+  list_two_tasks (d, 2, 30 * KQ_SEC);
+  assert_int_equal (d->stop_orders, 1);
+  assert_int_equal (d->hosts_down, 0);
+}
+
 /* Guards against hosts taken down twice after the loss of all nodes during a wave: the
  * next leader goes on with the hosts that are left. */
 static void
@@ -396,6 +441,7 @@
     FIXTURE_TEST (test_unanswered_call_is_repeated),
     FIXTURE_TEST (test_tasks_that_may_not_be_away),
     FIXTURE_TEST (test_host_that_cannot_be_emptied_is_used_meanwhile),
+    FIXTURE_TEST (test_task_is_not_stopped_again_in_vain),
     FIXTURE_TEST (test_next_leader_continues_wave),
     FIXTURE_TEST (test_host_that_was_done_before_is_used_again),
     FIXTURE_TEST (test_runner_taken_down_is_not_waited_for),
