--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -285,6 +285,7 @@
   const KqRunnerState *r = runner_on (s, h->host);
   /* An unanswered call may have been carried out: the runner that is there when it is
    * repeated may be the new one. */
+  h->repeated = h->phase == KQ_HOST_CALLED;
   if (h->phase != KQ_HOST_CALLED || h->old_runner == NULL)
     {
       free (h->old_runner);
@@ -334,8 +335,22 @@
   return false;
 }
 
-/* Sets host_leaving of all runners by the phases of their hosts. An entry may be missing
- * or new at any change of phase, so no single change could set and clear it. */
+/* Whether a call to take the runner's host down is being repeated. */
+static bool
+host_waits (const KqSched *s, const KqRunnerState *r)
+{
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      const KqWaveHost *h = find_host (g_ptr_array_index (s->waves, i), kq_str (r->host));
+      if (h != NULL && h->phase == KQ_HOST_CALLED && h->repeated)
+        return true;
+    }
+  return false;
+}
+
+/* Sets host_leaving and host_waits of all runners by the phases of their hosts. An entry
+ * may be missing or new at any change of phase, so no single change could set and clear
+ * it. */
 static void
 update_leaving (KqSched *s)
 {
@@ -344,6 +359,7 @@
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       bool before = r->host_leaving;
       r->host_leaving = kq_maintenance_may_end (s, r);
+      r->host_waits = r->host_leaving && host_waits (s, r);
       if (before && !r->host_leaving)
         kq_runners_note_change (s, r);
     }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -109,10 +109,13 @@
   return n;
 }
 
-/* Whether the runner takes tasks at all now. */
+/* Whether the runner takes tasks at all now. A starved step may use suspect runners: if
+ * all are suspect, the tasks that failed there are the likely cause. If it ends by itself
+ * it may also use hosts that can't go down for maintenance. */
 static KqPlaceAnswer
-answer_of_runner (const KqRunnerState *r, KqTime now)
+answer_of_runner (const KqRunnerState *r, const KqStep *p, bool starved, KqTime now)
 {
+  bool leaving = r->host_leaving && !(r->host_waits && starved && !p->lasting);
   if (!r->in_store)
     return KQ_PLACE_NO_ENTRY;
   if (!r->in_stored_list)
@@ -125,9 +128,9 @@
     return KQ_PLACE_NOT_LISTED;
   if (r->has_unknown_run)
     return KQ_PLACE_UNKNOWN_RUN;
-  if (r->draining || r->host_leaving)
+  if (r->draining || leaving)
     return KQ_PLACE_LEAVING;
-  if (now < r->suspect_until)
+  if (now < r->suspect_until && !starved)
     return KQ_PLACE_SUSPECT;
   return now < r->unsent_until ? KQ_PLACE_UNSENT : KQ_PLACE_TAKES;
 }
@@ -253,8 +256,8 @@
   const KqStep *p = &o->job->spec.steps[step];
   int image = o->job->images[step];
   bool starved = kq_place_is_starved (o, step, now);
-  KqPlaceAnswer a
-      = r->pool != o->job->pool ? KQ_PLACE_OTHER_SERVICE : answer_of_runner (r, now);
+  KqPlaceAnswer a = r->pool != o->job->pool ? KQ_PLACE_OTHER_SERVICE
+                                            : answer_of_runner (r, p, starved, now);
   if (a != KQ_PLACE_TAKES)
     return a;
   if (!fits_now (r, p, starved))
@@ -265,7 +268,8 @@
     return KQ_PLACE_PER_RUNNER;
   if (p->lasting && !p->filling && !lost && !starved && !kq_pools_may_place_lasting (r))
     return KQ_PLACE_KEPT_FREE;
-  if (p->filling && r->n_serving > 0 && kq_harm_closed_to_filling (s, r, now))
+  /* Beside a serving task over its target a starved step's task is set to pace 0. */
+  if (p->filling && !starved && r->n_serving > 0 && kq_harm_closed_to_filling (s, r, now))
     return KQ_PLACE_OVER_TARGET;
   if (p->filling
       && kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
--- a/src/sched/pools.c
+++ b/src/sched/pools.c
@@ -126,6 +126,7 @@
 kq_pools_count_lasting (const KqRunnerState *r, int32_t cpu_milli)
 {
   r->pool->used_milli += cpu_milli;
+  r->pool->reserved_milli += cpu_milli;
   if (r->n_lasting == 1)
     r->pool->no_lasting_milli -= r->room.cpu_milli;
 }
@@ -133,11 +134,6 @@
 bool
 kq_pools_is_half_free (const KqPool *p)
 {
-  return p->used_milli * 100 < p->usable_milli * HALF_RESERVED_PERCENT;
-}
-
-bool
-kq_pools_is_mostly_free (const KqPool *p)
-{
-  return 2 * p->reserved_milli < p->whole_milli;
+  return p->used_milli * 100 < p->usable_milli * HALF_RESERVED_PERCENT
+         || p->reserved_milli * 100 < p->whole_milli * HALF_RESERVED_PERCENT;
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -230,6 +230,7 @@
   char *host;            /* its target host; "": not known */
   bool host_leaving;     /* the maintenance of its host may still end it; follows from
                             the phases of the waves' hosts */
+  bool host_waits;       /* so it is, but calls to take the host down come to nothing */
   KqRoom room;           /* its whole capacity */
   KqRoom used;           /* what runs that may exist there reserve; filling ones no cpu */
   int64_t filling_milli; /* cpu that its filling runs ask for; not in `used` */
@@ -307,6 +308,7 @@
   KqHostPhase phase;
   KqTime since;     /* start of the phase */
   KqTime again_at;  /* earliest time of the next attempt */
+  bool repeated;    /* the call was made more than once */
   char *old_runner; /* id of the runner there when the call was made; NULL: none */
 } KqWaveHost;
 
@@ -545,10 +547,9 @@
 void kq_pools_update_kept_free (KqSched *s, KqTime now);
 /* Whether a lasting task on the runner leaves enough cpu free of lasting tasks. */
 bool kq_pools_may_place_lasting (const KqRunnerState *r);
-/* Whether no more than about half of the service's cpu is reserved. */
+/* Whether no more than about half of the service's cpu is reserved, of the usable runners
+ * or of all. */
 bool kq_pools_is_half_free (const KqPool *p);
-/* Whether less than half of the cpu of all its runners is reserved, usable or not. */
-bool kq_pools_is_mostly_free (const KqPool *p);
 /* Counts a lasting task with that cpu that has been placed on the runner. */
 void kq_pools_count_lasting (const KqRunnerState *r, int32_t cpu_milli);
 
--- a/src/sched/waits.c
+++ b/src/sched/waits.c
@@ -14,7 +14,7 @@
       = w->occurrence != NULL ? &w->occurrence->steps[w->step] : NULL;
   if (st->done + st->active >= o->job->spec.steps[step].width || st->waits_since == 0
       || now - st->waits_since < IDLE_AFTER || (o->job->n_runs > 0 && st->lost_since == 0)
-      || !kq_pools_is_mostly_free (o->job->pool))
+      || !kq_pools_is_half_free (o->job->pool))
     return;
   w->n_idle++;
   if (longest != NULL && longest->waits_since <= st->waits_since)
--- a/src/sched/waits.h
+++ b/src/sched/waits.h
@@ -14,8 +14,8 @@
 } KqWaits;
 
 /* Takes a step with a waiting task. It counts as idle if it has waited for some seconds,
- * no run of its job may exist or one of its lasting tasks is lost, and less than half of
- * the service's cpu is reserved. */
+ * no run of its job may exist or one of its lasting tasks is lost, and about half of the
+ * service's cpu is not reserved. */
 void kq_waits_add (KqWaits *w, const KqOccurrence *o, int32_t step, KqTime now);
 /* Logs, at most once a second, for the step that has waited longest how many runners gave
  * which answer, and why jobs are held back. Call within the pass. */
