--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -30,7 +30,7 @@
     ("offset of a task", "src/sched/harm.c", "#define OFFSET_WEIGHT 0.1",
      "#define OFFSET_WEIGHT 0.0"),
     ("pace", "src/sched/pace.c",
-     "  if (run->pace_unknown || kq_pace_worth_order (run->pace, to))",
+     "  if (kq_run_pace_is_doubtful (run, now) || kq_pace_worth_order (run->pace, to))",
      "  if (to < 0)"),
     ("closed after 1.2 s over", "src/sched/harm.c", "#define OVER_TARGET_MAX (1200 * KQ_MS)",
      "#define OVER_TARGET_MAX (1200 * KQ_SEC)"),
