--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -160,6 +160,7 @@
   KqSchedRigCall call;
   /* An answer. */
   KqOrderResult result;
+  bool unsent; /* the call never left the agent */
   int64_t clock_ms;
   /* A message between an agent and the leader. */
   int agent;
--- a/bench/sched_rig_agent.c
+++ b/bench/sched_rig_agent.c
@@ -217,7 +217,7 @@
                                   .task = kq_str (c->task),
                                   .run = c->run,
                                   .result = e->result,
-                                  .unsent = e->result == KQ_ORDER_UNHEALTHY,
+                                  .unsent = e->unsent,
                                   .order = ++h->outcomes_sent,
                                   .assignment = h->assignment,
                                   .lease_left_ms = kq_lease_left_ms (&h->lease, r->now) };
--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -388,7 +388,7 @@
 void
 kq_sched_rig_not_sent (KqSchedRig *r, const KqSchedRigCall *c)
 {
-  push_answer (r, c, KQ_ORDER_UNHEALTHY, r->now + CONNECT_TIMEOUT);
+  push_answer (r, c, KQ_ORDER_UNHEALTHY, r->now + CONNECT_TIMEOUT)->unsent = true;
 }
 
 static bool
@@ -398,6 +398,13 @@
          || r->now < r->agents[c->agent].cut_until[c->runner];
 }
 
+/* Whether the call has a connection to the process that it is meant for. */
+static bool
+has_connection (const KqSchedRigRunner *g, const KqSchedRigCall *c)
+{
+  return g->alive && (c->started_ms == 0 || c->started_ms == g->started_ms);
+}
+
 static void
 answer (KqSchedRig *r, const KqSchedRigCall *c, KqOrderResult result)
 {
@@ -412,6 +419,7 @@
       return;
     }
   e = push_answer (r, c, result, r->now + c->latency);
+  e->unsent = !has_connection (g, c);
   if (result == KQ_ORDER_UNHEALTHY)
     return;
   e->clock_ms = kq_sched_rig_clock_ms (r, g);
@@ -450,8 +458,8 @@
 {
   const KqSchedRigCall *c = &e->call;
   KqSchedRigRunner *g = &r->runners[c->runner];
-  if (!g->alive || (c->started_ms != 0 && c->started_ms != g->started_ms))
-    answer (r, c, KQ_ORDER_UNHEALTHY); /* no connection, so not sent */
+  if (!has_connection (g, c))
+    answer (r, c, KQ_ORDER_UNHEALTHY);
   else if (cut_off (r, c))
     answer (r, c, KQ_ORDER_UNKNOWN);
   else if (c->kind == KQ_ORDER_TAKE)
