--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -7,7 +7,7 @@
  * once as are needed to finish in time, those with the fewest runs first. A wave of 20
  * out of 48 hosts in 20 s takes down 7 at a time, even if 12 are allowed. */
 
-#include "sched/state.h"
+#include "sched/maintenance.h"
 
 #include "wire/pack.h"
 
--- /dev/null
+++ b/src/sched/maintenance.h
@@ -0,0 +1,49 @@
+#ifndef KQ_SCHED_MAINTENANCE_H
+#define KQ_SCHED_MAINTENANCE_H
+
+/* maintenance: waves of hosts that operators want taken down, each once. */
+
+#include "sched/state.h"
+
+/* Progress of a host of a maintenance wave. Phases follow in this order, except that a
+ * host that was not up when called, or whose drain was given up, waits again. */
+typedef enum
+{
+  KQ_HOST_WAITING,
+  KQ_HOST_DRAINING, /* takes no new tasks, its tasks are moved */
+  KQ_HOST_CALLED,   /* the call to take it down was sent, and may have been carried out */
+  KQ_HOST_DOWN,     /* it is down for maintenance */
+  KQ_HOST_BACK      /* it has a new runner, or is gone for good */
+} KqHostPhase;
+
+typedef struct
+{
+  char *host;
+  KqHostPhase phase;
+  KqTime since;     /* start of the phase */
+  KqTime again_at;  /* earliest time of the next attempt */
+  bool repeated;    /* the call was made more than once */
+  char *old_runner; /* id of the runner there when the call was made; NULL: none */
+} KqWaveHost;
+
+typedef struct
+{
+  int64_t number;
+  bool requested; /* the operators' request has been read, not only the stored progress */
+  int32_t cap;    /* most hosts that may be drained or down at once */
+  KqTime ends_at; /* the end of the time allowed for it */
+  int64_t ends_wall_ms; /* ends_at as Unix time; 0: not known */
+  int64_t duration_ms;  /* length of the time allowed for it */
+  bool completed;       /* each host was taken down, or is gone for good */
+  KqWaveHost *hosts;
+  size_t n_hosts;
+} KqWave;
+
+GPtrArray *kq_maintenance_new_waves (void);
+/* Drains and takes down hosts of the waves, as many as are due. */
+void kq_maintenance_update (KqSched *s, KqTime now);
+/* Whether a wave takes the runner's host down and may still end the runner, which must
+ * get no tasks then. */
+bool kq_maintenance_may_end (const KqSched *s, const KqRunnerState *r);
+
+#endif
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -2,6 +2,7 @@
  * lease, after which nothing can run there any more. */
 
 #include "sched/grantors.h"
+#include "sched/maintenance.h"
 #include "sched/reports.h"
 
 #include <stdlib.h>
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,4 +1,5 @@
 #include "sched/grantors.h"
+#include "sched/maintenance.h"
 #include "sched/reports.h"
 
 #include "wire/pack.h"
