Failures during a pause don't make it longer

Now what fails during a pause is taken for a part of the same trouble, and a restart of the runner begins with the shortest pause again.

test_refusals_of_one_moment_make_one_pause fails without it (14 of 24 starts).

--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -255,6 +255,7 @@
       r->ends_seen = r->ends_stored = r->ends_batch = r->ends_marked = 0;
       r->failed_count = r->done_count = 0;
       r->suspect_until = 0;
+      r->suspect_times = 0;
     }
   if (l->started_ms != 0)
     r->started_ms = l->started_ms;
--- a/src/sched/suspects.c
+++ b/src/sched/suspects.c
@@ -41,6 +41,9 @@
       r->suspect_times = 0;
       return;
     }
+  /* Tasks that were sent before the pause fail during it. */
+  if (now < r->suspect_until)
+    return;
   r->failed_count += 1;
   if (r->failed_count < SUSPECT_FAILS
       || r->failed_count < SUSPECT_SHARE * (r->failed_count + r->done_count))
--- a/src/sched/unsent_test.c
+++ b/src/sched/unsent_test.c
@@ -98,6 +98,36 @@
   assert_int_equal (d->start_orders, before);
 }
 
+/* Guards against a fleet that is left unused for 8 s: the starts that a runner refuses in
+ * one moment count as one occasion after the other, each with a longer pause. */
+static void
+test_refusals_of_one_moment_make_one_pause (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep step = kq_sched_fixture_step ();
+  GArray *first;
+  int before;
+  step.width = 12;
+  kq_sched_fixture_submit (d, "aa", step, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 12);
+  first = d->starts_pending;
+  d->starts_pending = g_array_new (FALSE, FALSE, sizeof (KqSchedFixtureStart));
+  for (guint i = 0; i < first->len; i++)
+    {
+      const KqSchedFixtureStart *s = &g_array_index (first, KqSchedFixtureStart, i);
+      refuse_as_unhealthy (d, s->runner, s->task, s->run);
+    }
+  g_array_free (first, TRUE);
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0);
+  before = d->start_orders;
+  kq_sched_fixture_run (d, 1900 * KQ_MS);
+  assert_int_equal (d->start_orders, before);
+  kq_sched_fixture_run (d, 700 * KQ_MS);
+  assert_int_equal (d->start_orders, before + 12);
+}
+
 int
 main (void)
 {
@@ -106,6 +136,8 @@
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_runner_gets_no_start_right_after_an_unsent_one,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_refusals_of_one_moment_make_one_pause,
+                                     kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_refused_starts_make_runners_suspect,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down)
   };
