--- a/src/agent/starts.c
+++ b/src/agent/starts.c
@@ -54,11 +54,14 @@
 }
 
 /* A start carries a lease's end also when none may be granted, and may arrive as late as
- * its call ends. */
+ * its call ends. A runner that has restarted takes that end for one of full length. */
 static void
 record_lease_of_start (const KqAgentRunner *runner, KqTime now)
 {
   int64_t left_ms = kq_lease_left_ms (&runner->lease, now);
+  int64_t longest_ms = runner->agent->config.lease_ms * 102 / 100; /* its clock is slow */
+  if (left_ms < longest_ms)
+    left_ms = longest_ms;
   kq_grants_record (runner->agent->grants, runner->id,
                     now + (KQ_AGENT_CALL_MS + left_ms) * KQ_MS);
 }
--- a/src/fleet/keys.h
+++ b/src/fleet/keys.h
@@ -9,11 +9,11 @@
  *   kq/in/x/ID   the job's cancellation
  *   kq/p/ID      the job's progress, written by the leader
  *   kq/runners   runners on which runs may exist, for the next leader
- *   kq/agents    nodes whose leases may last, for the next leader; written with the
- * former kq/learned   which tasks disturb which, for the next leader kq/waves     state
- * of maintenance waves kq/seq       written with every transaction of progress, so that
- * one that is carried out late, after its answer was lost, cannot overwrite a newer one
- */
+ *   kq/agents    nodes that may have granted them leases, for the next leader
+ *   kq/learned   which tasks disturb which, for the next leader
+ *   kq/waves     state of maintenance waves
+ *   kq/seq       written with every transaction of progress, so that one that is carried
+ *                out late, after its answer was lost, cannot overwrite a newer one */
 
 #include "base/str.h"
 
--- a/src/sched/agents.c
+++ b/src/sched/agents.c
@@ -84,6 +84,12 @@
   return n;
 }
 
+bool
+kq_agents_any_usable (const KqAgents *a)
+{
+  return count_usable (a, true) > 0;
+}
+
 static bool
 at_unlisted_limit (const KqAgentState *g)
 {
--- a/src/sched/agents.h
+++ b/src/sched/agents.h
@@ -45,6 +45,8 @@
 int kq_agents_up (KqAgents *a, const KqAgentInfo *info);
 /* planned: it was shut down on purpose, and isn't counted as lost. */
 void kq_agents_down (KqAgents *a, int agent, bool planned);
+/* Whether some agent may be given runners. */
+bool kq_agents_any_usable (const KqAgents *a);
 /* The leader's own agent if it has to be used, as no other is up; -1: it needn't be. */
 int kq_agents_leader_needed (const KqAgents *a);
 /* Notes that the agent of that name is in the stored list: it may be given runners. */
--- a/src/sched/grantors.c
+++ b/src/sched/grantors.c
@@ -6,7 +6,7 @@
 
 /* Version of the stored format, its first field. */
 #define FORMAT_VERSION 1
-/* How long a call of an agent may be under way. */
+/* How long a call of an agent may be under way (KQ_AGENT_CALL_MS of agent/state.h). */
 #define CALL_MAX (900 * KQ_MS)
 
 static void
@@ -55,6 +55,8 @@
   KqGrantor *g = find_or_add (s, kq_name_str (name));
   g->up = true;
   g->gone = false;
+  /* A write that leaves it out may be under way. */
+  g->in_stored_list = g->in_stored_list && g->in_sent_list;
   if (g->in_stored_list)
     kq_agents_set_stored (&s->agents, kq_name_str (name));
   else
@@ -80,13 +82,15 @@
       KqAgentState *a = &s->agents.list[i];
       KqGrantor *g
           = a->info.leader ? find_grantor (s, kq_name_str (&a->info.name)) : NULL;
+      KqTime gone_at;
       if (i == needed && (g == NULL || !g->up))
         kq_grantors_agent_up (s, &a->info.name);
       if (i == needed || g == NULL || !g->up || a->runners > 0)
         continue;
+      gone_at = g->gone_at;
       kq_grantors_agent_down (s, &a->info.name, now);
-      if (!a->used && !g->earlier)
-        g->gone_at = now;
+      if (!a->used)
+        g->gone_at = gone_at;
       a->stored = a->used = false;
     }
 }
@@ -167,7 +171,7 @@
     {
       KqGrantor *g = g_ptr_array_index (s->grantors, i);
       g->in_stored_list = g->in_sent_list;
-      if (g->in_stored_list)
+      if (g->in_stored_list && g->up)
         kq_agents_set_stored (&s->agents, kq_name_str (&g->name));
       else if (g->up)
         s->used_runners_dirty = true; /* it has connected since the list was packed */
@@ -197,13 +201,22 @@
   KqGrantor *g = find_or_add (s, kq_name_str (&s->agents.list[agent].info.name));
   KqTime restart_ends
       = now - l->process_age_ms * KQ_MS + CALL_MAX + kq_runners_longest_lease (s);
+  KqTime latest = restart_ends;
   if (s->settled)
     return;
   g->reported = true;
   if (restart_ends > g->restart_ends)
     g->restart_ends = restart_ends;
   for (size_t i = 0; i < l->n_rows; i++)
-    raise_end (g, l->rows[i].runner, now + l->rows[i].left_ms * KQ_MS);
+    {
+      KqTime ends = now + l->rows[i].left_ms * KQ_MS;
+      raise_end (g, l->rows[i].runner, ends);
+      if (ends > latest)
+        latest = ends;
+    }
+  /* One that isn't used under this leader, as the leader's own, grants nothing more. */
+  if (!g->up && latest < g->gone_at)
+    g->gone_at = latest;
 }
 
 static KqTime
--- a/src/sched/grantors.h
+++ b/src/sched/grantors.h
@@ -14,8 +14,8 @@
   bool up;       /* it is connected to this leader */
   bool earlier;  /* it may have granted leases under an earlier leader */
   bool reported; /* it has reported these leases to this leader */
-  bool gone;     /* not connected for so long that no lease it granted lasts */
-  KqTime gone_at;
+  bool gone; /* no lease that it granted lasts, and it is to be left out of the list */
+  KqTime gone_at;      /* while it isn't up: from then on it counts as gone */
   bool in_sent_list;   /* it is in the list that was packed last, to be stored */
   bool in_stored_list; /* it is in the stored list */
   KqTime restart_ends; /* latest end of leases of earlier processes on its node */
@@ -25,6 +25,7 @@
 GPtrArray *kq_grantors_new (void);
 /* Notes that the agent has connected. */
 void kq_grantors_agent_up (KqSched *s, const KqName *name);
+/* Notes that the agent isn't connected, or isn't used, any more: its leases may last. */
 void kq_grantors_agent_down (KqSched *s, const KqName *name, KqTime now);
 /* Keeps the leader's own agent in the list only while no other agent is up: the leader's
  * loss is then no loss of a grantor. */
--- a/src/sched/grantors_test.c
+++ b/src/sched/grantors_test.c
@@ -5,6 +5,8 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -194,6 +196,139 @@
   assert_int_equal (d->start_orders, 1);
 }
 
+/* Packs the lists of runners and agents, as a write of them begins. */
+static void
+pack (KqSchedFixture *d)
+{
+  kq_buf_clear (&d->used_runners);
+  kq_sched_used_runners_pack (d->sched, &d->used_runners);
+  kq_buf_clear (&d->used_agents);
+  kq_sched_used_agents_pack (d->sched, &d->used_agents);
+}
+
+static void
+store (KqSchedFixture *d)
+{
+  pack (d);
+  kq_sched_used_runners_stored (d->sched);
+}
+
+/* Guards against a task that runs twice: the next leader reads a list without an agent
+ * that has granted leases. It came back while the write that leaves it out was under way.
+ */
+static void
+test_agent_back_during_the_write_that_drops_it (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqAgentInfo b = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
+  int n = kq_sched_fixture_add_agent (d, &b);
+  uint64_t before;
+  kq_sched_agent_down (d->sched, n, false, d->now);
+  kq_sched_fixture_run (d, 10 * KQ_SEC);
+  assert_true (kq_sched_used_runners_pending (d->sched));
+  pack (d); /* under way, without b */
+  n = kq_sched_agent_up (d->sched, &b, d->now);
+  kq_sched_agent_down (d->sched, d->agent, false, d->now);
+  before = d->assignment[1];
+  kq_sched_fixture_run (d, 500 * KQ_MS);
+  kq_sched_used_runners_stored (d->sched);
+  assert_int_equal (d->assignment[1], before);
+}
+
+/* As above: the leader's own agent was used as none of the others was stored, though it
+ * had left the list of those in use. */
+static void
+test_own_agent_is_not_used_while_a_new_one_is_stored (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqAgentInfo own
+      = { .name = kq_name (KQ_STR ("own")), .share_milli = 1000, .leader = true };
+  KqAgentInfo b = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
+  KqAgentInfo c = { .name = kq_name (KQ_STR ("c")), .share_milli = 1000 };
+  int o;
+  int n;
+  o = kq_sched_agent_up (d->sched, &own, d->now);
+  kq_sched_agent_down (d->sched, d->agent, false, d->now);
+  kq_sched_fixture_run (d, 500 * KQ_MS);
+  store (d);
+  kq_sched_fixture_run (d, 500 * KQ_MS);
+  assert_int_equal (d->taken_by[1], o);
+  d->agent = o;
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0);
+  n = kq_sched_fixture_add_agent (d, &b);
+  kq_sched_fixture_run (d, KQ_SEC); /* b takes both; own is down as a grantor */
+  assert_int_equal (d->taken_by[1], n);
+  d->agent = n;
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0);
+  kq_sched_fixture_run (d, KQ_SEC);
+  store (d); /* any change of the lists */
+  kq_sched_fixture_run (d, 6 * KQ_SEC);
+  kq_sched_agent_down (d->sched, n, false, d->now);
+  kq_sched_agent_up (d->sched, &c, d->now); /* not stored yet */
+  kq_sched_fixture_run (d, 300 * KQ_MS);
+  assert_int_not_equal (d->taken_by[1], o);
+}
+
+/* Guards against a wait for a lease that nobody renews: the agent that is lost had told
+ * that the runner doesn't answer. */
+static void
+test_loss_of_an_agent_does_not_prolong_a_silent_runners_lease (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqAgentInfo b = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
+  char lost[64];
+  const char *other;
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0);
+  kq_sched_fixture_store_used_runners (d);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  assert_int_equal (d->start_orders, 1);
+  kq_sched_fixture_accept_starts (d);
+  snprintf (lost, sizeof lost, "%s", d->runner);
+  other = strcmp (lost, "r0") == 0 ? "r1" : "r0";
+  kq_sched_fixture_run (d, 6 * KQ_SEC); /* the lease in the first list is over */
+  kq_sched_fixture_unreached (d, d->agent, lost, 1000);
+  kq_sched_fixture_run (d, 200 * KQ_MS);
+  kq_sched_agent_down (d->sched, d->agent, false, d->now);
+  d->agent = kq_sched_fixture_add_agent (d, &b);
+  kq_sched_fixture_run (d, 300 * KQ_MS);
+  kq_sched_fixture_list (d, other, NULL, 0);
+  kq_sched_fixture_unreached (d, d->agent, lost, -1);
+  kq_sched_fixture_run (d, 2 * KQ_SEC);
+  assert_int_equal (d->start_orders, 2);
+}
+
+/* Guards against a wait that begins anew: the node that led in between, an agent before,
+ * has told its leases to itself. */
+static void
+test_own_node_that_has_told_its_leases_is_not_waited_for (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqAgentInfo own = { .name = kq_name (KQ_STR ("own")), .share_milli = 1000 };
+  int o;
+  kq_sched_fixture_add_agent (d, &own);
+  take_over (d);
+  own.leader = true;
+  o = kq_sched_agent_up (d->sched, &own, d->now);
+  report (d, d->agent, LONG_MS, 0);
+  report (d, o, LONG_MS, 0);
+  kq_sched_fixture_run (d, 300 * KQ_MS);
+  assert_true (kq_sched_settled (d->sched));
+  for (int i = 0; i < 80; i++)
+    {
+      kq_sched_fixture_run (d, 100 * KQ_MS);
+      if (kq_sched_used_runners_pending (d->sched))
+        store (d);
+    }
+  take_over (d);
+  report (d, d->agent, LONG_MS, 0);
+  kq_sched_fixture_run (d, 300 * KQ_MS);
+  assert_true (kq_sched_settled (d->sched));
+}
+
 #define TEST(name)                                                                       \
   cmocka_unit_test_setup_teardown (name, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -210,6 +345,10 @@
           TEST (test_list_of_an_older_leader_is_not_trusted),
           TEST (test_report_before_the_lists_are_read_counts),
           TEST (test_agent_gets_runners_only_once_it_is_stored),
-          TEST (test_agent_that_has_granted_nothing_is_not_waited_for) };
+          TEST (test_agent_that_has_granted_nothing_is_not_waited_for),
+          TEST (test_agent_back_during_the_write_that_drops_it),
+          TEST (test_own_agent_is_not_used_while_a_new_one_is_stored),
+          TEST (test_loss_of_an_agent_does_not_prolong_a_silent_runners_lease),
+          TEST (test_own_node_that_has_told_its_leases_is_not_waited_for) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -99,6 +99,12 @@
   return r->lease_ends > r->earlier_lease_ends ? r->lease_ends : r->earlier_lease_ends;
 }
 
+const char *
+kq_runners_lease_from (const KqRunnerState *r)
+{
+  return r->earlier_lease_ends > r->lease_ends ? "earlier leader" : r->lease_from;
+}
+
 bool
 kq_runners_lease_is_over (const KqRunnerState *r, KqTime now)
 {
@@ -177,7 +183,7 @@
   r->counts_at = r->heard_at = now;
   r->lease_ends = now;
   r->earlier_lease_ends = s->loaded ? 0 : kq_runners_latest_unseen_lease_end (s, now);
-  r->lease_from = s->loaded ? "entry" : "earlier leader";
+  r->lease_from = "entry";
   g_hash_table_insert (s->runners, r->id, r);
   g_ptr_array_add (s->runner_list, r);
   r->number = ++s->runners_made;
@@ -256,7 +262,8 @@
             "heard_ms_ago=%lld lease_over_ms=%lld lease_from=%s",
             r->id, r->n_runs, why, KQ_STR_ARG (node),
             (long long)((now - r->heard_at) / KQ_MS),
-            (long long)((now - kq_runners_lease_end (r)) / KQ_MS), r->lease_from);
+            (long long)((now - kq_runners_lease_end (r)) / KQ_MS),
+            kq_runners_lease_from (r));
   while (r->runs != NULL)
     {
       char name[96];
@@ -437,6 +444,7 @@
             "Runner doesn't answer. runner=%s runs=%d lease_left_ms=%lld", r->id,
             r->n_runs, (long long)lease_left_ms);
   r->silent = true;
+  r->renewed = false; /* its agent renews the lease only after a list */
   if (lease_left_ms >= 0)
     kq_runners_extend_lease (r, ends, "silence");
   extend_for_starts (s, r);
--- a/src/sched/settle.c
+++ b/src/sched/settle.c
@@ -22,6 +22,15 @@
     }
 }
 
+/* Whether the runner has yet to be asked, or to answer or be found silent. */
+static bool
+word_expected (const KqSched *s, const KqRunnerState *r)
+{
+  if (r->agent >= 0)
+    return !r->silent;
+  return r->address[0] != '\0' && kq_agents_any_usable (&s->agents);
+}
+
 /* The runs of earlier leaders on a runner are accounted for if it has listed its runs, or
  * has been unreachable beyond the end of its lease. */
 const KqRunnerState *
@@ -32,7 +41,7 @@
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       if (r->listed || !r->used_by_earlier_leader || r->gone)
         continue;
-      if (!kq_runners_lease_is_over (r, now))
+      if (word_expected (s, r) || !kq_runners_lease_is_over (r, now))
         return r;
     }
   return NULL;
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -310,9 +310,10 @@
   uint64_t changes;            /* number of calls of kq_runners_note_change so far */
   KqRunnerState *changed_last; /* all runners, the last changed first */
   guint scan_from;             /* index of the runner at which the next search begins */
-  bool used_runners_dirty; /* the list of used runners differs from the one packed last */
-  bool assign_soon;        /* an agent may be able to take a runner that has none */
-  int64_t wall_minus_now_ms; /* Unix time less KqTime, in ms */
+  bool used_runners_dirty;     /* the list of used runners, or that of agents, has changed
+                                  since they were last packed */
+  bool assign_soon;            /* an agent may be able to take a runner that has none */
+  int64_t wall_minus_now_ms;   /* Unix time less KqTime, in ms */
   KqTime started_at;
   KqTime exclusive_until; /* no other node can be leader before this time */
   bool job_held_back;     /* a job waits until no other leader is possible again */
@@ -465,6 +466,8 @@
 KqTime kq_runners_latest_unseen_lease_end (const KqSched *s, KqTime now);
 /* The latest time at which a run may still exist on the runner. */
 KqTime kq_runners_lease_end (const KqRunnerState *r);
+/* Where it comes from, for logs. */
+const char *kq_runners_lease_from (const KqRunnerState *r);
 /* Whether that time is over, and no agent can be renewing the lease. */
 bool kq_runners_lease_is_over (const KqRunnerState *r, KqTime now);
 /* Notes that a process of the runner is there which no maintenance has ended. */
--- a/src/sched/waits.c
+++ b/src/sched/waits.c
@@ -59,7 +59,7 @@
           w->n_held_back, now >= s->exclusive_until, r != NULL ? r->id : "-",
           r != NULL ? r->agent : -1, r != NULL && r->silent,
           (long long)(r != NULL ? (kq_runners_lease_end (r) - now) / KQ_MS : 0),
-          r != NULL ? r->lease_from : "-");
+          r != NULL ? kq_runners_lease_from (r) : "-");
 }
 
 void
