--- a/src/sched/grantors_test.c
+++ b/src/sched/grantors_test.c
@@ -227,7 +227,7 @@
   kq_sched_fixture_run (d, 10 * KQ_SEC);
   assert_true (kq_sched_used_runners_pending (d->sched));
   pack (d); /* under way, without b */
-  n = kq_sched_agent_up (d->sched, &b, d->now);
+  kq_sched_agent_up (d->sched, &b, d->now);
   kq_sched_agent_down (d->sched, d->agent, false, d->now);
   before = d->assignment[1];
   kq_sched_fixture_run (d, 500 * KQ_MS);
