The leader's own agent isn't used because an earlier leader had it

A task could run twice: a new leader whose own node stands in the last leader's list of agents took its own agent for stored, gave it runners while another agent was connected and not stored yet, and left it out of its own list later on. Only a connected agent in use counts as stored. test_own_agent_of_an_earlier_list_is_not_used_either fails without it.

--- a/src/sched/grantors.c
+++ b/src/sched/grantors.c
@@ -131,7 +131,8 @@
       KqGrantor *g = find_or_add (s, kq_read_str (&r));
       g->earlier = g->in_sent_list = g->in_stored_list = true;
       g->gone = false;
-      kq_agents_set_stored (&s->agents, kq_name_str (&g->name));
+      if (g->up)
+        kq_agents_set_stored (&s->agents, kq_name_str (&g->name));
       g->gone_at = kq_runners_latest_unseen_lease_end (s, now);
     }
   good = good && !r.bad;
--- a/src/sched/grantors_test.c
+++ b/src/sched/grantors_test.c
@@ -271,6 +271,27 @@
   assert_int_not_equal (d->taken_by[1], o);
 }
 
+/* As above, for a new leader whose own node the last one used. */
+static void
+test_own_agent_of_an_earlier_list_is_not_used_either (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqAgentInfo own = { .name = kq_name (KQ_STR ("own")), .share_milli = 1000 };
+  KqAgentInfo c = { .name = kq_name (KQ_STR ("c")), .share_milli = 1000 };
+  int o;
+  kq_sched_fixture_add_agent (d, &own);
+  kq_sched_fixture_new_leader (d);
+  kq_sched_agent_down (d->sched, d->agent, false, d->now);
+  own.leader = true;
+  o = kq_sched_agent_up (d->sched, &own, d->now);
+  kq_sched_agent_up (d->sched, &c, d->now); /* not stored yet */
+  kq_sched_used_agents (d->sched, kq_buf_str (&d->used_agents), d->now);
+  kq_sched_loaded (d->sched, d->now);
+  d->taken_by[1] = -1;
+  kq_sched_fixture_run (d, 500 * KQ_MS);
+  assert_int_not_equal (d->taken_by[1], o);
+}
+
 /* Guards against a wait for a lease that nobody renews: the agent that is lost had told
  * that the runner doesn't answer. */
 static void
@@ -348,6 +369,7 @@
           TEST (test_agent_that_has_granted_nothing_is_not_waited_for),
           TEST (test_agent_back_during_the_write_that_drops_it),
           TEST (test_own_agent_is_not_used_while_a_new_one_is_stored),
+          TEST (test_own_agent_of_an_earlier_list_is_not_used_either),
           TEST (test_loss_of_an_agent_does_not_prolong_a_silent_runners_lease),
           TEST (test_own_node_that_has_told_its_leases_is_not_waited_for) };
   return cmocka_run_group_tests (tests, NULL, NULL);
