The leader's own agent is ready before the last other agent is lost

What was seen: with one other agent up, which is then lost while the store is away, all leases lapse after 5 s. The leader's own agent could renew them, but isn't in the stored list of agents, and may not grant leases before it is.

Cause: the own agent was listed only once no other agent was up, and the list can't be written then. Now it is listed while at most one other agent is up. In larger fleets the leader's loss stays no loss of a grantor; where a single other agent is left it is one, and the next leader waits for that node's word, or for its leases, as for any lost agent. Weighed: telling the two cases apart by when the others were last heard; a leader that is alone resigns within its lease of 1.5 s, so no such time separates them.

--- a/src/sched/agents.c
+++ b/src/sched/agents.c
@@ -17,6 +17,11 @@
 #define UNLISTED_PER_AGENT 8
 #define UNLISTED_SHARE_MILLI 10
 
+/* With this many other agents or fewer the leader's own agent is kept ready. It must be
+ * stored before it may be used, and the last other agent may be lost while the store is
+ * away. */
+#define LEADER_READY_AGENTS_MAX 1
+
 static void
 remove_lost (KqAgents *a, const KqName *name)
 {
@@ -58,12 +63,13 @@
 kq_agents_leader_needed (const KqAgents *a)
 {
   int leader = -1;
+  int others = 0;
   for (int i = 0; i < a->n; i++)
     if (a->list[i].up && !a->list[i].info.leader)
-      return -1;
+      others++;
     else if (a->list[i].up)
       leader = i;
-  return leader;
+  return others <= LEADER_READY_AGENTS_MAX ? leader : -1;
 }
 
 void
--- a/src/sched/agents.h
+++ b/src/sched/agents.h
@@ -47,7 +47,8 @@
 void kq_agents_down (KqAgents *a, int agent, bool planned);
 /* Whether some agent may be given runners. */
 bool kq_agents_any_usable (const KqAgents *a);
-/* The leader's own agent if it has to be used, as no other is up; -1: it needn't be. */
+/* The leader's own agent if it must be ready for use, as at most one other agent is up;
+ * -1: it needn't be. */
 int kq_agents_leader_needed (const KqAgents *a);
 /* Notes that the agent of that name is in the stored list: it may be given runners. */
 void kq_agents_set_stored (KqAgents *a, KqStr name);
--- a/src/sched/grantors.h
+++ b/src/sched/grantors.h
@@ -27,8 +27,8 @@
 void kq_grantors_agent_up (KqSched *s, const KqName *name);
 /* Notes that the agent isn't connected, or isn't used, any more: its leases may last. */
 void kq_grantors_agent_down (KqSched *s, const KqName *name, KqTime now);
-/* Keeps the leader's own agent in the list only while no other agent is up: the leader's
- * loss is then no loss of a grantor. */
+/* Keeps the leader's own agent in the list only while at most one other agent is up: in
+ * larger fleets the leader's loss is then no loss of a grantor. */
 void kq_grantors_check_leader (KqSched *s, KqTime now);
 /* Marks agents without leases that last, to be left out of the list. */
 void kq_grantors_check (KqSched *s, KqTime now);
