Waves don't drain all hosts with a label at once, nor one host in turn

Cause, traced: (a) two overdue waves drain both hosts with the label at the same time; (b) a wave gives up the drain of the only such host for a waiting task, and in the same check another wave begins the next drain there, four waves by turns, so that the room is never usable.

Now a host isn't drained while it is the last usable one with a label for which tasks wait and another host with that label is drained or down; a drain is given up after 2.5 s also for a waiting step that only this host can serve; and once one is given up all waves leave the host alone for 4 s. A host that is the only one with its label still goes down.

Drains move to a file of their own.

--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -9,6 +9,8 @@
 
 #include "sched/maintenance.h"
 
+#include "sched/drain.h"
+
 #include "wire/pack.h"
 
 #include <stdlib.h>
@@ -20,16 +22,8 @@
 #define HOST_DURATION (5 * KQ_SEC)
 /* The wave should be completed this long before its time is over. */
 #define WAVE_RESERVE (2 * KQ_SEC)
-/* Longest drain of a host: tasks that can't save their progress may go on so long. Tasks
- * that must not be interrupted now make it longer. */
-#define DRAIN_MAX (2 * KQ_SEC)
-/* A drain is given up after this time if a task must not be interrupted because another
- * task of its step has waited for room for as long: the host's own room may be what that
- * task needs. RETRY_BLOCKED later the host may be drained again. */
-#define DRAIN_BLOCKED_MAX (2500 * KQ_MS)
+/* Delay before a host is drained again after its drain was given up. */
 #define RETRY_BLOCKED (4 * KQ_SEC)
-/* A task that is expected to end within this time isn't stopped. */
-#define ENDS_SOON_MS 500
 /* After this time a host counts as back, also without a new runner. */
 #define DOWN_MAX (10 * KQ_SEC)
 /* A runner that still lists its runs this long after the maintenance began wasn't ended
@@ -60,6 +54,8 @@
   for (size_t i = 0; i < w->n_hosts; i++)
     {
       free (w->hosts[i].host);
+      free (w->hosts[i].kind);
+      free (w->hosts[i].rack);
       free (w->hosts[i].old_runner);
     }
   free (w->hosts);
@@ -149,61 +145,6 @@
   return NULL;
 }
 
-/* Whether the run may be stopped without exceeding max_unavailable, the number of tasks
- * of its step that may be away at once because of the scheduler. */
-static bool
-may_interrupt (const KqRun *run)
-{
-  const KqStep *p = kq_run_step (run);
-  const KqStepState *st;
-  int away = 0;
-  if (p->max_unavailable < 0 || run->occurrence == NULL)
-    return true;
-  st = &run->occurrence->steps[run->step];
-  for (int32_t i = 0; i < p->width; i++)
-    {
-      const KqRun *other = st->tasks[i].run;
-      bool serving
-          = other != NULL && other->phase == KQ_RUN_RUNNING && other->percent >= 100;
-      away += i != run->index && !serving;
-    }
-  return away < p->max_unavailable;
-}
-
-/* Stops the runs that can go on elsewhere. Returns whether the host may go down now. */
-static bool
-drain_host (KqSched *s, KqRunnerState *r, KqTime since, KqTime now)
-{
-  bool protected_left = false;
-  for (KqRun *run = r->runs; run != NULL; run = run->next)
-    {
-      const KqStep *p = kq_run_step (run);
-      int64_t left_ms = (int64_t)p->estimate_ms * (100 - run->percent) / 100;
-      if (run->phase != KQ_RUN_RUNNING)
-        continue;
-      if (!may_interrupt (run))
-        protected_left = true;
-      else if (p->lasting || (p->checkpoints && left_ms > ENDS_SOON_MS))
-        kq_run_stop (s, run, "its host goes down for maintenance", now);
-    }
-  return r->n_runs == 0 || (!protected_left && now - since >= DRAIN_MAX);
-}
-
-/* Whether the drain of the runner's host waits for a task that waits for room. */
-static bool
-drain_is_blocked (const KqRunnerState *r, KqTime now)
-{
-  for (const KqRun *run = r->runs; run != NULL; run = run->next)
-    {
-      KqTime since
-          = run->occurrence != NULL ? run->occurrence->steps[run->step].waits_since : 0;
-      if (run->phase == KQ_RUN_RUNNING && since != 0 && now - since >= DRAIN_BLOCKED_MAX
-          && !may_interrupt (run))
-        return true;
-    }
-  return false;
-}
-
 /* How many hosts of the wave must be drained or down at once for it to end in time. */
 static int32_t
 needed_at_once (const KqWave *w, KqTime now)
@@ -259,7 +200,8 @@
       const KqRunnerState *r = runner_on (s, h->host);
       int n = r != NULL ? r->n_runs : 0;
       if (h->phase != KQ_HOST_WAITING || now < h->again_at || (best != NULL && n >= least)
-          || in_other_wave (s, w, h->host))
+          || in_other_wave (s, w, h->host)
+          || (r != NULL && kq_drain_takes_last_of_label (s, r)))
         continue;
       best = h;
       least = n;
@@ -273,6 +215,13 @@
   const KqRunnerState *r = runner_on (s, h->host);
   h->phase = KQ_HOST_DRAINING;
   h->since = now;
+  if (r != NULL)
+    {
+      free (h->kind);
+      free (h->rack);
+      h->kind = kq_str_dup (kq_str (r->kind));
+      h->rack = kq_str_dup (kq_str (r->rack));
+    }
   kq_log (KQ_LOG_INFO, PART,
           "Draining a host for maintenance. wave=%lld host=%s runner=%s runs=%d",
           (long long)w->number, h->host, r != NULL ? r->id : "-",
@@ -380,6 +329,19 @@
          || (r != NULL && !r->silent && r->heard_at >= h->since + STILL_ALIVE_AFTER);
 }
 
+/* Has all waves wait until then before they drain the host. Its room would otherwise pass
+ * from one wave to the next, and tasks that need it would never get it. */
+static void
+postpone_drains (const KqSched *s, const char *host, KqTime until)
+{
+  for (guint i = 0; i < s->waves->len; i++)
+    {
+      KqWaveHost *h = find_host (g_ptr_array_index (s->waves, i), kq_str (host));
+      if (h != NULL && h->phase == KQ_HOST_WAITING && h->again_at < until)
+        h->again_at = until;
+    }
+}
+
 static void
 update_host (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
 {
@@ -390,16 +352,16 @@
     case KQ_HOST_BACK:
       break;
     case KQ_HOST_DRAINING:
-      if (r == NULL || drain_host (s, r, h->since, now))
+      if (r == NULL || kq_drain_host (s, r, h->since, now))
         call_maintenance (s, w, h, now);
-      else if (now - h->since >= DRAIN_BLOCKED_MAX && drain_is_blocked (r, now))
+      else if (kq_drain_is_blocked (s, r, h->since, now))
         {
           kq_log (
               KQ_LOG_INFO, PART,
               "Giving up a drain, as a task waits for room. wave=%lld host=%s runs=%d",
               (long long)w->number, h->host, r->n_runs);
           h->phase = KQ_HOST_WAITING;
-          h->again_at = now + RETRY_BLOCKED;
+          postpone_drains (s, h->host, now + RETRY_BLOCKED);
         }
       break;
     case KQ_HOST_CALLED:
--- a/src/sched/maintenance.h
+++ b/src/sched/maintenance.h
@@ -24,6 +24,8 @@
   KqTime again_at;  /* earliest time of the next attempt */
   bool repeated;    /* the call was made more than once */
   char *old_runner; /* id of the runner there when the call was made; NULL: none */
+  char *kind;       /* labels of its runner when the drain began; NULL: not known */
+  char *rack;
 } KqWaveHost;
 
 typedef struct
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -92,9 +92,8 @@
          && (p->filling || p->cpu_milli <= r->room.cpu_milli);
 }
 
-/* Whether the runner is of the kind, or on the rack, that the label names; "": any. */
-static bool
-has_label (const KqRunnerState *r, KqStr label)
+bool
+kq_place_has_label (const KqRunnerState *r, KqStr label)
 {
   return label.len == 0 || kq_str_eq (label, kq_str (r->kind))
          || kq_str_eq (label, kq_str (r->rack));
@@ -262,7 +261,7 @@
     return a;
   if (!fits_now (r, p, starved))
     return KQ_PLACE_NO_ROOM;
-  if (!has_label (r, p->label))
+  if (!kq_place_has_label (r, p->label))
     return KQ_PLACE_LABEL;
   if (p->per_runner_max > 0 && count_step_runs (r, o, step) >= p->per_runner_max)
     return KQ_PLACE_PER_RUNNER;
@@ -338,7 +337,7 @@
     {
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       if (kq_str_eq (kq_str (r->service), spec->service) && fits_when_empty (r, p)
-          && has_label (r, p->label))
+          && kq_place_has_label (r, p->label))
         return true;
     }
   return false;
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -55,6 +55,8 @@
  * tickets, the best first; returns how many. */
 int32_t kq_place_candidates (KqSched *s, const KqOccurrence *o, int32_t step, KqTime now,
                              KqRunnerState **out, int32_t max);
+/* Whether the runner is of the kind, or on the rack, that the label names; "": any. */
+bool kq_place_has_label (const KqRunnerState *r, KqStr label);
 /* Whether any runner could hold a task of the step if that runner were empty. */
 bool kq_place_any_fits (const KqSched *s, const KqSpec *spec, int32_t step);
 
