Lasting filling tasks of a starved step start in growing numbers

A step of 14 took 28 s.

Cause: such a step gets one task at a time, as each may disturb serving tasks until the next report, and the next one 2 s after the last. Now as many start at a time as have run for 2 s: 1, 1, 2, 4 and so on, so 14 tasks take 8 s.

--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -284,8 +284,9 @@
   const KqStep *p = &o->job->spec.steps[step];
   KqPlacing placing;
   KqBuf starts = { 0 };
-  /* A starved job's filling task is placed whatever its speed, but only one of them. */
-  bool one_only = p->filling && kq_place_is_starved (o, step, now);
+  /* A starved job's filling tasks are placed whatever their speed, but only one of them,
+   * or a few lasting ones: as long as the step counts as starved. */
+  bool starved = p->filling && kq_place_is_starved (o, step, now);
   bool all_placed = true;
   kq_placing_begin (&placing, s, o, step, now);
   for (int32_t i = 0; i < p->width && all_placed && kq_window_is_open (&s->window); i++)
@@ -299,7 +300,7 @@
       if (all_placed)
         add_start_to_log (start_task (s, o, step, i, next_run (s, t), r, now), &starts,
                           now);
-      if (one_only)
+      if (starved && (!p->lasting || !kq_place_is_starved (o, step, now)))
         break;
     }
   kq_placing_end (&placing);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -199,16 +199,25 @@
   return score_by_kind (s, r, o, step) - score_penalty (s, r, o, step);
 }
 
-/* Whether a run of the job has been ordered to start a moment ago. One whose start hasn't
- * been ordered is that of a gang which is being placed: all of it must be placed in the
- * same way. */
-static bool
-has_new_run (const KqJob *j, KqTime now)
+/* Runs of a job whose start was ordered up to STARVED_AFTER ago, and earlier ones. One
+ * whose start hasn't been ordered is that of a gang which is being placed: all of it must
+ * be placed in the same way. */
+typedef struct
+{
+  int recent;
+  int earlier;
+} RunCounts;
+
+static RunCounts
+count_runs (const KqJob *j, KqTime now)
 {
+  RunCounts n = { 0 };
   for (const KqRun *run = j->run_list; run != NULL; run = run->job_next)
     if (run->retry_at != 0 && now - run->placed_at <= STARVED_AFTER)
-      return true;
-  return false;
+      n.recent++;
+    else if (run->retry_at != 0)
+      n.earlier++;
+  return n;
 }
 
 /* Whether something of the job runs, as far as is known. A run whose start was ordered
@@ -219,7 +228,7 @@
   for (const KqRun *run = j->run_list; run != NULL; run = run->job_next)
     if (run->running_at != 0 && now - run->runner->heard_at <= HEARD_WITHIN)
       return true;
-  return has_new_run (j, now);
+  return count_runs (j, now).recent > 0;
 }
 
 bool
@@ -227,11 +236,15 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   KqTime since = o->steps[step].waits_since;
+  RunCounts n;
   if (since == 0 || now - since <= STARVED_AFTER || !kq_pools_is_half_free (o->job->pool))
     return false;
   if (!p->lasting)
     return !is_at_work (o->job, now);
-  return !p->filling || !has_new_run (o->job, now);
+  /* Each lasting filling task may disturb serving tasks, which the next reports tell: as
+   * many are placed at a time as have run since the last ones, and one at first. */
+  n = count_runs (o->job, now);
+  return !p->filling || n.recent == 0 || n.recent < n.earlier;
 }
 
 double
--- a/src/sched/starved_test.c
+++ b/src/sched/starved_test.c
@@ -137,6 +137,37 @@
   g_array_free (runs, TRUE);
 }
 
+/* Guards against wide lasting steps whose last tasks wait for tens of seconds beside free
+ * room: as many are placed at a time as have run since the last ones. */
+static void
+test_lasting_filling_tasks_are_placed_in_growing_numbers (void **state)
+{
+  static const int placed[] = { 1, 2, 4, 8 };
+  KqSchedFixture *d = *state;
+  KqStep fills = kq_sched_fixture_step ();
+  GArray *runs;
+  fills.filling = true;
+  fills.estimate_ms = 600000;
+  fills.image = KQ_STR ("fills");
+  fills.cpu_milli = 2000;
+  fills.width = 6;
+  kq_sched_fixture_submit (d, "first", fills, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 4);
+  runs = accept_starts (d);
+  fills.width = 14;
+  fills.lasting = true;
+  kq_sched_fixture_submit (d, "second", fills, false);
+  for (size_t i = 0; i < sizeof placed / sizeof placed[0]; i++)
+    {
+      run_with_lists (d, runs, NULL, STARVED_AFTER);
+      assert_int_equal (d->start_orders, 4 + placed[i]);
+      g_array_append_vals (runs, d->starts_pending->data, d->starts_pending->len);
+      kq_sched_fixture_accept_starts (d);
+    }
+  g_array_free (runs, TRUE);
+}
+
 /* Guards against a gang that waits beside free room: only its first task was placed
  * beside filling tasks of other jobs. */
 static void
@@ -173,6 +204,7 @@
     FIXTURE_TEST (test_run_that_may_not_exist_does_not_feed_a_job),
     FIXTURE_TEST (test_lasting_task_is_not_held_back_by_others_of_its_job),
     FIXTURE_TEST (test_lasting_filling_tasks_are_placed_one_by_one),
+    FIXTURE_TEST (test_lasting_filling_tasks_are_placed_in_growing_numbers),
     FIXTURE_TEST (test_starved_gang_is_placed_as_a_whole),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
