Cordons: nothing starts in a failure domain that operators have cordoned

A failure domain that takes no new work is called cordoned, as the field does. platform/source.c translates the key; every node follows it together with the configuration (fleet/queue_keys), and the set (steps/cordons) has two users: - the leader: a cordoned runner is no candidate, its room isn't usable room for kept room, shares and drains, a start without an answer isn't repeated there, but stopped, and nothing is placed before a new leader's node has read the cordons once. The refusal says why, so that the leader leaves the whole domain alone for a second, rather than try its runners one after the other. A deletion that is missed (history gone, watch lost) is found by the next listing.

New fields at the end of the frames TAKE and OUTCOME; earlier versions skip them and are read.

--- a/bench/sched_day.c
+++ b/bench/sched_day.c
@@ -396,6 +396,7 @@
           submit (d);
           break;
         }
+      kq_sched_rig_draw_cordon (&d->rig);
       run (d, (KqTime)(10 + below (d, 300)) * KQ_MS);
     }
 }
@@ -410,6 +411,7 @@
   r->lost_percent = r->late_orders_percent = r->unsent_percent = 0;
   r->control_lost_percent = 0;
   r->store_down_until = r->control_away_until = 0;
+  kq_sched_rig_lift_cordons (r);
   for (int i = 0; i < r->n_agents; i++)
     {
       KqSchedRigAgent *a = &r->agents[i];
@@ -440,6 +442,7 @@
         request_wave (d);
       if (below (d, 50) == 0)
         overload (d);
+      kq_sched_rig_draw_cordon (&d->rig);
       run (d, (KqTime)(50 + below (d, 300)) * KQ_MS);
     }
 }
@@ -496,7 +499,7 @@
 }
 
 int
-kq_sched_day (uint64_t seed, int rounds, char *why, int why_size)
+kq_sched_day (uint64_t seed, int rounds, bool cordons, char *why, int why_size)
 {
   Day *d = kq_alloc (sizeof *d);
   KqRoom room = { 4000, 6000, 0 };
@@ -507,6 +510,7 @@
     kq_sched_rig_add_agent (&d->rig);
   for (int i = 0; i < FEATURES; i++)
     d->has[i] = below (d, 5) < 2;
+  d->rig.plays_cordons = cordons;
   d->rig.new_ids_after_upkeep = below (d, 2) == 0;
   d->rig.models_load = d->has[SERVING] || below (d, 2) == 0;
   for (int i = 1; d->has[LABELS] && i < d->rig.n_runners; i++)
@@ -521,6 +525,7 @@
       end_faults (d);
       play_calm (d);
     }
+  kq_sched_rig_lift_cordons (&d->rig);
   run (d, LAST_CALM);
   cancel_lasting (d);
   run (d, ALL_ENDED);
--- a/bench/sched_day.h
+++ b/bench/sched_day.h
@@ -12,10 +12,11 @@
  * lasting, filling, timed, gangs, need labels or much memory, permit copies, or consist
  * of tasks that all fail. Each seed leaves some of this out. */
 
+#include <stdbool.h>
 #include <stdint.h>
 
-/* rounds: number of spans with faults. Returns the number of breaches; copies a
- * description of the first one to `why`. */
-int kq_sched_day (uint64_t seed, int rounds, char *why, int why_size);
+/* rounds: number of spans with faults. cordons: as in sched_soak.h, in calm spans, too.
+ * Returns the number of breaches; copies a description of the first one to `why`. */
+int kq_sched_day (uint64_t seed, int rounds, bool cordons, char *why, int why_size);
 
 #endif
--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -179,6 +179,19 @@
                                   .unsent = true });
 }
 
+void
+kq_sched_fixture_start_cordoned (KqSchedFixture *d, const char *runner, const char *task,
+                                 uint32_t n)
+{
+  pass_outcome (d, runner,
+                (KqOrderOutcome){ .kind = KQ_ORDER_START,
+                                  .task = kq_str (task),
+                                  .run = n,
+                                  .result = KQ_ORDER_UNHEALTHY,
+                                  .unsent = true,
+                                  .cordoned = true });
+}
+
 void
 kq_sched_fixture_accept_starts (KqSchedFixture *d)
 {
@@ -244,6 +257,7 @@
                       .lease_ms = 5000,
                       .renew_without_leader_ms = 4000,
                       .keep_ms = 60000,
+                      .cordons = d->cordons,
                       .counters = d->counters,
                       .order = on_order,
                       .maintenance = on_maintenance,
@@ -263,6 +277,7 @@
       KqRunnerEntry e = { .id = kq_str (i == 0 ? "r0" : "r1"),
                           .service = KQ_STR ("desk"),
                           .address = KQ_STR ("127.0.0.1:1"),
+                          .failure_domain = kq_str (i == 0 ? "north" : "south"),
                           .host = kq_str (i == 0 ? "h0" : "h1"),
                           .room = { 4000, 16000, 0 } };
       kq_sched_entry (d->sched, &e, d->now);
@@ -307,6 +322,8 @@
   d->started_ms = 1;
   d->starts_pending = g_array_new (FALSE, FALSE, sizeof (KqSchedFixtureStart));
   d->counters = kq_counters_new ();
+  d->cordons = kq_cordons_new ();
+  d->cordons->complete = true;
   new_sched (d, 5);
   kq_sched_loaded (d->sched, d->now);
   add_entries (d);
@@ -323,6 +340,7 @@
 {
   KqSchedFixture *d = *state;
   kq_sched_free (d->sched);
+  kq_cordons_free (d->cordons);
   kq_counters_free (d->counters);
   kq_buf_free (&d->used_agents);
   kq_buf_free (&d->used_runners);
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -1,7 +1,8 @@
 #ifndef KQ_BENCH_SCHED_FIXTURE_H
 #define KQ_BENCH_SCHED_FIXTURE_H
 
-/* sched_fixture: a test fixture of a scheduler with two runners and one agent. The test
+/* sched_fixture: a test fixture of a scheduler with two runners, r0 in failure domain
+ * "north" and r1 in "south", and one agent. The test
  * supplies each list and outcome itself, in orders that runs of the rig (sched_rig.h)
  * hardly produce. */
 
@@ -20,6 +21,7 @@
 {
   KqSched *sched;
   KqCounters *counters;
+  KqCordons *cordons;
   KqTime now;
   uint32_t term; /* of the present leader */
   int agent;
@@ -83,6 +85,9 @@
 /* Passes in the outcome of an order. */
 void kq_sched_fixture_outcome (KqSchedFixture *d, KqOrderKind kind, const char *runner,
                                const char *task, uint32_t run, KqOrderResult result);
+/* Passes in the outcome of a start that the agent didn't send into a cordoned domain. */
+void kq_sched_fixture_start_cordoned (KqSchedFixture *d, const char *runner,
+                                      const char *task, uint32_t run);
 /* Passes in the outcome of a start that never left the agent. */
 void kq_sched_fixture_start_unsent (KqSchedFixture *d, const char *runner,
                                     const char *task, uint32_t run);
--- a/bench/sched_idle.c
+++ b/bench/sched_idle.c
@@ -58,7 +58,8 @@
       const KqSchedRigRunner *g = &r->runners[i];
       KqRoom *left = &c->free_room[i];
       *left = g->room;
-      c->usable[i] = g->alive && g->in_store && !g->draining && !just_back (r, g);
+      c->usable[i] = g->alive && g->in_store && !g->draining && !just_back (r, g)
+                     && !kq_sched_rig_is_cordoned (r, g);
       for (guint k = 0; k < g->runs->len; k++)
         {
           const KqSchedRigRun *run = g_ptr_array_index (g->runs, k);
--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -88,6 +88,7 @@
   KqSchedRig *r = arg;
   KqAgentItem i = { .kind = KQ_AGENT_ITEM_ORDER };
   i.u.order = *o;
+  kq_sched_rig_check_cordon (r, o);
   for (int n = 0; n < r->n_agents; n++)
     if (r->agents[n].number == agent)
       {
@@ -204,6 +205,7 @@
         }
       handle_due_events (r);
       kq_sched_rig_maintenance_tick (r);
+      kq_sched_rig_cordon_tick (r);
       kq_sched_run (r->sched, r->now, r->now / KQ_MS);
       store (r);
     }
@@ -216,7 +218,7 @@
   KqRunnerEntry e = { .id = kq_str (g->id),
                       .service = KQ_STR ("desk"),
                       .address = KQ_STR ("127.0.0.1:1"),
-                      .failure_domain = KQ_STR ("north"),
+                      .failure_domain = kq_str (kq_sched_rig_domain (g)),
                       .kind = kq_str (g->kind),
                       .rack = kq_str (g->rack),
                       .host = kq_str (g->host),
@@ -279,11 +281,13 @@
   KqSchedConfig c = { .lease_ms = KQ_SCHED_RIG_LEASE_MS,
                       .renew_without_leader_ms = KQ_SCHED_RIG_RENEW_WITHOUT_LEADER_MS,
                       .keep_ms = KEEP_MS,
+                      .cordons = r->cordons,
                       .counters = r->counters,
                       .maintenance_ms = KQ_SCHED_RIG_MAINTENANCE_MS,
                       .order = on_order,
                       .maintenance = kq_sched_rig_maintenance,
                       .arg = r };
+  kq_sched_rig_cordon_new_leader (r);
   kq_sched_free (r->sched);
   r->epoch = ++r->revision;
   r->leader_serial++;
@@ -346,6 +350,9 @@
   r->now = 1000 * KQ_SEC;
   r->rand = kq_rand (seed);
   r->counters = kq_counters_new ();
+  r->cordons = kq_cordons_new ();
+  r->cordons->complete = true;
+  r->cordon_rand = kq_rand (~seed);
   r->n_runners = runners;
   r->events = g_ptr_array_new ();
   r->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_job);
@@ -373,6 +380,7 @@
 kq_sched_rig_clear (KqSchedRig *r)
 {
   kq_sched_free (r->sched);
+  kq_cordons_free (r->cordons);
   kq_counters_free (r->counters);
   for (guint i = 0; i < r->events->len; i++)
     free_event (g_ptr_array_index (r->events, i));
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -21,6 +21,7 @@
 #define KQ_SCHED_RIG_RUNNERS_MAX 32
 #define KQ_SCHED_RIG_AGENTS_MAX 8
 #define KQ_SCHED_RIG_WAVES_MAX 8
+#define KQ_SCHED_RIG_DOMAINS 3
 /* As fails_index of a job: each of its tasks always fails. */
 #define KQ_SCHED_RIG_ALL_FAIL (-2)
 
@@ -182,6 +183,15 @@
   uint32_t begun; /* the hosts that have been taken down for this wave */
 } KqSchedRigWave;
 
+/* The operators' cordon of a failure domain. */
+typedef struct
+{
+  bool on;
+  KqTime changed_at;      /* 0: never */
+  KqTime leader_knows_at; /* the leader's node, and each agent, learn of it then */
+  KqTime agent_knows_at[KQ_SCHED_RIG_AGENTS_MAX];
+} KqSchedRigCordon;
+
 /* A call to the control plane. */
 typedef struct
 {
@@ -223,6 +233,12 @@
   int unsent_percent;      /* starts and stops that aren't sent and fail as UNHEALTHY */
   int late_orders_percent; /* starts and stops: reach the runner 2 to 12 s late; no answer
                             */
+  /* Cordons. */
+  bool plays_cordons;
+  KqRand cordon_rand; /* its own, so that seeds without cordons play the same as ever */
+  KqSchedRigCordon domain_cordons[KQ_SCHED_RIG_DOMAINS];
+  KqCordons *cordons;     /* as the leader's node knows them */
+  KqTime cordons_read_at; /* a new leader's node has read all of them by then */
   /* The control plane. */
   KqSchedRigWave waves[KQ_SCHED_RIG_WAVES_MAX];
   int n_waves;
@@ -283,6 +299,14 @@
 /* Requests a wave of maintenance of these hosts. False: there are too many waves. */
 bool kq_sched_rig_request_wave (KqSchedRig *r, uint32_t hosts, int32_t cap,
                                 KqTime duration);
+/* Sets or lifts the cordon of a failure domain, if that changes it. */
+void kq_sched_rig_cordon (KqSchedRig *r, int domain, bool on);
+/* Sets or lifts the cordon of a failure domain at times, if the rig plays cordons. */
+void kq_sched_rig_draw_cordon (KqSchedRig *r);
+void kq_sched_rig_lift_cordons (KqSchedRig *r);
+/* Whether operators have cordoned the runner's failure domain, or some node has yet to
+ * learn that they have lifted the cordon. */
+bool kq_sched_rig_is_cordoned (const KqSchedRig *r, const KqSchedRigRunner *g);
 /* Runs everything for the span, in ticks of 10 ms. */
 void kq_sched_rig_run (KqSchedRig *r, KqTime span);
 /* The leader fails; a new one loads its state from the store. */
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -41,6 +41,19 @@
 void kq_sched_rig_trace_runner (const KqSchedRig *r, int runner, int agent,
                                 const char *what, int64_t detail);
 
+/* sched_rig_cordon.c */
+/* The name of the runner's failure domain. */
+const char *kq_sched_rig_domain (const KqSchedRigRunner *g);
+/* Has the leader's node learn of what is due. */
+void kq_sched_rig_cordon_tick (KqSchedRig *r);
+/* The node of a new leader has yet to read the cordons. Call before it is made. */
+void kq_sched_rig_cordon_new_leader (KqSchedRig *r);
+/* Whether the agent knows that the runner's failure domain is cordoned. */
+bool kq_sched_rig_agent_knows_cordon (const KqSchedRig *r, int agent, int runner);
+/* Checks that the leader doesn't order a start into a domain that it knows as cordoned,
+ * or before it knows the cordons. */
+void kq_sched_rig_check_cordon (KqSchedRig *r, const KqOrder *o);
+
 /* The job of a task by the task's name, and the task's step and index; NULL: none. */
 KqSchedRigJob *kq_sched_rig_job_of (const KqSchedRig *r, const char *task, int32_t *step,
                                     int32_t *index);
--- a/bench/sched_soak.c
+++ b/bench/sched_soak.c
@@ -328,6 +328,7 @@
   KqSchedRig *r = &s->rig;
   r->lost_percent = r->late_percent = r->unsent_percent = 0;
   r->store_down_until = 0;
+  kq_sched_rig_lift_cordons (r);
   for (int i = 0; i < r->n_agents; i++)
     {
       KqSchedRigAgent *a = &r->agents[i];
@@ -555,7 +556,7 @@
 }
 
 int
-kq_sched_soak (uint64_t seed, int steps, char *why, int why_size)
+kq_sched_soak (uint64_t seed, int steps, bool cordons, char *why, int why_size)
 {
   Soak *s = kq_alloc (sizeof *s);
   KqRoom room = { 4000, 6000, 0 };
@@ -564,9 +565,11 @@
   for (int i = 1 + below (s, 3); i > 0; i--)
     kq_sched_rig_add_agent (&s->rig);
   draw_weights (s);
+  s->rig.plays_cordons = cordons;
   for (int i = 0; i < steps; i++)
     {
       apply_event (s);
+      kq_sched_rig_draw_cordon (&s->rig);
       kq_sched_rig_run (&s->rig, (KqTime)(10 + below (s, 250)) * KQ_MS);
     }
   end_faults (s);
--- a/bench/sched_soak.h
+++ b/bench/sched_soak.h
@@ -11,10 +11,12 @@
  * invariants of the rig are checked throughout; at the end the faults stop and every job
  * must end. */
 
+#include <stdbool.h>
 #include <stdint.h>
 
-/* steps: number of random events. Returns the number of breaches; copies a description of
+/* steps: number of random events. cordons: failure domains are cordoned and uncordoned at
+ * random as well;. Returns the number of breaches; copies a description of
  * the first one to `why`. */
-int kq_sched_soak (uint64_t seed, int steps, char *why, int why_size);
+int kq_sched_soak (uint64_t seed, int steps, bool cordons, char *why, int why_size);
 
 #endif
--- a/bench/sched_soak_main.c
+++ b/bench/sched_soak_main.c
@@ -1,5 +1,6 @@
-/* sched_soak [SEED [STEPS [SEEDS [day]]]]: random faults on the scheduler (sched_soak.h).
- * With `day`: random days of STEPS rounds (sched_day.h). The exit status is not 0 if an
+/* sched_soak [SEED [STEPS [SEEDS [day] [cordons]]]]: random faults on the scheduler
+ * (sched_soak.h). With `day`: random days of STEPS rounds (sched_day.h). With `cordons`:
+ * failure domains are cordoned as well. The exit status is not 0 if an
  * invariant was breached. KQ_SOAK_LOG in the environment: debug logs. */
 
 #include "base/log.h"
@@ -18,6 +19,7 @@
   int steps = argc > 2 ? atoi (argv[2]) : 300;
   int seeds = argc > 3 ? atoi (argv[3]) : 20;
   bool day = argc > 4 && strcmp (argv[4], "day") == 0;
+  bool cordons = argc > 4 && strcmp (argv[argc - 1], "cordons") == 0;
   int bad = 0;
   kq_log_set_level (KQ_LOG_ERROR);
   if (getenv ("KQ_SOAK_LOG") != NULL)
@@ -25,8 +27,9 @@
   for (int i = 0; i < seeds; i++)
     {
       char why[200];
-      int broken = day ? kq_sched_day (seed + (uint64_t)i, steps, why, sizeof why)
-                       : kq_sched_soak (seed + (uint64_t)i, steps, why, sizeof why);
+      int broken
+          = day ? kq_sched_day (seed + (uint64_t)i, steps, cordons, why, sizeof why)
+                : kq_sched_soak (seed + (uint64_t)i, steps, cordons, why, sizeof why);
       if (broken == 0)
         continue;
       bad++;
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -15,6 +15,7 @@
   runner->agent = a;
   runner->id = kq_str_dup (o->runner);
   runner->address = kq_str_dup (o->u.take.address);
+  runner->domain = kq_str_dup (o->u.take.failure_domain);
   runner->epoch = epoch;
   runner->serial = runner->halt = ++a->serial;
   runner->assignment = o->u.take.assignment;
@@ -171,6 +172,12 @@
                                    "Renewals without a good answer.");
   a->verifications = kq_counter (c->counters, "kq_runner_proofs_total", "",
                                  "Questions that only prove a connection for starts.");
+  a->starts_cordoned
+      = kq_counter (c->counters, "kq_starts_cordoned_total", "",
+                    "Starts that weren't sent, as the failure domain is cordoned.");
+  a->cordoned_answer
+      = kq_histogram (c->counters, "kq_start_cordoned_answer_ms", "",
+                      "From a cordon to answers of starts that were under way.");
   return a;
 }
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -10,6 +10,7 @@
  * renew_without_leader_ms, so that tasks survive a change of leader. */
 
 #include "agent/frame.h"
+#include "steps/cordons.h"
 
 typedef struct KqAgent KqAgent;
 
@@ -21,6 +22,7 @@
   int64_t lease_ms;
   int64_t renew_without_leader_ms; /* how long leases are renewed without a message of a
                                       leader */
+  const KqCordons *cordons; /* no start is sent into these domains; NULL: none are */
   KqCounters *counters;
   /* Sends an item to the leader of that epoch. */
   void (*notice) (void *arg, uint64_t epoch, const KqAgentItem *i);
--- a/src/agent/agent_runner.c
+++ b/src/agent/agent_runner.c
@@ -26,6 +26,7 @@
   kq_run_delta_state_free (runner->run_delta);
   free (runner->id);
   free (runner->address);
+  free (runner->domain);
   free (runner);
 }
 
@@ -53,11 +54,17 @@
   free (c);
 }
 
+KqAgentRunner *
+kq_agent_find_runner (const KqAgent *a, const char *id, uint64_t serial)
+{
+  KqAgentRunner *runner = g_hash_table_lookup (a->runners, id);
+  return runner != NULL && runner->serial == serial ? runner : NULL;
+}
+
 KqAgentRunner *
 kq_agent_call_runner (const KqAgentCall *c)
 {
-  KqAgentRunner *runner = g_hash_table_lookup (c->agent->runners, c->runner);
-  return runner != NULL && runner->serial == c->serial ? runner : NULL;
+  return kq_agent_find_runner (c->agent, c->runner, c->serial);
 }
 
 KqAgentRunner *
--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -15,6 +15,7 @@
     case KQ_ORDER_TAKE:
       kq_pack_str (p, o->u.take.address);
       kq_pack_u64 (p, o->u.take.assignment);
+      kq_pack_str (p, o->u.take.failure_domain);
       break;
     case KQ_ORDER_DROP:
       break;
@@ -81,6 +82,8 @@
     case KQ_ORDER_TAKE:
       o->u.take.address = kq_read_str (r);
       o->u.take.assignment = kq_read_u64 (r);
+      if (r->left > 0) /* not in frames of earlier versions */
+        o->u.take.failure_domain = kq_read_str (r);
       return true;
     case KQ_ORDER_DROP:
       return true;
@@ -126,6 +129,7 @@
   kq_pack_u64 (p, o->assignment);
   kq_pack_i64 (p, o->lease_left_ms);
   kq_pack_bool (p, o->unsent);
+  kq_pack_bool (p, o->cordoned);
 }
 
 static void
@@ -144,7 +148,9 @@
   o->order = kq_read_u64 (r);
   o->assignment = kq_read_u64 (r);
   o->lease_left_ms = kq_read_i64 (r);
-  o->unsent = r->left > 0 && kq_read_bool (r); /* not in frames of version 1 */
+  /* Earlier versions leave out the last one, or both. */
+  o->unsent = r->left > 0 && kq_read_bool (r);
+  o->cordoned = r->left > 0 && kq_read_bool (r);
 }
 
 static void
@@ -301,8 +307,8 @@
 {
   /* By KqAgentItemKind, and for orders by KqOrderKind. */
   static const uint8_t of_kind[]
-      = { 0, 0, 3, 2, 4, 2, 8, 8, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2 };
-  static const uint8_t of_order[] = { 4, 2, 7, 4, 5, 5, 4, 3 };
+      = { 0, 0, 3, 2, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2 };
+  static const uint8_t of_order[] = { 5, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_AGENT_ITEM_ORDER)
     return of_order[i->u.order.kind];
   return of_kind[i->kind];
--- a/src/agent/frame_test.c
+++ b/src/agent/frame_test.c
@@ -100,9 +100,11 @@
   assert_true (kq_str_eq (o.u.order.u.start.checkpoint, KQ_STR ("cp")));
   i.u.order.kind = KQ_ORDER_TAKE;
   i.u.order.u.take.address = KQ_STR ("127.0.0.1:1");
+  i.u.order.u.take.failure_domain = KQ_STR ("north");
   i.u.order.u.take.assignment = 5;
   o = round_trip (&i, &b);
   assert_int_equal (o.u.order.u.take.assignment, 5);
+  assert_true (kq_str_eq (o.u.order.u.take.failure_domain, KQ_STR ("north")));
   i.u.order.kind = KQ_ORDER_SEEN;
   i.u.order.u.seen.ends = 12;
   i.u.order.u.seen.started_ms = 34;
@@ -135,12 +137,14 @@
   (void)state;
   i.u.outcome = (KqOrderOutcome){ .result = KQ_ORDER_UNHEALTHY,
                                   .unsent = true,
+                                  .cordoned = true,
                                   .order = 3,
                                   .assignment = 4,
                                   .lease_left_ms = 4900 };
   o = round_trip (&i, &b);
   assert_int_equal (o.u.outcome.result, KQ_ORDER_UNHEALTHY);
   assert_true (o.u.outcome.unsent);
+  assert_true (o.u.outcome.cordoned);
   assert_int_equal (o.u.outcome.order, 3);
   assert_int_equal (o.u.outcome.assignment, 4);
   assert_int_equal (o.u.outcome.lease_left_ms, 4900);
--- a/src/agent/starts.c
+++ b/src/agent/starts.c
@@ -22,6 +22,24 @@
   return true;
 }
 
+/* The cordon of the runner's failure domain; NULL: it isn't cordoned. */
+static const KqCordon *
+find_cordon (const KqAgentRunner *runner)
+{
+  const KqCordons *c = runner->agent->config.cordons;
+  return c != NULL ? kq_cordons_find (c, kq_str (runner->domain)) : NULL;
+}
+
+/* Measures how long starts that were under way go on in a cordoned domain. */
+static void
+measure_start (KqAgentRunner *runner, const KqAgentCall *c, const KqRunnerReply *r,
+               KqTime now)
+{
+  const KqCordon *cordon = find_cordon (runner);
+  if (cordon != NULL && c->kind == KQ_ORDER_START && r->result == KQ_ORDER_OK)
+    kq_histogram_add (&runner->agent->cordoned_answer, now - cordon->since);
+}
+
 void
 kq_agent_runner_on_outcome (void *arg, const KqRunnerReply *r, KqTime now)
 {
@@ -31,6 +49,7 @@
   if (runner == NULL)
     goto out;
   kq_agent_runner_update_lease (runner, r, now);
+  measure_start (runner, c, r, now);
   if (!requeue_start (runner, c, r, now))
     {
       if (r->result == KQ_ORDER_UNHEALTHY)
@@ -82,11 +101,14 @@
 }
 
 /* Reports all queued starts as refused; none of them was sent. The leader may take the
- * runner away from this agent while it handles such a report. */
-static void
-refuse_starts (KqAgentCall *c, KqTime now)
+ * runner away from this agent while it handles such a report. Returns the runner; NULL:
+ * it was taken away. */
+static KqAgentRunner *
+refuse_starts (KqAgentRunner *runner, bool cordoned, KqTime now)
 {
-  KqAgentRunner *runner = kq_agent_call_runner (c);
+  KqAgent *a = runner->agent;
+  uint64_t serial = runner->serial;
+  char *id = kq_str_dup (kq_str (runner->id));
   while (runner != NULL && !g_queue_is_empty (&runner->starts))
     {
       KqStart *st = g_queue_pop_head (&runner->starts);
@@ -94,13 +116,17 @@
                            .task = kq_str (st->task),
                            .run = st->run,
                            .result = KQ_ORDER_UNHEALTHY,
-                           .unsent = true };
-      kq_log (KQ_LOG_INFO, PART, "Start has not left. task=%s run=%u runner=%s", st->task,
-              st->run, runner->id);
+                           .unsent = true,
+                           .cordoned = cordoned };
+      kq_log (KQ_LOG_INFO, PART,
+              "Start has not left. task=%s run=%u runner=%s cordoned=%d", st->task,
+              st->run, runner->id, cordoned);
       kq_agent_runner_report_outcome (runner, &o, now);
       kq_start_free (st);
-      runner = kq_agent_call_runner (c);
+      runner = kq_agent_find_runner (a, id, serial);
     }
+  free (id);
+  return runner;
 }
 
 /* The runner's list isn't reported to the leader: the reply to a poll in flight may be
@@ -120,7 +146,7 @@
       kq_starts_send (runner, now);
     }
   else
-    refuse_starts (c, now);
+    refuse_starts (runner, false, now);
 out:
   kq_agent_call_free (c);
 }
@@ -139,6 +165,13 @@
 void
 kq_starts_send (KqAgentRunner *runner, KqTime now)
 {
+  if (find_cordon (runner) != NULL && !g_queue_is_empty (&runner->starts))
+    {
+      *runner->agent->starts_cordoned += g_queue_get_length (&runner->starts);
+      runner = refuse_starts (runner, true, now);
+      if (runner == NULL)
+        return;
+    }
   while (!g_queue_is_empty (&runner->starts) && kq_conns_start_allowed (&runner->conns))
     send_start (runner, g_queue_pop_head (&runner->starts), now);
   if (!g_queue_is_empty (&runner->starts) && !runner->verifying)
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -7,6 +7,7 @@
 #include "agent/conns.h"
 #include "agent/grants.h"
 #include "agent/lease.h"
+#include "base/histogram.h"
 
 #include <ev.h>
 #include <glib.h>
@@ -33,6 +34,7 @@
   KqAgent *agent;
   char *id;
   char *address;
+  char *domain; /* its failure domain; "": not known */
   uint64_t epoch;
   uint64_t serial;     /* this agent's number of the assignment; replies to calls made
                           under an earlier assignment are dropped */
@@ -70,6 +72,8 @@
   uint64_t *renewals;
   uint64_t *renewals_failed;
   uint64_t *verifications;
+  uint64_t *starts_cordoned;
+  KqHistogram cordoned_answer;
 };
 
 /* A call to a runner. */
@@ -93,6 +97,9 @@
 KqAgentCall *kq_agent_call_new (KqAgentRunner *runner, KqOrderKind kind, KqStr task,
                                 uint32_t run);
 void kq_agent_call_free (KqAgentCall *c);
+/* The runner with that id, if its assignment has that number (KqAgentRunner.serial);
+ * NULL: that assignment has ended. */
+KqAgentRunner *kq_agent_find_runner (const KqAgent *a, const char *id, uint64_t serial);
 /* The runner that a call was made to; NULL: that assignment has ended. */
 KqAgentRunner *kq_agent_call_runner (const KqAgentCall *c);
 /* Counts the call as no longer in flight; returns the same as kq_agent_call_runner. */
--- a/src/agent/versions_test.c
+++ b/src/agent/versions_test.c
@@ -90,6 +90,17 @@
   end (&i);
 }
 
+static void
+take_of_version_1 (KqBuf *out)
+{
+  Item i = begin (out, 4, KQ_AGENT_ITEM_ORDER, KQ_STR (""));
+  kq_pack_i64 (&i.p, KQ_ORDER_TAKE);
+  kq_pack_str (&i.p, KQ_STR ("r"));
+  kq_pack_str (&i.p, KQ_STR ("10.0.0.1:80"));
+  kq_pack_u64 (&i.p, 6);
+  end (&i);
+}
+
 static KqAgentItem
 read_one (KqStr *rest)
 {
@@ -111,6 +122,7 @@
   list_of_version_1 (&b);
   ping_of_version_1 (&b);
   outcome_of_version_1 (&b);
+  take_of_version_1 (&b);
   rest = kq_buf_str (&b);
   i = read_one (&rest);
   assert_int_equal (i.kind, KQ_AGENT_ITEM_HELLO);
@@ -128,6 +140,11 @@
   assert_int_equal (i.kind, KQ_AGENT_ITEM_OUTCOME);
   assert_int_equal (i.u.outcome.lease_left_ms, 4900);
   assert_false (i.u.outcome.unsent);
+  assert_false (i.u.outcome.cordoned);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_AGENT_ITEM_ORDER);
+  assert_int_equal (i.u.order.u.take.assignment, 6);
+  assert_int_equal (i.u.order.u.take.failure_domain.len, 0);
   kq_buf_free (&b);
 }
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -57,6 +57,7 @@
   KqFront *front;
   KqMetrics *metrics;
   KqQueueKeys *queues;
+  KqCordons *cordons;
   KqAgentInfo self;
   KqReach store;
   KqLeaseExpiry lease_expiry; /* used while this node leads */
@@ -93,6 +94,14 @@
   kq_reach_failed (&f->store, sent_at);
 }
 
+static void
+on_cordons_changed (void *arg, KqTime now)
+{
+  KqFleet *f = arg;
+  if (f->leader != NULL)
+    kq_leader_cordons_changed (f->leader, now);
+}
+
 static KqReachState
 store_state (void *arg, KqTime now)
 {
@@ -150,6 +159,7 @@
                        .renew_without_leader_ms = leader_lease_ms (f) + ELECTION_MS,
                        .keep_ms = s->keep_ms,
                        .maintenance_ms = s->maintenance_ms,
+                       .cordons = f->cordons,
                        .counters = f->config.counters,
                        .self = f->self,
                        .agent = f->agent,
@@ -456,6 +466,8 @@
   *gauge = f->leader != NULL;
   gauge = kq_counter (c, "kq_agent_runners", "", "Runners that this node looks after.");
   *gauge = kq_agent_n_runners (f->agent);
+  gauge = kq_counter (c, "kq_domains_cordoned", "", "Failure domains that are cordoned.");
+  *gauge = f->cordons->n;
   if (f->leader != NULL)
     kq_sched_gauges (kq_leader_sched (f->leader));
   kq_counters_print (f->config.counters, out);
@@ -471,6 +483,7 @@
                           .advice = f->advice,
                           .lease_ms = runner_lease_ms (f),
                           .renew_without_leader_ms = leader_lease_ms (f) + ELECTION_MS,
+                          .cordons = f->cordons,
                           .counters = f->config.counters,
                           .notice = on_agent_item,
                           .arg = f };
@@ -521,9 +534,10 @@
 kq_fleet_new (const KqFleetConfig *c)
 {
   KqFleet *f = kq_alloc (sizeof *f);
-  KqQueueKeysOwner queues = { f, on_answered, on_store_failed };
+  KqQueueKeysOwner queues = { f, on_answered, on_store_failed, on_cordons_changed };
   KqStoreCallbacks store = { f, on_store_alive };
   f->config = *c;
+  f->cordons = kq_cordons_new ();
   f->handover.own_milli = (int)c->settings->cpu_share_milli;
   f->self = (KqAgentInfo){ .name = c->settings->node,
                            .failure_domain = c->settings->failure_domain,
@@ -542,7 +556,7 @@
       return NULL;
     }
   start_election (f);
-  f->queues = kq_queue_keys_new (c->loop, f->kv, &queues);
+  f->queues = kq_queue_keys_new (c->loop, f->kv, f->cordons, &queues);
   ev_timer_start (kq_loop_ev (c->loop), &f->check_timer);
   return f;
 }
@@ -575,6 +589,7 @@
   kq_advice_free (f->advice);
   kq_maintenance_free (f->maintenance);
   kq_store_free (f->kv);
+  kq_cordons_free (f->cordons);
   free (f);
 }
 
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -394,6 +394,7 @@
           .renew_without_leader_ms = c->renew_without_leader_ms,
           .keep_ms = c->keep_ms,
           .maintenance_ms = c->maintenance_ms,
+          .cordons = c->cordons,
           .counters = c->counters,
           .order = on_order,
           .maintenance = c->maintenance != NULL ? on_sched_maintenance : NULL,
@@ -477,6 +478,13 @@
   l->dirty = true;
 }
 
+void
+kq_leader_cordons_changed (KqLeader *l, KqTime now)
+{
+  kq_sched_cordons_changed (l->sched, now);
+  l->dirty = true;
+}
+
 int
 kq_leader_node_share (const KqLeader *l, const KqPeer *p)
 {
--- a/src/fleet/leader.h
+++ b/src/fleet/leader.h
@@ -23,6 +23,7 @@
       renew_without_leader_ms; /* how long nodes renew runners' leases without a leader */
   int64_t keep_ms;             /* how long ended jobs are kept */
   int64_t maintenance_ms;      /* how long a host is down for maintenance */
+  const KqCordons *cordons;    /* as in KqSchedConfig */
   KqCounters *counters;
   KqAgentInfo self;
   KqAgent *agent;                   /* the agent of this node */
@@ -40,6 +41,8 @@
 
 /* Handles a node's HELLO: the scheduler may assign runners to its agent from now on. */
 void kq_leader_node_joined (KqLeader *l, KqPeer *p, const KqAgentInfo *info, KqTime now);
+/* To be called when the set of cordons has changed. */
+void kq_leader_cordons_changed (KqLeader *l, KqTime now);
 /* Returns the node's cpu share in thousandths of a processor; 0: it hasn't joined. */
 int kq_leader_node_share (const KqLeader *l, const KqPeer *p);
 /* Handles the end of a node's connection. planned: the node has announced its stop and
--- a/src/fleet/queue_keys.c
+++ b/src/fleet/queue_keys.c
@@ -14,15 +14,50 @@
   KqQueueKeysOwner owner;
   KqFollow *follow;
   KqQueueTable *table;
+  KqCordons *cordons;
 };
 
+static void
+add_cordon (KqQueueKeys *k, KqStr domain, const KqKvItem *i, KqTime now)
+{
+  if (domain.len == 0)
+    {
+      kq_log (KQ_LOG_ERROR, PART,
+              "A cordon names no failure domain. key=%.*s revision=%llu",
+              KQ_STR_ARG (i->key), (unsigned long long)i->revision);
+      return;
+    }
+  if (!kq_cordons_add (k->cordons, domain, i->revision, now))
+    return;
+  kq_log (KQ_LOG_INFO, PART, "A failure domain is cordoned. domain=%.*s revision=%llu",
+          KQ_STR_ARG (domain), (unsigned long long)i->revision);
+  k->owner.cordons_changed (k->owner.arg, now);
+}
+
+static void
+lift_cordon (KqQueueKeys *k, KqStr domain, uint64_t revision, KqTime now)
+{
+  const KqCordon *c = kq_cordons_find (k->cordons, domain);
+  KqTime since = c != NULL ? c->since : now;
+  if (!kq_cordons_lift (k->cordons, domain))
+    return;
+  kq_log (KQ_LOG_INFO, PART,
+          "The cordon of a failure domain is lifted. domain=%.*s revision=%llu "
+          "lasted_ms=%lld",
+          KQ_STR_ARG (domain), (unsigned long long)revision,
+          (long long)((now - since) / KQ_MS));
+  k->owner.cordons_changed (k->owner.arg, now);
+}
+
 static void
 on_item (void *arg, const KqKvItem *i, KqTime now)
 {
   KqQueueKeys *k = arg;
+  KqStr domain;
   bool bad;
   KqQueueTable *t = kq_source_config (i->key, i->value, &bad);
-  (void)now;
+  if (kq_source_cordon (i->key, &domain))
+    add_cordon (k, domain, i, now);
   if (bad)
     kq_log (KQ_LOG_ERROR, PART, "The configuration cannot be decoded. revision=%llu",
             (unsigned long long)i->revision);
@@ -45,14 +80,28 @@
 static void
 on_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
-  (void)arg;
-  (void)now;
+  KqStr domain;
+  if (kq_source_cordon (key, &domain))
+    {
+      lift_cordon (arg, domain, revision, now);
+      return;
+    }
   kq_log (
       KQ_LOG_WARN, PART,
       "A configuration key was deleted; keeping its last value. key=%.*s revision=%llu",
       KQ_STR_ARG (key), (unsigned long long)revision);
 }
 
+static void
+on_synced (void *arg, KqTime now)
+{
+  KqQueueKeys *k = arg;
+  if (k->cordons->complete)
+    return;
+  k->cordons->complete = true;
+  k->owner.cordons_changed (k->owner.arg, now);
+}
+
 static void
 on_answered (void *arg, KqTime sent_at, KqTime now)
 {
@@ -68,11 +117,13 @@
 }
 
 KqQueueKeys *
-kq_queue_keys_new (KqLoop *loop, KqKv *kv, const KqQueueKeysOwner *owner)
+kq_queue_keys_new (KqLoop *loop, KqKv *kv, KqCordons *cordons,
+                   const KqQueueKeysOwner *owner)
 {
   KqQueueKeys *k = kq_alloc (sizeof *k);
-  KqFollowOwner follow = { k, on_item, on_gone, NULL, on_answered, on_failed };
+  KqFollowOwner follow = { k, on_item, on_gone, on_synced, on_answered, on_failed };
   k->owner = *owner;
+  k->cordons = cordons;
   k->follow = kq_follow_new (loop, kv, kq_source_config_prefix (), WATCH_MS, 0, &follow);
   return k;
 }
--- a/src/port/source.h
+++ b/src/port/source.h
@@ -1,8 +1,8 @@
 #ifndef KQ_PORT_SOURCE_H
 #define KQ_PORT_SOURCE_H
 
-/* source: names the store's keys for the operators' configuration, the maintenance waves
- * and the runners' entries, and parses their values. */
+/* source: names the store's keys for the operators' configuration, cordons, maintenance
+ * waves and the runners' entries, and parses their values. */
 
 #include "port/maintenance.h"
 #include "port/runner.h"
@@ -15,6 +15,9 @@
 /* Parses the operators' configuration into a new table, owned by the caller. NULL: the
  * key isn't that of the configuration, or the value is invalid (then *bad is set). */
 KqQueueTable *kq_source_config (KqStr key, KqStr value, bool *bad);
+/* Whether the key is that of a cordon, which exists as long as its key does. *domain
+ * receives the failure domain; "": the key names none. */
+bool kq_source_cordon (KqStr key, KqStr *domain);
 /* The prefix of the maintenance waves that operators request. */
 KqStr kq_source_waves_prefix (void);
 /* Parses a wave and calls take with it; false: the key or value is not that of a valid
--- a/src/sched/drain.c
+++ b/src/sched/drain.c
@@ -79,7 +79,7 @@
     {
       const KqRunnerState *other = g_ptr_array_index (s->runner_list, i);
       if (other != r && other->pool == r->pool && other->in_store && !other->draining
-          && !other->silent && kq_place_has_label (other, label)
+          && !other->cordoned && !other->silent && kq_place_has_label (other, label)
           && !kq_maintenance_may_end (s, other))
         return true;
     }
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -1,6 +1,7 @@
 /* lists: applies what agents report of runners: lists of running and ended runs, and the
  * results of orders. */
 
+#include "sched/cordoning.h"
 #include "sched/reports.h"
 
 #include <string.h>
@@ -312,7 +313,9 @@
   KqRunnerState *r = run->runner;
   KqTaskState *t = kq_book_task_state (run);
   KqOrderResult result = o->result;
-  if (o->unsent)
+  if (o->cordoned)
+    kq_cordoning_note_refusal (s, r, now);
+  else if (o->unsent)
     r->unsent_until = now + UNSENT_PAUSE;
   else if (result == KQ_ORDER_UNHEALTHY)
     kq_runners_count_end (r, false, now);
@@ -322,7 +325,7 @@
    * earlier one and lists the run, or a stop has been sent. */
   if (run->phase != KQ_RUN_SENDING)
     return;
-  if (t != NULL)
+  if (t != NULL && !o->cordoned)
     t->avoid = r;
   if (result == KQ_ORDER_NO_TICKET)
     {
@@ -427,10 +430,10 @@
   if (o->result != KQ_ORDER_OK)
     kq_log (KQ_LOG_INFO, PART,
             "Order not carried out. task=%.*s run=%u runner=%s order=%s result=%s "
-            "unsent=%d believed=%s unsure=%d",
+            "unsent=%d cordoned=%d believed=%s unsure=%d",
             KQ_STR_ARG (o->task), o->run, r->id, kq_order_kind_name (o->kind),
-            kq_order_result_name (o->result), o->unsent, run_phase_name (run),
-            run != NULL && run->outcome_unknown);
+            kq_order_result_name (o->result), o->unsent, o->cordoned,
+            run_phase_name (run), run != NULL && run->outcome_unknown);
   if (run == NULL)
     return;
   if (o->kind == KQ_ORDER_PACE)
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -129,6 +129,8 @@
     return KQ_PLACE_UNKNOWN_RUN;
   if (r->draining || leaving)
     return KQ_PLACE_LEAVING;
+  if (r->cordoned || now < r->cordon_told_until)
+    return KQ_PLACE_CORDONED;
   if (now < r->suspect_until && !starved)
     return KQ_PLACE_SUSPECT;
   return now < r->unsent_until ? KQ_PLACE_UNSENT : KQ_PLACE_TAKES;
@@ -294,10 +296,10 @@
 kq_place_answer_name (KqPlaceAnswer a)
 {
   static const char *const names[KQ_PLACE_ANSWERS]
-      = { "takes",       "other_service", "no_entry",    "not_stored", "no_agent",
-          "silent",      "not_listed",    "unknown_run", "leaving",    "suspect",
-          "unsent",      "no_room",       "label",       "per_runner", "kept_free",
-          "over_target", "too_slow" };
+      = { "takes",     "other_service", "no_entry",    "not_stored", "no_agent",
+          "silent",    "not_listed",    "unknown_run", "leaving",    "cordoned",
+          "suspect",   "unsent",        "no_room",     "label",      "per_runner",
+          "kept_free", "over_target",   "too_slow" };
   return names[a];
 }
 
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -20,6 +20,7 @@
   KQ_PLACE_NOT_LISTED,  /* it has yet to list its runs */
   KQ_PLACE_UNKNOWN_RUN, /* it lists a run of an unknown job */
   KQ_PLACE_LEAVING,     /* it is draining, or its host is */
+  KQ_PLACE_CORDONED,    /* its failure domain is cordoned */
   KQ_PLACE_SUSPECT,     /* its tasks keep failing */
   KQ_PLACE_UNSENT,      /* a start couldn't be sent to it */
   KQ_PLACE_NO_ROOM,
--- a/src/sched/pools.c
+++ b/src/sched/pools.c
@@ -77,7 +77,7 @@
         continue;
       p->whole_milli += r->room.cpu_milli;
       p->reserved_milli += r->used.cpu_milli;
-      if (r->draining || r->host_leaving || r->silent)
+      if (r->draining || r->host_leaving || r->cordoned || r->silent)
         continue;
       p->usable_milli += r->room.cpu_milli;
       p->used_milli += r->used.cpu_milli;
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -1,6 +1,7 @@
 /* runners: the state of each runner, its assignment to an agent, and the expiry of its
  * lease, after which nothing can run there any more. */
 
+#include "sched/cordoning.h"
 #include "sched/grantors.h"
 #include "sched/maintenance.h"
 #include "sched/reports.h"
@@ -224,6 +225,7 @@
   r->room = e->room;
   r->in_store = true;
   r->host_leaving = kq_maintenance_may_end (s, r);
+  r->cordoned = kq_cordoning_applies (s, r);
   r->entry_started_ms = e->started_ms;
   if (r->gone && e->started_ms != r->started_ms)
     kq_runners_note_alive (r);
@@ -328,6 +330,7 @@
   s->agents.list[agent].unlisted++;
   r->assignment = ++s->assignments;
   o.u.take.address = kq_str (r->address);
+  o.u.take.failure_domain = kq_str (r->domain);
   o.u.take.assignment = r->assignment;
   s->config.order (s->config.arg, agent, &o);
   /* The new agent doesn't know the orders that the earlier agent was given. */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,3 +1,4 @@
+#include "sched/cordoning.h"
 #include "sched/grantors.h"
 #include "sched/maintenance.h"
 #include "sched/reports.h"
@@ -385,7 +386,7 @@
       s->next_pass_at = 0;
       s->pass_needed = true;
     }
-  if (s->pass_needed)
+  if (s->pass_needed && kq_cordoning_is_known (s))
     kq_pass (s, now);
   return s->next_check_at;
 }
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -17,6 +17,7 @@
 #include "port/maintenance.h"
 #include "port/runner.h"
 #include "sched/agents.h"
+#include "steps/cordons.h"
 #include "steps/spec.h"
 
 typedef struct KqSched KqSched;
@@ -58,6 +59,7 @@
     struct
     {
       KqStr address;
+      KqStr failure_domain;
       uint64_t assignment; /* assignment number, carried by the agent's messages */
     } take;
     struct
@@ -115,6 +117,7 @@
   KqOrderResult result;
   bool unsent; /* UNHEALTHY: the order never left the agent; the runner hasn't refused it
                 */
+  bool cordoned; /* with unsent: as the runner's failure domain is cordoned */
   uint64_t order;
   uint64_t assignment;   /* number in the order TAKE; `order` counts from 0 after each */
   int64_t lease_left_ms; /* as in KqRunnerList; a restarted runner may grant more; -1:
@@ -162,6 +165,8 @@
                                       leader */
   int64_t maintenance_ms;          /* how long a host is down for maintenance */
   int64_t keep_ms;                 /* for so long a finished job's state is kept */
+  const KqCordons *cordons; /* nothing is started in these domains, or anywhere before the
+                               set is complete; NULL: none are cordoned */
   KqCounters *counters;
   void (*order) (void *arg, int agent, const KqOrder *o);
   /* Takes a host down; kq_sched_maintenance_ended reports the result. NULL: there is no
@@ -239,6 +244,9 @@
 void kq_sched_runner_replaced (KqSched *s, int agent, KqStr runner, uint64_t assignment,
                                KqTime now);
 
+/* To be called when the set of cordons has changed. */
+void kq_sched_cordons_changed (KqSched *s, KqTime now);
+
 /* Adds a maintenance wave that operators have requested; does nothing if it is known. */
 void kq_sched_wave (KqSched *s, const KqWaveInfo *info, KqTime now);
 /* Takes the result of a call that was made through KqSchedConfig.maintenance. */
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -244,7 +244,9 @@
                     */
   bool gone;       /* taken down and unreachable: no run is left there */
   bool draining;
-  KqTime drain_ends;    /* while draining: it doesn't leave before this time */
+  bool cordoned;            /* its failure domain is: no task may start there */
+  KqTime cordon_told_until; /* as cordoned, until then: an agent has refused a start */
+  KqTime drain_ends;        /* while draining: it doesn't leave before this time */
   bool listed;          /* it has listed its runs to this leader since it last started */
   bool silent;          /* its agent gets no answer from it */
   bool has_unknown_run; /* it lists a run of an unknown job, whose size is unknown */
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -75,14 +75,16 @@
   return true;
 }
 
-/* Repeats a start order without an answer; or stops the run if its runner has announced
- * meanwhile that it leaves. A repeat would begin the task seconds later, only for it to
+/* Repeats a start order without an answer; or stops the run if nothing may start on its
+ * runner any more. A repeat would begin the task seconds later, only for it to
  * end with the runner, as seen with a start 3 s after the announcement. */
 static void
 repeat_start (KqSched *s, KqRun *run, KqTime now)
 {
   if (run->runner->draining || run->runner->host_leaving)
     kq_run_stop (s, run, "its runner leaves", now);
+  else if (run->runner->cordoned)
+    kq_run_stop (s, run, "its failure domain is cordoned", now);
   else
     {
       run->resent = true;
