A starved step isn't held back by one that may not use suspect runners

blame_test test_starved_step_behind_one_that_is_not fails before: the log says "waited_ms=4100 ... runners=takes:1". A starved step now has the kind of room for which no search is recorded.

--- a/src/sched/blame_test.c
+++ b/src/sched/blame_test.c
@@ -118,6 +118,59 @@
   expect_start (d, "cc");
 }
 
+/* Passes in a list of r0 with the run of "aa" that is at work, and the failed end. */
+static void
+list_end_beside_run (KqSchedFixture *d, const KqRunRow *at_work, uint64_t number)
+{
+  KqEndRow end = { .run = d->run, .reason = KQ_END_FAILED, .number = number };
+  KqRunnerList l = { .running = at_work,
+                     .n_running = 1,
+                     .ended = &end,
+                     .n_ended = 1,
+                     .started_ms = d->started_ms,
+                     .lease_left_ms = 5000,
+                     .order = d->outcomes_sent,
+                     .assignment = d->assignment[0] };
+  char task[96];
+  memcpy (task, d->task, sizeof task);
+  end.task = kq_str (task);
+  kq_sched_list (d->sched, d->agent, KQ_STR ("r0"), &l, d->now);
+}
+
+/* Guards against a job of which nothing runs beside free room: a starved step may use
+ * suspect runners, but wasn't looked at behind one that may not. */
+static void
+test_starved_step_behind_one_that_is_not (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep fails = kq_sched_fixture_step ();
+  KqStep step = kq_sched_fixture_step ();
+  KqRunRow at_work = { .task = KQ_STR ("aa.0.0.0"), .run = 1, .percent = 10 };
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  fails.cpu_milli = 2400;
+  step.cpu_milli = 1500;
+  kq_sched_fixture_submit (d, "ff", fails, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  step.width = 2; /* one beside "ff" */
+  step.estimate_ms = 5000;
+  kq_sched_fixture_submit (d, "aa", step, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, "r0", "aa.0.0.0", 1, KQ_ORDER_OK);
+  strcpy (d->task, "ff.0.0.0");
+  for (uint64_t i = 1; i <= 4; i++)
+    {
+      kq_sched_fixture_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
+      kq_sched_fixture_run (d, 100 * KQ_MS);
+      at_work.percent++;
+      list_end_beside_run (d, &at_work, i);
+      kq_sched_fixture_run (d, i == 2 ? 2200 * KQ_MS : 100 * KQ_MS);
+    }
+  /* r0 is suspect for 4 s. "aa" is in time and waits first, but is at work; "ff" is late
+   * and starved. */
+  kq_sched_fixture_run (d, 300 * KQ_MS);
+  assert_string_equal (d->task, "ff.0.0.0");
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -129,6 +182,7 @@
     FIXTURE_TEST (test_task_that_fails_everywhere_leaves_runners_in_use),
     FIXTURE_TEST (test_tasks_slowed_to_nothing_leave_their_runner_in_use),
     FIXTURE_TEST (test_runner_where_alone_a_step_fails_is_avoided),
+    FIXTURE_TEST (test_starved_step_behind_one_that_is_not),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -48,7 +48,7 @@
   FOR_FILLING,  /* cpu that other tasks leave unused */
   FOR_RESERVED, /* cpu that isn't reserved */
   FOR_LASTING,  /* as FOR_RESERVED, less what is kept free of lasting tasks */
-  FOR_ANY       /* any room, also what is kept free of lasting tasks */
+  FOR_ANY       /* any room: for starved steps and lost lasting tasks */
 } RoomKind;
 
 /* The needs of a step that found no room in this pass: steps that need the same kind of
@@ -75,12 +75,13 @@
 room_kind (const WaitingStep *t, KqTime now)
 {
   const KqStep *p = &t->occurrence->job->spec.steps[t->step];
-  bool starved = kq_place_is_starved (t->occurrence, t->step, now);
+  if (kq_place_is_starved (t->occurrence, t->step, now))
+    return FOR_ANY;
   if (p->filling)
-    return starved ? FOR_ANY : FOR_FILLING;
+    return FOR_FILLING;
   if (!p->lasting)
     return FOR_RESERVED;
-  return starved || t->occurrence->steps[t->step].lost_since != 0 ? FOR_ANY : FOR_LASTING;
+  return t->occurrence->steps[t->step].lost_since != 0 ? FOR_ANY : FOR_LASTING;
 }
 
 static NoRoom
