A drain is given up for a starved step that fits on the host

Cause, traced: (a) with cordons less room is left, and waves drain hosts whose room a waiting job needs; only a step that needs the host's label made a wave give up.

--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -161,7 +161,8 @@
   KqSchedRigCall call;
   /* An answer. */
   KqOrderResult result;
-  bool unsent; /* the call never left the agent */
+  bool unsent;   /* the call never left the agent */
+  bool cordoned; /* as the runner's failure domain is cordoned */
   int64_t clock_ms;
   /* A message between an agent and the leader. */
   int agent;
--- a/bench/sched_rig_agent.c
+++ b/bench/sched_rig_agent.c
@@ -68,10 +68,14 @@
   c.timeout_at = r->now + c.wait + CALL_TIMEOUT;
   c.sent_at = r->now;
   c.reply_arrives = true;
+  if (c.kind == KQ_ORDER_START && kq_sched_rig_agent_knows_cordon (r, c.agent, c.runner))
+    {
+      kq_sched_rig_refuse_cordoned (r, &c);
+      free (c.task);
+      return;
+    }
   if (c.kind != KQ_ORDER_TAKE
       && (r->now < r->runners[c.runner].unsent_until
-          || (c.kind == KQ_ORDER_START
-              && kq_sched_rig_agent_knows_cordon (r, c.agent, c.runner))
           || kq_sched_rig_chance (r, r->unsent_percent)))
     {
       kq_sched_rig_not_sent (r, &c);
@@ -215,17 +219,15 @@
   KqAgentItem i
       = { .kind = KQ_AGENT_ITEM_OUTCOME, .runner = kq_str (r->runners[c->runner].id) };
   update_lease (h, e->clock_ms, 0, c->sent_at, r->now);
-  i.u.outcome = (KqOrderOutcome){
-    .kind = c->kind,
-    .task = kq_str (c->task),
-    .run = c->run,
-    .result = e->result,
-    .unsent = e->unsent,
-    .cordoned = e->unsent && kq_sched_rig_agent_knows_cordon (r, c->agent, c->runner),
-    .order = ++h->outcomes_sent,
-    .assignment = h->assignment,
-    .lease_left_ms = kq_lease_left_ms (&h->lease, r->now)
-  };
+  i.u.outcome = (KqOrderOutcome){ .kind = c->kind,
+                                  .task = kq_str (c->task),
+                                  .run = c->run,
+                                  .result = e->result,
+                                  .unsent = e->unsent,
+                                  .cordoned = e->cordoned,
+                                  .order = ++h->outcomes_sent,
+                                  .assignment = h->assignment,
+                                  .lease_left_ms = kq_lease_left_ms (&h->lease, r->now) };
   kq_sched_rig_trace (r, c->task, "outcome", r->runners[c->runner].id, c->run, e->result);
   kq_sched_rig_send_leader (r, c->agent, h->epoch, &i);
 }
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -72,6 +72,8 @@
 void kq_sched_rig_no_answer (KqSchedRig *r, const KqSchedRigCall *c);
 /* The call fails with KQ_ORDER_UNHEALTHY, as no connection could be made. */
 void kq_sched_rig_not_sent (KqSchedRig *r, const KqSchedRigCall *c);
+/* The agent refuses the call's start, as the runner's failure domain is cordoned. */
+void kq_sched_rig_refuse_cordoned (KqSchedRig *r, const KqSchedRigCall *c);
 
 /* Gangs. */
 /* Whether a member of a gang ends now since the others have ended or don't come. */
--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -391,6 +391,13 @@
   push_answer (r, c, KQ_ORDER_UNHEALTHY, r->now + CONNECT_TIMEOUT)->unsent = true;
 }
 
+void
+kq_sched_rig_refuse_cordoned (KqSchedRig *r, const KqSchedRigCall *c)
+{
+  KqSchedRigEvent *e = push_answer (r, c, KQ_ORDER_UNHEALTHY, r->now);
+  e->unsent = e->cordoned = true;
+}
+
 static bool
 cut_off (const KqSchedRig *r, const KqSchedRigCall *c)
 {
--- a/src/sched/drain.c
+++ b/src/sched/drain.c
@@ -126,12 +126,28 @@
   return NULL;
 }
 
+/* Whether a starved step that ends by itself could run in the room that is left there. */
+static bool
+has_room_for_starved (const KqSched *s, const KqRunnerState *r, KqTime now)
+{
+  for (const KqJob *j = s->open_jobs; j != NULL; j = j->next)
+    for (const KqOccurrence *o = j->pool == r->pool ? j->occurrences : NULL; o != NULL;
+         o = o->next)
+      for (int32_t i = 0; i < j->spec.n_steps; i++)
+        if (!j->spec.steps[i].lasting && kq_place_is_starved (o, i, now)
+            && kq_place_has_label (r, j->spec.steps[i].label)
+            && kq_place_fits_starved (r, &j->spec.steps[i]))
+          return true;
+  return false;
+}
+
 bool
 kq_drain_is_blocked (const KqSched *s, const KqRunnerState *r, KqTime since, KqTime now)
 {
   return now - since >= DRAIN_BLOCKED_MAX
          && (protects_waiting_task (r, now)
-             || step_that_needs (s, r, now - DRAIN_BLOCKED_MAX) != NULL);
+             || step_that_needs (s, r, now - DRAIN_BLOCKED_MAX) != NULL
+             || has_room_for_starved (s, r, now));
 }
 
 bool
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -84,6 +84,12 @@
                 >= (int64_t)p->cpu_milli * FILLING_UNUSED_MIN_PERCENT / 100;
 }
 
+bool
+kq_place_fits_starved (const KqRunnerState *r, const KqStep *p)
+{
+  return fits_now (r, p, true);
+}
+
 /* Whether the runner could hold the task if nothing else ran there. */
 static bool
 fits_when_empty (const KqRunnerState *r, const KqStep *p)
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -58,6 +58,8 @@
                              KqRunnerState **out, int32_t max);
 /* Whether the runner is of the kind, or on the rack, that the label names; "": any. */
 bool kq_place_has_label (const KqRunnerState *r, KqStr label);
+/* Whether a task of the step, which is starved, fits beside what is reserved there. */
+bool kq_place_fits_starved (const KqRunnerState *r, const KqStep *p);
 /* Whether any runner could hold a task of the step if that runner were empty. */
 bool kq_place_any_fits (const KqSched *s, const KqSpec *spec, int32_t step);
 
