Leases of a node that stops as planned are waited for 6 s in place of 9

Its last lease ends a call and a lease after its word.

grantors_test test_leases_of_an_agent_that_stops_as_planned fails before.

--- a/src/sched/grantors.c
+++ b/src/sched/grantors.c
@@ -6,8 +6,6 @@
 
 /* Version of the stored format, its first field. */
 #define FORMAT_VERSION 1
-/* How long a call of an agent may be under way (KQ_AGENT_CALL_MS of agent/state.h). */
-#define CALL_MAX (900 * KQ_MS)
 
 static void
 free_grantor (gpointer p)
@@ -64,13 +62,13 @@
 }
 
 void
-kq_grantors_agent_down (KqSched *s, const KqName *name, KqTime now)
+kq_grantors_agent_down (KqSched *s, const KqName *name, KqTime ends)
 {
   KqGrantor *g = find_grantor (s, kq_name_str (name));
   if (g == NULL)
     return;
   g->up = false;
-  g->gone_at = kq_runners_latest_unseen_lease_end (s, now);
+  g->gone_at = ends;
 }
 
 void
@@ -88,7 +86,8 @@
       if (i == needed || g == NULL || !g->up || a->runners > 0)
         continue;
       gone_at = g->gone_at;
-      kq_grantors_agent_down (s, &a->info.name, now);
+      kq_grantors_agent_down (s, &a->info.name,
+                              kq_runners_latest_unseen_lease_end (s, now));
       if (!a->used)
         g->gone_at = gone_at;
       a->stored = a->used = false;
@@ -201,7 +200,7 @@
 {
   KqGrantor *g = find_or_add (s, kq_name_str (&s->agents.list[agent].info.name));
   KqTime restart_ends
-      = now - l->process_age_ms * KQ_MS + CALL_MAX + kq_runners_longest_lease (s);
+      = kq_runners_released_lease_end (s, now - l->process_age_ms * KQ_MS);
   KqTime latest = restart_ends;
   if (s->settled)
     return;
--- a/src/sched/grantors.h
+++ b/src/sched/grantors.h
@@ -25,8 +25,9 @@
 GPtrArray *kq_grantors_new (void);
 /* Notes that the agent has connected. */
 void kq_grantors_agent_up (KqSched *s, const KqName *name);
-/* Notes that the agent isn't connected, or isn't used, any more: its leases may last. */
-void kq_grantors_agent_down (KqSched *s, const KqName *name, KqTime now);
+/* Notes that the agent isn't connected, or isn't used, any more: its leases may last
+ * until `ends`. */
+void kq_grantors_agent_down (KqSched *s, const KqName *name, KqTime ends);
 /* Keeps the leader's own agent in the list only while at most one other agent is up: in
  * larger fleets the leader's loss is then no loss of a grantor. */
 void kq_grantors_check_leader (KqSched *s, KqTime now);
--- a/src/sched/grantors_test.c
+++ b/src/sched/grantors_test.c
@@ -330,6 +330,29 @@
   assert_int_equal (d->start_orders, 2);
 }
 
+/* Guards against tasks that wait for leases which nobody grants any more: an agent that
+ * stops as planned has released its runners, and the one after it doesn't reach them. */
+static void
+test_leases_of_an_agent_that_stops_as_planned (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqAgentInfo b = { .name = kq_name (KQ_STR ("b")), .share_milli = 1000 };
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  kq_sched_fixture_accept_starts (d);
+  kq_sched_agent_down (d->sched, d->agent, true, d->now);
+  d->agent = kq_sched_fixture_add_agent (d, &b);
+  kq_sched_fixture_run (d, 500 * KQ_MS);
+  kq_sched_fixture_unreached (d, d->agent, "r0", -1);
+  kq_sched_fixture_run (d, 5 * KQ_SEC);
+  kq_sched_gauges (d->sched);
+  assert_int_equal (*kq_counter (d->counters, "kq_runs_alive", "", ""), 1);
+  kq_sched_fixture_run (d, 1500 * KQ_MS);
+  kq_sched_gauges (d->sched);
+  assert_int_equal (*kq_counter (d->counters, "kq_runs_alive", "", ""), 0);
+}
+
 /* Guards against a wait that begins anew: the node that led in between, an agent before,
  * has told its leases to itself. */
 static void
@@ -382,6 +405,7 @@
           TEST (test_own_agent_is_not_used_while_a_new_one_is_stored),
           TEST (test_own_agent_of_an_earlier_list_is_not_used_either),
           TEST (test_loss_of_an_agent_does_not_prolong_a_silent_runners_lease),
+          TEST (test_leases_of_an_agent_that_stops_as_planned),
           TEST (test_own_node_that_has_told_its_leases_is_not_waited_for) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -11,6 +11,8 @@
 /* Time after a lease's computed end before it counts as expired: timers may be late, and
  * answers in flight. */
 #define LEASE_MARGIN (300 * KQ_MS)
+/* How long a call of an agent may be under way (KQ_AGENT_CALL_MS of agent/state.h). */
+#define CALL_MAX (900 * KQ_MS)
 /* How much a runner's clock may run slow. */
 #define CLOCK_DRIFT_PERCENT 2
 /* How long an unanswered start may still reach its runner, counted from the moment at
@@ -106,6 +108,12 @@
   return r->earlier_lease_ends > r->lease_ends ? "earlier leader" : r->lease_from;
 }
 
+KqTime
+kq_runners_released_lease_end (const KqSched *s, KqTime now)
+{
+  return now + CALL_MAX + kq_runners_longest_lease (s);
+}
+
 bool
 kq_runners_lease_is_over (const KqRunnerState *r, KqTime now)
 {
@@ -388,9 +396,11 @@
 void
 kq_sched_agent_down (KqSched *s, int agent, bool planned, KqTime now)
 {
-  KqTime ends = kq_runners_latest_unseen_lease_end (s, now);
+  /* One that stops as planned has released its runners before it said so. */
+  KqTime ends = planned ? kq_runners_released_lease_end (s, now)
+                        : kq_runners_latest_unseen_lease_end (s, now);
   kq_agents_down (&s->agents, agent, planned);
-  kq_grantors_agent_down (s, &s->agents.list[agent].info.name, now);
+  kq_grantors_agent_down (s, &s->agents.list[agent].info.name, ends);
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -466,6 +466,8 @@
  * of an earlier leader, or one that was lost or replaced now. Such an agent goes on
  * renewing for renew_without_leader_ms. */
 KqTime kq_runners_latest_unseen_lease_end (const KqSched *s, KqTime now);
+/* Latest end of a lease granted by an agent that granted its last one before now. */
+KqTime kq_runners_released_lease_end (const KqSched *s, KqTime now);
 /* The latest time at which a run may still exist on the runner. */
 KqTime kq_runners_lease_end (const KqRunnerState *r);
 /* Where it comes from, for logs. */
