--- a/src/sched/starved_test.c
+++ b/src/sched/starved_test.c
@@ -108,23 +108,37 @@
   g_array_free (runs, TRUE);
 }
 
-/* As above, for lasting tasks that use what others leave unused: they are placed one
- * after the other, as each may disturb serving tasks until the next report. */
-static void
-test_lasting_filling_tasks_are_placed_one_by_one (void **state)
+/* A filling step that takes all cpu which others leave unused, with four tasks. */
+static KqStep
+filling_step (void)
 {
-  KqSchedFixture *d = *state;
   KqStep fills = kq_sched_fixture_step ();
-  GArray *runs;
   fills.filling = true;
   fills.estimate_ms = 600000;
   fills.image = KQ_STR ("fills");
   fills.cpu_milli = 2000;
   fills.width = 6;
-  kq_sched_fixture_submit (d, "first", fills, false);
+  return fills;
+}
+
+/* Submits such a step as job "first"; returns its runs. */
+static GArray *
+fill_runners (KqSchedFixture *d)
+{
+  kq_sched_fixture_submit (d, "first", filling_step (), false);
   kq_sched_fixture_run (d, 50 * KQ_MS);
   assert_int_equal (d->start_orders, 4);
-  runs = accept_starts (d);
+  return accept_starts (d);
+}
+
+/* As above, for lasting tasks that use what others leave unused: they are placed one
+ * after the other, as each may disturb serving tasks until the next report. */
+static void
+test_lasting_filling_tasks_are_placed_one_by_one (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep fills = filling_step ();
+  GArray *runs = fill_runners (d);
   fills.width = 2;
   fills.lasting = true;
   kq_sched_fixture_submit (d, "second", fills, false);
@@ -144,17 +158,8 @@
 {
   static const int placed[] = { 1, 2, 4, 8 };
   KqSchedFixture *d = *state;
-  KqStep fills = kq_sched_fixture_step ();
-  GArray *runs;
-  fills.filling = true;
-  fills.estimate_ms = 600000;
-  fills.image = KQ_STR ("fills");
-  fills.cpu_milli = 2000;
-  fills.width = 6;
-  kq_sched_fixture_submit (d, "first", fills, false);
-  kq_sched_fixture_run (d, 50 * KQ_MS);
-  assert_int_equal (d->start_orders, 4);
-  runs = accept_starts (d);
+  KqStep fills = filling_step ();
+  GArray *runs = fill_runners (d);
   fills.width = 14;
   fills.lasting = true;
   kq_sched_fixture_submit (d, "second", fills, false);
@@ -174,17 +179,8 @@
 test_starved_gang_is_placed_as_a_whole (void **state)
 {
   KqSchedFixture *d = *state;
-  KqStep fills = kq_sched_fixture_step ();
-  GArray *runs;
-  fills.filling = true;
-  fills.estimate_ms = 600000;
-  fills.image = KQ_STR ("fills");
-  fills.cpu_milli = 2000;
-  fills.width = 6;
-  kq_sched_fixture_submit (d, "first", fills, false);
-  kq_sched_fixture_run (d, 50 * KQ_MS);
-  assert_int_equal (d->start_orders, 4);
-  runs = accept_starts (d);
+  KqStep fills = filling_step ();
+  GArray *runs = fill_runners (d);
   fills.width = 3;
   fills.gang = true;
   kq_sched_fixture_submit (d, "gang", fills, false);
