Last attempts wait for a reliable runner, and all tasks prefer one

Under load only such a runner has room, as its tasks end within moments; it becomes suspect after two failures, and a seal-report has two attempts.

Now a task whose next failure ends its job isn't placed where it failed last, nor on an unreliable runner (a fifth of its last ends have failed, or it was suspect and has done nothing since), for up to 15 s of its step's wait, and not once the step is starved; and an unreliable runner counts less for every task.

--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -297,6 +297,8 @@
       if (t->phase != KQ_TASK_WAITING || (lost && !t->has_run))
         continue;
       r = kq_placing_next (&placing, i);
+      if (placing.held_back)
+        continue;
       all_placed = r != NULL;
       if (all_placed)
         add_start_to_log (start_task (s, o, step, i, next_run (s, t), r, now), &starts,
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -22,6 +22,7 @@
 #define W_OTHER_RACK 1.0 /* the step's data is on another rack */
 #define W_SLOW 0.6       /* times the excess of its tasks' run times over the mean */
 #define W_FAILS 0.25     /* times the decaying count of failed tasks there */
+#define W_UNRELIABLE 1.0 /* many of the last tasks there have failed */
 /* A runner counts as slow if its tasks take this many times as long as the mean over all
  * runners. Estimates of run times are off by half, so smaller differences say nothing. */
 #define SLOW_RATIO_MIN 1.3
@@ -191,6 +192,8 @@
       = s->slowness_mean > SLOWNESS_MEAN_MIN ? s->slowness_mean : SLOWNESS_MEAN_MIN;
   double slow = r->slowness / mean;
   double sum = W_FAILS * r->failed_count;
+  if (kq_runners_is_unreliable (r, r->heard_at))
+    sum += W_UNRELIABLE;
   if (slow > SLOW_RATIO_MIN)
     sum += W_SLOW * (slow - 1);
   if (p->rack.len > 0 && !kq_str_eq (p->rack, kq_str (r->rack)))
--- a/src/sched/placing.c
+++ b/src/sched/placing.c
@@ -18,6 +18,9 @@
  * than the best of all. For gangs, and for lasting tasks, which stay for long, all
  * runners are searched. */
 #define CANDIDATES_BASE 128
+/* A task whose next failure ends its job waits for a runner where tasks don't fail, up to
+ * this long after the step began to wait, unless the step is starved. */
+#define LAST_ATTEMPT_WAIT_MAX (15 * KQ_SEC)
 #define CANDIDATES_PER_TASK 4
 
 static KqPlacingCandidate *
@@ -212,6 +215,34 @@
   p->heap = g_array_new (FALSE, FALSE, sizeof (KqPlacingCandidate));
 }
 
+/* Whether one more failure of the task ends its job. */
+static bool
+is_last_attempt (const KqPlacing *p, const KqTaskState *t)
+{
+  const KqSpec *spec = &p->occurrence->job->spec;
+  return !spec->steps[p->step].lasting && !spec->steps[p->step].gang && t->failures > 0
+         && t->failures + 1 >= spec->attempts;
+}
+
+/* Takes the best candidate for a last attempt out of the heap: one where neither this
+ * task nor many others have failed lately. False: there is none. */
+static bool
+take_reliable (const KqPlacing *p, const KqTaskState *t, KqPlacingCandidate *out)
+{
+  GArray *passed_over = g_array_new (FALSE, FALSE, sizeof (KqPlacingCandidate));
+  bool found = false;
+  while (!found && take_best (p, out))
+    {
+      found = out->runner != t->avoid && !kq_runners_is_unreliable (out->runner, p->now);
+      if (!found)
+        g_array_append_val (passed_over, *out);
+    }
+  for (guint i = 0; i < passed_over->len; i++)
+    heap_insert (p, g_array_index (passed_over, KqPlacingCandidate, i));
+  g_array_free (passed_over, TRUE);
+  return found;
+}
+
 KqRunnerState *
 kq_placing_next (KqPlacing *p, int32_t index)
 {
@@ -228,6 +259,15 @@
       heap_insert (p, p->last);
     }
   p->rack_known = p->rack_known || rack_chosen;
+  p->held_back = false;
+  if (is_last_attempt (p, t) && p->now - st->waits_since < LAST_ATTEMPT_WAIT_MAX
+      && !kq_place_is_starved (p->occurrence, p->step, p->now))
+    {
+      p->has_last = take_reliable (p, t, &p->last);
+      p->held_back = !p->has_last && p->heap->len > 0;
+      if (p->has_last || p->held_back)
+        return p->has_last ? p->last.runner : NULL;
+    }
   while (!(p->has_last = take_best (p, &best)) && p->n_unsearched > 0)
     {
       search_further (p);
--- a/src/sched/placing.h
+++ b/src/sched/placing.h
@@ -25,7 +25,8 @@
   GArray *heap;       /* KqPlacingCandidate */
   bool full_search;   /* the search is over all runners, not just changed ones */
   guint n_unsearched; /* runners that aren't searched yet */
-  bool has_last;      /* `last` holds a runner */
+  bool held_back; /* the last task waits for a reliable runner, though others take it */
+  bool has_last;  /* `last` holds a runner */
   KqPlacingCandidate last; /* the previous task's runner, which isn't in the heap */
 } KqPlacing;
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -503,6 +503,8 @@
 /* Counts a task that has ended on the runner, done or failed; after too many failures the
  * runner isn't used for a while. */
 void kq_runners_count_end (KqRunnerState *r, bool done, KqTime now);
+/* Whether tasks have failed there lately, though not enough to make it suspect. */
+bool kq_runners_is_unreliable (const KqRunnerState *r, KqTime now);
 
 /* runners.c */
 void kq_runners_free (KqRunnerState *r);
--- a/src/sched/suspects.c
+++ b/src/sched/suspects.c
@@ -20,6 +20,20 @@
 #define SUSPECT_PAUSE_INITIAL (2 * KQ_SEC)
 #define SUSPECT_PAUSE_MAX (8 * KQ_SEC)
 
+/* A runner is unreliable if so many of the tasks that ended there lately have failed, by
+ * their decaying counts: at least this number, and this share of all. */
+#define UNRELIABLE_FAILS 0.4
+#define UNRELIABLE_SHARE 0.2
+
+bool
+kq_runners_is_unreliable (const KqRunnerState *r, KqTime now)
+{
+  double factor = exp2 (-(double)(now - r->counts_at) / COUNTS_HALF_LIFE);
+  return r->suspect_times > 0
+         || (r->failed_count * factor >= UNRELIABLE_FAILS
+             && r->failed_count >= UNRELIABLE_SHARE * (r->failed_count + r->done_count));
+}
+
 static void
 decay_counts (KqRunnerState *r, KqTime now)
 {
