--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -310,6 +310,8 @@
   kq_log (KQ_LOG_INFO, PART, "Loaded the stored state. jobs=%u runners=%u after_ms=%lld",
           g_hash_table_size (s->jobs), s->runner_list->len,
           (long long)((now - s->started_at) / KQ_MS));
+  if (!kq_cordoning_is_known (s))
+    kq_log (KQ_LOG_WARN, PART, "Nothing starts until the cordons have been read.");
 }
 
 int
