Random tests: a store that takes its time with lists, and an agent on the leader's node

The rig packed and confirmed the lists of runners and agents in one step, and no agent of its was the leader's own, so that what happens while such a write is under way, or to that agent, wasn't played. With `slow_store` a write takes up to 0.8 s, and its answer as long; one that hasn't been carried out is refused once another leader leads. With `own_agent` one agent is on the leader's node.

--- a/bench/sched_day.c
+++ b/bench/sched_day.c
@@ -499,7 +499,7 @@
 }
 
 int
-kq_sched_day (uint64_t seed, int rounds, bool cordons, char *why, int why_size)
+kq_sched_day (uint64_t seed, int rounds, unsigned plays, char *why, int why_size)
 {
   Day *d = kq_alloc (sizeof *d);
   KqRoom room = { 4000, 6000, 0 };
@@ -510,7 +510,7 @@
     kq_sched_rig_add_agent (&d->rig);
   for (int i = 0; i < FEATURES; i++)
     d->has[i] = below (d, 5) < 2;
-  d->rig.plays_cordons = cordons;
+  d->rig.plays = plays;
   d->rig.new_ids_after_upkeep = below (d, 2) == 0;
   d->rig.models_load = d->has[SERVING] || below (d, 2) == 0;
   for (int i = 1; d->has[LABELS] && i < d->rig.n_runners; i++)
--- a/bench/sched_day.h
+++ b/bench/sched_day.h
@@ -15,8 +15,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* rounds: number of spans with faults. cordons: as in sched_soak.h, in calm spans, too.
+/* rounds: number of spans with faults. plays: KQ_SCHED_RIG_CORDONS and following,
+ * in calm spans, too.
  * Returns the number of breaches; copies a description of the first one to `why`. */
-int kq_sched_day (uint64_t seed, int rounds, bool cordons, char *why, int why_size);
+int kq_sched_day (uint64_t seed, int rounds, unsigned plays, char *why, int why_size);
 
 #endif
--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -10,6 +10,8 @@
 #include <string.h>
 
 #define KEEP_MS 600000
+/* Longest way of a write to a slow store, and of its answer. */
+#define STORE_DELAY_MAX_MS 800
 
 bool
 kq_sched_rig_chance (KqSchedRig *r, int percent)
@@ -148,25 +150,67 @@
 }
 
 static void
-store (KqSchedRig *r)
+replace_bytes (GByteArray *a, KqStr with)
+{
+  g_byte_array_set_size (a, 0);
+  g_byte_array_append (a, (const guint8 *)with.ptr, (guint)with.len);
+}
+
+static KqTime
+draw_store_delay (KqSchedRig *r)
+{
+  if ((r->plays & KQ_SCHED_RIG_SLOW_STORE) == 0)
+    return 0;
+  return (KqTime)kq_rand_below (&r->extra_rand, STORE_DELAY_MAX_MS) * KQ_MS;
+}
+
+/* Sends a write of the lists of runners and agents, unless one is under way. */
+static void
+send_lists (KqSchedRig *r)
 {
-  KqProgress rows[28];
   KqBuf b = { 0 };
-  size_t n;
-  if (r->now < r->store_down_until)
-    return;
-  if (kq_sched_used_runners_pack (r->sched, &b))
+  if (r->lists_confirmed_at == 0 && kq_sched_used_runners_pack (r->sched, &b))
     {
-      g_byte_array_set_size (r->used_runners, 0);
-      g_byte_array_append (r->used_runners, (const guint8 *)b.ptr, (guint)b.len);
+      replace_bytes (r->sent_runners, kq_buf_str (&b));
       kq_buf_clear (&b);
       kq_sched_used_agents_pack (r->sched, &b);
-      g_byte_array_set_size (r->used_agents, 0);
-      g_byte_array_append (r->used_agents, (const guint8 *)b.ptr, (guint)b.len);
-      kq_sched_used_runners_stored (r->sched);
-      r->revision++;
+      replace_bytes (r->sent_agents, kq_buf_str (&b));
+      r->lists_written_at = r->now + draw_store_delay (r);
+      r->lists_confirmed_at = r->lists_written_at + draw_store_delay (r);
     }
   kq_buf_free (&b);
+}
+
+/* Carries the write of the lists out, and later tells the leader. */
+static void
+write_lists (KqSchedRig *r)
+{
+  send_lists (r);
+  if (r->lists_written_at != 0 && r->now >= r->lists_written_at)
+    {
+      replace_bytes (r->used_runners, kq_str_n ((const char *)r->sent_runners->data,
+                                                r->sent_runners->len));
+      replace_bytes (r->used_agents,
+                     kq_str_n ((const char *)r->sent_agents->data, r->sent_agents->len));
+      r->lists_written_at = 0;
+      r->revision++;
+    }
+  if (r->lists_confirmed_at != 0 && r->lists_written_at == 0
+      && r->now >= r->lists_confirmed_at)
+    {
+      r->lists_confirmed_at = 0;
+      kq_sched_used_runners_stored (r->sched);
+    }
+}
+
+static void
+store (KqSchedRig *r)
+{
+  KqProgress rows[28];
+  size_t n;
+  if (r->now < r->store_down_until)
+    return;
+  write_lists (r);
   kq_sched_rig_store_waves (r);
   if (kq_sched_store_due (r->sched) > r->now)
     return;
@@ -288,6 +332,11 @@
                       .maintenance = kq_sched_rig_maintenance,
                       .arg = r };
   kq_sched_rig_cordon_new_leader (r);
+  /* A write that hasn't been carried out is refused from now on. */
+  r->lists_written_at = r->lists_confirmed_at = 0;
+  r->own_agent = (r->plays & KQ_SCHED_RIG_OWN_AGENT) != 0
+                     ? (int)kq_rand_below (&r->extra_rand, (uint64_t)r->n_agents)
+                     : -1;
   kq_sched_free (r->sched);
   r->epoch = ++r->revision;
   r->leader_serial++;
@@ -352,7 +401,7 @@
   r->counters = kq_counters_new ();
   r->cordons = kq_cordons_new ();
   r->cordons->complete = true;
-  r->cordon_rand = kq_rand (~seed);
+  r->extra_rand = kq_rand (~seed);
   r->n_runners = runners;
   r->events = g_ptr_array_new ();
   r->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_job);
@@ -363,6 +412,8 @@
   r->last_failure_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->used_agents = g_byte_array_new ();
   r->used_runners = g_byte_array_new ();
+  r->sent_agents = g_byte_array_new ();
+  r->sent_runners = g_byte_array_new ();
   r->n_hosts = runners;
   r->host_calls = g_array_new (FALSE, FALSE, sizeof (KqSchedRigHostCall));
   r->waves_stored = g_byte_array_new ();
@@ -393,6 +444,8 @@
   g_hash_table_destroy (r->last_failure_ms);
   g_byte_array_free (r->used_agents, TRUE);
   g_byte_array_free (r->used_runners, TRUE);
+  g_byte_array_free (r->sent_agents, TRUE);
+  g_byte_array_free (r->sent_runners, TRUE);
   g_byte_array_free (r->waves_stored, TRUE);
   g_array_free (r->host_calls, TRUE);
   for (int i = 0; i < r->n_runners; i++)
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -22,6 +22,12 @@
 #define KQ_SCHED_RIG_AGENTS_MAX 8
 #define KQ_SCHED_RIG_WAVES_MAX 8
 #define KQ_SCHED_RIG_DOMAINS 3
+/* What a rig plays besides, each drawn from a stream of its own (KqSchedRig.extra_rand):
+ * seeds without them play the same as ever. */
+#define KQ_SCHED_RIG_CORDONS 1u /* cordons of failure domains */
+#define KQ_SCHED_RIG_SLOW_STORE                                                          \
+  2u /* a write of the lists of runners and agents takes time */
+#define KQ_SCHED_RIG_OWN_AGENT 4u /* one of the agents is on the leader's node */
 /* As fails_index of a job: each of its tasks always fails. */
 #define KQ_SCHED_RIG_ALL_FAIL (-2)
 
@@ -234,9 +240,15 @@
   int unsent_percent;      /* starts and stops that aren't sent and fail as UNHEALTHY */
   int late_orders_percent; /* starts and stops: reach the runner 2 to 12 s late; no answer
                             */
+  unsigned plays;          /* KQ_SCHED_RIG_CORDONS and following */
+  KqRand extra_rand;
+  int own_agent; /* the agent on the leader's node; -1: none */
+  /* The write of the lists that is under way. */
+  GByteArray *sent_runners;
+  GByteArray *sent_agents;
+  KqTime lists_written_at; /* it is carried out then; 0: it has been, or there is none */
+  KqTime lists_confirmed_at; /* the leader gets the answer then; 0: none is under way */
   /* Cordons. */
-  bool plays_cordons;
-  KqRand cordon_rand; /* its own, so that seeds without cordons play the same as ever */
   KqSchedRigCordon domain_cordons[KQ_SCHED_RIG_DOMAINS];
   KqCordons *cordons;     /* as the leader's node knows them */
   KqTime cordons_read_at; /* a new leader's node has read all of them by then */
--- a/bench/sched_rig_cordon.c
+++ b/bench/sched_rig_cordon.c
@@ -38,7 +38,7 @@
 static KqTime
 draw_delay (KqSchedRig *r)
 {
-  return (KqTime)kq_rand_below (&r->cordon_rand, LEARNED_AFTER_MAX_MS) * KQ_MS;
+  return (KqTime)kq_rand_below (&r->extra_rand, LEARNED_AFTER_MAX_MS) * KQ_MS;
 }
 
 void
@@ -82,12 +82,12 @@
 void
 kq_sched_rig_cordon_new_leader (KqSchedRig *r)
 {
-  if (!r->plays_cordons)
+  if ((r->plays & KQ_SCHED_RIG_CORDONS) == 0)
     return;
   r->cordons->complete = false;
   r->cordons->n = 0;
   r->cordons_read_at
-      = r->now + (KqTime)kq_rand_below (&r->cordon_rand, UNREAD_MAX_MS) * KQ_MS;
+      = r->now + (KqTime)kq_rand_below (&r->extra_rand, UNREAD_MAX_MS) * KQ_MS;
   for (int i = 0; i < KQ_SCHED_RIG_DOMAINS; i++)
     r->domain_cordons[i].leader_knows_at = r->cordons_read_at;
 }
@@ -102,8 +102,9 @@
 void
 kq_sched_rig_draw_cordon (KqSchedRig *r)
 {
-  int domain = (int)kq_rand_below (&r->cordon_rand, KQ_SCHED_RIG_DOMAINS);
-  if (r->plays_cordons && kq_rand_below (&r->cordon_rand, CORDON_ONE_IN) == 0)
+  int domain = (int)kq_rand_below (&r->extra_rand, KQ_SCHED_RIG_DOMAINS);
+  if ((r->plays & KQ_SCHED_RIG_CORDONS) != 0
+      && kq_rand_below (&r->extra_rand, CORDON_ONE_IN) == 0)
     kq_sched_rig_cordon (r, domain, !r->domain_cordons[domain].on);
 }
 
--- a/bench/sched_rig_link.c
+++ b/bench/sched_rig_link.c
@@ -158,8 +158,10 @@
 on_hello (KqSchedRig *r, const KqSchedRigEvent *e, const KqAgentInfo *info)
 {
   KqSchedRigAgent *a = &r->agents[e->agent];
+  KqAgentInfo own = *info;
   disconnect_peer (r, e->agent);
-  a->number = kq_sched_agent_up (r->sched, info, r->now);
+  own.leader = e->agent == r->own_agent;
+  a->number = kq_sched_agent_up (r->sched, &own, r->now);
   a->peer = e->conn;
   a->peer_heartbeat_sent_at = 0;
 }
--- a/bench/sched_soak.c
+++ b/bench/sched_soak.c
@@ -556,7 +556,7 @@
 }
 
 int
-kq_sched_soak (uint64_t seed, int steps, bool cordons, char *why, int why_size)
+kq_sched_soak (uint64_t seed, int steps, unsigned plays, char *why, int why_size)
 {
   Soak *s = kq_alloc (sizeof *s);
   KqRoom room = { 4000, 6000, 0 };
@@ -565,7 +565,7 @@
   for (int i = 1 + below (s, 3); i > 0; i--)
     kq_sched_rig_add_agent (&s->rig);
   draw_weights (s);
-  s->rig.plays_cordons = cordons;
+  s->rig.plays = plays;
   for (int i = 0; i < steps; i++)
     {
       apply_event (s);
--- a/bench/sched_soak.h
+++ b/bench/sched_soak.h
@@ -14,9 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* steps: number of random events. cordons: failure domains are cordoned and uncordoned at
- * random as well;. Returns the number of breaches; copies a description of
- * the first one to `why`. */
-int kq_sched_soak (uint64_t seed, int steps, bool cordons, char *why, int why_size);
+/* steps: number of random events. plays: KQ_SCHED_RIG_CORDONS and following;. Returns the
+ * number of breaches; copies a description of the first one to `why`. */
+int kq_sched_soak (uint64_t seed, int steps, unsigned plays, char *why, int why_size);
 
 #endif
--- a/bench/sched_soak_main.c
+++ b/bench/sched_soak_main.c
@@ -1,10 +1,11 @@
-/* sched_soak [SEED [STEPS [SEEDS [day] [cordons]]]]: random faults on the scheduler
- * (sched_soak.h). With `day`: random days of STEPS rounds (sched_day.h). With `cordons`:
- * failure domains are cordoned as well. The exit status is not 0 if an
- * invariant was breached. KQ_SOAK_LOG in the environment: debug logs. */
+/* sched_soak [SEED [STEPS [SEEDS [day] [cordons] [slow_store] [own_agent]]]]: random
+ * faults on the scheduler (sched_soak.h). With `day`: random days of STEPS rounds
+ * (sched_day.h). The other words: KQ_SCHED_RIG_CORDONS and following. The exit status is
+ * not 0 if an invariant was breached. KQ_SOAK_LOG in the environment: debug logs. */
 
 #include "base/log.h"
 #include "sched_day.h"
+#include "sched_rig.h"
 #include "sched_soak.h"
 
 #include <stdbool.h>
@@ -12,6 +13,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+static const struct
+{
+  const char *name;
+  unsigned plays;
+} words[] = { { "cordons", KQ_SCHED_RIG_CORDONS },
+              { "slow_store", KQ_SCHED_RIG_SLOW_STORE },
+              { "own_agent", KQ_SCHED_RIG_OWN_AGENT } };
+
 int
 main (int argc, char **argv)
 {
@@ -19,8 +28,12 @@
   int steps = argc > 2 ? atoi (argv[2]) : 300;
   int seeds = argc > 3 ? atoi (argv[3]) : 20;
   bool day = argc > 4 && strcmp (argv[4], "day") == 0;
-  bool cordons = argc > 4 && strcmp (argv[argc - 1], "cordons") == 0;
+  unsigned plays = 0;
   int bad = 0;
+  for (int i = 5; i <= argc; i++)
+    for (size_t k = 0; k < sizeof words / sizeof words[0]; k++)
+      if (strcmp (argv[i - 1], words[k].name) == 0)
+        plays |= words[k].plays;
   kq_log_set_level (KQ_LOG_ERROR);
   if (getenv ("KQ_SOAK_LOG") != NULL)
     kq_log_set_level (KQ_LOG_DEBUG);
@@ -28,8 +41,8 @@
     {
       char why[200];
       int broken
-          = day ? kq_sched_day (seed + (uint64_t)i, steps, cordons, why, sizeof why)
-                : kq_sched_soak (seed + (uint64_t)i, steps, cordons, why, sizeof why);
+          = day ? kq_sched_day (seed + (uint64_t)i, steps, plays, why, sizeof why)
+                : kq_sched_soak (seed + (uint64_t)i, steps, plays, why, sizeof why);
       if (broken == 0)
         continue;
       bad++;
--- a/src/sched/late_start_test.c
+++ b/src/sched/late_start_test.c
@@ -20,7 +20,7 @@
   for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
     {
       char why[200];
-      if (kq_sched_soak (seeds[i], 300, false, why, sizeof why) == 0)
+      if (kq_sched_soak (seeds[i], 300, 0, why, sizeof why) == 0)
         continue;
       print_error ("seed %llu: %s\n", (unsigned long long)seeds[i], why);
       broken++;
--- a/src/sched/long_soak_test.c
+++ b/src/sched/long_soak_test.c
@@ -25,7 +25,7 @@
   for (size_t i = 0; i < sizeof runs / sizeof runs[0]; i++)
     {
       char why[200];
-      if (kq_sched_soak (runs[i].seed, runs[i].steps, false, why, sizeof why) == 0)
+      if (kq_sched_soak (runs[i].seed, runs[i].steps, 0, why, sizeof why) == 0)
         continue;
       print_error ("seed %llu: %s\n", (unsigned long long)runs[i].seed, why);
       broken++;
--- a/src/sched/sched_day_test.c
+++ b/src/sched/sched_day_test.c
@@ -23,7 +23,7 @@
   for (uint64_t seed = SEEDS_FROM; seed < SEEDS_FROM + SEEDS; seed++)
     {
       char why[200];
-      if (kq_sched_day (seed, ROUNDS, false, why, sizeof why) == 0)
+      if (kq_sched_day (seed, ROUNDS, 0, why, sizeof why) == 0)
         continue;
       print_error ("seed %llu: %s\n", (unsigned long long)seed, why);
       broken++;
--- a/src/sched/sched_random_test.c
+++ b/src/sched/sched_random_test.c
@@ -44,7 +44,7 @@
   for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
     {
       char why[200];
-      int n = kq_sched_soak (seeds[i], 300, false, why, sizeof why);
+      int n = kq_sched_soak (seeds[i], 300, 0, why, sizeof why);
       if (n > 0)
         print_error ("seed %llu: %s\n", (unsigned long long)seeds[i], why);
       assert_int_equal (n, 0);
