--- a/src/agent/agent_test.c
+++ b/src/agent/agent_test.c
@@ -335,6 +335,7 @@
   kq_agent_fixture_order_start (3, now);
   kq_agent_fixture_answer_verification (KQ_ORDER_OK, now, now);
   assert_int_equal (t->starts, 2);
+  kq_agent_fixture_answer_start (1001, now, now);
 }
 
 /* As above; the start was ordered before the cordon, and waits for a connection, or is
