--- a/bench/sched_soak.h
+++ b/bench/sched_soak.h
@@ -14,7 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* steps: number of random events. plays: KQ_SCHED_RIG_CORDONS and following;. Returns the
+/* steps: number of random events. plays: KQ_SCHED_RIG_CORDONS and following. Returns the
  * number of breaches; copies a description of the first one to `why`. */
 int kq_sched_soak (uint64_t seed, int steps, unsigned plays, char *why, int why_size);
 
