--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -159,6 +159,7 @@
                        .renew_without_leader_ms = leader_lease_ms (f) + ELECTION_MS,
                        .keep_ms = s->keep_ms,
                        .maintenance_ms = s->maintenance_ms,
+                       .features = s->scheduling,
                        .cordons = f->cordons,
                        .counters = f->config.counters,
                        .self = f->self,
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -394,6 +394,7 @@
           .renew_without_leader_ms = c->renew_without_leader_ms,
           .keep_ms = c->keep_ms,
           .maintenance_ms = c->maintenance_ms,
+          .features = c->features,
           .cordons = c->cordons,
           .counters = c->counters,
           .order = on_order,
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -17,6 +17,7 @@
 #include "port/maintenance.h"
 #include "port/runner.h"
 #include "sched/agents.h"
+#include "sched/features.h"
 #include "steps/cordons.h"
 #include "steps/spec.h"
 
@@ -165,6 +166,7 @@
                                       leader */
   int64_t maintenance_ms;          /* how long a host is down for maintenance */
   int64_t keep_ms;                 /* for so long a finished job's state is kept */
+  KqSchedFeatures features;
   const KqCordons *cordons; /* nothing is started in these domains, or anywhere before the
                                set is complete; NULL: none are cordoned */
   KqCounters *counters;
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -59,6 +59,25 @@
 };
 #define N_KEYS ((int)(sizeof keys / sizeof keys[0]))
 
+/* A key of the section [scheduling]: one of two words; it is off if not given. */
+typedef struct
+{
+  const char *key;
+  const char *off;
+  const char *on;
+  size_t offset; /* of a bool in KqFleetSettings */
+} Switch;
+
+static const char switch_section[] = "scheduling";
+static const Switch switches[] = {
+  { "order", "objective", "forecast", AT (scheduling.forecast_order) },
+  { "estimates", "declared", "learned", AT (scheduling.learned_estimates) },
+  { "large_task_room", "off", "on", AT (scheduling.large_task_room) },
+  { "admission", "all", "forecast", AT (scheduling.admission) },
+  { "domain_health", "off", "on", AT (scheduling.domain_health) },
+};
+#define N_SWITCHES (sizeof switches / sizeof switches[0])
+
 typedef struct
 {
   KqFleetSettings *out;
@@ -161,12 +180,33 @@
            "empty, too long or with characters that are not allowed");
 }
 
+static void
+set_switch (Parser *p, const Switch *w, const KqTomlValue *v)
+{
+  bool on = kq_str_eq (v->text, kq_str (w->on));
+  char allowed[40];
+  snprintf (allowed, sizeof allowed, "\"%s\" or \"%s\"", w->off, w->on);
+  if (v->type != KQ_TOML_STRING)
+    fault (p, KQ_ERR_SETTINGS_TYPE, v->line, switch_section, w->key, allowed);
+  else if (!on && !kq_str_eq (v->text, kq_str (w->off)))
+    fault (p, KQ_ERR_SETTINGS_RANGE, v->line, switch_section, w->key, allowed);
+  else
+    memcpy ((char *)p->out + w->offset, &on, sizeof on);
+}
+
 static void
 visit (void *data, const KqTomlValue *v)
 {
   Parser *p = data;
   if (v->type == KQ_TOML_SECTION)
     return;
+  for (size_t i = 0; i < N_SWITCHES; i++)
+    if (kq_str_eq (v->section, kq_str (switch_section))
+        && kq_str_eq (v->key, kq_str (switches[i].key)))
+      {
+        set_switch (p, &switches[i], v);
+        return;
+      }
   for (int i = 0; i < N_KEYS; i++)
     {
       const Key *k = &keys[i];
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -8,6 +8,7 @@
  * Numbers may be written as strings, so that a template can substitute them without
  * knowing their type. */
 
+#include "sched/features.h"
 #include "settings/settings.h"
 
 typedef struct
@@ -31,6 +32,7 @@
   int64_t grace_ms; /* time between SIGTERM and SIGKILL */
   int64_t keep_ms;  /* how long the state of a finished job is kept */
   int log_level;
+  KqSchedFeatures scheduling; /* section [scheduling] */
 } KqFleetSettings;
 
 /* Whether the text has a section [fleet]. */
--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -183,6 +183,37 @@
   assert_int_equal (parse_with ("shards = 3", "shards = 3 # \xc4\x8d"), 0);
 }
 
+/* Guards against a misspelt switch that leaves a decision under load off, or turns it on,
+ * without a word to the operator. */
+static void
+test_fleet_switches (void **state)
+{
+  static const char form[]
+      = "[fleet]\nnode = \"n1\"\nfailure_domain = \"d1\"\nregion = \"r1\"\n"
+        "[listen]\nip = \"127.0.0.1\"\nfront = \"127.0.0.1:1\"\n"
+        "ready = \"127.0.0.1:2\"\npeer_port = 3\nmetrics_port = 4\n"
+        "[store]\naddress = \"127.0.0.1:5\"\n%s";
+  KqFleetSettings s;
+  KqSettingsFault faults[8];
+  char text[512];
+  (void)state;
+  snprintf (text, sizeof text, form, "");
+  assert_int_equal (kq_fleet_settings_parse (kq_str (text), &s, faults, 8), 0);
+  assert_false (s.scheduling.forecast_order || s.scheduling.learned_estimates
+                || s.scheduling.domain_health || s.scheduling.large_task_room
+                || s.scheduling.admission);
+  snprintf (text, sizeof text, form,
+            "[scheduling]\norder = \"forecast\"\nadmission = \"all\"\n");
+  assert_int_equal (kq_fleet_settings_parse (kq_str (text), &s, faults, 8), 0);
+  assert_true (s.scheduling.forecast_order);
+  assert_false (s.scheduling.admission);
+  snprintf (text, sizeof text, form, "[scheduling]\norder = \"forcast\"\n");
+  assert_int_equal (kq_fleet_settings_parse (kq_str (text), &s, faults, 8), 1);
+  assert_int_equal (faults[0].code, KQ_ERR_SETTINGS_RANGE);
+  assert_string_equal (faults[0].key, "scheduling.order");
+  assert_string_equal (faults[0].allowed, "\"objective\" or \"forecast\"");
+}
+
 /* The same fault in a file with a section [fleet]: a non-ASCII character outside of a
  * comment made the daemon crash or read wrong values instead of reporting the line. The
  * check before the parser applies to both kinds of settings file. */
@@ -217,7 +248,7 @@
     cmocka_unit_test (test_whole_file),          cmocka_unit_test (test_each_fault),
     cmocka_unit_test (test_all_faults_reported), cmocka_unit_test (test_any_bytes),
     cmocka_unit_test (test_reference),           cmocka_unit_test (test_non_ascii),
-    cmocka_unit_test (test_fleet_non_ascii),
+    cmocka_unit_test (test_fleet_switches),      cmocka_unit_test (test_fleet_non_ascii),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
