Learned run times in critical paths and objectives

Cause: make_waiting_step took the declared estimate for the longest chain: of 597 short jobs that clients counted as in time, the leader considered 193 late and put them behind others.

Change: with estimates = "learned" the leader learns from the ends of tasks (learn.c), filling ones by the integral of their reported load, and takes for each step of a job its estimate times the expected ratio of the longest of its tasks, in the critical path and in the objective alike (kq_book_objective_ms, used by placing, log lines and explain). The time of a step only grows while its job lives, so that noise doesn't make a job late. Gauges by queue.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -257,6 +257,7 @@
                       .lease_ms = 5000,
                       .renew_without_leader_ms = 4000,
                       .keep_ms = 60000,
+                      .features = d->features,
                       .cordons = d->cordons,
                       .counters = d->counters,
                       .order = on_order,
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -53,6 +53,9 @@
   KqBuf used_runners;      /* the stored list of runners in use, packed */
   int64_t started_ms;      /* start of the runner process in lists; 1 at first */
   int drop_orders;         /* DROP orders so far */
+
+  /* Of the next leader. */
+  KqSchedFeatures features;
 } KqSchedFixture;
 
 /* cmocka's set-up and tear-down; *state is a KqSchedFixture. */
--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -325,6 +325,7 @@
   KqSchedConfig c = { .lease_ms = KQ_SCHED_RIG_LEASE_MS,
                       .renew_without_leader_ms = KQ_SCHED_RIG_RENEW_WITHOUT_LEADER_MS,
                       .keep_ms = KEEP_MS,
+                      .features = r->features,
                       .cordons = r->cordons,
                       .counters = r->counters,
                       .maintenance_ms = KQ_SCHED_RIG_MAINTENANCE_MS,
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -240,7 +240,9 @@
   int unsent_percent;      /* starts and stops that aren't sent and fail as UNHEALTHY */
   int late_orders_percent; /* starts and stops: reach the runner 2 to 12 s late; no answer
                             */
-  unsigned plays;          /* KQ_SCHED_RIG_CORDONS and following */
+  /* Of the next leader. */
+  KqSchedFeatures features;
+  unsigned plays; /* KQ_SCHED_RIG_CORDONS and following */
   KqRand extra_rand;
   int own_agent; /* the agent on the leader's node; -1: none */
   /* The write of the lists that is under way. */
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -5,6 +5,7 @@
 #include "sched/state.h"
 
 #include <assert.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -53,11 +54,12 @@
   return r->occurrence == NULL ? NULL : &r->occurrence->steps[r->step].tasks[r->index];
 }
 
-/* The estimated time of the longest chain of dependent steps that aren't done. */
+/* The expected time of the job's longest chain of dependent steps, without those that are
+ * done in the occurrence; NULL: of all. */
 static int64_t
-longest_chain_ms (const KqOccurrence *o)
+longest_chain_ms (const KqJob *j, const KqOccurrence *o)
 {
-  const KqSpec *spec = &o->job->spec;
+  const KqSpec *spec = &j->spec;
   int64_t ends[KQ_SPEC_STEPS_MAX];
   int64_t longest = 0;
   for (int32_t i = 0; i < spec->n_steps; i++)
@@ -67,7 +69,9 @@
       for (int32_t k = 0; k < p->n_after; k++)
         if (ends[p->after[k]] > begin)
           begin = ends[p->after[k]];
-      ends[i] = o->steps[i].done == p->width ? 0 : begin + p->estimate_ms;
+      ends[i] = o != NULL && o->steps[i].done == p->width
+                    ? 0
+                    : begin + (j->step_ms != NULL ? j->step_ms[i] : p->estimate_ms);
       if (ends[i] > longest)
         longest = ends[i];
     }
@@ -86,13 +90,77 @@
         open = open && o->steps[p->after[k]].done == spec->steps[p->after[k]].width;
       o->steps[i].open = open;
     }
-  o->critical_path_ms = longest_chain_ms (o);
+  o->critical_path_ms = longest_chain_ms (o->job, o);
+}
+
+int64_t
+kq_book_objective_ms (const KqJob *j)
+{
+  return j->objective_ms;
+}
+
+/* Takes over what has been learned into the expected times of the job's steps and its
+ * objective. The time of a step is that of the longest of its tasks; a lasting step keeps
+ * its estimate.
+ *
+ * A step's time is never shortened, so that a job doesn't become late because a result
+ * has changed: with a stretch of at least 100% a longer step lengthens the objective by
+ * as much as the chain, or more. */
+static void
+update_objective (KqJob *j)
+{
+  int64_t was = j->objective_ms;
+  for (int32_t i = 0; j->step_ms != NULL && i < j->spec.n_steps; i++)
+    {
+      const KqStep *p = &j->spec.steps[i];
+      double ratio
+          = p->lasting ? 1 : kq_estimates_longest (j->estimates, j->spec.queue, p->width);
+      int64_t ms = llround (p->estimate_ms * ratio);
+      if (ms > j->step_ms[i])
+        j->step_ms[i] = ms;
+    }
+  j->objective_ms
+      = longest_chain_ms (j, NULL) * j->spec.stretch_percent / 100 + j->spec.slo_ms;
+  if (was != 0 && j->objective_ms != was)
+    kq_log (KQ_LOG_DEBUG, PART,
+            "Objective lengthened by learned run times. job=%.*s queue=%.*s "
+            "objective_ms=%lld was=%lld declared_ms=%lld",
+            KQ_STR_ARG (j->spec.id), KQ_STR_ARG (j->spec.queue),
+            (long long)j->objective_ms, (long long)was,
+            (long long)kq_spec_objective_ms (&j->spec));
+}
+
+void
+kq_book_start_objective (KqJob *j)
+{
+  if (j->estimates != NULL)
+    {
+      j->estimates_version = kq_estimates_version (j->estimates);
+      free (j->step_ms);
+      j->step_ms = kq_alloc ((size_t)j->spec.n_steps * sizeof *j->step_ms);
+    }
+  j->objective_ms = 0;
+  update_objective (j);
+}
+
+void
+kq_book_update_estimates (KqJob *j)
+{
+  if (j->estimates == NULL || j->estimates_version == kq_estimates_version (j->estimates))
+    return;
+  j->estimates_version = kq_estimates_version (j->estimates);
+  update_objective (j);
+  for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
+    o->critical_path_ms = longest_chain_ms (j, o);
 }
 
 KqOccurrence *
 kq_book_add_occurrence (KqJob *j, int32_t number, KqTime due_at)
 {
   KqOccurrence *o = kq_alloc (sizeof *o);
+  /* A timed job lives for days: its steps' times would stay at the longest ever. */
+  if (j->occurrences == NULL)
+    kq_book_start_objective (j);
   o->job = j;
   o->number = number;
   o->due_at = due_at;
@@ -154,6 +222,7 @@
   kq_buf_free (&j->stored);
   kq_buf_free (&j->batch);
   free (j->images);
+  free (j->step_ms);
   free (j);
 }
 
@@ -209,7 +278,7 @@
           "Job ended. job=%.*s state=%s age_ms=%lld objective_ms=%lld %.*s runs_left=%d",
           KQ_STR_ARG (j->spec.id), kq_job_state_name (j->state),
           (long long)((now - j->accepted_at) / KQ_MS),
-          (long long)kq_spec_objective_ms (&j->spec), KQ_STR_ARG (kq_buf_str (&spent)),
+          (long long)kq_book_objective_ms (j), KQ_STR_ARG (kq_buf_str (&spent)),
           j->n_runs);
   kq_buf_free (&spent);
 }
--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -41,7 +41,7 @@
                  "job %.*s: %s, queue %.*s, age %lld ms, objective %lld ms, runs %d\n",
                  KQ_STR_ARG (id), kq_job_state_name (j->state),
                  KQ_STR_ARG (j->spec.queue), (long long)((now - j->accepted_at) / KQ_MS),
-                 (long long)kq_spec_objective_ms (&j->spec), j->n_runs);
+                 (long long)kq_book_objective_ms (j), j->n_runs);
   kq_buf_printf (out, "so far: ");
   kq_spent_print (&j->spent, out);
   kq_buf_printf (out, "\n");
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -31,6 +31,7 @@
   run->occurrence_number = t->occurrence_number;
   run->phase = KQ_RUN_RUNNING;
   run->running_at = now;
+  run->untimed = true;
   run->pace_unknown = true;
   kq_book_mark_begun (t->job);
   if (state != NULL && number > state->last_run)
@@ -90,6 +91,7 @@
     run->last_change_at = now;
   run->percent = row->percent;
   run->load = row->load;
+  kq_learn_report (run, now);
   kq_run_set_checkpoint (run, row->checkpoint);
 }
 
@@ -132,7 +134,10 @@
   KqTaskState *state;
   kq_runners_count_end (r, true, now);
   if (run != NULL)
-    update_slowness (s, r, run, now);
+    {
+      update_slowness (s, r, run, now);
+      kq_learn_done (s, run, now);
+    }
   if (o == NULL)
     return;
   if (t->job->spec.steps[t->step].lasting)
@@ -271,6 +276,8 @@
    * one may have forgotten it at an apparent restart of the runner. */
   if (l->n_ended > 0 && l->ended[0].number <= r->ends_stored)
     kq_runners_acknowledge (s, r);
+  if (r->silent || !r->renewed)
+    kq_learn_skip (r);
   s->assign_soon = s->assign_soon || !r->listed;
   if (!l->more_ended)
     r->listed = true;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -147,7 +147,7 @@
 make_waiting_step (KqOccurrence *o, int32_t step, KqTime now)
 {
   const KqSpec *spec = &o->job->spec;
-  KqTime objective = kq_spec_objective_ms (spec) * KQ_MS;
+  KqTime objective = kq_book_objective_ms (o->job) * KQ_MS;
   KqTime end = now + o->critical_path_ms * KQ_MS;
   WaitingStep t = { o, step, RANK_IN_TIME, o->due_at + objective, false };
   if (spec->steps[step].lasting)
@@ -189,6 +189,7 @@
       waits->n_held_back += held_back;
       if (j->state >= KQ_JOB_COMPLETED || held_back)
         continue;
+      kq_book_update_estimates (j);
       for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
         for (int32_t i = 0; i < j->spec.n_steps; i++)
           {
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -272,7 +272,10 @@
   o.u.start.run = run->number;
   o.u.start.text = run->job->spec.text;
   if (t != NULL && t->checkpoint != NULL)
-    o.u.start.checkpoint = kq_str (t->checkpoint);
+    {
+      o.u.start.checkpoint = kq_str (t->checkpoint);
+      run->untimed = true;
+    }
   if (run->occurrence != NULL && run->job->spec.advised)
     o.u.start.ticket
         = kq_str (kq_tickets_find (run->occurrence, run->step, run->runner, now));
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -106,6 +106,7 @@
   s->store_due = s->exclusive_until = KQ_TIME_NEVER;
   s->slowness_mean = 1;
   s->disturb = kq_disturb_new ();
+  s->estimates = c->features.learned_estimates ? kq_estimates_new () : NULL;
   kq_window_init (&s->window);
   make_counters (s);
   return s;
@@ -124,6 +125,7 @@
   g_ptr_array_free (s->waves, TRUE);
   g_ptr_array_free (s->grantors, TRUE);
   kq_disturb_free (s->disturb);
+  kq_estimates_free (s->estimates);
   free (s);
 }
 
@@ -203,6 +205,8 @@
   j->revision = revision;
   j->learned_at = now;
   j->pool = kq_pools_get (s, j->spec.service);
+  j->estimates = s->estimates;
+  kq_book_start_objective (j);
   set_images (s, j);
   age = wall - j->spec.accepted_ms;
   j->accepted_at = now - (age > 0 && s->wall_minus_now_ms != 0 ? age : 0) * KQ_MS;
@@ -218,7 +222,7 @@
               "largest_milli=%d objective_ms=%lld revision=%llu",
               KQ_STR_ARG (j->spec.id), KQ_STR_ARG (j->spec.queue), job_kind (&j->spec),
               j->spec.n_steps, count_tasks (&j->spec), largest_task_milli (&j->spec),
-              (long long)kq_spec_objective_ms (&j->spec), (unsigned long long)revision);
+              (long long)kq_book_objective_ms (j), (unsigned long long)revision);
       kq_book_create_due (s, j, now);
     }
   return true;
@@ -295,6 +299,30 @@
   kq_disturb_pack (s->disturb, out);
 }
 
+bool
+kq_sched_estimates (KqSched *s, KqStr stored)
+{
+  return s->estimates == NULL || kq_estimates_unpack (s->estimates, stored);
+}
+
+bool
+kq_sched_estimates_pending (const KqSched *s)
+{
+  return s->estimates != NULL && kq_estimates_pending (s->estimates);
+}
+
+void
+kq_sched_estimates_pack (KqSched *s, KqBuf *out)
+{
+  kq_estimates_pack (s->estimates, out);
+}
+
+void
+kq_sched_estimates_stored (KqSched *s)
+{
+  kq_estimates_stored (s->estimates);
+}
+
 void
 kq_sched_loaded (KqSched *s, KqTime now)
 {
@@ -427,6 +455,7 @@
       open++;
       runs += (uint64_t)j->n_runs;
     }
+  kq_learn_gauges (s);
   gauge = kq_counter (c, "kq_jobs_open", "", "Jobs that aren't ended.");
   *gauge = open;
   gauge = kq_counter (c, "kq_runs_alive", "", "Runs on runners.");
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -198,6 +198,15 @@
 bool kq_sched_learned (KqSched *s, KqStr stored);
 /* Appends the disturbance model in its stored form. */
 void kq_sched_learned_pack (const KqSched *s, KqBuf *out);
+/* Restores the learned run times of an earlier leader (kq_sched_estimates_pack); before
+ * any job. False: they can't be read. */
+bool kq_sched_estimates (KqSched *s, KqStr stored);
+/* Whether run times have been learned that aren't stored. */
+bool kq_sched_estimates_pending (const KqSched *s);
+/* Appends the learned run times in their stored form; only while they are pending. */
+void kq_sched_estimates_pack (KqSched *s, KqBuf *out);
+/* Notes that what was packed last has been stored. */
+void kq_sched_estimates_stored (KqSched *s);
 /* To be called once everything stored has been passed in; scheduling begins. */
 void kq_sched_loaded (KqSched *s, KqTime now);
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -12,6 +12,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "sched/disturb.h"
+#include "sched/estimates.h"
 #include "sched/load_trend.h"
 #include "sched/sched.h"
 #include "sched/spent.h"
@@ -100,7 +101,7 @@
   int32_t number;
   int32_t steps_done;       /* number of steps all of whose tasks are done */
   KqTime due_at;            /* the objective's time runs from here */
-  int64_t critical_path_ms; /* estimated time of the longest chain of undone steps */
+  int64_t critical_path_ms; /* expected time of the longest chain of undone steps */
   KqStepState *steps;
   struct KqOccurrence *next;
 } KqOccurrence;
@@ -130,6 +131,11 @@
   KqBuf batch;               /* packed progress that is being stored */
   KqJob *next;               /* links of the list KqSched.open_jobs */
   KqJob *prev;
+
+  const KqEstimates *estimates; /* learned run times; NULL: the declared ones count */
+  uint64_t estimates_version;   /* of the results that it was judged by last */
+  int64_t *step_ms;             /* expected time of each step; NULL: as declared */
+  int64_t objective_ms;         /* see kq_book_objective_ms */
 };
 
 typedef enum
@@ -172,6 +178,7 @@
   bool start_in_window; /* its start order is counted in KqSched.window */
   bool resent;  /* its start order was sent more than once: one may still arrive */
   bool stopped; /* its runner has answered a stop order, and not listed the run since */
+  bool untimed; /* its run time isn't that of a whole task: adopted, or resumed */
   uint64_t confirmed;    /* 1 + the agent's count of order results (KqRunnerList.order) at
                             the runner's last report of the run; 0: none. Only a list
                             requested later can show that the run is gone. */
@@ -183,6 +190,9 @@
   int percent;           /* last reported progress, as in KqRunRow */
   int load;          /* as in KqRunRow: a serving task's tail in ms, else cpu in use in
                         thousandths; -1: not reported yet */
+  KqTime load_at;    /* when `load` was last reported; 0: never */
+  double full_speed; /* of a filling run: time for which it would have run until load_at
+                        at full speed, by its reported load */
   int pace;          /* last ordered pace, in percent */
   bool pace_unknown; /* it may have another pace: one ordered by an earlier leader, or the
                         last order may not have been carried out */
@@ -329,6 +339,7 @@
   uint64_t ends_mark;   /* dirty_count when all ends_marked were set; 0: they aren't */
   double slowness_mean; /* as KqRunnerState.slowness, over all runners */
   KqDisturb *disturb;
+  KqEstimates *estimates; /* learned run times; NULL: switched off */
   KqWindow window;
   KqTime window_logged_at;     /* time of the last log line on a closed window */
   KqTime waits_logged_at;      /* time of the last log lines on what tasks wait for */
@@ -384,6 +395,13 @@
 KqOccurrence *kq_book_add_occurrence (KqJob *j, int32_t number, KqTime due_at);
 /* Opens the steps whose earlier steps are done, and updates the critical path. */
 void kq_book_open_steps (KqOccurrence *o);
+/* The time within which each occurrence of the job should complete, as the scheduler
+ * judges it: with learned run times, or the declared objective. */
+int64_t kq_book_objective_ms (const KqJob *j);
+/* Sets the job's objective by what has been learned so far. */
+void kq_book_start_objective (KqJob *j);
+/* Updates the job's objective and critical paths if learned run times have changed. */
+void kq_book_update_estimates (KqJob *j);
 /* Counts the task as done. If it was the last of its occurrence, frees that occurrence,
  * and ends the job if it was the last occurrence. */
 void kq_book_finish_task (KqSched *s, KqOccurrence *o, int32_t step, int32_t index,
@@ -552,6 +570,17 @@
 /* Checks all runs: repeats orders, stops stalled tasks and those whose runner leaves. */
 void kq_watch_progress (KqSched *s, KqTime now);
 
+/* learn.c: learns the run times of tasks (estimates.h) from runners' reports. */
+/* Takes the load that the run's runner has reported: KqRun.load, just set. */
+void kq_learn_report (KqRun *run, KqTime now);
+/* Notes that the runner hasn't been heard for a while: when its runs ended isn't known.
+ */
+void kq_learn_skip (const KqRunnerState *r);
+/* Takes the end of a run whose task is done. */
+void kq_learn_done (KqSched *s, const KqRun *run, KqTime now);
+/* Sets the gauges of learned run times. */
+void kq_learn_gauges (KqSched *s);
+
 /* pace.c */
 /* Learns from the reports in the runner's last list (harm.h), then sets the paces of its
  * filling tasks. Call after each list; calls that follow too soon do nothing. */
