Learned run times are kept for the next leader

Cause: a new leader would judge jobs by declared estimates until it has learned anew.

Change: with estimates = "learned" the batch of progress writes kq/estimates every 4 s at most and only with new samples, in place of kq/learned in that transaction, so that none is larger than before. A new leader reads it before the jobs. By default the key is neither read nor written.

Measured: batch_test.c and leader_test.c pass with a test each for a store that is away, a damaged value, and a leader that doesn't know the key.

--- a/src/fleet/batch.c
+++ b/src/fleet/batch.c
@@ -11,10 +11,10 @@
 /* Delay after a refusal or no answer; meanwhile progress is kept in memory. */
 #define RETRY_DELAY (200 * KQ_MS)
 /* Progress rows of one transaction. The other 6 operations are the two checks, the
- * sequence key, the lists of runners and of agents and the learned data. */
+ * sequence key, the lists of runners and of agents and one value of learned data. */
 #define ROWS_MAX (KQ_KV_TXN_MAX - 6)
-/* How often a transaction includes the learned data (which tasks disturb which): a few
- * kilobytes that change slowly. */
+/* How often a transaction includes the learned data (which tasks disturb which), and how
+ * often the learned run times: a few kilobytes each that change slowly. */
 #define LEARNED_PERIOD (4 * KQ_SEC)
 
 typedef enum
@@ -32,15 +32,18 @@
   bool sequence_known;
   uint64_t sequence;       /* revision of the sequence key; 0: it doesn't exist */
   bool last_write_unknown; /* the last write got no answer */
-  /* `rows` and `runners` hold what is to be stored, and don't change until it is: an
-   * earlier write of them may be carried out late, and then counts for all of them. */
+  /* `rows`, `runners` and `estimates` hold what is to be stored, and don't change until
+   * it is: an earlier write of them may be carried out late, and then counts for all of
+   * them. */
   bool batch_open;
   KqProgress rows[ROWS_MAX];
   size_t n_rows;
-  KqBuf runners;     /* the list of runners in the open batch; empty: none */
-  KqBuf agents;      /* the list of agents in it, with that of runners */
-  KqBuf learned;     /* the learned data as last written */
-  KqTime learned_at; /* when `learned` was written */
+  KqBuf runners;       /* the list of runners in the open batch; empty: none */
+  KqBuf agents;        /* the list of agents in it, with that of runners */
+  KqBuf estimates;     /* the learned run times in it; empty: none */
+  KqTime estimates_at; /* when they were packed last */
+  KqBuf learned;       /* the learned data as last written */
+  KqTime learned_at;   /* when `learned` was written */
   KqTime retry_at;
   uint64_t *writes;
   uint64_t *conflicts;
@@ -52,6 +55,7 @@
   kq_buf_free (&b->runners);
   kq_buf_free (&b->agents);
   kq_buf_free (&b->learned);
+  kq_buf_free (&b->estimates);
   free (b);
 }
 
@@ -102,6 +106,11 @@
       kq_buf_clear (&b->runners);
       kq_sched_used_runners_stored (b->config.sched);
     }
+  if (b->estimates.len > 0)
+    {
+      kq_buf_clear (&b->estimates);
+      kq_sched_estimates_stored (b->config.sched);
+    }
   kq_sched_stored (b->config.sched, true, now);
 }
 
@@ -214,7 +223,10 @@
           = (KqKvPut){ KQ_STR (KQ_KEY_RUNNERS), kq_buf_str (&b->runners), 0 };
       puts[t.n_puts++] = (KqKvPut){ KQ_STR (KQ_KEY_AGENTS), kq_buf_str (&b->agents), 0 };
     }
-  if (now - b->learned_at >= LEARNED_PERIOD)
+  if (b->estimates.len > 0)
+    puts[t.n_puts++]
+        = (KqKvPut){ KQ_STR (KQ_KEY_ESTIMATES), kq_buf_str (&b->estimates), 0 };
+  else if (now - b->learned_at >= LEARNED_PERIOD)
     {
       b->learned_at = now;
       kq_buf_clear (&b->learned);
@@ -263,6 +275,12 @@
         }
       b->n_rows = kq_sched_store_begin (b->config.sched, b->rows, ROWS_MAX, now);
       b->batch_open = b->n_rows > 0 || b->runners.len > 0;
+      if (b->batch_open && now - b->estimates_at >= LEARNED_PERIOD
+          && kq_sched_estimates_pending (b->config.sched))
+        {
+          b->estimates_at = now;
+          kq_sched_estimates_pack (b->config.sched, &b->estimates);
+        }
     }
   if (b->batch_open)
     write_rows (b, now);
--- a/src/fleet/batch_test.c
+++ b/src/fleet/batch_test.c
@@ -24,6 +24,8 @@
   KqKvCallback cb;
   int progress_puts; /* progress rows in the last write */
   int runner_puts;   /* lists of runners in the last write */
+  int estimate_puts; /* learned run times in the last write */
+  int puts;          /* all keys in the last write */
 } store;
 
 void
@@ -41,10 +43,12 @@
   (void)kv;
   (void)timeout_ms;
   store.cb = cb;
-  store.progress_puts = store.runner_puts = 0;
+  store.progress_puts = store.runner_puts = store.estimate_puts = 0;
+  store.puts = (int)t->n_puts;
   for (size_t i = 0; i < t->n_puts; i++)
     {
       store.progress_puts += kq_key_id (t->puts[i].key, KQ_KEY_PROGRESS).len > 0;
+      store.estimate_puts += kq_str_eq (t->puts[i].key, KQ_STR (KQ_KEY_ESTIMATES));
       store.runner_puts += kq_str_eq (t->puts[i].key, KQ_STR (KQ_KEY_RUNNERS));
     }
 }
@@ -168,9 +172,9 @@
   kq_sched_entry (d->sched, &e, d->now);
 }
 
-/* Has a job of one task run and end. */
+/* Has a job of one task run for the span and end. */
 static void
-complete_job (KqSchedFixture *d)
+complete_job (KqSchedFixture *d, KqTime span)
 {
   KqEndRow end = { .number = 1, .task = KQ_STR ("j1.0.0.0"), .reason = KQ_END_DONE };
   kq_sched_fixture_submit (d, "j1", kq_sched_fixture_step (), false);
@@ -178,6 +182,7 @@
   assert_int_equal (d->start_orders, 1);
   end.run = d->run;
   kq_sched_fixture_accept_starts (d);
+  kq_sched_fixture_run (d, span);
   kq_sched_fixture_list (d, d->runner, &end, 1);
 }
 
@@ -196,7 +201,7 @@
   assert_int_equal (store.progress_puts, 0);
   answer_without_items (KQ_KV_UNKNOWN, d->now);
 
-  complete_job (d);
+  complete_job (d, 0);
   kq_batch_write (b, d->now + PAUSE);
   answer_without_items (KQ_KV_NOT_FOUND, d->now + PAUSE); /* not carried out yet */
   answer_conflict (d->now + PAUSE);                       /* carried out now */
@@ -211,11 +216,79 @@
   kq_batch_free (b);
 }
 
+static int
+set_up_learning (void **state)
+{
+  KqSchedFixture *d;
+  kq_sched_fixture_set_up (state);
+  d = *state;
+  d->features.learned_estimates = true;
+  kq_sched_fixture_new_leader (d);
+  kq_sched_loaded (d->sched, d->now);
+  kq_sched_fixture_store_used_runners (d);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0);
+  return 0;
+}
+
+/* Guards against learned run times that are lost as the store is away while they are
+ * written, and against a transaction that is too large for the store by them. */
+static void
+test_learned_run_times_are_written_again (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqBatch *b = new_batch (d);
+  complete_job (d, 300 * KQ_MS);
+  kq_batch_write (b, d->now);
+  answer_without_items (KQ_KV_NOT_FOUND, d->now); /* the sequence key */
+  assert_int_equal (store.estimate_puts, 1);
+  assert_in_range (store.puts, 3, KQ_KV_TXN_MAX - 2);
+  answer_without_items (KQ_KV_REFUSED, d->now);
+  assert_true (kq_sched_estimates_pending (d->sched));
+  d->now += 10 * KQ_SEC;
+  kq_batch_write (b, d->now);
+  assert_int_equal (store.estimate_puts, 1);
+  answer_without_items (KQ_KV_UNKNOWN, d->now);
+  assert_true (kq_sched_estimates_pending (d->sched));
+  kq_batch_write (b, d->now + PAUSE);
+  answer_without_items (KQ_KV_NOT_FOUND, d->now + PAUSE); /* not carried out */
+  assert_int_equal (store.estimate_puts, 1);
+  answer_without_items (KQ_KV_OK, d->now + PAUSE);
+  assert_false (kq_sched_estimates_pending (d->sched));
+  kq_batch_free (b);
+}
+
+/* Guards against a leader of an older version, or with learning switched off, that meets
+ * a key it doesn't know: the key is in none of the ranges that a leader reads. With
+ * learning switched off it isn't written either. */
+static void
+test_learned_run_times_do_not_disturb_others (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqBatch *b = new_batch (d);
+  assert_int_equal (kq_key_id (KQ_STR (KQ_KEY_ESTIMATES), KQ_KEY_IN).len, 0);
+  assert_int_equal (kq_key_id (KQ_STR (KQ_KEY_ESTIMATES), KQ_KEY_PROGRESS).len, 0);
+  complete_job (d, 300 * KQ_MS);
+  kq_batch_write (b, d->now);
+  answer_without_items (KQ_KV_NOT_FOUND, d->now);
+  assert_int_equal (store.progress_puts, 1);
+  assert_int_equal (store.estimate_puts, 0);
+  answer_without_items (KQ_KV_OK, d->now);
+  kq_batch_free (b);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test_setup_teardown (
-      test_late_write_of_runners_does_not_count_for_later_rows, kq_sched_fixture_set_up,
-      kq_sched_fixture_tear_down) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test_setup_teardown (
+              test_late_write_of_runners_does_not_count_for_later_rows,
+              kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+          cmocka_unit_test_setup_teardown (test_learned_run_times_are_written_again,
+                                           set_up_learning, kq_sched_fixture_tear_down),
+          cmocka_unit_test_setup_teardown (test_learned_run_times_do_not_disturb_others,
+                                           kq_sched_fixture_set_up,
+                                           kq_sched_fixture_tear_down) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/fleet/keys.h
+++ b/src/fleet/keys.h
@@ -11,6 +11,7 @@
  *   kq/runners   runners on which runs may exist, for the next leader
  *   kq/agents    nodes that may have granted them leases, for the next leader
  *   kq/learned   which tasks disturb which, for the next leader
+ *   kq/estimates how run times compare to their estimates, for the next leader
  *   kq/waves     state of maintenance waves
  *   kq/seq       written with every transaction of progress, so that one that is carried
  *                out late, after its answer was lost, cannot overwrite a newer one */
@@ -24,6 +25,7 @@
 #define KQ_KEY_RUNNERS "kq/runners"
 #define KQ_KEY_AGENTS "kq/agents"
 #define KQ_KEY_LEARNED "kq/learned"
+#define KQ_KEY_ESTIMATES "kq/estimates"
 #define KQ_KEY_WAVES "kq/waves"
 #define KQ_KEY_SEQUENCE "kq/seq"
 
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -25,6 +25,8 @@
 {
   LOAD_WAVES,   /* state of maintenance waves */
   LOAD_LEARNED, /* which tasks disturb which, learned by earlier leaders */
+  /* Learned run times, if they are switched on. */
+  LOAD_ESTIMATES,
   LOAD_RUNNERS, /* runners on which runs of earlier leaders may exist */
   LOAD_AGENTS,  /* nodes that may have granted leases to them */
   LOAD_JOBS,    /* accepted jobs and cancellations */
@@ -288,6 +290,7 @@
 /* Keys of the phases that load a single value. */
 static const char *const value_keys[] = { [LOAD_WAVES] = KQ_KEY_WAVES,
                                           [LOAD_LEARNED] = KQ_KEY_LEARNED,
+                                          [LOAD_ESTIMATES] = KQ_KEY_ESTIMATES,
                                           [LOAD_RUNNERS] = KQ_KEY_RUNNERS,
                                           [LOAD_AGENTS] = KQ_KEY_AGENTS };
 
@@ -298,6 +301,8 @@
     return kq_sched_waves_stored (l->sched, value);
   if (l->phase == LOAD_LEARNED)
     return kq_sched_learned (l->sched, value);
+  if (l->phase == LOAD_ESTIMATES)
+    return kq_sched_estimates (l->sched, value);
   if (l->phase == LOAD_AGENTS)
     return kq_sched_used_agents (l->sched, value, now);
   return kq_sched_used_runners (l->sched, value, now);
@@ -328,6 +333,8 @@
         kq_log (KQ_LOG_ERROR, PART, "A stored value cannot be decoded. key=%s",
                 value_keys[l->phase]);
       l->phase++;
+      if (l->phase == LOAD_ESTIMATES && !l->config.features.learned_estimates)
+        l->phase++;
     }
   else
     {
@@ -358,6 +365,7 @@
     {
     case LOAD_WAVES:
     case LOAD_LEARNED:
+    case LOAD_ESTIMATES:
     case LOAD_RUNNERS:
     case LOAD_AGENTS:
       l->call_pending = true;
--- a/src/fleet/leader_test.c
+++ b/src/fleet/leader_test.c
@@ -1,6 +1,7 @@
 #include "fleet/leader.h"
 
 #include "base/log.h"
+#include "fleet/keys.h"
 
 #include <ev.h>
 
@@ -15,6 +16,7 @@
 static struct
 {
   int calls;
+  KqStr key; /* of the last call that gets a single key */
   KqKvCallback cb;
 } store;
 
@@ -29,8 +31,8 @@
 kq_kv_get (KqKv *kv, KqStr key, int timeout_ms, KqKvCallback cb)
 {
   (void)kv;
-  (void)key;
   (void)timeout_ms;
+  store.key = key;
   record (cb);
 }
 
@@ -114,13 +116,14 @@
 }
 
 static KqLeader *
-new_leader (KqLoop *loop, KqCounters *counters)
+new_leader_with (KqLoop *loop, KqCounters *counters, KqSchedFeatures features)
 {
   KqLeaderConfig c = { .loop = loop,
                        .epoch = 3,
                        .term = 1,
                        .lease_ms = 5000,
                        .renew_without_leader_ms = 4000,
+                       .features = features,
                        .counters = counters,
                        .deposed = on_deposed,
                        .answered = on_answered };
@@ -129,6 +132,12 @@
   return kq_leader_new (&c, kq_time_now ());
 }
 
+static KqLeader *
+new_leader (KqLoop *loop, KqCounters *counters)
+{
+  return new_leader_with (loop, counters, (KqSchedFeatures){ 0 });
+}
+
 static void
 free_leader (KqLeader *l, KqCounters *counters, KqLoop *loop)
 {
@@ -160,6 +169,27 @@
   free_leader (l, counters, loop);
 }
 
+/* Guards against a new leader that doesn't get beyond a damaged value of learned run
+ * times, or takes it for another key's. */
+static void
+test_damaged_run_times_are_passed_over (void **state)
+{
+  KqSchedFeatures features = { .learned_estimates = true };
+  KqLoop *loop = kq_loop_new ();
+  KqCounters *counters = kq_counters_new ();
+  KqLeader *l = new_leader_with (loop, counters, features);
+  KqKvItem item = { .value = KQ_STR ("damaged") };
+  KqKvReply r = { .result = KQ_KV_OK, .items = &item, .n_items = 1 };
+  (void)state;
+  answer (KQ_KV_NOT_FOUND); /* the waves */
+  answer (KQ_KV_NOT_FOUND); /* the disturbance model */
+  assert_true (kq_str_eq (store.key, KQ_STR (KQ_KEY_ESTIMATES)));
+  store.cb.done (store.cb.arg, &r, kq_time_now ());
+  assert_true (kq_str_eq (store.key, KQ_STR (KQ_KEY_RUNNERS)));
+  assert_false (kq_sched_estimates_pending (kq_leader_sched (l)));
+  free_leader (l, counters, loop);
+}
+
 static void
 on_timer (struct ev_loop *ev, ev_timer *w, int events)
 {
@@ -195,6 +225,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_loading_leader_sleeps),
-          cmocka_unit_test (test_loading_pauses_after_a_refusal) };
+          cmocka_unit_test (test_loading_pauses_after_a_refusal),
+          cmocka_unit_test (test_damaged_run_times_are_passed_over) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
