Forecasts by learned run times include the overhead of a step

Cause: forecasts that are right leave no margin for orders, reports and the write of progress; jobs that are started as late as their objectives permit end just too late.

Change: 120 ms for each remaining step in the critical path, with estimates = "learned" only.

Measured (learn_test.c): one-step jobs at 1.28 times the capacity, 76 of 100 in time instead of 63; two-step jobs at 1.7 times, 40 of 70 instead of 37. Declared estimates: 76 and 24.

--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -54,8 +54,24 @@
   return r->occurrence == NULL ? NULL : &r->occurrence->steps[r->step].tasks[r->index];
 }
 
+/* Time from the decision to start a step to the knowledge of its end, beyond the run time
+ * of its tasks: the start order and its answer, the report of the end, and the write of
+ * progress. It counts in forecasts by learned run times, which leave no margin for it:
+ * jobs that were started as late as possible ended just after their objectives. */
+#define STEP_OVERHEAD_MS 120
+
+/* The expected time of the step. forecast: with what it takes beyond its tasks' run time.
+ */
+static int64_t
+expected_step_ms (const KqJob *j, int32_t step, bool forecast)
+{
+  if (j->step_ms == NULL)
+    return j->spec.steps[step].estimate_ms;
+  return j->step_ms[step] + (forecast ? STEP_OVERHEAD_MS : 0);
+}
+
 /* The expected time of the job's longest chain of dependent steps, without those that are
- * done in the occurrence; NULL: of all. */
+ * done in the occurrence; NULL: of all, without overhead. */
 static int64_t
 longest_chain_ms (const KqJob *j, const KqOccurrence *o)
 {
@@ -71,7 +87,7 @@
           begin = ends[p->after[k]];
       ends[i] = o != NULL && o->steps[i].done == p->width
                     ? 0
-                    : begin + (j->step_ms != NULL ? j->step_ms[i] : p->estimate_ms);
+                    : begin + expected_step_ms (j, i, o != NULL);
       if (ends[i] > longest)
         longest = ends[i];
     }
--- a/src/sched/learn_test.c
+++ b/src/sched/learn_test.c
@@ -114,7 +114,7 @@
 {
   KqSchedFixture *d = *state;
   KqStep whole = kq_sched_fixture_step ();
-  run_jobs (d, "a", KQ_ESTIMATES_SAMPLES_MIN, whole, 510, -1, 510);
+  run_jobs (d, "a", KQ_ESTIMATES_SAMPLES_MIN, whole, 900, -1, 900);
   whole.cpu_milli = 4000;
   kq_sched_fixture_submit (d, "x0", whole, false);
   kq_sched_fixture_submit (d, "x1", whole, false);
@@ -268,16 +268,17 @@
 #define BURST_SPAN (20 * KQ_SEC)
 #define BURST_TICK (50 * KQ_MS)
 
-/* Submits jobs of two steps, 1.7 times as many as the runners can do, and returns how
- * many end within their clients' objectives. Tasks take 1.7 times their estimates. */
+/* Submits five jobs of n steps at the begin of each period, more than the runners can do,
+ * and returns how many end within their clients' objectives. Tasks take 1.7 times their
+ * estimates. */
 static int
-count_in_time_in_burst (bool learned)
+count_in_time_in_burst (bool learned, int n_steps, int period_ticks)
 {
   KqSchedRig *r = kq_sched_rig_new (4, (KqRoom){ 4000, 16000, 0 }, 5);
   KqStep steps[2]
       = { kq_sched_rig_step (4, 1000, 600), kq_sched_rig_step (4, 1000, 600) };
   KqTime length = 1020 * KQ_MS;
-  KqTime objective = 2 * length * 150 / 100 + 500 * KQ_MS;
+  KqTime objective = n_steps * length * 150 / 100 + 500 * KQ_MS;
   KqTime ends[100] = { 0 };
   int32_t first = 0;
   int n = 0;
@@ -290,11 +291,11 @@
   for (int tick = 0; tick * BURST_TICK < BURST_SPAN + 15 * KQ_SEC; tick++)
     {
       char id[16];
-      if (tick * BURST_TICK < BURST_SPAN && tick % 30 < 5)
+      if (tick * BURST_TICK < BURST_SPAN && tick % period_ticks < 5)
         {
           snprintf (id, sizeof id, "j%d", n);
           ends[n++] = r->now + objective;
-          kq_sched_rig_submit (r, id, steps, 2, 3, length, -1);
+          kq_sched_rig_submit (r, id, steps, n_steps, 3, length, -1);
         }
       kq_sched_rig_run (r, BURST_TICK);
       for (int i = 0; i < n; i++)
@@ -311,14 +312,26 @@
 }
 
 /* Guards against a burst in which jobs that could end in time are put behind others as
- * late, as their estimates are too short: of 70 jobs 24 were in time instead of 37. */
+ * late, as their estimates are too short: at 1.7 times the capacity, of 70 jobs 24 were
+ * in time instead of 40. */
 static void
 test_more_jobs_are_in_time_in_a_burst (void **state)
 {
-  int declared = count_in_time_in_burst (false);
-  int learned = count_in_time_in_burst (true);
+  int declared = count_in_time_in_burst (false, 2, 30);
+  int learned = count_in_time_in_burst (true, 2, 30);
   (void)state;
-  assert_in_range (learned, declared + 8, 70);
+  assert_in_range (learned, declared + 10, 70);
+}
+
+/* Guards against jobs that are started as late as their objectives permit and end just
+ * too late: at 1.28 times the capacity, of 100 jobs 63 were in time instead of 76. */
+static void
+test_jobs_do_not_end_just_too_late (void **state)
+{
+  int declared = count_in_time_in_burst (false, 1, 20);
+  int learned = count_in_time_in_burst (true, 1, 20);
+  (void)state;
+  assert_in_range (learned, declared - 3, 100);
 }
 
 int
@@ -337,7 +350,8 @@
                                      kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_switched_off_nothing_is_learned,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
-    cmocka_unit_test (test_more_jobs_are_in_time_in_a_burst)
+    cmocka_unit_test (test_more_jobs_are_in_time_in_a_burst),
+    cmocka_unit_test (test_jobs_do_not_end_just_too_late)
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
