--- a/src/sched/learn_test.c
+++ b/src/sched/learn_test.c
@@ -252,6 +252,33 @@
   assert_int_equal (became_late, 1);
 }
 
+/* Guards against a new leader that learns anew what is stored, or judges jobs by a
+ * damaged value. */
+static void
+test_new_leader_starts_from_the_stored_value (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep step = kq_sched_fixture_step ();
+  KqBuf stored = { 0 };
+  int64_t objective;
+  run_jobs (d, "a", KQ_ESTIMATES_SAMPLES_MIN, step, 600, -1, 600);
+  kq_sched_estimates_pack (d->sched, &stored);
+  kq_sched_fixture_submit (d, "x", step, false);
+  objective = kq_book_objective_ms (job (d, "x"));
+  assert_in_range (objective, 2 * 300 * 150 / 100 + 400, 2 * 300 * 150 / 100 + 600);
+
+  kq_sched_fixture_new_leader (d);
+  assert_true (kq_sched_estimates (d->sched, kq_buf_str (&stored)));
+  kq_sched_fixture_submit (d, "x", step, false);
+  assert_in_range (kq_book_objective_ms (job (d, "x")), objective - 50, objective + 50);
+
+  kq_sched_fixture_new_leader (d);
+  assert_false (kq_sched_estimates (d->sched, kq_str_n (stored.ptr, stored.len - 1)));
+  kq_sched_fixture_submit (d, "x", step, false);
+  assert_int_equal (kq_book_objective_ms (job (d, "x")), 300 * 150 / 100 + 500);
+  kq_buf_free (&stored);
+}
+
 /* Guards against a leader with the default settings that judges jobs otherwise than
  * before. */
 static void
@@ -348,6 +375,8 @@
                                      kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_job_does_not_flip_with_noise, set_up,
                                      kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_new_leader_starts_from_the_stored_value, set_up,
+                                     kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_switched_off_nothing_is_learned,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
     cmocka_unit_test (test_more_jobs_are_in_time_in_a_burst),
