Load account in each pass, and order = "forecast"

Cause: the pass judged each job alone, and nobody knew how much work waits.

Change: load_pass.c sums up waiting and running work, rate and free room for each service and kind in each pass and, with the switch on, orders jobs within their ranks by kq_waiting_order. The oldest job of no use any more goes first while such jobs have under a twentieth of what runs, so that none starves. kq_sched_load of the bench is now kq_sched_load_run, as the interface has that name.

Measured: with the switch off the decisions of build/bench/sched_load are as before (hashes equal for '1 100 1.6 20' and '2 350 1.3 12').

--- a/bench/sched_load.c
+++ b/bench/sched_load.c
@@ -590,7 +590,7 @@
 }
 
 KqSchedLoadResult
-kq_sched_load (const KqSchedLoadConfig *c)
+kq_sched_load_run (const KqSchedLoadConfig *c)
 {
   Load l = {
     .config = *c, .now = KQ_SEC, .rand = kq_rand (c->seed), .run_rand = kq_rand (~c->seed)
--- a/bench/sched_load.h
+++ b/bench/sched_load.h
@@ -42,6 +42,6 @@
       over_target_s; /* time that serving tasks spent over their latency target, summed */
 } KqSchedLoadResult;
 
-KqSchedLoadResult kq_sched_load (const KqSchedLoadConfig *c);
+KqSchedLoadResult kq_sched_load_run (const KqSchedLoadConfig *c);
 
 #endif
--- a/bench/sched_load_main.c
+++ b/bench/sched_load_main.c
@@ -12,7 +12,7 @@
 run_size (int runners, double load, KqTime span, uint64_t seed)
 {
   KqSchedLoadConfig c = { .runners = runners, .load = load, .span = span, .seed = seed };
-  KqSchedLoadResult r = kq_sched_load (&c);
+  KqSchedLoadResult r = kq_sched_load_run (&c);
   double s = (double)span / KQ_SEC;
   printf ("%5d runners, load %.2f: %.4f of a core (passes %.4f, lists %.4f, store "
           "%.4f); %.0f starts/s, %.1f looks a start, %.0f lists/s, %.0f paces/s; "
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -2,7 +2,7 @@
  * when runs end or fail. An occurrence is one execution of all steps of a job; a timed
  * job has several. */
 
-#include "sched/state.h"
+#include "sched/load_pass.h"
 
 #include <assert.h>
 #include <math.h>
@@ -344,7 +344,10 @@
   if (t->phase == KQ_TASK_DONE)
     return;
   if (t->phase == KQ_TASK_ACTIVE)
-    p->active--;
+    {
+      p->active--;
+      kq_load_note_done (t->run, now);
+    }
   t->phase = KQ_TASK_DONE;
   t->run = NULL;
   free (t->checkpoint);
--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -1,6 +1,7 @@
 /* explain: lines of text that tell operators what a job waits for. */
 
 #include "sched/cordoning.h"
+#include "sched/load_pass.h"
 #include "sched/place.h"
 
 static void
@@ -47,6 +48,9 @@
   kq_buf_printf (out, "\n");
   kq_cordoning_explain (s, now, out);
   for (const KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
-    for (int32_t i = 0; i < j->spec.n_steps; i++)
-      explain_step (s, o, i, now, out);
+    {
+      kq_load_explain (s, o, now, out);
+      for (int32_t i = 0; i < j->spec.n_steps; i++)
+        explain_step (s, o, i, now, out);
+    }
 }
--- /dev/null
+++ b/src/sched/load_sums.h
@@ -0,0 +1,24 @@
+#ifndef KQ_SCHED_LOAD_SUMS_H
+#define KQ_SCHED_LOAD_SUMS_H
+
+/* load_sums: what the load account holds for one kind of task of one service. */
+
+#include "sched/load_account.h"
+
+struct KqOccurrence;
+
+typedef struct
+{
+  KqLoadRow row; /* of the last pass */
+  /* Estimated work of tasks that ended as done, and cpu time of all runs that ended, both
+   * decaying; in thousandths of a core times ms, for the time `at`. */
+  double done;
+  double spent;
+  KqTime at;
+  int64_t running_milli;     /* cpu of tasks that run or are being started */
+  int64_t no_use_milli;      /* the part of it that belongs to jobs of no use any more */
+  struct KqOccurrence *turn; /* a job of no use that is placed first in this pass; or NULL
+                              */
+} KqLoadSums;
+
+#endif
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -6,8 +6,10 @@
  * take the room that short jobs need: in a simulation of 48 runners with nearly all room
  * reserved, 65% of the short jobs met their objective instead of 77%. Late jobs come
  * behind those in time: with the objective alone as order every job of a long burst would
- * end just too late. */
+ * end just too late. With order = "forecast" jobs are judged with the work ahead of them
+ * as well, and ordered by that within these ranks (waiting_order.h). */
 
+#include "sched/load_pass.h"
 #include "sched/place.h"
 #include "sched/placing.h"
 #include "sched/waits.h"
@@ -25,6 +27,8 @@
   RANK_HOPELESS /* must still be run, but after all others */
 };
 #define HOPELESS_RATIO 3
+/* Which job is put behind when not all can be in time (waiting_order.h). */
+#define DEFER_RULE KQ_DEFER_LARGEST
 /* A lasting task that has lost its run goes first after waiting for this time. When many
  * hosts went down, short jobs in time kept the room from these tasks for 14 s, during
  * which their callers had no service. */
@@ -33,12 +37,16 @@
  * happened: ranks change with time, and so does what a waiting task accepts. */
 #define PASS_INTERVAL_MAX (500 * KQ_MS)
 
+/* Before all others: see kq_load_has_turn. */
+#define PLACE_TURN (-1)
+
 typedef struct
 {
   KqOccurrence *occurrence;
   int32_t step;
   int rank;
-  KqTime due; /* when the objective ends */
+  int place;  /* in the rank: KqWaitingClass, or PLACE_TURN */
+  KqTime due; /* order in that place: when the objective ends, or kq_waiting_key */
   bool lost;  /* stands only for the step's lasting tasks that have run before */
 } WaitingStep;
 
@@ -143,20 +151,53 @@
     m->list[m->n++] = needs;
 }
 
-static WaitingStep
-make_waiting_step (KqOccurrence *o, int32_t step, KqTime now)
+static KqTime
+objective_end (const KqOccurrence *o, int ratio)
+{
+  return o->due_at + ratio * kq_book_objective_ms (o->job) * KQ_MS;
+}
+
+/* How the occurrence stands if it has all room to itself. */
+static KqAlone
+judge_alone (const KqOccurrence *o, KqTime now)
 {
-  const KqSpec *spec = &o->job->spec;
-  KqTime objective = kq_book_objective_ms (o->job) * KQ_MS;
   KqTime end = now + o->critical_path_ms * KQ_MS;
-  WaitingStep t = { o, step, RANK_IN_TIME, o->due_at + objective, false };
-  if (spec->steps[step].lasting)
-    t.rank = RANK_LASTING;
-  else if (end > o->due_at + HOPELESS_RATIO * objective)
-    t.rank = RANK_HOPELESS;
-  else if (end > t.due)
-    t.rank = RANK_LATE;
-  return t;
+  if (end > objective_end (o, HOPELESS_RATIO))
+    return KQ_ALONE_NO_USE;
+  return end > objective_end (o, 1) ? KQ_ALONE_LATE : KQ_ALONE_IN_TIME;
+}
+
+static WaitingStep
+make_waiting_step (KqOccurrence *o, int32_t step, KqAlone alone)
+{
+  static const int ranks[] = { RANK_IN_TIME, RANK_LATE, RANK_HOPELESS };
+  bool lasting = o->job->spec.steps[step].lasting;
+  return (WaitingStep){ .occurrence = o,
+                        .step = step,
+                        .rank = lasting ? RANK_LASTING : ranks[alone],
+                        .due = objective_end (o, 1) };
+}
+
+/* Sets the place of each step by what was decided on its job. */
+static void
+apply_forecast (GArray *waiting)
+{
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      WaitingStep *t = &g_array_index (waiting, WaitingStep, i);
+      const KqOccurrence *o = t->occurrence;
+      if (o->job->spec.steps[t->step].lasting || o->place.forecast_end == 0)
+        continue; /* nothing was decided */
+      t->place = (int)o->place.class;
+      if (t->place == KQ_WAITING_DEFERRED)
+        t->due = objective_end (o, HOPELESS_RATIO);
+      else if (t->place == KQ_WAITING_NO_USE)
+        t->due = o->due_at;
+      if (!kq_load_has_turn (o))
+        continue;
+      t->rank = RANK_IN_TIME;
+      t->place = PLACE_TURN;
+    }
 }
 
 static void
@@ -181,7 +222,39 @@
 }
 
 static void
-collect_waiting_steps (KqSched *s, GArray *waiting, KqWaits *waits, KqTime now)
+collect_occurrence (KqOccurrence *o, GArray *waiting, KqLoadPass *load, KqTime now)
+{
+  KqJob *j = o->job;
+  KqAlone alone = judge_alone (o, now);
+  kq_load_add (load, o, alone, objective_end (o, 1), objective_end (o, HOPELESS_RATIO));
+  for (int32_t i = 0; i < j->spec.n_steps; i++)
+    {
+      KqStepState *st = &o->steps[i];
+      WaitingStep t;
+      if (st->done + st->active >= j->spec.steps[i].width)
+        end_wait (j, st, now);
+      if (!st->open || st->done + st->active >= j->spec.steps[i].width)
+        continue;
+      if (st->waits_since == 0)
+        st->waits_since = now;
+      kq_pools_add_waiting (j->pool, &j->spec.steps[i],
+                            j->spec.steps[i].width - st->done - st->active);
+      t = make_waiting_step (o, i, alone);
+      g_array_append_val (waiting, t);
+      if (st->lost_since != 0 && !kq_book_has_lost_waiting (st, &j->spec.steps[i]))
+        st->lost_since = 0;
+      if (st->lost_since != 0 && now - st->lost_since >= LOST_WAIT_MAX)
+        {
+          t.rank = RANK_LOST;
+          t.lost = true;
+          g_array_append_val (waiting, t);
+        }
+    }
+}
+
+static void
+collect_waiting_steps (KqSched *s, GArray *waiting, KqLoadPass *load, KqWaits *waits,
+                       KqTime now)
 {
   for (KqJob *j = s->open_jobs; j != NULL; j = j->next)
     {
@@ -191,29 +264,7 @@
         continue;
       kq_book_update_estimates (j);
       for (KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
-        for (int32_t i = 0; i < j->spec.n_steps; i++)
-          {
-            KqStepState *st = &o->steps[i];
-            WaitingStep t;
-            if (st->done + st->active >= j->spec.steps[i].width)
-              end_wait (j, st, now);
-            if (!st->open || st->done + st->active >= j->spec.steps[i].width)
-              continue;
-            if (st->waits_since == 0)
-              st->waits_since = now;
-            kq_pools_add_waiting (j->pool, &j->spec.steps[i],
-                                  j->spec.steps[i].width - st->done - st->active);
-            t = make_waiting_step (o, i, now);
-            g_array_append_val (waiting, t);
-            if (st->lost_since != 0 && !kq_book_has_lost_waiting (st, &j->spec.steps[i]))
-              st->lost_since = 0;
-            if (st->lost_since != 0 && now - st->lost_since >= LOST_WAIT_MAX)
-              {
-                t.rank = RANK_LOST;
-                t.lost = true;
-                g_array_append_val (waiting, t);
-              }
-          }
+        collect_occurrence (o, waiting, load, now);
     }
 }
 
@@ -224,6 +275,8 @@
   const WaitingStep *y = b;
   if (x->rank != y->rank)
     return x->rank < y->rank ? -1 : 1;
+  if (x->place != y->place)
+    return x->place < y->place ? -1 : 1;
   if (x->due != y->due)
     return x->due < y->due ? -1 : 1;
   if (x->occurrence->job->revision != y->occurrence->job->revision)
@@ -386,11 +439,16 @@
   GArray *waiting = g_array_new (FALSE, FALSE, sizeof (WaitingStep));
   NoRoomList no_room = { 0 };
   KqWaits waits = { 0 };
+  KqLoadPass load;
   s->passes++;
   s->in_pass = true;
   kq_pools_begin_pass (s);
-  collect_waiting_steps (s, waiting, &waits, now);
+  kq_load_begin_pass (&load, s, now);
+  collect_waiting_steps (s, waiting, &load, &waits, now);
   kq_pools_update_kept_free (s, now);
+  kq_load_decide (&load, s, DEFER_RULE, now);
+  if (s->config.features.forecast_order)
+    apply_forecast (waiting);
   if (waiting->len > 0)
     qsort (waiting->data, waiting->len, sizeof (WaitingStep), compare_waiting_steps);
   for (guint i = 0; i < waiting->len && kq_window_is_open (&s->window); i++)
@@ -414,6 +472,7 @@
     }
   kq_waits_log (&waits, s, now);
   log_closed_window (s, now);
+  kq_load_end_pass (&load, s, now);
   if (waiting->len > 0
       && (s->next_pass_at == 0 || s->next_pass_at > now + PASS_INTERVAL_MAX))
     s->next_pass_at = now + PASS_INTERVAL_MAX;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -12,9 +12,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A filling task starts only where this share of its cpu is unused. With less it would
- * run slowly, slow down the other filling tasks there, and hold memory all that time. */
-#define FILLING_UNUSED_MIN_PERCENT 60
 /* Share of their reserved cpu that serving tasks are assumed to use, about what they use
  * at their peak: reports show 42% on average, and the load varies by half of that. */
 #define SERVING_USE_PERCENT 60
@@ -61,9 +58,8 @@
  * least every 2 s. */
 #define HEARD_WITHIN (3500 * KQ_MS)
 
-/* Cpu of the runner in thousandths that is left after the filling tasks already there. */
-static int64_t
-cpu_left_to_filling (const KqRunnerState *r)
+int64_t
+kq_place_left_to_filling (const KqRunnerState *r)
 {
   return r->room.cpu_milli - (r->used.cpu_milli - r->serving_milli)
          - r->serving_milli * SERVING_USE_PERCENT / 100 - r->filling_milli;
@@ -81,8 +77,8 @@
   if (!p->filling)
     return r->used.cpu_milli + p->cpu_milli <= r->room.cpu_milli;
   return starved
-         || cpu_left_to_filling (r)
-                >= (int64_t)p->cpu_milli * FILLING_UNUSED_MIN_PERCENT / 100;
+         || kq_place_left_to_filling (r)
+                >= (int64_t)p->cpu_milli * KQ_PLACE_FILLING_UNUSED_MIN_PERCENT / 100;
 }
 
 bool
@@ -169,7 +165,7 @@
   double whole = r->room.cpu_milli > 0 ? (double)r->room.cpu_milli : 1;
   double unused = (double)(r->room.cpu_milli - r->used.cpu_milli) / whole;
   if (p->filling)
-    return (double)cpu_left_to_filling (r) / whole
+    return (double)kq_place_left_to_filling (r) / whole
            - (r->n_lasting == 0 ? W_NO_LASTING : 0);
   if (p->target_ms > 0)
     return -W_LASTING_UNUSED * unused
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -58,6 +58,11 @@
                              KqRunnerState **out, int32_t max);
 /* Whether the runner is of the kind, or on the rack, that the label names; "": any. */
 bool kq_place_has_label (const KqRunnerState *r, KqStr label);
+/* A filling task starts only where this share of its cpu is unused. With less it would
+ * run slowly, slow down the other filling tasks there, and hold memory all that time. */
+#define KQ_PLACE_FILLING_UNUSED_MIN_PERCENT 60
+/* Cpu of the runner in thousandths that is left after the filling tasks already there. */
+int64_t kq_place_left_to_filling (const KqRunnerState *r);
 /* Whether a task of the step, which is starved, fits beside what is reserved there. */
 bool kq_place_fits_starved (const KqRunnerState *r, const KqStep *p);
 /* Whether any runner could hold a task of the step if that runner were empty. */
--- a/src/sched/placing_test.c
+++ b/src/sched/placing_test.c
@@ -15,7 +15,7 @@
 {
   KqSchedLoadConfig c
       = { .runners = runners, .load = load, .span = 3 * KQ_SEC, .seed = 7 };
-  KqSchedLoadResult r = kq_sched_load (&c);
+  KqSchedLoadResult r = kq_sched_load_run (&c);
   assert_true (r.starts > 100);
   return (double)r.runners_examined / (double)r.starts;
 }
--- a/src/sched/pools.c
+++ b/src/sched/pools.c
@@ -8,7 +8,7 @@
  * recent peak. Filling tasks use these runners meanwhile, and disturb no serving task
  * there. */
 
-#include "sched/state.h"
+#include "sched/load_pass.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -65,11 +65,14 @@
       KqPool *p = g_ptr_array_index (s->pools, i);
       p->whole_milli = p->reserved_milli = 0;
       p->usable_milli = p->used_milli = p->no_lasting_milli = p->demand_milli = 0;
+      for (int k = 0; k < KQ_LOAD_KINDS; k++)
+        p->load[k].running_milli = 0;
     }
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       KqPool *p = r->pool;
+      kq_load_count_running (r);
       p->demand_milli += r->used.cpu_milli - r->lasting_milli;
       if (r->n_lasting == 0)
         p->demand_milli += r->filling_milli;
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -1,7 +1,7 @@
 /* runs: one run of a task on a runner, from its start order until the runner reports its
  * end or the runner's lease has expired. Its resources stay reserved all that time. */
 
-#include "sched/state.h"
+#include "sched/load_pass.h"
 
 #include <stdlib.h>
 
@@ -210,6 +210,7 @@
   KqTaskState *t = kq_book_task_state (run);
   KqJob *j = run->job;
   kq_run_leave_window (s, run);
+  kq_load_note_run_end (run, now);
   if (t != NULL && t->run == run)
     {
       KqStepState *st = &run->occurrence->steps[run->step];
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,5 +1,6 @@
 #include "sched/cordoning.h"
 #include "sched/grantors.h"
+#include "sched/load_pass.h"
 #include "sched/maintenance.h"
 #include "sched/reports.h"
 
@@ -470,4 +471,5 @@
   gauge = kq_counter (c, "kq_run_starts_window", "",
                       "How many starts may be under way at once.");
   *gauge = (uint64_t)s->window.size;
+  kq_load_gauges (s);
 }
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -18,6 +18,7 @@
 #include "port/runner.h"
 #include "sched/agents.h"
 #include "sched/features.h"
+#include "sched/load_account.h"
 #include "steps/cordons.h"
 #include "steps/spec.h"
 
@@ -289,6 +290,9 @@
 int64_t kq_sched_waiting (const KqSched *s, KqStr queue);
 /* Appends lines of text for operators on what the job waits for. */
 void kq_sched_explain (const KqSched *s, KqStr id, KqTime now, KqBuf *out);
+/* Gives the load account of the last pass. The services' names are valid as long as the
+ * scheduler. */
+void kq_sched_load (const KqSched *s, KqTime now, KqLoadDigest *out);
 /* Sets the gauges among the counters to the present numbers of jobs, runs and runners. */
 void kq_sched_gauges (KqSched *s);
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -13,9 +13,11 @@
 #include "base/log.h"
 #include "sched/disturb.h"
 #include "sched/estimates.h"
+#include "sched/load_sums.h"
 #include "sched/load_trend.h"
 #include "sched/sched.h"
 #include "sched/spent.h"
+#include "sched/waiting_order.h"
 #include "sched/window.h"
 
 #include <glib.h>
@@ -103,6 +105,9 @@
   KqTime due_at;            /* the objective's time runs from here */
   int64_t critical_path_ms; /* expected time of the longest chain of undone steps */
   KqStepState *steps;
+  KqWaitingPlace place;  /* of the last pass, while it waits (load_pass.h) */
+  KqWaitingClass logged; /* the class in its last log line */
+  bool had_turn;         /* it has been placed first, though of no use (load_pass.h) */
   struct KqOccurrence *next;
 } KqOccurrence;
 
@@ -115,6 +120,7 @@
   KqTime learned_at; /* when this leader learned of it */
   KqJobState state;
   KqJobState stored_state; /* the last state that has been stored */
+  bool returned;           /* it came back after a refusal for load */
   bool begun;              /* a runner has confirmed a start of one of its tasks */
   bool cancelled;
   bool dirty;            /* progress differs from what is stored */
@@ -226,6 +232,7 @@
   double demand_peak_milli; /* decaying maximum of demand_milli */
   double kept_free_milli;   /* cpu of the runners that are kept free of lasting tasks */
   KqTime updated_at;        /* when the peak was last updated */
+  KqLoadSums load[KQ_LOAD_KINDS];
 };
 
 struct KqRunnerState
@@ -343,6 +350,8 @@
   KqWindow window;
   KqTime window_logged_at;     /* time of the last log line on a closed window */
   KqTime waits_logged_at;      /* time of the last log lines on what tasks wait for */
+  uint64_t load_number;        /* KqLoadDigest.number of the last pass; 0: unknown */
+  KqTime load_at;              /* time of the last pass */
   uint64_t steps_idle;         /* KqWaits.n_idle of the last pass */
   GPtrArray *grantors;         /* KqGrantor */
   bool grantors_complete;      /* they are all that may have granted leases that last */
