--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -170,12 +170,16 @@
 static WaitingStep
 make_waiting_step (KqOccurrence *o, int32_t step, KqAlone alone)
 {
-  static const int ranks[] = { RANK_IN_TIME, RANK_LATE, RANK_HOPELESS };
-  bool lasting = o->job->spec.steps[step].lasting;
-  return (WaitingStep){ .occurrence = o,
-                        .step = step,
-                        .rank = lasting ? RANK_LASTING : ranks[alone],
-                        .due = objective_end (o, 1) };
+  WaitingStep t = {
+    .occurrence = o, .step = step, .rank = RANK_IN_TIME, .due = objective_end (o, 1)
+  };
+  if (o->job->spec.steps[step].lasting)
+    t.rank = RANK_LASTING;
+  else if (alone == KQ_ALONE_NO_USE)
+    t.rank = RANK_HOPELESS;
+  else if (alone == KQ_ALONE_LATE)
+    t.rank = RANK_LATE;
+  return t;
 }
 
 /* Sets the place of each step by what was decided on its job. */
--- a/src/sched/waiting_order_test.c
+++ b/src/sched/waiting_order_test.c
@@ -123,7 +123,7 @@
                                    .due = at + objective,
                                    .use_end = at + 3 * objective,
                                    .accepted = at };
-      at += (KqTime)((double)(work / (CORES * 1000)) * LENGTH_RATIO / BURST * KQ_MS);
+      at += (KqTime)((double)work / (CORES * 1000) * LENGTH_RATIO / BURST * KQ_MS);
     }
 }
 
@@ -138,7 +138,7 @@
 play (uint64_t seed, bool forecast)
 {
   Arrival *all = kq_alloc (BURST_JOBS * sizeof *all);
-  Arrival **waiting = kq_alloc (BURST_JOBS * sizeof *waiting);
+  Arrival *waiting[BURST_JOBS];
   Result r = { 0 };
   int ended = 0;
   draw_burst (all, seed);
@@ -149,7 +149,7 @@
         if (!all[i].done && all[i].at <= now)
           waiting[n++] = &all[i];
       judge (waiting, n, now, forecast);
-      qsort (waiting, n, sizeof *waiting, compare_places);
+      qsort (waiting, n, sizeof (void *), compare_places);
       serve (waiting, n);
       for (size_t i = 0; i < n; i++)
         if (waiting[i]->job.work <= 0)
@@ -163,7 +163,6 @@
           }
     }
   free (all);
-  free (waiting);
   return r;
 }
 
