--- a/src/sched/load_pass.c
+++ b/src/sched/load_pass.c
@@ -219,7 +219,9 @@
     return x->alone < y->alone ? -1 : 1;
   if (x->job.due != y->job.due)
     return x->job.due < y->job.due ? -1 : 1;
-  return x->occurrence->job->revision < y->occurrence->job->revision ? -1 : 1;
+  if (x->occurrence->job->revision != y->occurrence->job->revision)
+    return x->occurrence->job->revision < y->occurrence->job->revision ? -1 : 1;
+  return 0;
 }
 
 static KqWaitingClass
