--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -32,6 +32,8 @@
 kq_sched_explain (const KqSched *s, KqStr id, KqTime now, KqBuf *out)
 {
   const KqJob *j = kq_book_find (s, id);
+  if (j == NULL && kq_refusals_explain (s->refusals, id, now, out))
+    return;
   if (j == NULL)
     {
       kq_buf_printf (out, "job %.*s: unknown\n", KQ_STR_ARG (id));
--- /dev/null
+++ b/src/sched/job_load.c
@@ -0,0 +1,24 @@
+#include "sched/job_load.h"
+
+bool
+kq_job_load (const KqSpec *spec, KqJobLoad *out)
+{
+  int64_t work[KQ_LOAD_KINDS] = { 0 };
+  *out = (KqJobLoad){ .service = spec->service };
+  for (int32_t i = 0; i < spec->n_steps; i++)
+    {
+      const KqStep *p = &spec->steps[i];
+      int64_t cpu = (int64_t)p->width * p->cpu_milli;
+      work[p->filling ? KQ_LOAD_FILLING : KQ_LOAD_RESERVED] += cpu * p->estimate_ms;
+      out->work += cpu * p->estimate_ms;
+      if (p->n_after == 0)
+        out->start_milli += cpu;
+      if (p->cpu_milli > out->largest_milli)
+        out->largest_milli = p->cpu_milli;
+    }
+  out->kind = work[KQ_LOAD_FILLING] > work[KQ_LOAD_RESERVED] ? KQ_LOAD_FILLING
+                                                             : KQ_LOAD_RESERVED;
+  out->chain_ms = kq_spec_critical_path_ms (spec);
+  out->objective_ms = kq_spec_objective_ms (spec);
+  return !kq_spec_lasting (spec) && spec->n_occurrences == 0 && out->objective_ms > 0;
+}
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,5 +1,6 @@
 #include "sched/cordoning.h"
 #include "sched/grantors.h"
+#include "sched/job_load.h"
 #include "sched/maintenance.h"
 #include "sched/reports.h"
 
@@ -75,6 +76,8 @@
   s->pace_orders = kq_counter (c, "kq_run_paces_total", "", "Changes of a task's pace.");
   for (int i = 0; i <= KQ_ADVICE_UNKNOWN; i++)
     s->advices[i] = advice_counter (c, i);
+  s->returns = kq_counter (c, "kq_admission_returns_total", "",
+                           "Jobs that came back after a refusal for load.");
 }
 
 static void
@@ -101,6 +104,7 @@
   s->batch = g_ptr_array_new ();
   s->waves = kq_maintenance_new_waves ();
   s->grantors = kq_grantors_new ();
+  s->refusals = kq_refusals_new ();
   s->grantors_complete = c->term <= 1; /* there was no leader before */
   s->started_at = s->next_check_at = s->stored_at = now;
   s->store_due = s->exclusive_until = KQ_TIME_NEVER;
@@ -124,6 +128,7 @@
   g_ptr_array_free (s->waves, TRUE);
   g_ptr_array_free (s->grantors, TRUE);
   kq_disturb_free (s->disturb);
+  kq_refusals_free (s->refusals);
   free (s);
 }
 
@@ -181,6 +186,19 @@
   return most;
 }
 
+/* Notes whether the job has come back after a refusal, or is a newcomer of its kind. */
+static void
+note_arrival (KqSched *s, KqJob *j, KqTime now)
+{
+  KqJobLoad load;
+  s->jobs_added++;
+  j->returned = kq_refusals_accepted (s->refusals, j->spec.id, now);
+  if (j->returned)
+    ++*s->returns;
+  else if (kq_job_load (&j->spec, &load))
+    kq_refusals_note_newcomer (s->refusals, load.service, load.kind, now);
+}
+
 bool
 kq_sched_add_job (KqSched *s, KqStr stored, uint64_t revision, KqTime now)
 {
@@ -213,12 +231,14 @@
   g_hash_table_insert (s->jobs, kq_str_dup (j->spec.id), j);
   if (s->loaded)
     {
+      note_arrival (s, j, now);
       kq_log (KQ_LOG_INFO, PART,
               "Job added. job=%.*s queue=%.*s kind=%s steps=%d tasks=%d "
-              "largest_milli=%d objective_ms=%lld revision=%llu",
+              "largest_milli=%d objective_ms=%lld revision=%llu returned=%d",
               KQ_STR_ARG (j->spec.id), KQ_STR_ARG (j->spec.queue), job_kind (&j->spec),
               j->spec.n_steps, count_tasks (&j->spec), largest_task_milli (&j->spec),
-              (long long)kq_spec_objective_ms (&j->spec), (unsigned long long)revision);
+              (long long)kq_spec_objective_ms (&j->spec), (unsigned long long)revision,
+              j->returned);
       kq_book_create_due (s, j, now);
     }
   return true;
@@ -406,6 +426,18 @@
   return j->begun ? KQ_JOB_RUNNING : KQ_JOB_WAITING;
 }
 
+KqRefusals *
+kq_sched_refusals (const KqSched *s)
+{
+  return s->refusals;
+}
+
+uint64_t
+kq_sched_jobs_added (const KqSched *s)
+{
+  return s->jobs_added;
+}
+
 int64_t
 kq_sched_waiting (const KqSched *s, KqStr queue)
 {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -18,6 +18,8 @@
 #include "port/runner.h"
 #include "sched/agents.h"
 #include "sched/features.h"
+#include "sched/load_account.h"
+#include "sched/refusals.h"
 #include "steps/cordons.h"
 #include "steps/spec.h"
 
@@ -280,6 +282,11 @@
 int64_t kq_sched_waiting (const KqSched *s, KqStr queue);
 /* Appends lines of text for operators on what the job waits for. */
 void kq_sched_explain (const KqSched *s, KqStr id, KqTime now, KqBuf *out);
+/* The jobs refused for load, which the caller records. Owned by the scheduler. */
+KqRefusals *kq_sched_refusals (const KqSched *s);
+/* The number of jobs that this leader has learned of since it had loaded the stored ones.
+ */
+uint64_t kq_sched_jobs_added (const KqSched *s);
 /* Sets the gauges among the counters to the present numbers of jobs, runs and runners. */
 void kq_sched_gauges (KqSched *s);
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -340,6 +340,8 @@
   GPtrArray *waves;            /* KqWave */
   bool waves_dirty;            /* their progress differs from what was packed last */
   GPtrArray *batch;            /* KqJob: those in the batch that is being stored */
+  KqRefusals *refusals;        /* jobs refused for load */
+  uint64_t jobs_added;         /* number of jobs added since `loaded` */
   /* Counters; make_counters has their names and help texts. */
   uint64_t *starts;
   uint64_t *runners_examined; /* runners examined by searches for a task's runner */
@@ -352,6 +354,7 @@
   uint64_t *no_room;
   uint64_t *pace_orders;
   uint64_t *advices[3]; /* answers, by KqAdviceResult */
+  uint64_t *returns;    /* jobs with KqJob.returned */
   KqHistogram first_start;
   KqHistogram job_time;
   KqHistogram start_answer;
