Items LOAD and WRITING, query KQ_ASK_ADMIT

The leader tells the nodes the load; a node announces a write or reports a refusal, and asks whether to refuse a job. Nodes of the previous version skip the items by their length, and their leader answers the query with -1. Figures out of range are moved into it, since a refused item closes the connection. The fuzzed frames hold items as opaque bytes, so the corpus has none by kind; frame_test damages LOAD as it damages LIST.

--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -1,6 +1,7 @@
 #include "agent/frame.h"
 
 #include "agent/frame_rows.h"
+#include "agent/load_item.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -215,6 +216,13 @@
     case KQ_AGENT_ITEM_GRANTS:
       kq_agent_item_pack_grants (p, &i->u.grants);
       break;
+    case KQ_AGENT_ITEM_LOAD:
+      kq_agent_item_pack_load (p, i);
+      break;
+    case KQ_AGENT_ITEM_WRITING:
+      kq_pack_str (p, i->u.writing.id);
+      kq_pack_bool (p, i->u.writing.over);
+      break;
     case KQ_AGENT_ITEM_PING:
       kq_pack_i64 (p, i->u.ping.heartbeat_sent_at);
       kq_pack_i64 (p, i->u.ping.store_age_ms);
@@ -289,6 +297,13 @@
     case KQ_AGENT_ITEM_GRANTS:
       kq_agent_item_read_grants (r, &i->u.grants);
       return;
+    case KQ_AGENT_ITEM_LOAD:
+      kq_agent_item_read_load (r, i);
+      return;
+    case KQ_AGENT_ITEM_WRITING:
+      i->u.writing.id = kq_read_str (r);
+      i->u.writing.over = kq_read_bool (r);
+      return;
     case KQ_AGENT_ITEM_PING:
       i->u.ping.heartbeat_sent_at = kq_read_i64 (r);
       i->u.ping.store_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
@@ -307,7 +322,7 @@
 {
   /* By KqAgentItemKind, and for orders by KqOrderKind. */
   static const uint8_t of_kind[]
-      = { 0, 0, 3, 2, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2 };
+      = { 0, 0, 3, 2, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2 };
   static const uint8_t of_order[] = { 5, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_AGENT_ITEM_ORDER)
     return of_order[i->u.order.kind];
@@ -346,7 +361,7 @@
       || !kq_unpacked_open (&u, kq_str_n (rest->ptr + sizeof n, n), &r))
     return false;
   kind = kq_read_i64 (&r);
-  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_GRANTS)
+  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_WRITING)
     {
       out->kind = (KqAgentItemKind)kind;
       out->runner = kq_read_str (&r);
@@ -386,6 +401,11 @@
       free ((void *)i->u.grants.rows);
       i->u.grants.rows = NULL;
     }
+  else if (i->kind == KQ_AGENT_ITEM_LOAD)
+    {
+      free ((void *)i->u.load.digest);
+      i->u.load.digest = NULL;
+    }
   else if (i->kind == KQ_AGENT_ITEM_ADVICE)
     {
       free ((void *)i->u.advice.reply.rows);
--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -38,7 +38,11 @@
   KQ_AGENT_ITEM_WELCOME, /* leader to node: the answer to HELLO */
   KQ_AGENT_ITEM_CHANGES, /* node to leader: the difference from the last list */
   KQ_AGENT_ITEM_LEAVE,   /* node to leader: planned stop; all its runners are released */
-  KQ_AGENT_ITEM_GRANTS   /* node to leader: the leases that it has granted before */
+  KQ_AGENT_ITEM_GRANTS,  /* node to leader: the leases that it has granted before */
+  /* skipped by nodes that don't know them */
+  KQ_AGENT_ITEM_LOAD,   /* leader to node: the load of all services */
+  KQ_AGENT_ITEM_WRITING /* node to leader: the node is about to write a job to the store,
+                           or has refused it for load */
 } KqAgentItemKind;
 
 typedef enum
@@ -46,8 +50,11 @@
   KQ_ASK_STATE,   /* the state of a job */
   KQ_ASK_WAITING, /* the number of waiting jobs of a queue */
   KQ_ASK_EXPLAIN, /* text for operators on what a job waits for */
-  KQ_ASK_ACCEPT   /* write this job to the store; a leader that doesn't know this
+  KQ_ASK_ACCEPT,  /* write this job to the store; a leader that doesn't know this
                       kind answers -1: it hasn't written the job */
+  KQ_ASK_ADMIT    /* whether to refuse this job for load (load_item.h); the answer is the
+                      Retry-After in ms, or -1: accept. A leader that doesn't know this
+                      kind answers -1 */
 } KqAskKind;
 
 typedef struct
@@ -61,7 +68,8 @@
     {
       uint64_t call; /* number of the ASK */
       int64_t
-          value; /* KqJobState, KqAcceptResult or a number of jobs; below 0: not known */
+          value; /* KqJobState, KqAcceptResult, a number of jobs or ms; below 0: not known
+                  */
       KqStr text;
     } answer;
     struct
@@ -107,7 +115,7 @@
     {
       uint64_t call; /* the node's number of this query */
       KqAskKind what;
-      KqStr about; /* job id or queue; of ACCEPT the job */
+      KqStr about; /* job id or queue; of ACCEPT the job; of ADMIT a KqAdmitQuery */
     } ask;
     struct
     {
@@ -118,6 +126,17 @@
     {
       KqStr id;
     } cancel;
+    struct
+    {
+      const KqLoadDigest *digest;
+      uint32_t nodes;      /* connected nodes, the leader included */
+      uint64_t jobs_added; /* kq_sched_jobs_added */
+    } load;
+    struct
+    {
+      KqStr id;
+      bool over; /* the job has been refused: this request won't write it */
+    } writing;
   } u;
 } KqAgentItem;
 
--- a/src/agent/frame_test.c
+++ b/src/agent/frame_test.c
@@ -1,4 +1,5 @@
 #include "agent/frame.h"
+#include "agent/load_item.h"
 #include "base/rand.h"
 
 #include <setjmp.h>
@@ -177,6 +178,88 @@
   kq_buf_free (&b);
 }
 
+static KqLoadDigest
+load_digest (void)
+{
+  KqLoadDigest d = { .number = 7, .known = true, .n_rows = 2 };
+  d.rows[0] = (KqLoadRow){ KQ_STR ("a"), KQ_LOAD_RESERVED, 1, 2, 3, 4, 5, 6, 7, 8, 9 };
+  d.rows[1]
+      = (KqLoadRow){ KQ_STR ("b"), KQ_LOAD_LASTING, 11, 12, 13, 14, 15, 16, 17, 18, 19 };
+  return d;
+}
+
+static void
+test_load_and_writing_round_trip (void **state)
+{
+  KqLoadDigest d = load_digest ();
+  KqBuf b = { 0 };
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_LOAD };
+  KqAgentItem o;
+  const KqLoadRow *row;
+  (void)state;
+  i.u.load.digest = &d;
+  i.u.load.nodes = 40;
+  i.u.load.jobs_added = 1000;
+  o = round_trip (&i, &b);
+  assert_int_equal (o.u.load.digest->number, 7);
+  assert_true (o.u.load.digest->known);
+  assert_int_equal (o.u.load.nodes, 40);
+  assert_int_equal (o.u.load.jobs_added, 1000);
+  assert_int_equal (o.u.load.digest->n_rows, 2);
+  row = &o.u.load.digest->rows[1];
+  assert_true (kq_str_eq (row->service, KQ_STR ("b")));
+  assert_int_equal (row->kind, KQ_LOAD_LASTING);
+  assert_int_equal (row->rate, 11);
+  assert_int_equal (row->in_time_work, 12);
+  assert_int_equal (row->late_work, 13);
+  assert_int_equal (row->running_work, 14);
+  assert_int_equal (row->cut_work, 15);
+  assert_int_equal (row->free_milli, 16);
+  assert_int_equal (row->largest_milli, 17);
+  assert_int_equal (row->waiting_jobs, 18);
+  assert_int_equal (row->late_jobs, 19);
+  kq_agent_item_clear (&o);
+  i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_WRITING };
+  i.u.writing.id = KQ_STR ("j1");
+  i.u.writing.over = true;
+  o = round_trip (&i, &b);
+  assert_true (kq_str_eq (o.u.writing.id, KQ_STR ("j1")));
+  assert_true (o.u.writing.over);
+  kq_buf_free (&b);
+}
+
+static void
+test_admit_query_round_trips (void **state)
+{
+  KqAdmitQuery q = { KQ_STR ("j1"), { KQ_STR ("svc"), KQ_LOAD_FILLING, 1, 2, 3, 4, 5 } };
+  KqAdmitQuery o;
+  KqBuf b = { 0 };
+  KqRand r = kq_rand (1);
+  (void)state;
+  kq_admit_query_pack (&q, &b);
+  assert_true (kq_admit_query_unpack (kq_buf_str (&b), &o));
+  assert_true (kq_str_eq (o.id, q.id));
+  assert_true (kq_str_eq (o.load.service, q.load.service));
+  assert_int_equal (o.load.kind, KQ_LOAD_FILLING);
+  assert_int_equal (o.load.work, 1);
+  assert_int_equal (o.load.chain_ms, 2);
+  assert_int_equal (o.load.objective_ms, 3);
+  assert_int_equal (o.load.start_milli, 4);
+  assert_int_equal (o.load.largest_milli, 5);
+  q.load.kind = KQ_LOAD_KINDS;
+  kq_buf_clear (&b);
+  kq_admit_query_pack (&q, &b);
+  assert_false (kq_admit_query_unpack (kq_buf_str (&b), &o));
+  for (int n = 0; n < 20000; n++)
+    {
+      kq_buf_clear (&b);
+      kq_admit_query_pack (&q, &b);
+      b.ptr[kq_rand_below (&r, b.len)] = (char)kq_rand_next (&r);
+      kq_admit_query_unpack (kq_str_n (b.ptr, kq_rand_below (&r, b.len + 1)), &o);
+    }
+  kq_buf_free (&b);
+}
+
 static void
 test_heartbeats_round_trip (void **state)
 {
@@ -216,16 +299,19 @@
 {
   KqRunRow running[] = { { KQ_STR ("j.0.1.2"), 7, KQ_STR ("cp"), 41, 12 } };
   KqAgentItem i = { .kind = KQ_AGENT_ITEM_LIST, .runner = KQ_STR ("i-1") };
+  KqLoadDigest d = load_digest ();
+  KqAgentItem load = { .kind = KQ_AGENT_ITEM_LOAD };
   KqRand r = kq_rand (1);
   (void)state;
   i.u.list.running = running;
   i.u.list.n_running = 1;
-  for (int n = 0; n < 20000; n++)
+  load.u.load.digest = &d;
+  for (int n = 0; n < 40000; n++)
     {
       KqBuf b = { 0 };
       KqAgentItem o;
       KqStr rest;
-      kq_agent_item_pack (&i, &b);
+      kq_agent_item_pack (n % 2 == 0 ? &i : &load, &b);
       for (int k = 0; k < 3; k++)
         b.ptr[kq_rand_below (&r, b.len)] = (char)kq_rand_next (&r);
       rest = kq_str_n (b.ptr, kq_rand_below (&r, b.len + 1));
@@ -276,6 +362,8 @@
           cmocka_unit_test (test_advice_round_trips),
           cmocka_unit_test (test_outcome_and_unreached_round_trip),
           cmocka_unit_test (test_grants_round_trip),
+          cmocka_unit_test (test_load_and_writing_round_trip),
+          cmocka_unit_test (test_admit_query_round_trips),
           cmocka_unit_test (test_heartbeats_round_trip),
           cmocka_unit_test (test_every_kind_round_trips),
           cmocka_unit_test (test_damaged_bytes_are_refused),
--- a/src/agent/versions_test.c
+++ b/src/agent/versions_test.c
@@ -1,4 +1,5 @@
 #include "agent/frame.h"
+#include "agent/load_item.h"
 #include "wire/pack.h"
 
 #include <setjmp.h>
@@ -212,12 +213,75 @@
   kq_buf_free (&b);
 }
 
+/* Guards against a leader of a later version whose digests this node refuses, and so the
+ * connection with them: rows and items may have more fields, and kinds may be new. */
+static void
+test_load_of_a_later_version (void **state)
+{
+  static const int kinds[] = { KQ_LOAD_KINDS, KQ_LOAD_FILLING };
+  KqBuf b = { 0 };
+  KqStr rest;
+  KqAgentItem i;
+  Item later = begin (&b, 6, KQ_AGENT_ITEM_LOAD, KQ_STR (""));
+  (void)state;
+  kq_pack_u64 (&later.p, 8);
+  kq_pack_bool (&later.p, true);
+  kq_pack_u64 (&later.p, 40);
+  kq_pack_u64 (&later.p, 1000);
+  kq_pack_array (&later.p, 2);
+  for (int n = 0; n < 2; n++)
+    {
+      kq_pack_array (&later.p, 12);
+      kq_pack_str (&later.p, KQ_STR ("svc"));
+      kq_pack_i64 (&later.p, kinds[n]);
+      for (int k = 0; k < 9; k++)
+        kq_pack_i64 (&later.p, k == 0 ? -1 : INT64_MAX); /* moved into the range */
+      kq_pack_str (&later.p, KQ_STR ("more"));
+    }
+  kq_pack_str (&later.p, KQ_STR ("more"));
+  end (&later);
+  rest = kq_buf_str (&b);
+  i = read_one (&rest);
+  assert_int_equal (i.kind, KQ_AGENT_ITEM_LOAD);
+  assert_int_equal (i.u.load.nodes, 40);
+  assert_int_equal (i.u.load.digest->n_rows, 1);
+  assert_int_equal (i.u.load.digest->rows[0].kind, KQ_LOAD_FILLING);
+  assert_int_equal (i.u.load.digest->rows[0].rate, 0);
+  assert_true (i.u.load.digest->rows[0].late_work < INT64_MAX / 1000);
+  kq_agent_item_clear (&i);
+  kq_buf_free (&b);
+}
+
+/* Guards against new items that a node of the previous version takes for known ones: it
+ * skips by its length what is beyond GRANTS, and reads on. */
+static void
+test_previous_version_skips_load_and_writing (void **state)
+{
+  KqLoadDigest d = { .number = 1, .known = true, .n_rows = KQ_LOAD_ROWS_MAX };
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_LOAD };
+  KqBuf b = { 0 };
+  uint32_t n;
+  (void)state;
+  assert_int_equal (KQ_AGENT_ITEM_GRANTS, 17);
+  assert_int_equal (KQ_AGENT_ITEM_LOAD, 18);
+  assert_int_equal (KQ_AGENT_ITEM_WRITING, 19);
+  assert_int_equal (KQ_ASK_ADMIT, 4);
+  i.u.load.digest = &d;
+  kq_agent_item_pack (&i, &b);
+  memcpy (&n, b.ptr, sizeof n);
+  assert_int_equal (n + sizeof n, b.len);
+  assert_in_range (b.len, 1, 3000);
+  kq_buf_free (&b);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_items_of_version_1),
           cmocka_unit_test (test_version_1_understands_hello),
-          cmocka_unit_test (test_unknown_kinds_and_fields_are_skipped) };
+          cmocka_unit_test (test_unknown_kinds_and_fields_are_skipped),
+          cmocka_unit_test (test_load_of_a_later_version),
+          cmocka_unit_test (test_previous_version_skips_load_and_writing) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
