Leader: digest of the load, answers on admission

From an answer "refuse" until the node reports the refusal the id isn't refused elsewhere: that node may still submit it, if the answer comes late or the store can't be read.

--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -5,6 +5,7 @@
 #include "fleet/batch.h"
 #include "fleet/follow.h"
 #include "fleet/keys.h"
+#include "fleet/leader_admit.h"
 #include "fleet/waves.h"
 #include "port/source.h"
 
@@ -39,6 +40,7 @@
   KqSched *sched;
   KqBatch *batch;
   KqWaves *waves; /* NULL until loaded */
+  KqLeaderAdmit *admit;
   KqFollow *jobs;
   KqFollow *entries;
   GPtrArray *peers;          /* KqPeer by agent number; NULL: disconnected */
@@ -63,6 +65,7 @@
 static void
 destroy (KqLeader *l)
 {
+  kq_leader_admit_free (l->admit);
   kq_sched_free (l->sched);
   g_ptr_array_free (l->peers, TRUE);
   g_hash_table_destroy (l->early_cancels);
@@ -137,6 +140,19 @@
   ev_timer_start (ev, &l->timer);
 }
 
+/* Sends the load to all nodes when that is due. */
+static void
+send_load (KqLeader *l, KqTime now)
+{
+  KqLoadDigest load;
+  const KqAgentItem *i;
+  kq_sched_load (l->sched, now, &load);
+  i = kq_leader_admit_send (l->admit, &load, (KqPeer **)l->peers->pdata, l->peers->len,
+                            now);
+  if (i != NULL && l->config.load != NULL)
+    l->config.load (l->config.arg, i, now);
+}
+
 /* Runs the scheduler once for all input of one loop iteration. */
 static void
 on_before_poll (struct ev_loop *ev, ev_prepare *w, int events)
@@ -149,6 +165,7 @@
     return;
   now = kq_loop_now (l->config.loop);
   run_sched (l, now);
+  send_load (l, now);
   if (l->phase == LOAD_DONE && kq_batch_due (l->batch) <= now)
     kq_batch_write (l->batch, now);
   if (l->waves != NULL && !l->closing)
@@ -412,6 +429,7 @@
   l->peers = g_ptr_array_new ();
   l->early_cancels = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   l->sched = kq_sched_new (&sched, now);
+  l->admit = kq_leader_admit_new (l->sched, c->counters);
   batch.sched = l->sched;
   batch.loop = c->loop;
   l->batch = kq_batch_new (&batch);
@@ -543,6 +561,11 @@
    * -1 must not reach the scheduler, where -1 marks runners without an agent. */
   if (from_runner && agent < 0)
     return;
+  if (i->kind == KQ_AGENT_ITEM_WRITING)
+    {
+      kq_leader_admit_note_write (l->admit, i->u.writing.id, i->u.writing.over, now);
+      return;
+    }
   l->dirty = true;
   switch (i->kind)
     {
@@ -585,6 +608,7 @@
 int64_t
 kq_leader_query (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text)
 {
+  KqLoadDigest load;
   if (l->phase != LOAD_DONE)
     return -1;
   switch (what)
@@ -596,6 +620,9 @@
     case KQ_ASK_EXPLAIN:
       kq_sched_explain (l->sched, about, now, text);
       return 0;
+    case KQ_ASK_ADMIT:
+      kq_sched_load (l->sched, now, &load);
+      return kq_leader_admit_answer (l->admit, &load, about, now);
     case KQ_ASK_ACCEPT: /* handled by fleet/accepts.c */
       break;
     }
--- a/src/fleet/leader.h
+++ b/src/fleet/leader.h
@@ -35,6 +35,9 @@
   void (*deposed) (void *arg, const char *why, KqTime now);
   /* The store has answered a call that was sent at sent_at. */
   void (*answered) (void *arg, KqTime sent_at, KqTime now);
+  /* The load, as it has just been sent to all other nodes (KQ_AGENT_ITEM_LOAD); NULL:
+   * this node doesn't use it. */
+  void (*load) (void *arg, const KqAgentItem *i, KqTime now);
 } KqLeaderConfig;
 
 KqLeader *kq_leader_new (const KqLeaderConfig *c, KqTime now);
@@ -49,8 +52,8 @@
 /* Handles the end of a node's connection. planned: the node has announced its stop and
  * released its runners. */
 void kq_leader_node_left (KqLeader *l, KqPeer *p, bool planned, KqTime now);
-/* Handles a LIST, OUTCOME, UNREACHED, FENCED, ADVICE, JOB or CANCEL; ignores other kinds.
- * p NULL: from this node's own agent. */
+/* Handles a LIST, OUTCOME, UNREACHED, FENCED, ADVICE, JOB, CANCEL or WRITING; ignores
+ * other kinds. p NULL: from this node's own agent. */
 void kq_leader_handle_item (KqLeader *l, KqPeer *p, const KqAgentItem *i, KqTime now);
 /* Answers a query of this or another node. Returns the value of a KQ_AGENT_ITEM_ANSWER;
  * -1: not known, or not yet loaded. text gets the explanation of KQ_ASK_EXPLAIN. */
