Front: refuses jobs that can't be of use

With admission = "forecast" a job that the digest puts in doubt is put to the leader, and its key is read before it is refused.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -137,8 +137,24 @@
   return kq_queue_keys_table (f->queues);
 }
 
+static uint64_t
+leader_epoch (void *arg)
+{
+  const KqFleet *f = arg;
+  return f->leader != NULL || kq_link_connected (f->link)
+             ? kq_election_record (f->election)->epoch
+             : 0;
+}
+
 /* Callbacks of the election. */
 
+static void
+on_load (void *arg, const KqAgentItem *i, KqTime now)
+{
+  KqFleet *f = arg;
+  kq_front_handler_load (f->handler, kq_election_record (f->election)->epoch, i, now);
+}
+
 static void
 on_deposed (void *arg, const char *why, KqTime now)
 {
@@ -167,7 +183,8 @@
                        .maintenance = f->maintenance,
                        .arg = f,
                        .deposed = on_deposed,
-                       .answered = on_answered };
+                       .answered = on_answered,
+                       .load = on_load };
   kq_link_set_own_epoch (f->link, epoch, now);
   kq_agent_release_all (f->agent);
   kq_agent_leader_confirmed (f->agent, epoch, now);
@@ -258,6 +275,7 @@
   else if (i->kind == KQ_AGENT_ITEM_ASK)
     answer_query (f, p, i, now);
   else if (i->kind == KQ_AGENT_ITEM_JOB || i->kind == KQ_AGENT_ITEM_CANCEL
+           || i->kind == KQ_AGENT_ITEM_WRITING
            || epoch == kq_election_record (f->election)->epoch)
     kq_leader_handle_item (f->leader, p, i, now);
 }
@@ -292,6 +310,8 @@
     kq_agent_order (f->agent, epoch, &i->u.order, now);
   else if (i->kind == KQ_AGENT_ITEM_ANSWER)
     kq_front_handler_answer (f->handler, i->u.answer.call, i->u.answer.value, now);
+  else if (i->kind == KQ_AGENT_ITEM_LOAD)
+    kq_front_handler_load (f->handler, epoch, i, now);
 }
 
 static int64_t
@@ -497,7 +517,8 @@
   KqFrontHandlerConfig handler
       = { loop,           f->kv,       f->config.counters,      f,
           queue_table,    store_state, store_reached_by_leader, query_leader,
-          send_to_leader, on_answered, on_store_failed };
+          send_to_leader, on_answered, on_store_failed,         s->scheduling.admission,
+          leader_epoch };
   KqFrontCallbacks owner = { f, on_request, ready, stopping, body_max };
   KqAcceptsOwner accepts = { f, on_accepted, on_answered };
   f->accepts = kq_accepts_new (f->kv, &accepts);
--- a/src/fleet/front.h
+++ b/src/fleet/front.h
@@ -6,7 +6,8 @@
  * Accepting and cancelling need only the store, so every node does both without a leader.
  * Job states are queried from the leader, which has them in memory; without a leader they
  * are derived from the store. A node that cannot reach the store, while the leader can,
- * has the leader write its jobs. */
+ * has the leader write its jobs. With `admission`, a job that can't be of use any more is
+ * refused (admission.h). */
 
 #include "agent/frame.h"
 #include "base/counter.h"
@@ -38,6 +39,10 @@
   void (*answered) (void *arg, KqTime sent_at, KqTime now);
   /* A call sent at sent_at got no answer or was refused. */
   void (*failed) (void *arg, KqTime sent_at);
+  /* Whether jobs that can't be of use any more are refused (KqSchedFeatures). */
+  bool admission;
+  /* The epoch of the leader that can be reached now; 0: none. Only with `admission`. */
+  uint64_t (*leader_epoch) (void *arg);
 } KqFrontHandlerConfig;
 
 KqFrontHandler *kq_front_handler_new (const KqFrontHandlerConfig *c);
@@ -45,9 +50,12 @@
 /* Handles one request; replies by kq_front_exchange_reply exactly once. */
 void kq_front_handler_request (KqFrontHandler *h, KqFrontExchange *x,
                                const KqFrontRequest *r, KqTime now);
-/* The leader's reply to query `call`: a KqJobState, a KqAcceptResult or a number of jobs;
- * below 0: unknown. Ignored when the request has already been replied to. */
+/* The leader's reply to query `call`: a KqJobState, a KqAcceptResult, a number of jobs or
+ * of ms; below 0: unknown. Ignored when the request has already been replied to. */
 void kq_front_handler_answer (KqFrontHandler *h, uint64_t call, int64_t value,
                               KqTime now);
+/* Takes an item LOAD from the leader of that epoch. */
+void kq_front_handler_load (KqFrontHandler *h, uint64_t epoch, const KqAgentItem *i,
+                            KqTime now);
 
 #endif
--- /dev/null
+++ b/src/fleet/front_submit.c
@@ -0,0 +1,232 @@
+/* front_submit: submissions of jobs. */
+
+#include "base/log.h"
+#include "fleet/accepts.h"
+#include "fleet/front_pending.h"
+#include "fleet/keys.h"
+
+#include <stdlib.h>
+
+/* Timeout of a job that the leader writes: a round trip between regions and its call. */
+#define LEADER_WRITE_TIMEOUT (1000 * KQ_MS)
+/* Timeout of the question whether to refuse a job; then it is accepted. */
+#define ADMIT_TIMEOUT (200 * KQ_MS)
+/* A job is accepted without a question if its client waits for less than this: the
+ * question, the read before a refusal and a write would not fit. */
+#define ADMIT_TIME_MIN (1500 * KQ_MS)
+
+static void
+notify_job (KqFrontPending *q, uint64_t revision, KqTime now)
+{
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_JOB };
+  i.u.job.stored = kq_buf_str (&q->stored);
+  i.u.job.revision = revision;
+  q->handler->config.notify_leader (q->handler->config.arg, &i, now);
+}
+
+static void
+on_submit_written (void *arg, const KqKvReply *r, KqTime now)
+{
+  KqFrontPending *q = arg;
+  kq_front_pending_report_call (q, r, now);
+  switch (r->result)
+    {
+    case KQ_KV_OK:
+      notify_job (q, r->revision, now);
+      kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+      break;
+    case KQ_KV_CONFLICT: /* stored already, by an earlier request or an earlier try */
+      kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+      break;
+    case KQ_KV_UNKNOWN:
+      q->write_unknown = true;
+      kq_front_pending_schedule_retry (q, KQ_FRONT_SUBMIT_WRITE, now);
+      break;
+    default:
+      /* An earlier try may still be carried out, so the job cannot be reported as
+       * refused. */
+      if (q->write_unknown)
+        kq_front_pending_schedule_retry (q, KQ_FRONT_SUBMIT_WRITE, now);
+      else
+        kq_front_pending_refuse (q, "the store refused", KQ_FRONT_RETRY_STORE_MS,
+                                 q->handler->counts.refused_store, now);
+      break;
+    }
+}
+
+/* Tells the leader that a write of the job is about to be sent, or that the job is
+ * refused (over). A client whose connection breaks repeats its job at another node. The
+ * leader would tell that node to refuse it, and no key would be found there while the
+ * first node's write is on its way. The leader doesn't refuse an id of which it has been
+ * told. */
+static void
+announce_write (KqFrontPending *q, bool over, KqTime now)
+{
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_WRITING };
+  i.u.writing.id = q->id;
+  i.u.writing.over = over;
+  if (q->handler->config.admission)
+    q->handler->config.notify_leader (q->handler->config.arg, &i, now);
+}
+
+void
+kq_front_submit_write (KqFrontPending *q)
+{
+  KqTime now = kq_loop_now (q->handler->config.loop);
+  KqStr key = kq_key_of (KQ_KEY_JOB, q->id);
+  KqKvCheck check = { key, 0 };
+  KqKvPut put = { key, kq_buf_str (&q->stored), 0 };
+  KqKvTxn t = { &check, 1, &put, 1, NULL, 0 };
+  q->step = KQ_FRONT_SUBMIT_WRITE;
+  announce_write (q, false, now);
+  kq_kv_txn (q->handler->config.kv, &t, kq_front_pending_timeout_ms (q, now),
+             (KqKvCallback){ on_submit_written, q });
+  free ((char *)key.ptr);
+}
+
+static void
+submit_via_leader (KqFrontPending *q, KqTime now)
+{
+  KqFrontHandler *h = q->handler;
+  KqTime left = q->deadline - KQ_FRONT_DEADLINE_SLACK_MS * KQ_MS - now;
+  if (left <= 0 || !h->config.store_reached_by_leader (h->config.arg, now))
+    {
+      kq_front_pending_refuse (q, "the store is away", KQ_FRONT_RETRY_STORE_MS,
+                               h->counts.refused_store, now);
+      return;
+    }
+  q->step = KQ_FRONT_SUBMIT_LEADER;
+  ++*h->counts.via_leader;
+  announce_write (q, false, now);
+  kq_front_pending_query (q, KQ_ASK_ACCEPT, kq_buf_str (&q->stored),
+                          MIN (left, LEADER_WRITE_TIMEOUT), now);
+}
+
+void
+kq_front_submit_written_by_leader (KqFrontPending *q, int64_t result, KqTime now)
+{
+  if (result == KQ_ACCEPT_DONE)
+    kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+  else if (result == KQ_ACCEPT_UNKNOWN)
+    kq_front_pending_reply_kind (q, KQ_REPLY_UNKNOWN, now);
+  else
+    kq_front_pending_refuse (q, "the store is away", KQ_FRONT_RETRY_STORE_MS,
+                             q->handler->counts.refused_store, now);
+}
+
+static void
+fill_spec (KqSpec *s, const KqQueue *queue, KqStr id)
+{
+  s->advised = queue->advised;
+  s->id = id;
+  s->queue = queue->name;
+  s->service = queue->service;
+  s->priority = queue->priority;
+  s->attempts = queue->attempts;
+  s->stretch_percent = queue->stretch_percent;
+  s->slo_ms = queue->slo_ms;
+  s->accepted_ms = kq_time_wall_ms ();
+}
+
+/* Submits a job that isn't refused for load. */
+static void
+accept_job (KqFrontPending *q, KqTime now)
+{
+  KqFrontHandler *h = q->handler;
+  if (h->config.admission)
+    kq_front_admit_count (h->admit, kq_buf_str (&q->stored));
+  switch (h->config.store_state (h->config.arg, now))
+    {
+    case KQ_REACH_DOWN:
+      submit_via_leader (q, now);
+      break;
+    case KQ_REACH_SUSPECT:
+      kq_front_pending_read (q, KQ_FRONT_SUBMIT_PROBE);
+      break;
+    case KQ_REACH_UP:
+      kq_front_submit_write (q);
+      break;
+    }
+}
+
+/* Asks the leader whether to refuse the job, if it seems to be of no use. False: it
+ * doesn't, or nothing is refused now. While the store is down the leader writes the job,
+ * and whether the id has been accepted before can't be read. */
+static bool
+ask_leader (KqFrontPending *q, const KqSpec *spec, KqTime now)
+{
+  KqFrontHandler *h = q->handler;
+  KqBuf query = { 0 };
+  bool doubts;
+  if (!h->config.admission || q->deadline - now < ADMIT_TIME_MIN
+      || h->config.store_state (h->config.arg, now) == KQ_REACH_DOWN)
+    return false;
+  doubts = kq_front_admit_doubts (h->admit, spec, h->config.leader_epoch (h->config.arg),
+                                  now, &q->doubt, &query);
+  if (doubts)
+    {
+      q->step = KQ_FRONT_ADMIT_ASK;
+      kq_front_pending_query (q, KQ_ASK_ADMIT, kq_buf_str (&query), ADMIT_TIMEOUT, now);
+    }
+  kq_buf_free (&query);
+  return doubts;
+}
+
+void
+kq_front_submit_judged (KqFrontPending *q, int64_t retry_ms, KqTime now)
+{
+  if (retry_ms < 1)
+    {
+      kq_front_admit_ended (q->handler->admit, q->id, &q->doubt, KQ_FRONT_ADMIT_ACCEPTED,
+                            0);
+      accept_job (q, now);
+      return;
+    }
+  q->refused_ms = retry_ms;
+  kq_front_pending_read (q, KQ_FRONT_ADMIT_READ);
+}
+
+void
+kq_front_submit_read (KqFrontPending *q, KqKvResult result, KqTime now)
+{
+  KqFrontHandler *h = q->handler;
+  switch (result)
+    {
+    case KQ_KV_OK: /* accepted before; the leader hasn't learned of it yet */
+      kq_front_admit_ended (h->admit, q->id, &q->doubt, KQ_FRONT_ADMIT_STORED, 0);
+      kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+      break;
+    case KQ_KV_NOT_FOUND:
+      kq_front_admit_ended (h->admit, q->id, &q->doubt, KQ_FRONT_ADMIT_REFUSED,
+                            q->refused_ms);
+      announce_write (q, true, now);
+      kq_front_pending_refuse (q, "overloaded", q->refused_ms, h->counts.refused_overload,
+                               now);
+      break;
+    case KQ_KV_CONFLICT:
+    case KQ_KV_COMPACTED:
+    case KQ_KV_REFUSED:
+    case KQ_KV_UNKNOWN: /* it isn't known whether the id has been accepted before */
+      kq_front_admit_ended (h->admit, q->id, &q->doubt, KQ_FRONT_ADMIT_UNREAD, 0);
+      accept_job (q, now);
+      break;
+    }
+}
+
+void
+kq_front_submit_begin (KqFrontPending *q, const KqFrontRequest *r, const KqQueue *queue,
+                       KqTime now)
+{
+  KqFrontReply bad = { .kind = KQ_REPLY_BAD, .why = "not a job" };
+  q->step = KQ_FRONT_SUBMIT_WRITE;
+  if (r->spec != NULL)
+    fill_spec (r->spec, queue, q->id);
+  if (r->spec == NULL || kq_spec_check (r->spec, &bad.why) != KQ_OK)
+    {
+      kq_front_pending_reply (q, &bad, now);
+      return;
+    }
+  kq_spec_pack (r->spec, &q->stored);
+  if (!ask_leader (q, r->spec, now))
+    accept_job (q, now);
+}
