--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -19,6 +19,7 @@
 #include "sched/agents.h"
 #include "sched/features.h"
 #include "sched/load_account.h"
+#include "sched/refusals.h"
 #include "steps/cordons.h"
 #include "steps/spec.h"
 
@@ -293,6 +294,11 @@
 /* Gives the load account of the last pass. The services' names are valid as long as the
  * scheduler. */
 void kq_sched_load (const KqSched *s, KqTime now, KqLoadDigest *out);
+/* The jobs refused for load, which the caller records. Owned by the scheduler. */
+KqRefusals *kq_sched_refusals (const KqSched *s);
+/* The number of jobs that this leader has learned of since it had loaded the stored ones.
+ */
+uint64_t kq_sched_jobs_added (const KqSched *s);
 /* Sets the gauges among the counters to the present numbers of jobs, runs and runners. */
 void kq_sched_gauges (KqSched *s);
 
