Explain a waiting job by its place in the order

Operators could not see who is before a job that waits: the explanation named the room that it needs and nothing else. Each placing pass now records, per waiting step, its rank and the jobs and work before it among the tasks of the same service and kind; the explanation prints them, and the forecast end by the load account. kq_sched_explain_cordons tells also that no cordon is set, or that none is known yet. An explanation has at most 16 steps and 16 cordons, each of which may be a walk over all runners.

--- a/src/sched/cordoning.c
+++ b/src/sched/cordoning.c
@@ -5,6 +5,9 @@
 /* For so long nothing is placed in a failure domain after an agent's refusal: either this
  * node learns of the cordon meanwhile, or the agent learns that it has been lifted. */
 #define REFUSAL_PAUSE KQ_SEC
+/* Operators are told of so many cordons: each line is a walk over all runners, which must
+ * not delay the next pass. */
+#define EXPLAINED_MAX 16
 
 bool
 kq_cordoning_is_known (const KqSched *s)
@@ -80,7 +83,9 @@
 kq_cordoning_explain (const KqSched *s, KqTime now, KqBuf *out)
 {
   const KqCordons *c = s->config.cordons;
-  for (size_t i = 0; c != NULL && i < c->n; i++)
+  size_t n_cordons = c != NULL ? c->n : 0;
+  size_t n_lines = n_cordons < EXPLAINED_MAX ? n_cordons : EXPLAINED_MAX;
+  for (size_t i = 0; i < n_lines; i++)
     {
       KqStr domain = kq_name_str (&c->list[i].domain);
       DomainCounts n = count_in_domain (s, domain);
@@ -91,4 +96,6 @@
           KQ_STR_ARG (domain), (long long)((now - c->list[i].since) / KQ_MS),
           (unsigned long long)c->list[i].revision, n.runners, n.runs);
     }
+  if (n_cordons > n_lines)
+    kq_buf_printf (out, "and %zu further cordons\n", n_cordons - n_lines);
 }
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -10,6 +10,7 @@
 
 #include "sched/place.h"
 #include "sched/placing.h"
+#include "sched/wait_places.h"
 #include "sched/waits.h"
 
 #include <stdlib.h>
@@ -24,6 +25,12 @@
   RANK_LATE,    /* can end within HOPELESS_RATIO times the objective */
   RANK_HOPELESS /* must still be run, but after all others */
 };
+/* For operators. */
+static const char *const rank_names[] = { [RANK_LOST] = "lost lasting task",
+                                          [RANK_IN_TIME] = "in time",
+                                          [RANK_LASTING] = "lasting",
+                                          [RANK_LATE] = "late",
+                                          [RANK_HOPELESS] = "of no use any more" };
 #define HOPELESS_RATIO 3
 /* A lasting task that has lost its run goes first after waiting for this time. When many
  * hosts went down, short jobs in time kept the room from these tasks for 14 s, during
@@ -386,6 +393,7 @@
   NoRoomList no_room = { 0 };
   KqWaits waits = { 0 };
   s->passes++;
+  s->passed_at = now;
   s->in_pass = true;
   kq_pools_begin_pass (s);
   collect_waiting_steps (s, waiting, &waits, now);
@@ -408,6 +416,7 @@
   for (guint i = 0; i < waiting->len; i++)
     {
       const WaitingStep *t = &g_array_index (waiting, WaitingStep, i);
+      kq_wait_places_note (s, t->occurrence, t->step, rank_names[t->rank]);
       if (!t->lost)
         kq_waits_add (&waits, t->occurrence, t->step, now);
     }
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -278,8 +278,14 @@
 KqJobState kq_sched_state (const KqSched *s, KqStr id);
 /* The number of jobs in the queue that were accepted and have not started a task yet. */
 int64_t kq_sched_waiting (const KqSched *s, KqStr queue);
+/* The texts for operators end behind the line that passes so many bytes. */
+#define KQ_EXPLAIN_BYTES_MAX 15000
 /* Appends lines of text for operators on what the job waits for. */
 void kq_sched_explain (const KqSched *s, KqStr id, KqTime now, KqBuf *out);
+/* Appends a line of text for operators on each cordon, or that there is none. */
+void kq_sched_explain_cordons (const KqSched *s, KqTime now, KqBuf *out);
+/* When the last placing pass was made, which kq_sched_load tells of; 0: none yet. */
+KqTime kq_sched_passed_at (const KqSched *s);
 /* Sets the gauges among the counters to the present numbers of jobs, runs and runners. */
 void kq_sched_gauges (KqSched *s);
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -12,6 +12,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "sched/disturb.h"
+#include "sched/load_account.h"
 #include "sched/load_trend.h"
 #include "sched/sched.h"
 #include "sched/spent.h"
@@ -48,6 +49,23 @@
   KqRunnerState *avoid;  /* the runner where it failed or stalled last; NULL: none */
 } KqTaskState;
 
+/* The place of a waiting step in the order of a placing pass (wait_places.h). */
+typedef struct
+{
+  uint64_t pass;       /* KqSched.passes of that pass; 0: never placed */
+  const char *rank;    /* static text */
+  int32_t jobs_before; /* jobs of the same service and kind before its job */
+  int64_t work_before; /* work of their waiting tasks, as in load_account.h */
+} KqWaitPlace;
+
+/* What a pass has counted of one kind of waiting tasks of a service. */
+typedef struct
+{
+  uint64_t pass;
+  int32_t jobs;
+  int64_t work;
+} KqWaitCounts;
+
 /* The advice service's answer on whether a runner may run a step. */
 typedef struct
 {
@@ -87,6 +105,7 @@
   bool open;          /* the steps that it depends on are done: its tasks may start */
   char rack[24]; /* of a one-rack step: the rack of its first placed task; "": none is
                     placed */
+  KqWaitPlace place;
   KqLoadTrend load_trend;   /* of a serving step */
   KqRunnerState *failed_on; /* where a task failed last, with none done since; or NULL */
   bool fails_anywhere;      /* as above, but tasks have failed on several runners */
@@ -127,6 +146,8 @@
   KqOccurrence *occurrences; /* those that have begun and aren't completed */
   int n_runs;                /* number of runs that may exist on runners */
   KqRun *run_list;           /* those runs, the latest first */
+  uint64_t counted_pass;     /* wait_places.h: the pass that has counted it ... */
+  unsigned counted_kinds;    /* ... as a waiting job: a bit for each KqLoadKind */
   KqBuf batch;               /* packed progress that is being stored */
   KqJob *next;               /* links of the list KqSched.open_jobs */
   KqJob *prev;
@@ -216,6 +237,7 @@
   double demand_peak_milli; /* decaying maximum of demand_milli */
   double kept_free_milli;   /* cpu of the runners that are kept free of lasting tasks */
   KqTime updated_at;        /* when the peak was last updated */
+  KqWaitCounts waiting[KQ_LOAD_KINDS];
 };
 
 struct KqRunnerState
@@ -309,6 +331,7 @@
   bool pass_needed; /* something has changed that calls for a placing pass */
   bool in_pass; /* a placing pass is under way; values cached for one pass may be used */
   uint64_t passes;             /* number of placing passes so far */
+  KqTime passed_at;            /* when the last one was made */
   uint64_t changes;            /* number of calls of kq_runners_note_change so far */
   KqRunnerState *changed_last; /* all runners, the last changed first */
   guint scan_from;             /* index of the runner at which the next search begins */
