Answer operators of a fleet on the metrics port of every node

The leader can explain a job, but no route or command asked. GET /explain/ID, /load and /cordons on the metrics port are answered by the leader over the link, with the new kinds KQ_ASK_LOAD and KQ_ASK_CORDONS; a node that leads answers itself. Without a leader, or without its answer within 500 ms, the reply is 503 with a numbered reason. Answers have at most 16 KB; a node has at most 16 questions open, and the leader answers at most 20 in a second. KQ_ASK_ADMIT holds the place of admission.

--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -46,8 +46,11 @@
   KQ_ASK_STATE,   /* the state of a job */
   KQ_ASK_WAITING, /* the number of waiting jobs of a queue */
   KQ_ASK_EXPLAIN, /* text for operators on what a job waits for */
-  KQ_ASK_ACCEPT   /* write this job to the store; a leader that doesn't know this
+  KQ_ASK_ACCEPT,  /* write this job to the store; a leader that doesn't know this
                       kind answers -1: it hasn't written the job */
+  KQ_ASK_ADMIT,   /* part of admission */
+  KQ_ASK_LOAD,    /* text for operators on the load of each service */
+  KQ_ASK_CORDONS  /* text for operators on the cordoned failure domains */
 } KqAskKind;
 
 typedef struct
@@ -60,8 +63,8 @@
     struct
     {
       uint64_t call; /* number of the ASK */
-      int64_t
-          value; /* KqJobState, KqAcceptResult or a number of jobs; below 0: not known */
+      int64_t value; /* KqJobState, KqAcceptResult, KqFleetOperatorAnswer or a number of
+                        jobs; below 0: not known */
       KqStr text;
     } answer;
     struct
@@ -107,7 +110,7 @@
     {
       uint64_t call; /* the node's number of this query */
       KqAskKind what;
-      KqStr about; /* job id or queue; of ACCEPT the job */
+      KqStr about; /* job id or queue; of ACCEPT the job; of LOAD, CORDONS "" */
     } ask;
     struct
     {
--- a/src/base/result.c
+++ b/src/base/result.c
@@ -132,6 +132,11 @@
   { KQ_ERR_METHOD, "METHOD", 405, "The path does not take this method." },
   { KQ_ERR_PRECONDITION, "PRECONDITION", 428, "The change needs If-Match." },
   { KQ_ERR_NOT_READY, "NOT_READY", 503, "The node is not ready." },
+  { KQ_ERR_NO_LEADER, "NO_LEADER", 503,
+    "There is no leader, or this node does not reach it." },
+  { KQ_ERR_LEADER_SILENT, "LEADER_SILENT", 503, "The leader did not answer in time." },
+  { KQ_ERR_QUESTIONS_MANY, "QUESTIONS_MANY", 503,
+    "Operators ask more than is answered at a time; ask again in a second." },
 };
 
 #define N_ROWS ((int)(sizeof rows / sizeof rows[0]))
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -11,6 +11,7 @@
 #include "fleet/leader.h"
 #include "fleet/link.h"
 #include "fleet/metrics.h"
+#include "fleet/operator.h"
 #include "fleet/queue_keys.h"
 #include "fleet/reach.h"
 #include "platform/platform.h"
@@ -56,6 +57,7 @@
   KqFrontHandler *handler;
   KqFront *front;
   KqMetrics *metrics;
+  KqFleetOperator *operators;
   KqQueueKeys *queues;
   KqCordons *cordons;
   KqAgentInfo self;
@@ -169,6 +171,7 @@
                        .deposed = on_deposed,
                        .answered = on_answered };
   kq_link_set_own_epoch (f->link, epoch, now);
+  kq_fleet_operator_leader_changed (f->operators, epoch, now);
   kq_agent_release_all (f->agent);
   kq_agent_leader_confirmed (f->agent, epoch, now);
   f->lease_expiry = (KqLeaseExpiry){ .length = leader_lease_ms (f) * KQ_MS };
@@ -193,6 +196,7 @@
 on_leader_changed (void *arg, const KqLeaderRecord *r, KqTime now)
 {
   KqFleet *f = arg;
+  kq_fleet_operator_leader_changed (f->operators, r->epoch, now);
   if (!f->stopping)
     kq_link_set_leader (f->link, kq_name_str (&r->address), r->epoch, now);
 }
@@ -279,6 +283,15 @@
     kq_reach_leader_answered (&f->store, now - i->u.ping.store_age_ms * KQ_MS);
 }
 
+static void
+take_answer (KqFleet *f, uint64_t call, int64_t value, KqStr text, KqTime now)
+{
+  if (kq_fleet_operator_is_call (call))
+    kq_fleet_operator_answer (f->operators, call, value, text, now);
+  else
+    kq_front_handler_answer (f->handler, call, value, now);
+}
+
 static void
 on_from_leader (void *arg, uint64_t epoch, const KqAgentItem *i, KqTime now)
 {
@@ -291,7 +304,7 @@
   else if (i->kind == KQ_AGENT_ITEM_ORDER)
     kq_agent_order (f->agent, epoch, &i->u.order, now);
   else if (i->kind == KQ_AGENT_ITEM_ANSWER)
-    kq_front_handler_answer (f->handler, i->u.answer.call, i->u.answer.value, now);
+    take_answer (f, i->u.answer.call, i->u.answer.value, i->u.answer.text, now);
 }
 
 static int64_t
@@ -321,8 +334,8 @@
     {
       value = kq_leader_query (f->leader, query->u.ask.what, query->u.ask.about, now,
                                &text);
+      take_answer (f, query->u.ask.call, value, kq_buf_str (&text), now);
       kq_buf_free (&text);
-      kq_front_handler_answer (f->handler, query->u.ask.call, value, now);
       return true;
     }
   if (!kq_link_connected (f->link))
@@ -474,6 +487,29 @@
   kq_counters_print (f->config.counters, out);
 }
 
+/* Callbacks of the metrics port and of operators' questions. */
+
+static void
+on_question (void *arg, KqHttpExchange *x, KqTime now)
+{
+  KqFleet *f = arg;
+  kq_fleet_operator_ask (f->operators, x, kq_http_method (x), kq_http_path (x), now);
+}
+
+static void
+on_question_gone (void *arg, KqHttpExchange *x)
+{
+  KqFleet *f = arg;
+  kq_fleet_operator_gone (f->operators, x);
+}
+
+static void
+reply_to_operator (void *arg, void *exchange, int status, KqStr text)
+{
+  (void)arg;
+  kq_metrics_reply (exchange, status, text);
+}
+
 static bool
 create_parts (KqFleet *f)
 {
@@ -500,12 +536,16 @@
           send_to_leader, on_answered, on_store_failed };
   KqFrontCallbacks owner = { f, on_request, ready, stopping, body_max };
   KqAcceptsOwner accepts = { f, on_accepted, on_answered };
+  KqMetricsOwner metrics = { f, print_metrics, on_question, on_question_gone };
+  KqFleetOperatorConfig operators
+      = { loop, f->config.counters, f, query_leader, reply_to_operator };
+  f->operators = kq_fleet_operator_new (&operators);
   f->accepts = kq_accepts_new (f->kv, &accepts);
   f->agent = kq_agent_new (&agent);
   f->link = kq_link_new (&link);
   f->handler = kq_front_handler_new (&handler);
   f->front = kq_front_new (loop, kq_str (s->front), kq_str (s->ready), &owner);
-  f->metrics = kq_metrics_new (loop, s->ip, (int)s->metrics_port, print_metrics, f);
+  f->metrics = kq_metrics_new (loop, s->ip, (int)s->metrics_port, &metrics);
   return f->link != NULL && f->front != NULL && f->metrics != NULL;
 }
 
@@ -586,6 +626,7 @@
   kq_front_handler_free (f->handler);
   kq_accepts_free (f->accepts);
   kq_metrics_free (f->metrics);
+  kq_fleet_operator_free (f->operators);
   kq_runner_client_free (f->calls);
   kq_advice_free (f->advice);
   kq_maintenance_free (f->maintenance);
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -5,6 +5,7 @@
 #include "fleet/batch.h"
 #include "fleet/follow.h"
 #include "fleet/keys.h"
+#include "fleet/operator.h"
 #include "fleet/waves.h"
 #include "port/source.h"
 
@@ -46,7 +47,8 @@
   int own_agent;             /* agent number of this node */
   LoadPhase phase;
   char *page_after; /* last key of the previous page of progress */
-  int failures;     /* consecutive failed calls while loading */
+  KqFleetOperatorRate operator_rate;
+  int failures; /* consecutive failed calls while loading */
   KqRand rand;
   ev_timer retry; /* repeats a failed call while loading */
   ev_timer timer; /* the next run of the scheduler or write of the batch */
@@ -594,9 +596,12 @@
     case KQ_ASK_WAITING:
       return kq_sched_waiting (l->sched, about);
     case KQ_ASK_EXPLAIN:
-      kq_sched_explain (l->sched, about, now, text);
-      return 0;
+    case KQ_ASK_LOAD:
+    case KQ_ASK_CORDONS:
+      return kq_fleet_operator_explain (l->sched, &l->operator_rate, what, about, now,
+                                        text);
     case KQ_ASK_ACCEPT: /* handled by fleet/accepts.c */
+    case KQ_ASK_ADMIT:
       break;
     }
   return -1;
--- a/src/fleet/leader.h
+++ b/src/fleet/leader.h
@@ -53,7 +53,7 @@
  * p NULL: from this node's own agent. */
 void kq_leader_handle_item (KqLeader *l, KqPeer *p, const KqAgentItem *i, KqTime now);
 /* Answers a query of this or another node. Returns the value of a KQ_AGENT_ITEM_ANSWER;
- * -1: not known, or not yet loaded. text gets the explanation of KQ_ASK_EXPLAIN. */
+ * -1: not known, or not yet loaded. text gets the answer to an operator's question. */
 int64_t kq_leader_query (KqLeader *l, KqAskKind what, KqStr about, KqTime now,
                          KqBuf *text);
 KqSched *kq_leader_sched (KqLeader *l);
--- a/src/fleet/leader_test.c
+++ b/src/fleet/leader_test.c
@@ -160,6 +160,24 @@
   free_leader (l, counters, loop);
 }
 
+/* Guards against a new leader that answers operators from a fleet that it hasn't read
+ * yet. */
+static void
+test_loading_leader_answers_no_operator (void **state)
+{
+  static const KqAskKind kinds[] = { KQ_ASK_EXPLAIN, KQ_ASK_LOAD, KQ_ASK_CORDONS };
+  KqLoop *loop = kq_loop_new ();
+  KqCounters *counters = kq_counters_new ();
+  KqLeader *l = new_leader (loop, counters);
+  KqBuf text = { 0 };
+  (void)state;
+  for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+    assert_int_equal (kq_leader_query (l, kinds[i], KQ_STR ("a"), kq_time_now (), &text),
+                      -1);
+  assert_int_equal (text.len, 0);
+  free_leader (l, counters, loop);
+}
+
 static void
 on_timer (struct ev_loop *ev, ev_timer *w, int events)
 {
@@ -195,6 +213,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_loading_leader_sleeps),
+          cmocka_unit_test (test_loading_leader_answers_no_operator),
           cmocka_unit_test (test_loading_pauses_after_a_refusal) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/fleet/metrics.c
+++ b/src/fleet/metrics.c
@@ -1,14 +1,12 @@
 #include "fleet/metrics.h"
 
-#include "http/server.h"
-
 #include <stdlib.h>
 
 struct KqMetrics
 {
   KqHttpServer *server;
-  void (*print) (void *arg, KqBuf *out);
-  void *arg;
+  KqLoop *loop;
+  KqMetricsOwner owner;
 };
 
 static void
@@ -19,10 +17,10 @@
   KqBuf text = { 0 };
   if (!kq_str_eq (kq_http_path (x), KQ_STR ("/metrics")))
     {
-      kq_http_reply (x, 404, NULL, 0, KQ_STR (""));
+      m->owner.ask (m->owner.arg, x, kq_loop_now (m->loop));
       return;
     }
-  m->print (m->arg, &text);
+  m->owner.print (m->owner.arg, &text);
   kq_http_reply (x, 200, &type, 1, kq_buf_str (&text));
   kq_buf_free (&text);
 }
@@ -45,19 +43,25 @@
 static void
 on_gone (void *arg, KqHttpExchange *x, bool whole)
 {
-  (void)arg;
-  (void)x;
+  const KqMetrics *m = arg;
   (void)whole;
+  m->owner.gone (m->owner.arg, x);
+}
+
+void
+kq_metrics_reply (KqHttpExchange *x, int status, KqStr text)
+{
+  KqHeader type = { KQ_STR ("Content-Type"), KQ_STR ("text/plain; charset=utf-8") };
+  kq_http_reply (x, status, &type, 1, text);
 }
 
 KqMetrics *
-kq_metrics_new (KqLoop *loop, const char *ip, int port,
-                void (*print) (void *arg, KqBuf *out), void *arg)
+kq_metrics_new (KqLoop *loop, const char *ip, int port, const KqMetricsOwner *owner)
 {
   KqMetrics *m = kq_alloc (sizeof *m);
   KqHttpHandler h = { m, on_begin, on_body, on_end, NULL, on_gone };
-  m->print = print;
-  m->arg = arg;
+  m->loop = loop;
+  m->owner = *owner;
   m->server = kq_http_server_new (loop, ip, port, &h);
   if (m->server != NULL)
     return m;
