--- a/docs/completion/kumquatctl.bash
+++ b/docs/completion/kumquatctl.bash
@@ -13,10 +13,11 @@
     choices=$options
   else
     case "${#words[@]}:${words[0]:-}:${words[1]:-}" in
-      0:*) choices="table job worker node shard top explain account results reference" ;;
+      0:*) choices="table job worker node fleet shard top explain account results reference" ;;
       1:table:*) choices="show get set add rm export import wait" ;;
       1:job:*) choices="submit show list cancel" ;;
       1:node:*) choices="list show drain log-level" ;;
+      1:fleet:*) choices="explain load cordons" ;;
       1:worker:* | 1:shard:*) choices="list" ;;
       1:reference:*) choices="settings table" ;;
       2:table:show | 2:table:get | 2:table:set | 2:table:add | 2:table:rm | 2:table:export)
--- a/src/ctl/call.c
+++ b/src/ctl/call.c
@@ -140,6 +140,28 @@
   return code;
 }
 
+int
+kq_ctl_get_text (const KqCtl *c, const char *url, KqBuf *text)
+{
+  CURL *h = curl_easy_init ();
+  long status = 0;
+  CURLcode r;
+  curl_easy_setopt (h, CURLOPT_URL, url);
+  curl_easy_setopt (h, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (h, CURLOPT_TIMEOUT, (long)c->timeout_s);
+  curl_easy_setopt (h, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (h, CURLOPT_WRITEFUNCTION, append_body);
+  curl_easy_setopt (h, CURLOPT_WRITEDATA, text);
+  r = curl_easy_perform (h);
+  curl_easy_getinfo (h, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_cleanup (h);
+  if (r == CURLE_OK)
+    return exit_code_of_status ("GET", status, NULL);
+  fprintf (stderr, "kumquatctl: %s: %s\n", url, curl_easy_strerror (r));
+  kq_buf_clear (text);
+  return exit_code_of_failure (r, "GET");
+}
+
 int
 kq_ctl_get (const KqCtl *c, const char *path, json_t **out)
 {
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -61,6 +61,9 @@
                  KqStr body, json_t **out);
 /* The same for GET; a response that isn't JSON is an error (KQ_EXIT_REFUSED). */
 int kq_ctl_get (const KqCtl *c, const char *path, json_t **out);
+/* Sends a GET request, without a token, to a port that answers in plain text. Returns an
+ * exit code; *text gets the answer, also when it is a refusal. */
+int kq_ctl_get_text (const KqCtl *c, const char *url, KqBuf *text);
 /* Sends a GET request to every node that is alive; on KQ_EXIT_OK *out is an array of
  * {node, answer}, freed by the caller. Nodes that don't answer are named on standard
  * error and left out. */
@@ -91,6 +94,7 @@
 int kq_ctl_job (KqCtl *c, int n, char **args);
 int kq_ctl_worker (KqCtl *c, int n, char **args);
 int kq_ctl_node (KqCtl *c, int n, char **args);
+int kq_ctl_fleet (KqCtl *c, int n, char **args);
 int kq_ctl_shard (KqCtl *c, int n, char **args);
 int kq_ctl_account (KqCtl *c, int n, char **args);
 int kq_ctl_explain (KqCtl *c, int n, char **args);
