--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -52,9 +52,11 @@
   KQ_ASK_EXPLAIN, /* text for operators on what a job waits for */
   KQ_ASK_ACCEPT,  /* write this job to the store; a leader that doesn't know this
                       kind answers -1: it hasn't written the job */
-  KQ_ASK_ADMIT    /* whether to refuse this job for load (load_item.h); the answer is the
+  KQ_ASK_ADMIT,   /* whether to refuse this job for load (load_item.h); the answer is the
                       Retry-After in ms, or -1: accept. A leader that doesn't know this
                       kind answers -1 */
+  KQ_ASK_LOAD,    /* text for operators on the load of each service */
+  KQ_ASK_CORDONS  /* text for operators on the cordoned failure domains */
 } KqAskKind;
 
 typedef struct
@@ -67,9 +69,8 @@
     struct
     {
       uint64_t call; /* number of the ASK */
-      int64_t
-          value; /* KqJobState, KqAcceptResult, a number of jobs or ms; below 0: not known
-                  */
+      int64_t value; /* KqJobState, KqAcceptResult, KqFleetOperatorAnswer, a number of
+                        jobs or ms; below 0: not known */
       KqStr text;
     } answer;
     struct
@@ -115,7 +116,8 @@
     {
       uint64_t call; /* the node's number of this query */
       KqAskKind what;
-      KqStr about; /* job id or queue; of ACCEPT the job; of ADMIT a KqAdmitQuery */
+      KqStr about; /* job id or queue; of ACCEPT the job; of ADMIT a KqAdmitQuery; of
+                      LOAD, CORDONS "" */
     } ask;
     struct
     {
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -12,6 +12,7 @@
 #include "sched/load_pass.h"
 #include "sched/place.h"
 #include "sched/placing.h"
+#include "sched/wait_places.h"
 #include "sched/waits.h"
 
 #include <stdlib.h>
@@ -26,6 +27,12 @@
   RANK_LATE,    /* can end within HOPELESS_RATIO times the objective */
   RANK_HOPELESS /* must still be run, but after all others */
 };
+/* For operators. */
+static const char *const rank_names[] = { [RANK_LOST] = "lost lasting task",
+                                          [RANK_IN_TIME] = "in time",
+                                          [RANK_LASTING] = "lasting",
+                                          [RANK_LATE] = "late",
+                                          [RANK_HOPELESS] = "of no use any more" };
 #define HOPELESS_RATIO 3
 /* Which job is put behind when not all can be in time (waiting_order.h). */
 #define DEFER_RULE KQ_DEFER_LARGEST
@@ -445,6 +452,7 @@
   KqWaits waits = { 0 };
   KqLoadPass load;
   s->passes++;
+  s->passed_at = now;
   s->in_pass = true;
   kq_pools_begin_pass (s);
   kq_load_begin_pass (&load, s, now);
@@ -471,6 +479,7 @@
   for (guint i = 0; i < waiting->len; i++)
     {
       const WaitingStep *t = &g_array_index (waiting, WaitingStep, i);
+      kq_wait_places_note (s, t->occurrence, t->step, rank_names[t->rank]);
       if (!t->lost)
         kq_waits_add (&waits, t->occurrence, t->step, now);
     }
