--- a/src/sched/load_account.c
+++ b/src/sched/load_account.c
@@ -19,9 +19,8 @@
 int64_t
 kq_load_wait_ms (const KqLoadRow *row)
 {
-  if (row->waiting_jobs == 0)
+  int64_t work = row->in_time_work + row->late_work;
+  if (row->waiting_jobs == 0 && work == 0)
     return 0;
-  if (row->rate <= 0)
-    return -1;
-  return (row->in_time_work + row->late_work) / row->rate;
+  return row->rate > 0 ? work / row->rate : -1;
 }
