Order in an overload: jobs that have begun first, the newest deferred

Jobs got their tasks in turns and ended late together. Jobs that have begun now come first and are put behind only after others.

--- a/src/sched/load_pass.c
+++ b/src/sched/load_pass.c
@@ -182,6 +182,7 @@
       const KqStepState *st = &o->steps[i];
       KqLoadSums *l = &sums[step_kind (step)];
       int32_t n_waiting = step->width - st->done - st->active;
+      j.job.begun = j.job.begun || st->done + st->active > 0;
       j.job.work += tasks_work (step, step->width - st->done);
       j.waiting_work += tasks_work (step, n_waiting);
       j.waiting_milli += tasks_milli (step, n_waiting);
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -35,7 +35,7 @@
                                           [RANK_HOPELESS] = "of no use any more" };
 #define HOPELESS_RATIO 3
 /* Which job is put behind when not all can be in time (waiting_order.h). */
-#define DEFER_RULE KQ_DEFER_LARGEST
+#define DEFER_RULE KQ_DEFER_NEWEST
 /* A lasting task that has lost its run goes first after waiting for this time. When many
  * hosts went down, short jobs in time kept the room from these tasks for 14 s, during
  * which their callers had no service. */
@@ -52,7 +52,7 @@
   KqOccurrence *occurrence;
   int32_t step;
   int rank;
-  int place;  /* in the rank: KqWaitingClass, or PLACE_TURN */
+  int place;  /* in the rank: see forecast_place, or PLACE_TURN */
   KqTime due; /* order in that place: when the objective ends, or kq_waiting_key */
   bool lost;  /* stands only for the step's lasting tasks that have run before */
 } WaitingStep;
@@ -189,6 +189,12 @@
   return t;
 }
 
+static int
+forecast_place (const KqWaitingPlace *p)
+{
+  return 2 * (int)p->class + (p->ahead_of_class ? 0 : 1);
+}
+
 /* Sets the place of each step by what was decided on its job. */
 static void
 apply_forecast (GArray *waiting)
@@ -199,10 +205,10 @@
       const KqOccurrence *o = t->occurrence;
       if (o->job->spec.steps[t->step].lasting || o->place.forecast_end == 0)
         continue; /* nothing was decided */
-      t->place = (int)o->place.class;
-      if (t->place == KQ_WAITING_DEFERRED)
+      t->place = forecast_place (&o->place);
+      if (o->place.class == KQ_WAITING_DEFERRED)
         t->due = objective_end (o, HOPELESS_RATIO);
-      else if (t->place == KQ_WAITING_NO_USE)
+      else if (o->place.class == KQ_WAITING_NO_USE)
         t->due = o->due_at;
       if (!kq_load_has_turn (o))
         continue;
--- a/src/sched/waiting_order.c
+++ b/src/sched/waiting_order.c
@@ -9,7 +9,8 @@
 {
   KqHeapNode node;
   KqWaitingJob *job;
-  KqTime key; /* the items are sorted by this */
+  bool ahead_of_class; /* the items are sorted by this, then by key */
+  KqTime key;
   size_t number;
 } Item;
 
@@ -57,6 +58,8 @@
 {
   const Item *x = a;
   const Item *y = b;
+  if (x->ahead_of_class != y->ahead_of_class)
+    return x->ahead_of_class ? -1 : 1;
   if (x->key != y->key)
     return x->key < y->key ? -1 : 1;
   return x->number < y->number ? -1 : 1;
@@ -66,7 +69,10 @@
 sort_items (Item *items, size_t n, KqWaitingClass c)
 {
   for (size_t i = 0; i < n; i++)
-    items[i].key = kq_waiting_key (items[i].job, c);
+    {
+      items[i].ahead_of_class = c == KQ_WAITING_IN_TIME && items[i].job->begun;
+      items[i].key = kq_waiting_key (items[i].job, c);
+    }
   if (n > 0)
     qsort (items, n, sizeof *items, compare_items);
 }
@@ -83,12 +89,15 @@
   return forecast_end (st->load, i->job, ahead) <= kq_waiting_key (i->job, st->class);
 }
 
-/* The lowest key is deferred first; of equal ones the one whose end comes last. */
+/* The lowest key is deferred first; of equal ones the one whose end comes last. Jobs that
+ * haven't begun come before those that have, and these before those that came back. */
 static int64_t
 deferral_key (const Stage *st, const Item *i)
 {
   int64_t size = st->load->rule == KQ_DEFER_LARGEST ? i->job->work : (int64_t)i->job->due;
-  return i->job->returned ? INT64_MAX - size : -size;
+  if (i->job->returned)
+    return INT64_MAX - size;
+  return i->job->begun ? INT64_MAX / 2 - size : -size;
 }
 
 static void
@@ -164,6 +173,7 @@
         }
       j->place.work_ahead = ahead->work;
       j->place.jobs_ahead = ahead->jobs++;
+      j->place.ahead_of_class = items[i].ahead_of_class;
       j->place.forecast_end = forecast_end (load, j, ahead->work);
       ahead->work += j->work;
       items[kept++] = items[i];
--- a/src/sched/waiting_order.h
+++ b/src/sched/waiting_order.h
@@ -9,6 +9,10 @@
  * ended late. Here each job is judged with the work ahead of it, and as few jobs as
  * possible are put behind so that the others end in time (Moore and Hodgson's rule).
  *
+ * Of those in time, jobs that have begun come first: a job that gets its tasks in turns
+ * with others ends as late as the last of them. They are also put behind later than jobs
+ * that haven't begun, whatever their size, as what they have done would be for nothing.
+ *
  * Work is in thousandths of a core times ms, a rate in thousandths of a core. */
 
 #include "base/time.h"
@@ -27,7 +31,7 @@
 /* The place of a job among those waiting for the same room, served in this order. */
 typedef enum
 {
-  KQ_WAITING_IN_TIME,  /* by the end of the objective */
+  KQ_WAITING_IN_TIME,  /* those that have begun first; by the end of the objective */
   KQ_WAITING_DEFERRED, /* can be of use; by the end of the use */
   KQ_WAITING_NO_USE    /* the oldest first */
 } KqWaitingClass;
@@ -39,6 +43,7 @@
 typedef struct
 {
   KqWaitingClass class;
+  bool ahead_of_class; /* comes before jobs of its class that haven't begun */
   KqTime forecast_end;
   int64_t work_ahead;
   int64_t jobs_ahead;
@@ -51,6 +56,7 @@
   KqTime due;       /* end of the objective */
   KqTime use_end;   /* end of the use */
   KqTime accepted;
+  bool begun;    /* a task of it is done or runs */
   bool returned; /* it came back after a refusal: it is deferred only after all others */
   KqWaitingPlace place; /* result */
 } KqWaitingJob;
@@ -66,7 +72,8 @@
 
 /* Decides on the places of jobs that wait for the same room, in O(n log n). */
 void kq_waiting_order (KqWaitingJob *jobs, size_t n, const KqWaitingLoad *load);
-/* What jobs of the same class are ordered by, the lowest first. */
+/* What jobs of the same class are ordered by, the lowest first, apart from
+ * ahead_of_class. */
 KqTime kq_waiting_key (const KqWaitingJob *j, KqWaitingClass c);
 
 #endif
--- a/src/sched/waiting_order_test.c
+++ b/src/sched/waiting_order_test.c
@@ -299,6 +299,30 @@
   assert_int_equal (jobs[1].place.class, KQ_WAITING_DEFERRED);
 }
 
+/* Guards against jobs that get their tasks in turns and then all end late: one that has
+ * begun comes first, and is put behind only after those that haven't, whatever the rule.
+ */
+static void
+test_begun_job_comes_first (void **state)
+{
+  (void)state;
+  for (int rule = KQ_DEFER_LARGEST; rule <= KQ_DEFER_NEWEST; rule++)
+    {
+      KqWaitingJob jobs[] = { job (300, 600), job (400, 2000), job (900, 1000) };
+      KqWaitingLoad load = load_of (RATE, (KqDeferRule)rule);
+      jobs[2].begun = true;
+      kq_waiting_order (jobs, 3, &load);
+      assert_int_equal (jobs[2].place.jobs_ahead, 0);
+      assert_true (jobs[2].place.ahead_of_class);
+      assert_int_equal (jobs[2].place.class, KQ_WAITING_IN_TIME);
+      assert_int_equal (jobs[1].place.class, KQ_WAITING_IN_TIME);
+      assert_int_equal (jobs[0].place.class, KQ_WAITING_DEFERRED);
+      jobs[2].begun = false;
+      kq_waiting_order (jobs, 3, &load);
+      assert_int_equal (jobs[0].place.jobs_ahead, 0);
+    }
+}
+
 /* Guards against places that the forecast doesn't bear out, whatever the jobs. */
 static void
 test_places_agree_with_the_forecast (void **state)
@@ -317,6 +341,7 @@
           jobs[i] = job (1 + (int64_t)kq_rand_below (&r, 300),
                          (int64_t)kq_rand_below (&r, 3000) - 200);
           jobs[i].returned = kq_rand_below (&r, 8) == 0;
+          jobs[i].begun = kq_rand_below (&r, 4) == 0;
           jobs[i].accepted = NOW - (KqTime)kq_rand_below (&r, KQ_SEC);
         }
       kq_waiting_order (jobs, n, &load);
@@ -353,6 +378,7 @@
     cmocka_unit_test (test_job_that_returned_too_late_defers_no_other),
     cmocka_unit_test (test_jobs_of_no_use_come_last_oldest_first),
     cmocka_unit_test (test_nearly_done_job_is_not_deferred_for_a_new_one),
+    cmocka_unit_test (test_begun_job_comes_first),
     cmocka_unit_test (test_places_agree_with_the_forecast),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
