Admission: room that tasks of that size wait for isn't free

Now the row tells the cpu of the smallest task that waits, and free room counts only for a job whose tasks are all smaller than that.

--- a/src/agent/frame_test.c
+++ b/src/agent/frame_test.c
@@ -182,9 +182,11 @@
 load_digest (void)
 {
   KqLoadDigest d = { .number = 7, .known = true, .n_rows = 2 };
-  d.rows[0] = (KqLoadRow){ KQ_STR ("a"), KQ_LOAD_RESERVED, 1, 2, 3, 4, 5, 6, 7, 8, 9 };
-  d.rows[1]
-      = (KqLoadRow){ KQ_STR ("b"), KQ_LOAD_LASTING, 11, 12, 13, 14, 15, 16, 17, 18, 19 };
+  d.rows[0]
+      = (KqLoadRow){ KQ_STR ("a"), KQ_LOAD_RESERVED, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
+  d.rows[1] = (KqLoadRow){
+    KQ_STR ("b"), KQ_LOAD_LASTING, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20
+  };
   return d;
 }
 
@@ -218,6 +220,7 @@
   assert_int_equal (row->largest_milli, 17);
   assert_int_equal (row->waiting_jobs, 18);
   assert_int_equal (row->late_jobs, 19);
+  assert_int_equal (row->waiting_milli, 20);
   kq_agent_item_clear (&o);
   i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_WRITING };
   i.u.writing.id = KQ_STR ("j1");
--- a/src/agent/load_item.c
+++ b/src/agent/load_item.c
@@ -22,7 +22,7 @@
 static void
 pack_row (KqPacker *p, const KqLoadRow *row)
 {
-  kq_pack_array (p, 11);
+  kq_pack_array (p, 12);
   kq_pack_str (p, row->service);
   kq_pack_i64 (p, row->kind);
   kq_pack_i64 (p, row->rate);
@@ -34,6 +34,7 @@
   kq_pack_i64 (p, row->largest_milli);
   kq_pack_i64 (p, row->waiting_jobs);
   kq_pack_i64 (p, row->late_jobs);
+  kq_pack_i64 (p, row->waiting_milli);
 }
 
 /* False: the row is of a kind that this version doesn't know. */
@@ -55,6 +56,7 @@
   row->largest_milli = read_amount (r);
   row->waiting_jobs = read_number (r);
   row->late_jobs = read_number (r);
+  row->waiting_milli = read_amount (r);
   return true;
 }
 
--- a/src/agent/versions_test.c
+++ b/src/agent/versions_test.c
@@ -231,10 +231,10 @@
   kq_pack_array (&later.p, 2);
   for (int n = 0; n < 2; n++)
     {
-      kq_pack_array (&later.p, 12);
+      kq_pack_array (&later.p, 13);
       kq_pack_str (&later.p, KQ_STR ("svc"));
       kq_pack_i64 (&later.p, kinds[n]);
-      for (int k = 0; k < 9; k++)
+      for (int k = 0; k < 10; k++)
         kq_pack_i64 (&later.p, k == 0 ? -1 : INT64_MAX); /* moved into the range */
       kq_pack_str (&later.p, KQ_STR ("more"));
     }
--- a/src/fleet/admission.c
+++ b/src/fleet/admission.c
@@ -26,14 +26,24 @@
   return (int64_t)(v < most ? v : most);
 }
 
+/* Whether room is free that none of the waiting tasks can use. What is left where a task
+ * of that size waits can't be used by the job either: it disturbs serving tasks, or is
+ * kept for others. */
+static bool
+has_room (const KqLoadRow *row, const KqJobLoad *job, KqAdmitAhead ahead)
+{
+  return (row->waiting_milli == 0 || job->largest_milli < row->waiting_milli)
+         && row->largest_milli >= job->largest_milli
+         && row->free_milli - ahead.milli >= job->largest_milli;
+}
+
 static KqAdmitOutlook
 outlook (const KqLoadRow *row, const KqJobLoad *job, KqAdmitAhead ahead,
          const KqAdmitForecast *f)
 {
   if (row->late_work <= 0 || row->cut_work <= 0)
     return KQ_ADMIT_NO_OVERLOAD;
-  if (row->largest_milli >= job->largest_milli
-      && row->free_milli - ahead.milli >= job->largest_milli)
+  if (has_room (row, job, ahead))
     return KQ_ADMIT_ROOM;
   if (f->wait_ms < 0)
     return KQ_ADMIT_UNKNOWN;
--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -13,7 +13,8 @@
  * knows which ids it has and which have been refused before.
  *
  * A job is refused only if all of these hold: jobs of its service and kind are placed
- * behind others already; no room is free for its largest task; it has at least as much
+ * behind others already; no room is free for its largest task that smaller ones don't
+ * wait for; it has at least as much
  * work as the least job that is placed behind; its forecast end is later than
  * KQ_ADMIT_USE_RATIO times its objective. Whatever isn't known or is out of reach leads
  * to acceptance. */
--- a/src/fleet/admission_test.c
+++ b/src/fleet/admission_test.c
@@ -76,6 +76,10 @@
   row = overloaded ();
   row.free_milli = row.largest_milli = j.largest_milli;
   assert_int_equal (outlook (row, j), KQ_ADMIT_ROOM);
+  row.waiting_milli = j.largest_milli; /* tasks of that size wait all the same */
+  assert_int_equal (outlook (row, j), KQ_ADMIT_TOO_LATE);
+  row.waiting_milli = j.largest_milli + 1; /* only larger ones do */
+  assert_int_equal (outlook (row, j), KQ_ADMIT_ROOM);
   row.largest_milli--; /* free, but in pieces that are too small */
   assert_int_equal (outlook (row, j), KQ_ADMIT_TOO_LATE);
   row = overloaded ();
--- a/src/sched/load_pass.c
+++ b/src/sched/load_pass.c
@@ -377,6 +377,9 @@
       waiting += tasks_work (p, n);
       waiting_milli += tasks_milli (p, n);
       waits = waits || n > 0;
+      if (n > 0 && o->steps[i].open && step_kind (p) == row->kind
+          && (row->waiting_milli == 0 || p->cpu_milli < row->waiting_milli))
+        row->waiting_milli = p->cpu_milli;
     }
   j->sums->running_milli += j->waiting_milli - waiting_milli;
   j->sums->fitting_milli -= j->waiting_milli - waiting_milli;
