sched_idle: count a job's wait from its last start

The tasks of j25 fail within 60 ms on the only runner with their label, which is then suspect for 2 s. The run from 1107530 to 1107600 ms fell between two checks 100 ms apart, so the waits of 2.3 s and 2.2 s counted as one of over 3 s.

Change: the wait counts from the last start of a task of the job at the earliest. The bound of 3 s stays, and a wait after such a run is still found.

--- a/bench/sched_idle.c
+++ b/bench/sched_idle.c
@@ -175,6 +175,36 @@
   return waits && since != 0 && now_ms (r) - since > IDLE_MAX_MS;
 }
 
+/* The start of the last run of any of the job's tasks; 0: none has started. */
+static int
+last_start_ms (const KqSchedRig *r, const KqSpec *spec)
+{
+  int last = 0;
+  for (int32_t k = 0; k < kq_spec_occurrences (spec); k++)
+    for (int32_t i = 0; i < spec->n_steps; i++)
+      for (int32_t t = 0; t < spec->steps[i].width; t++)
+        {
+          char task[96];
+          int started;
+          snprintf (task, sizeof task, "%.*s.%d.%d.%d", KQ_STR_ARG (spec->id), k, i, t);
+          started = GPOINTER_TO_INT (g_hash_table_lookup (r->last_start_ms, task));
+          last = started > last ? started : last;
+        }
+  return last;
+}
+
+/* Counts the wait of a job from its last start at the earliest: a run that fails at once
+ * begins and ends between two checks, neither of which sees it. */
+static void
+count_from_last_start (KqSchedIdle *c, const KqSchedRig *r, const char *id,
+                       const KqSpec *spec)
+{
+  int since = GPOINTER_TO_INT (g_hash_table_lookup (c->since_ms, id));
+  int started = since != 0 ? last_start_ms (r, spec) : 0;
+  if (started > since)
+    g_hash_table_insert (c->since_ms, strdup (id), GINT_TO_POINTER (started));
+}
+
 static void
 check_lasting_task (KqSchedIdle *c, KqSchedRig *r, const KqSpec *spec, int32_t step,
                     int32_t index, bool calm)
@@ -242,6 +272,8 @@
   if (state >= KQ_JOB_COMPLETED && state < KQ_JOB_UNKNOWN)
     return;
   waits = calm && kq_sched_rig_running (r, id) == 0 && could_run (c, r, spec);
+  if (waits)
+    count_from_last_start (c, r, id, spec);
   if (waits_too_long (c, r, id, waits))
     {
       kq_sched_rig_breach (r, "waits beside free room", id);
