Place lost lasting filling tasks together

Five lasting filling tasks lost their runs at once while the serving tasks on the three runners with room were over their target. They were placed again like tasks that have never run, in numbers that double every 2 s, so the last of them waited for 6.2 s. In addition each of them counted as reserved cpu for the rest of the pass, though a filling task reserves none: the room no longer counted as half free and placing ended.

Change: a lost lasting task that has waited for 2 s counts as starved whatever else of its step was placed, and a filling one adds nothing to the reserved cpu.

--- a/src/sched/drain.c
+++ b/src/sched/drain.c
@@ -134,7 +134,7 @@
     for (const KqOccurrence *o = j->pool == r->pool ? j->occurrences : NULL; o != NULL;
          o = o->next)
       for (int32_t i = 0; i < j->spec.n_steps; i++)
-        if (!j->spec.steps[i].lasting && kq_place_is_starved (o, i, now)
+        if (!j->spec.steps[i].lasting && kq_place_is_starved (o, i, false, now)
             && kq_place_has_label (r, j->spec.steps[i].label)
             && kq_place_fits_starved (r, &j->spec.steps[i]))
           return true;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -90,7 +90,7 @@
 room_kind (const WaitingStep *t, KqTime now)
 {
   const KqStep *p = &t->occurrence->job->spec.steps[t->step];
-  if (kq_place_is_starved (t->occurrence, t->step, now))
+  if (kq_place_is_starved (t->occurrence, t->step, t->lost, now))
     return FOR_ANY;
   if (p->filling)
     return FOR_FILLING;
@@ -112,7 +112,7 @@
   if (p->filling)
     {
       n.image = j->images[t->step];
-      n.speed = kq_place_speed_required (t->occurrence, t->step, now);
+      n.speed = kq_place_speed_required (t->occurrence, t->step, t->lost, now);
     }
   return n;
 }
@@ -312,7 +312,8 @@
     g_strlcpy (st->rack, r->rack, sizeof st->rack);
   if (o->job->spec.steps[step].lasting)
     {
-      kq_pools_count_lasting (r, o->job->spec.steps[step].cpu_milli);
+      if (!o->job->spec.steps[step].filling)
+        kq_pools_count_lasting (r, o->job->spec.steps[step].cpu_milli);
       kq_runners_note_change (s, r); /* further lasting tasks may be placed there now */
     }
   kq_run_send_start (s, run, now);
@@ -352,7 +353,7 @@
   KqBuf starts = { 0 };
   /* A starved job's filling tasks are placed whatever their speed, but only one of them,
    * or a few lasting ones: as long as the step counts as starved. */
-  bool starved = p->filling && kq_place_is_starved (o, step, now);
+  bool starved = p->filling && kq_place_is_starved (o, step, lost, now);
   bool all_placed = true;
   kq_placing_begin (&placing, s, o, step, now);
   for (int32_t i = 0; i < p->width && all_placed && kq_window_is_open (&s->window); i++)
@@ -368,7 +369,7 @@
       if (all_placed)
         add_start_to_log (start_task (s, o, step, i, next_run (s, t), r, now), &starts,
                           now);
-      if (starved && (!p->lasting || !kq_place_is_starved (o, step, now)))
+      if (starved && (!p->lasting || !kq_place_is_starved (o, step, lost, now)))
         break;
     }
   kq_placing_end (&placing);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -238,8 +238,15 @@
   return count_runs (j, now).recent > 0;
 }
 
+/* Whether a lasting task of the step that has run before has waited for STARVED_AFTER. */
+static bool
+is_starved_as_lost (const KqStepState *st, KqTime now)
+{
+  return st->lost_since != 0 && now - st->lost_since >= STARVED_AFTER;
+}
+
 bool
-kq_place_is_starved (const KqOccurrence *o, int32_t step, KqTime now)
+kq_place_is_starved (const KqOccurrence *o, int32_t step, bool lost, KqTime now)
 {
   const KqStep *p = &o->job->spec.steps[step];
   KqTime since = o->steps[step].waits_since;
@@ -248,6 +255,11 @@
     return false;
   if (!p->lasting)
     return !is_at_work (o->job, now);
+  /* What a lost lasting task does to serving tasks is known from its earlier run. Placed
+   * in growing numbers, the fifth of five tasks that were lost together waited for 6 s.
+   */
+  if (lost && is_starved_as_lost (&o->steps[step], now))
+    return true;
   /* Each lasting filling task may disturb serving tasks, which the next reports tell: as
    * many are placed at a time as have run since the last ones, and one at first. */
   n = count_runs (o->job, now);
@@ -255,7 +267,7 @@
 }
 
 double
-kq_place_speed_required (const KqOccurrence *o, int32_t step, KqTime now)
+kq_place_speed_required (const KqOccurrence *o, int32_t step, bool lost, KqTime now)
 {
   const KqStepState *st = &o->steps[step];
   double half_speed_wait
@@ -263,7 +275,7 @@
   double waited = st->waits_since != 0 ? (double)(now - st->waits_since) : 0;
   double required
       = half_speed_wait > 0 ? half_speed_wait / (half_speed_wait + waited) : 0;
-  if (kq_place_is_starved (o, step, now))
+  if (kq_place_is_starved (o, step, lost, now))
     return 0;
   return required > START_SPEED_MIN ? required : START_SPEED_MIN;
 }
@@ -274,7 +286,7 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   int image = o->job->images[step];
-  bool starved = kq_place_is_starved (o, step, now);
+  bool starved = kq_place_is_starved (o, step, lost, now);
   KqPlaceAnswer a = r->pool != o->job->pool ? KQ_PLACE_OTHER_SERVICE
                                             : answer_of_runner (r, p, starved, now);
   if (a != KQ_PLACE_TAKES)
@@ -292,7 +304,7 @@
     return KQ_PLACE_OVER_TARGET;
   if (p->filling
       && kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
-             < kq_place_speed_required (o, step, now))
+             < kq_place_speed_required (o, step, lost, now))
     return KQ_PLACE_TOO_SLOW;
   return KQ_PLACE_TAKES;
 }
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -43,11 +43,12 @@
                         int32_t step, bool lost, KqTime now);
 /* Whether the step is starved: its tasks have waited for long, though about half of the
  * service's cpu is not reserved, and nothing of its job runs. Lasting tasks are starved
- * whatever else of their job runs. */
-bool kq_place_is_starved (const KqOccurrence *o, int32_t step, KqTime now);
+ * whatever else of their job runs. `lost`: as for kq_place_ask. */
+bool kq_place_is_starved (const KqOccurrence *o, int32_t step, bool lost, KqTime now);
 /* The share of its full speed that a filling task of the step must be able to work at to
  * start: the longer it has waited, the less. */
-double kq_place_speed_required (const KqOccurrence *o, int32_t step, KqTime now);
+double kq_place_speed_required (const KqOccurrence *o, int32_t step, bool lost,
+                                KqTime now);
 /* The score of the runner for a task of the step; higher is better. It doesn't count
  * where the task has failed before (KQ_PLACE_AVOID). */
 double kq_place_score (const KqSched *s, const KqRunnerState *r, const KqOccurrence *o,
--- a/src/sched/placing.c
+++ b/src/sched/placing.c
@@ -261,7 +261,7 @@
   p->rack_known = p->rack_known || rack_chosen;
   p->held_back = false;
   if (is_last_attempt (p, t) && p->now - st->waits_since < LAST_ATTEMPT_WAIT_MAX
-      && !kq_place_is_starved (p->occurrence, p->step, p->now))
+      && !kq_place_is_starved (p->occurrence, p->step, false, p->now))
     {
       p->has_last = take_reliable (p, t, &p->last);
       p->held_back = !p->has_last && p->heap->len > 0;
--- a/src/sched/starved_test.c
+++ b/src/sched/starved_test.c
@@ -173,6 +173,32 @@
   g_array_free (runs, TRUE);
 }
 
+/* Guards against lost lasting tasks that wait for 6 s beside free room: what fills the
+ * runners leaves them no cpu, and they were placed again in growing numbers like tasks
+ * that have never run. */
+static void
+test_lost_lasting_filling_tasks_are_placed_together (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep fills = filling_step ();
+  GArray *runs = fill_runners (d);
+  guint n_filling = runs->len;
+  fills.width = 5;
+  fills.lasting = true;
+  kq_sched_fixture_submit (d, "second", fills, false);
+  for (int i = 0; i < 4; i++)
+    {
+      run_with_lists (d, runs, NULL, STARVED_AFTER);
+      g_array_append_vals (runs, d->starts_pending->data, d->starts_pending->len);
+      kq_sched_fixture_accept_starts (d);
+    }
+  assert_int_equal (d->start_orders, 4 + 5);
+  g_array_set_size (runs, n_filling); /* the runs of "second" are in no list any more */
+  run_with_lists (d, runs, NULL, STARVED_AFTER);
+  assert_int_equal (d->start_orders, 4 + 5 + 5);
+  g_array_free (runs, TRUE);
+}
+
 /* Guards against a gang that waits beside free room: only its first task was placed
  * beside filling tasks of other jobs. */
 static void
@@ -201,6 +227,7 @@
     FIXTURE_TEST (test_lasting_task_is_not_held_back_by_others_of_its_job),
     FIXTURE_TEST (test_lasting_filling_tasks_are_placed_one_by_one),
     FIXTURE_TEST (test_lasting_filling_tasks_are_placed_in_growing_numbers),
+    FIXTURE_TEST (test_lost_lasting_filling_tasks_are_placed_together),
     FIXTURE_TEST (test_starved_gang_is_placed_as_a_whole),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
