Reserve runners for large tasks (large_task_room)

Cause: a reserved step whose tasks are too large for the free room of any runner waits while smaller tasks and lasting tasks take each core that becomes free; a late one waits behind lasting tasks, which keep their room.

Explain, gauges and log lines show it.

--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -34,6 +34,7 @@
       kq_buf_printf (out, ", waits for room: %d milli cpu, %d MB", p->cpu_milli,
                      p->mem_mb);
       kq_wait_places_explain (s, o, step, load, out);
+      kq_large_tasks_explain (s, o, step, now, out);
     }
   kq_buf_printf (out, "\n");
 }
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -23,6 +23,11 @@
 {
   RANK_LOST, /* a lost lasting task that has waited for LOST_WAIT_MAX */
   RANK_IN_TIME,
+  /* Late reserved steps, with large_task_room: they give their room back within a second
+   * or two, whereas a lasting task keeps it. Behind waiting lasting tasks, large tasks
+   * that were late never found room. */
+  RANK_LATE_RESERVED,
+  RANK_HOPELESS_RESERVED,
   RANK_LASTING,
   RANK_LATE,    /* can end within HOPELESS_RATIO times the objective */
   RANK_HOPELESS /* must still be run, but after all others */
@@ -30,6 +35,8 @@
 /* For operators. */
 static const char *const rank_names[] = { [RANK_LOST] = "lost lasting task",
                                           [RANK_IN_TIME] = "in time",
+                                          [RANK_LATE_RESERVED] = "late",
+                                          [RANK_HOPELESS_RESERVED] = "of no use any more",
                                           [RANK_LASTING] = "lasting",
                                           [RANK_LATE] = "late",
                                           [RANK_HOPELESS] = "of no use any more" };
@@ -77,6 +84,8 @@
   /* Of a filling step, as its place depends on what it does to serving tasks: */
   int image;
   double speed; /* the share of its full speed that it asks for */
+  /* Of a reserved step: the largest reservations that it may use. */
+  int32_t size_usable;
 } NoRoom;
 #define NO_ROOM_MAX 16
 
@@ -108,7 +117,8 @@
                .kind = room_kind (t, now),
                .cpu_milli = p->cpu_milli,
                .mem_mb = p->mem_mb,
-               .image = -1 };
+               .image = -1,
+               .size_usable = kq_large_tasks_size_usable (j->pool, p) };
   if (p->filling)
     {
       n.image = j->images[t->step];
@@ -122,8 +132,8 @@
 needs_as_much (const NoRoom *a, const NoRoom *b)
 {
   return a->kind == b->kind && a->pool == b->pool && a->image == b->image
-         && a->speed >= b->speed && a->cpu_milli >= b->cpu_milli
-         && a->mem_mb >= b->mem_mb;
+         && a->size_usable == b->size_usable && a->speed >= b->speed
+         && a->cpu_milli >= b->cpu_milli && a->mem_mb >= b->mem_mb;
 }
 
 static bool
@@ -211,12 +221,27 @@
     }
 }
 
+static void
+put_late_before_lasting (GArray *waiting)
+{
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      WaitingStep *t = &g_array_index (waiting, WaitingStep, i);
+      if (t->occurrence->job->spec.steps[t->step].filling)
+        continue;
+      if (t->rank == RANK_LATE)
+        t->rank = RANK_LATE_RESERVED;
+      else if (t->rank == RANK_HOPELESS)
+        t->rank = RANK_HOPELESS_RESERVED;
+    }
+}
+
 static void
 end_wait (KqJob *j, KqStepState *st, KqTime now)
 {
   if (st->waits_since != 0)
     j->spent.waited += now - st->waits_since;
-  st->lost_since = st->waits_since = 0;
+  st->lost_since = st->waits_since = st->no_room_since = 0;
 }
 
 /* Returns whether the job's tasks may not be started yet, and notes in job_held_back if a
@@ -316,6 +341,7 @@
         kq_pools_count_lasting (r, o->job->spec.steps[step].cpu_milli);
       kq_runners_note_change (s, r); /* further lasting tasks may be placed there now */
     }
+  kq_large_tasks_note_start (s, run, now);
   kq_run_send_start (s, run, now);
   return run;
 }
@@ -416,6 +442,7 @@
       if (n == p->width)
         {
           add_start_to_log (runs[i], &starts, now);
+          kq_large_tasks_note_start (s, runs[i], now);
           kq_run_send_start (s, runs[i], now);
         }
       else
@@ -456,12 +483,15 @@
   s->passed_at = now;
   s->in_pass = true;
   kq_pools_begin_pass (s);
+  kq_large_tasks_begin_pass (s);
   kq_load_begin_pass (&load, s, now);
   collect_waiting_steps (s, waiting, &load, &waits, now);
   kq_pools_update_kept_free (s, now);
   kq_load_decide (&load, s, DEFER_RULE, now);
   if (s->config.features.forecast_order)
     apply_forecast (waiting);
+  if (s->config.features.large_task_room)
+    put_late_before_lasting (waiting);
   if (waiting->len > 0)
     qsort (waiting->data, waiting->len, sizeof (WaitingStep), compare_waiting_steps);
   for (guint i = 0; i < waiting->len && kq_window_is_open (&s->window); i++)
@@ -481,9 +511,15 @@
     {
       const WaitingStep *t = &g_array_index (waiting, WaitingStep, i);
       kq_wait_places_note (s, t->occurrence, t->step, rank_names[t->rank]);
-      if (!t->lost)
-        kq_waits_add (&waits, t->occurrence, t->step, now);
+      if (t->lost)
+        continue;
+      kq_waits_add (&waits, t->occurrence, t->step, now);
+      if (s->config.features.large_task_room)
+        kq_large_tasks_add_waiting (t->occurrence, t->step,
+                                    kq_window_is_open (&s->window), now);
     }
+  if (s->config.features.large_task_room)
+    kq_large_tasks_update (s, now);
   kq_waits_log (&waits, s, now);
   log_closed_window (s, now);
   kq_load_end_pass (&load, s, now);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -87,9 +87,8 @@
   return fits_now (r, p, true);
 }
 
-/* Whether the runner could hold the task if nothing else ran there. */
-static bool
-fits_when_empty (const KqRunnerState *r, const KqStep *p)
+bool
+kq_place_fits_when_empty (const KqRunnerState *r, const KqStep *p)
 {
   return p->mem_mb <= r->room.mem_mb && p->gpus <= r->room.gpus
          && (p->filling || p->cpu_milli <= r->room.cpu_milli);
@@ -139,6 +138,13 @@
   return now < r->unsent_until ? KQ_PLACE_UNSENT : KQ_PLACE_TAKES;
 }
 
+bool
+kq_place_is_usable (const KqRunnerState *r, KqTime now)
+{
+  static const KqStep any = { 0 };
+  return answer_of_runner (r, &any, false, now) == KQ_PLACE_TAKES;
+}
+
 /* Share of the runner's serving tasks that have another image, less the share that have
  * the same one; -1 to 1. */
 static double
@@ -306,6 +312,8 @@
       && kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
              < kq_place_speed_required (o, step, lost, now))
     return KQ_PLACE_TOO_SLOW;
+  if (!kq_large_tasks_may_use (r, o, step, lost, starved, now))
+    return KQ_PLACE_RESERVED;
   return KQ_PLACE_TAKES;
 }
 
@@ -316,7 +324,7 @@
       = { "takes",     "other_service", "no_entry",    "not_stored", "no_agent",
           "silent",    "not_listed",    "unknown_run", "leaving",    "cordoned",
           "suspect",   "unsent",        "no_room",     "label",      "per_runner",
-          "kept_free", "over_target",   "too_slow" };
+          "kept_free", "over_target",   "too_slow",    "reserved" };
   return names[a];
 }
 
@@ -368,8 +376,8 @@
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      if (kq_str_eq (kq_str (r->service), spec->service) && fits_when_empty (r, p)
-          && kq_place_has_label (r, p->label))
+      if (kq_str_eq (kq_str (r->service), spec->service)
+          && kq_place_fits_when_empty (r, p) && kq_place_has_label (r, p->label))
         return true;
     }
   return false;
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -29,6 +29,7 @@
   KQ_PLACE_KEPT_FREE,   /* it is kept free of lasting tasks */
   KQ_PLACE_OVER_TARGET, /* a serving task there is over its target for too long */
   KQ_PLACE_TOO_SLOW,    /* a filling task would be slowed too much there */
+  KQ_PLACE_RESERVED,    /* it is reserved for larger tasks */
   KQ_PLACE_ANSWERS
 } KqPlaceAnswer;
 
@@ -66,6 +67,10 @@
 int64_t kq_place_left_to_filling (const KqRunnerState *r);
 /* Whether a task of the step, which is starved, fits beside what is reserved there. */
 bool kq_place_fits_starved (const KqRunnerState *r, const KqStep *p);
+/* Whether the runner takes tasks at all now. */
+bool kq_place_is_usable (const KqRunnerState *r, KqTime now);
+/* Whether the runner could hold a task of the step if nothing else ran there. */
+bool kq_place_fits_when_empty (const KqRunnerState *r, const KqStep *p);
 /* Whether any runner could hold a task of the step if that runner were empty. */
 bool kq_place_any_fits (const KqSched *s, const KqSpec *spec, int32_t step);
 
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,7 +1,7 @@
 #include "sched/cordoning.h"
 #include "sched/grantors.h"
-#include "sched/load_pass.h"
 #include "sched/job_load.h"
+#include "sched/load_pass.h"
 #include "sched/maintenance.h"
 #include "sched/reports.h"
 
@@ -504,4 +504,6 @@
                       "How many starts may be under way at once.");
   *gauge = (uint64_t)s->window.size;
   kq_load_gauges (s);
+  if (s->config.features.large_task_room)
+    kq_large_tasks_gauges (s);
 }
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "sched/disturb.h"
 #include "sched/estimates.h"
+#include "sched/large_tasks.h"
 #include "sched/load_sums.h"
 #include "sched/load_trend.h"
 #include "sched/sched.h"
@@ -98,6 +99,8 @@
                          asked */
   KqTime lost_since; /* since when lost lasting tasks of the step wait; 0: none is lost */
   KqTime waits_since; /* since when some task could start and has no run; 0: none could */
+  KqTime no_room_since; /* of a reserved step, with large_task_room: since when none of
+                           its waiting tasks has found room; 0: none waits */
   /* The last search that found no runner for a task of the step: the time of the last
    * such search over all runners (0: none), and KqSched.changes at the last one, which
    * may have looked at changed runners only. */
@@ -254,6 +257,7 @@
   KqTime updated_at;        /* when the peak was last updated */
   KqLoadSums load[KQ_LOAD_KINDS];
   KqWaitCounts waiting[KQ_LOAD_KINDS];
+  KqLargeTasks large;
 };
 
 struct KqRunnerState
@@ -324,8 +328,9 @@
   uint64_t closed_pass;    /* the placing pass for which closed_to_filling was computed */
   bool closed_to_filling;  /* a serving task there is over its target for too long */
   KqTime paced_at;         /* when kq_pace_update last set paces there */
-  KqRun *runs;             /* all runs that may exist there */
-  uint64_t number;         /* its place in the order in which runners were added */
+  KqReservation reservation;
+  KqRun *runs;      /* all runs that may exist there */
+  uint64_t number;  /* its place in the order in which runners were added */
   uint64_t changed; /* KqSched.changes at its last change that may have made room */
   KqRunnerState *changed_before; /* links of the list KqSched.changed_last */
   KqRunnerState *changed_after;
