--- a/src/sched/large_tasks.h
+++ b/src/sched/large_tasks.h
@@ -81,8 +81,9 @@
 /* Notes that a run is being started in a placing pass: a reservation that it uses ends.
  */
 void kq_large_tasks_note_start (KqSched *s, const KqRun *run, KqTime now);
-/* Notes at the end of a placing pass that tasks of the step still wait. tried: the step's
- * tasks have not waited only because too many starts were under way. */
+/* Notes at the end of a placing pass that tasks of the step still wait. Sets
+ * KqStepState.no_room_since, the time since which none of them has found room. tried: the
+ * step's tasks have not waited only because too many starts were under way. */
 void kq_large_tasks_add_waiting (KqOccurrence *o, int32_t step, bool tried, KqTime now);
 /* Ends reservations and reserves runners. To be called once at the end of each placing
  * pass, after kq_large_tasks_add_waiting for each step with waiting tasks. */
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -26,9 +26,6 @@
 #define PART "sched"
 
 typedef struct KqJob KqJob;
-typedef struct KqPool KqPool;
-typedef struct KqRun KqRun;
-typedef struct KqRunnerState KqRunnerState;
 
 typedef enum
 {
@@ -99,8 +96,7 @@
                          asked */
   KqTime lost_since; /* since when lost lasting tasks of the step wait; 0: none is lost */
   KqTime waits_since; /* since when some task could start and has no run; 0: none could */
-  KqTime no_room_since; /* of a reserved step, with large_task_room: since when none of
-                           its waiting tasks has found room; 0: none waits */
+  KqTime no_room_since; /* of a reserved step: see large_tasks.h; 0: not counted */
   /* The last search that found no runner for a task of the step: the time of the last
    * such search over all runners (0: none), and KqSched.changes at the last one, which
    * may have looked at changed runners only. */
