--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -87,9 +87,8 @@
   return fits_now (r, p, true);
 }
 
-/* Whether the runner could hold the task if nothing else ran there. */
-static bool
-fits_when_empty (const KqRunnerState *r, const KqStep *p)
+bool
+kq_place_fits_when_empty (const KqRunnerState *r, const KqStep *p)
 {
   return p->mem_mb <= r->room.mem_mb && p->gpus <= r->room.gpus
          && (p->filling || p->cpu_milli <= r->room.cpu_milli);
@@ -139,6 +138,13 @@
   return now < r->unsent_until ? KQ_PLACE_UNSENT : KQ_PLACE_TAKES;
 }
 
+bool
+kq_place_is_usable (const KqRunnerState *r, KqTime now)
+{
+  static const KqStep any = { 0 };
+  return answer_of_runner (r, &any, false, now) == KQ_PLACE_TAKES;
+}
+
 /* Share of the runner's serving tasks that have another image, less the share that have
  * the same one; -1 to 1. */
 static double
@@ -238,8 +244,15 @@
   return count_runs (j, now).recent > 0;
 }
 
+/* Whether a lasting task of the step that has run before has waited for STARVED_AFTER. */
+static bool
+is_starved_as_lost (const KqStepState *st, KqTime now)
+{
+  return st->lost_since != 0 && now - st->lost_since >= STARVED_AFTER;
+}
+
 bool
-kq_place_is_starved (const KqOccurrence *o, int32_t step, KqTime now)
+kq_place_is_starved (const KqOccurrence *o, int32_t step, bool lost, KqTime now)
 {
   const KqStep *p = &o->job->spec.steps[step];
   KqTime since = o->steps[step].waits_since;
@@ -248,6 +261,11 @@
     return false;
   if (!p->lasting)
     return !is_at_work (o->job, now);
+  /* What a lost lasting task does to serving tasks is known from its earlier run. Placed
+   * in growing numbers, the fifth of five tasks that were lost together waited for 6 s.
+   */
+  if (lost && is_starved_as_lost (&o->steps[step], now))
+    return true;
   /* Each lasting filling task may disturb serving tasks, which the next reports tell: as
    * many are placed at a time as have run since the last ones, and one at first. */
   n = count_runs (o->job, now);
@@ -255,7 +273,7 @@
 }
 
 double
-kq_place_speed_required (const KqOccurrence *o, int32_t step, KqTime now)
+kq_place_speed_required (const KqOccurrence *o, int32_t step, bool lost, KqTime now)
 {
   const KqStepState *st = &o->steps[step];
   double half_speed_wait
@@ -263,7 +281,7 @@
   double waited = st->waits_since != 0 ? (double)(now - st->waits_since) : 0;
   double required
       = half_speed_wait > 0 ? half_speed_wait / (half_speed_wait + waited) : 0;
-  if (kq_place_is_starved (o, step, now))
+  if (kq_place_is_starved (o, step, lost, now))
     return 0;
   return required > START_SPEED_MIN ? required : START_SPEED_MIN;
 }
@@ -274,7 +292,7 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   int image = o->job->images[step];
-  bool starved = kq_place_is_starved (o, step, now);
+  bool starved = kq_place_is_starved (o, step, lost, now);
   KqPlaceAnswer a = r->pool != o->job->pool ? KQ_PLACE_OTHER_SERVICE
                                             : answer_of_runner (r, p, starved, now);
   if (a != KQ_PLACE_TAKES)
@@ -292,8 +310,10 @@
     return KQ_PLACE_OVER_TARGET;
   if (p->filling
       && kq_harm_allowed_speed (s, r, image, p->cpu_milli, now)
-             < kq_place_speed_required (o, step, now))
+             < kq_place_speed_required (o, step, lost, now))
     return KQ_PLACE_TOO_SLOW;
+  if (!kq_large_tasks_may_use (r, o, step, lost, starved, now))
+    return KQ_PLACE_RESERVED;
   return KQ_PLACE_TAKES;
 }
 
@@ -304,7 +324,7 @@
       = { "takes",     "other_service", "no_entry",    "not_stored", "no_agent",
           "silent",    "not_listed",    "unknown_run", "leaving",    "cordoned",
           "suspect",   "unsent",        "no_room",     "label",      "per_runner",
-          "kept_free", "over_target",   "too_slow" };
+          "kept_free", "over_target",   "too_slow",    "reserved" };
   return names[a];
 }
 
@@ -356,8 +376,8 @@
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      if (kq_str_eq (kq_str (r->service), spec->service) && fits_when_empty (r, p)
-          && kq_place_has_label (r, p->label))
+      if (kq_str_eq (kq_str (r->service), spec->service)
+          && kq_place_fits_when_empty (r, p) && kq_place_has_label (r, p->label))
         return true;
     }
   return false;
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -29,6 +29,7 @@
   KQ_PLACE_KEPT_FREE,   /* it is kept free of lasting tasks */
   KQ_PLACE_OVER_TARGET, /* a serving task there is over its target for too long */
   KQ_PLACE_TOO_SLOW,    /* a filling task would be slowed too much there */
+  KQ_PLACE_RESERVED,    /* it is reserved for larger tasks */
   KQ_PLACE_ANSWERS
 } KqPlaceAnswer;
 
@@ -43,11 +44,12 @@
                         int32_t step, bool lost, KqTime now);
 /* Whether the step is starved: its tasks have waited for long, though about half of the
  * service's cpu is not reserved, and nothing of its job runs. Lasting tasks are starved
- * whatever else of their job runs. */
-bool kq_place_is_starved (const KqOccurrence *o, int32_t step, KqTime now);
+ * whatever else of their job runs. `lost`: as for kq_place_ask. */
+bool kq_place_is_starved (const KqOccurrence *o, int32_t step, bool lost, KqTime now);
 /* The share of its full speed that a filling task of the step must be able to work at to
  * start: the longer it has waited, the less. */
-double kq_place_speed_required (const KqOccurrence *o, int32_t step, KqTime now);
+double kq_place_speed_required (const KqOccurrence *o, int32_t step, bool lost,
+                                KqTime now);
 /* The score of the runner for a task of the step; higher is better. It doesn't count
  * where the task has failed before (KQ_PLACE_AVOID). */
 double kq_place_score (const KqSched *s, const KqRunnerState *r, const KqOccurrence *o,
@@ -65,6 +67,10 @@
 int64_t kq_place_left_to_filling (const KqRunnerState *r);
 /* Whether a task of the step, which is starved, fits beside what is reserved there. */
 bool kq_place_fits_starved (const KqRunnerState *r, const KqStep *p);
+/* Whether the runner takes tasks at all now. */
+bool kq_place_is_usable (const KqRunnerState *r, KqTime now);
+/* Whether the runner could hold a task of the step if nothing else ran there. */
+bool kq_place_fits_when_empty (const KqRunnerState *r, const KqStep *p);
 /* Whether any runner could hold a task of the step if that runner were empty. */
 bool kq_place_any_fits (const KqSched *s, const KqSpec *spec, int32_t step);
 
