The sums of a service's runners in a header of their own

Change: struct KqPool is in src/sched/pool.h. The account doesn't measure runs that count as untimed.

--- a/src/sched/load_pass.c
+++ b/src/sched/load_pass.c
@@ -51,11 +51,12 @@
   return fmin (fmax (e, EFFICIENCY_MIN), EFFICIENCY_MAX);
 }
 
-/* An adopted run began at an unknown time under an earlier leader. */
+/* Whether the run's time can be compared with its task's estimate: not that of an adopted
+ * run, which began at an unknown time, or of a resumed one. */
 static bool
 is_measurable (const KqRun *run)
 {
-  return run != NULL && !kq_run_step (run)->lasting && run->running_at != run->placed_at
+  return run != NULL && !kq_run_step (run)->lasting && !run->untimed
          && run->running_at != 0;
 }
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -13,8 +13,8 @@
 #include "base/log.h"
 #include "sched/disturb.h"
 #include "sched/estimates.h"
-#include "sched/load_sums.h"
 #include "sched/load_trend.h"
+#include "sched/pool.h"
 #include "sched/sched.h"
 #include "sched/spent.h"
 #include "sched/waiting_order.h"
@@ -25,7 +25,6 @@
 #define PART "sched"
 
 typedef struct KqJob KqJob;
-typedef struct KqPool KqPool;
 typedef struct KqRun KqRun;
 typedef struct KqRunnerState KqRunnerState;
 
@@ -217,24 +216,6 @@
   KqRun *job_prev;
 };
 
-/* The runners of one service. */
-struct KqPool
-{
-  char *service;
-  int64_t whole_milli;      /* total cpu, in thousandths, of its runners with an entry */
-  int64_t reserved_milli;   /* the part of whole_milli that is reserved */
-  int64_t usable_milli;     /* total cpu, in thousandths, of those that may be used */
-  int64_t used_milli;       /* the part of usable_milli that is reserved */
-  int64_t no_lasting_milli; /* usable cpu of runners that hold no lasting task */
-  int64_t demand_milli; /* cpu that tasks other than lasting ones need: running ones that
-                           reserve cpu, filling ones on runners without lasting tasks, and
-                           waiting ones */
-  double demand_peak_milli; /* decaying maximum of demand_milli */
-  double kept_free_milli;   /* cpu of the runners that are kept free of lasting tasks */
-  KqTime updated_at;        /* when the peak was last updated */
-  KqLoadSums load[KQ_LOAD_KINDS];
-};
-
 struct KqRunnerState
 {
   char *id;
