--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -13,11 +13,11 @@
 #include "base/log.h"
 #include "sched/disturb.h"
 #include "sched/estimates.h"
-#include "sched/large_tasks.h"
-#include "sched/load_sums.h"
 #include "sched/load_trend.h"
+#include "sched/pool.h"
 #include "sched/sched.h"
 #include "sched/spent.h"
+#include "sched/wait_counts.h"
 #include "sched/waiting_order.h"
 #include "sched/window.h"
 
@@ -49,23 +49,6 @@
   KqRunnerState *avoid;  /* the runner where it failed or stalled last; NULL: none */
 } KqTaskState;
 
-/* The place of a waiting step in the order of a placing pass (wait_places.h). */
-typedef struct
-{
-  uint64_t pass;       /* KqSched.passes of that pass; 0: never placed */
-  const char *rank;    /* static text */
-  int32_t jobs_before; /* jobs of the same service and kind before its job */
-  int64_t work_before; /* work of their waiting tasks, as in load_account.h */
-} KqWaitPlace;
-
-/* What a pass has counted of one kind of waiting tasks of a service. */
-typedef struct
-{
-  uint64_t pass;
-  int32_t jobs;
-  int64_t work;
-} KqWaitCounts;
-
 /* The advice service's answer on whether a runner may run a step. */
 typedef struct
 {
@@ -236,26 +219,6 @@
   KqRun *job_prev;
 };
 
-/* The runners of one service. */
-struct KqPool
-{
-  char *service;
-  int64_t whole_milli;      /* total cpu, in thousandths, of its runners with an entry */
-  int64_t reserved_milli;   /* the part of whole_milli that is reserved */
-  int64_t usable_milli;     /* total cpu, in thousandths, of those that may be used */
-  int64_t used_milli;       /* the part of usable_milli that is reserved */
-  int64_t no_lasting_milli; /* usable cpu of runners that hold no lasting task */
-  int64_t demand_milli; /* cpu that tasks other than lasting ones need: running ones that
-                           reserve cpu, filling ones on runners without lasting tasks, and
-                           waiting ones */
-  double demand_peak_milli; /* decaying maximum of demand_milli */
-  double kept_free_milli;   /* cpu of the runners that are kept free of lasting tasks */
-  KqTime updated_at;        /* when the peak was last updated */
-  KqLoadSums load[KQ_LOAD_KINDS];
-  KqWaitCounts waiting[KQ_LOAD_KINDS];
-  KqLargeTasks large;
-};
-
 struct KqRunnerState
 {
   char *id;
