leader_load: the loading of the leader's stored state in a file of its own

The phases, their order and the following of jobs and entries move to src/fleet/leader_load.{c,h}; behaviour and log lines are unchanged.

--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -3,12 +3,10 @@
 #include "base/log.h"
 #include "election/election.h"
 #include "fleet/batch.h"
-#include "fleet/follow.h"
-#include "fleet/keys.h"
 #include "fleet/leader_admit.h"
+#include "fleet/leader_load.h"
 #include "fleet/operator.h"
 #include "fleet/waves.h"
-#include "port/source.h"
 
 #include <ev.h>
 #include <glib.h>
@@ -16,26 +14,6 @@
 #include <stdlib.h>
 
 #define PART "leader"
-#define CALL_TIMEOUT_MS 1500
-/* Longest wait of a watch, and pauses before the next one, so that changes are collected.
- * Jobs have a longer pause: nodes report them, and the watch only finds lost reports. */
-#define WATCH_MS 2000
-#define JOBS_PAUSE_MS 250
-#define RUNNERS_PAUSE_MS 50
-
-typedef enum
-{
-  LOAD_WAVES,   /* state of maintenance waves */
-  LOAD_LEARNED, /* which tasks disturb which, learned by earlier leaders */
-  /* Learned run times, if they are switched on. */
-  LOAD_ESTIMATES,
-  LOAD_RUNNERS, /* runners on which runs of earlier leaders may exist */
-  LOAD_AGENTS,  /* nodes that may have granted leases to them */
-  LOAD_JOBS,    /* accepted jobs and cancellations */
-  LOAD_PROGRESS,
-  LOAD_ENTRIES, /* the runners' own entries in the store */
-  LOAD_DONE
-} LoadPhase;
 
 struct KqLeader
 {
@@ -44,36 +22,26 @@
   KqBatch *batch;
   KqWaves *waves; /* NULL until loaded */
   KqLeaderAdmit *admit;
-  KqFollow *jobs;
-  KqFollow *entries;
+  KqLeaderLoad *load;
   GPtrArray *peers;          /* KqPeer by agent number; NULL: disconnected */
   GHashTable *early_cancels; /* ids of cancelled jobs that haven't been received yet */
   int own_agent;             /* agent number of this node */
-  LoadPhase phase;
-  char *page_after; /* last key of the previous page of progress */
   KqFleetOperatorRate operator_rate;
-  int failures; /* consecutive failed calls while loading */
-  KqRand rand;
-  ev_timer retry; /* repeats a failed call while loading */
   ev_timer timer; /* the next run of the scheduler or write of the batch */
   ev_prepare before_poll;
-  KqTime next_at;    /* when the scheduler's next run is due */
-  bool dirty;        /* input has arrived since the last run */
-  bool call_pending; /* a call with the callback on_loaded is outstanding */
-  bool freed;        /* freed while that call was outstanding */
-  bool closing;      /* the owner's deposed callback is running */
+  KqTime next_at; /* when the scheduler's next run is due */
+  bool dirty;     /* input has arrived since the last run */
+  bool closing;   /* the owner's deposed callback is running */
 };
 
-static void load (KqLeader *l);
-
 static void
-destroy (KqLeader *l)
+destroy (void *arg)
 {
+  KqLeader *l = arg;
   kq_leader_admit_free (l->admit);
   kq_sched_free (l->sched);
   g_ptr_array_free (l->peers, TRUE);
   g_hash_table_destroy (l->early_cancels);
-  free (l->page_after);
   free (l);
 }
 
@@ -104,7 +72,7 @@
 }
 
 static void
-on_waves_changed (void *arg)
+on_changed (void *arg)
 {
   KqLeader *l = arg;
   l->dirty = true;
@@ -136,7 +104,8 @@
 {
   struct ev_loop *ev = kq_loop_ev (l->config.loop);
   KqTime at = l->next_at;
-  KqTime batch = l->phase == LOAD_DONE ? kq_batch_due (l->batch) : KQ_TIME_NEVER;
+  KqTime batch
+      = kq_leader_load_is_done (l->load) ? kq_batch_due (l->batch) : KQ_TIME_NEVER;
   if (batch < at)
     at = batch;
   ev_timer_stop (ev, &l->timer);
@@ -170,7 +139,7 @@
   now = kq_loop_now (l->config.loop);
   run_sched (l, now);
   send_load (l, now);
-  if (l->phase == LOAD_DONE && kq_batch_due (l->batch) <= now)
+  if (kq_leader_load_is_done (l->load) && kq_batch_due (l->batch) <= now)
     kq_batch_write (l->batch, now);
   if (l->waves != NULL && !l->closing)
     kq_waves_write (l->waves, now);
@@ -187,70 +156,9 @@
 }
 
 static void
-on_job_item (void *arg, const KqKvItem *i, KqTime now)
-{
-  KqLeader *l = arg;
-  KqStr id = kq_key_id (i->key, KQ_KEY_JOB);
-  KqStr cancelled = kq_key_id (i->key, KQ_KEY_CANCEL);
-  KqAgentItem item = { 0 };
-  if (id.len > 0)
-    {
-      item.kind = KQ_AGENT_ITEM_JOB;
-      item.u.job.stored = i->value;
-      item.u.job.revision = i->revision;
-    }
-  else if (cancelled.len > 0)
-    {
-      item.kind = KQ_AGENT_ITEM_CANCEL;
-      item.u.cancel.id = cancelled;
-    }
-  else
-    return;
-  kq_leader_handle_item (l, NULL, &item, now);
-}
-
-static void
-on_jobs_synced (void *arg, KqTime now)
+on_stored_item (void *arg, const KqAgentItem *i, KqTime now)
 {
-  KqLeader *l = arg;
-  (void)now;
-  if (l->phase != LOAD_JOBS)
-    return;
-  l->phase = LOAD_PROGRESS;
-  load (l);
-}
-
-static void
-on_runner_entry (void *arg, const KqRunnerEntry *e)
-{
-  KqLeader *l = arg;
-  kq_sched_entry (l->sched, e, kq_loop_now (l->config.loop));
-}
-
-static void
-on_entry_item (void *arg, const KqKvItem *i, KqTime now)
-{
-  KqLeader *l = arg;
-  KqStr id;
-  if (!kq_source_runner (i->key, i->value, &id, on_runner_entry, l))
-    {
-      kq_log (KQ_LOG_WARN, PART,
-              "Ignoring an invalid runner entry. runner=%.*s revision=%llu",
-              KQ_STR_ARG (id), (unsigned long long)i->revision);
-      kq_sched_entry_gone (l->sched, id, now);
-    }
-  l->dirty = true;
-}
-
-static void
-on_entry_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
-{
-  KqLeader *l = arg;
-  KqStr id;
-  (void)revision;
-  kq_source_runner (key, KQ_STR (""), &id, on_runner_entry, l);
-  kq_sched_entry_gone (l->sched, id, now);
-  l->dirty = true;
+  kq_leader_handle_item (arg, NULL, i, now);
 }
 
 static void
@@ -263,22 +171,19 @@
                       .holder = l->config.self.name,
                       .epoch = l->config.epoch,
                       .arg = l,
-                      .changed = on_waves_changed,
+                      .changed = on_changed,
                       .deposed = on_deposed,
                       .answered = on_answered };
   l->waves = kq_waves_new (&c);
 }
 
 static void
-on_entries_synced (void *arg, KqTime now)
+on_state_loaded (void *arg, KqTime now)
 {
   KqLeader *l = arg;
   KqAgentItem cancel = { .kind = KQ_AGENT_ITEM_CANCEL };
   GHashTableIter it;
   gpointer id;
-  if (l->phase != LOAD_ENTRIES)
-    return;
-  l->phase = LOAD_DONE;
   kq_sched_loaded (l->sched, now);
   start_waves (l);
   g_hash_table_iter_init (&it, l->early_cancels);
@@ -290,125 +195,6 @@
   l->dirty = true;
 }
 
-static void
-on_retry (struct ev_loop *ev, ev_timer *w, int events)
-{
-  (void)ev;
-  (void)events;
-  load (w->data);
-}
-
-static void
-retry_load (KqLeader *l, bool cut)
-{
-  int ms = kq_follow_retry_ms (&l->rand, ++l->failures, cut);
-  ev_timer_set (&l->retry, ms / 1000.0, 0);
-  ev_timer_start (kq_loop_ev (l->config.loop), &l->retry);
-}
-
-/* Keys of the phases that load a single value. */
-static const char *const value_keys[] = { [LOAD_WAVES] = KQ_KEY_WAVES,
-                                          [LOAD_LEARNED] = KQ_KEY_LEARNED,
-                                          [LOAD_ESTIMATES] = KQ_KEY_ESTIMATES,
-                                          [LOAD_RUNNERS] = KQ_KEY_RUNNERS,
-                                          [LOAD_AGENTS] = KQ_KEY_AGENTS };
-
-static bool
-load_value (KqLeader *l, KqStr value, KqTime now)
-{
-  if (l->phase == LOAD_WAVES)
-    return kq_sched_waves_stored (l->sched, value);
-  if (l->phase == LOAD_LEARNED)
-    return kq_sched_learned (l->sched, value);
-  if (l->phase == LOAD_ESTIMATES)
-    return kq_sched_estimates (l->sched, value);
-  if (l->phase == LOAD_AGENTS)
-    return kq_sched_used_agents (l->sched, value, now);
-  return kq_sched_used_runners (l->sched, value, now);
-}
-
-static void
-on_loaded (void *arg, const KqKvReply *r, KqTime now)
-{
-  KqLeader *l = arg;
-  l->call_pending = false;
-  if (l->freed)
-    {
-      destroy (l);
-      return;
-    }
-  if (r->result != KQ_KV_OK && r->result != KQ_KV_NOT_FOUND)
-    {
-      kq_log (KQ_LOG_WARN, PART, "Loading failed; retrying. phase=%d result=%d", l->phase,
-              r->result);
-      retry_load (l, r->partial);
-      return;
-    }
-  l->failures = 0;
-  on_answered (l, r->called_at, now);
-  if (l->phase < LOAD_JOBS)
-    {
-      if (r->n_items == 1 && !load_value (l, r->items[0].value, now))
-        kq_log (KQ_LOG_ERROR, PART, "A stored value cannot be decoded. key=%s",
-                value_keys[l->phase]);
-      l->phase++;
-      if (l->phase == LOAD_ESTIMATES && !l->config.features.learned_estimates)
-        l->phase++;
-    }
-  else
-    {
-      for (size_t i = 0; i < r->n_items; i++)
-        kq_sched_apply_progress (l->sched, kq_key_id (r->items[i].key, KQ_KEY_PROGRESS),
-                                 r->items[i].value, now);
-      if (r->more && r->n_items > 0)
-        {
-          free (l->page_after);
-          l->page_after = kq_str_dup (r->items[r->n_items - 1].key);
-        }
-      else
-        l->phase = LOAD_ENTRIES;
-    }
-  load (l);
-}
-
-/* Starts the present phase of loading. The order of the phases matters: progress refers
- * to jobs, and the runs that runners list refer to jobs and their progress. */
-static void
-load (KqLeader *l)
-{
-  KqFollowOwner jobs = { l, on_job_item, NULL, on_jobs_synced, on_answered, NULL };
-  KqFollowOwner entries
-      = { l, on_entry_item, on_entry_gone, on_entries_synced, on_answered, NULL };
-  KqKvCallback cb = { on_loaded, l };
-  switch (l->phase)
-    {
-    case LOAD_WAVES:
-    case LOAD_LEARNED:
-    case LOAD_ESTIMATES:
-    case LOAD_RUNNERS:
-    case LOAD_AGENTS:
-      l->call_pending = true;
-      kq_kv_get (l->config.kv, kq_str (value_keys[l->phase]), CALL_TIMEOUT_MS, cb);
-      break;
-    case LOAD_JOBS:
-      l->jobs = kq_follow_new (l->config.loop, l->config.kv, KQ_STR (KQ_KEY_IN), WATCH_MS,
-                               JOBS_PAUSE_MS, &jobs);
-      break;
-    case LOAD_PROGRESS:
-      l->call_pending = true;
-      kq_kv_range (l->config.kv, KQ_STR (KQ_KEY_PROGRESS), kq_str (l->page_after),
-                   CALL_TIMEOUT_MS, cb);
-      break;
-    case LOAD_ENTRIES:
-      l->entries
-          = kq_follow_new (l->config.loop, l->config.kv, kq_source_runners_prefix (),
-                           WATCH_MS, RUNNERS_PAUSE_MS, &entries);
-      break;
-    case LOAD_DONE:
-      break;
-    }
-}
-
 KqLeader *
 kq_leader_new (const KqLeaderConfig *c, KqTime now)
 {
@@ -433,6 +219,15 @@
                           .arg = l,
                           .deposed = on_deposed,
                           .answered = on_answered };
+  KqLeaderLoadConfig load = { .loop = c->loop,
+                              .kv = c->kv,
+                              .learned_estimates = c->features.learned_estimates,
+                              .arg = l,
+                              .item = on_stored_item,
+                              .changed = on_changed,
+                              .loaded = on_state_loaded,
+                              .answered = on_answered,
+                              .freed = destroy };
   l->config = *c;
   l->config.self.leader = true;
   l->own_agent = -1;
@@ -445,14 +240,14 @@
   l->batch = kq_batch_new (&batch);
   run_sched (l, now);
   l->own_agent = kq_sched_agent_up (l->sched, &l->config.self, now);
-  l->rand = kq_rand (kq_rand_system ());
-  ev_timer_init (&l->retry, on_retry, 0, 0);
   ev_timer_init (&l->timer, on_timer, 0, 0);
   ev_prepare_init (&l->before_poll, on_before_poll);
-  l->timer.data = l->retry.data = l->before_poll.data = l;
+  l->timer.data = l->before_poll.data = l;
   ev_prepare_start (ev, &l->before_poll);
   l->dirty = true;
-  load (l);
+  load.sched = l->sched;
+  l->load = kq_leader_load_new (&load);
+  kq_leader_load_start (l->load);
   return l;
 }
 
@@ -464,15 +259,10 @@
     return;
   ev = kq_loop_ev (l->config.loop);
   ev_timer_stop (ev, &l->timer);
-  ev_timer_stop (ev, &l->retry);
   ev_prepare_stop (ev, &l->before_poll);
-  kq_follow_free (l->jobs);
-  kq_follow_free (l->entries);
   kq_waves_free (l->waves);
   kq_batch_free (l->batch);
-  l->freed = true;
-  if (!l->call_pending)
-    destroy (l);
+  kq_leader_load_free (l->load); /* calls destroy */
 }
 
 /* Ends the older connection of a node that has reconnected and released its runners. */
@@ -536,9 +326,10 @@
 static void
 handle_cancel (KqLeader *l, KqStr id, KqTime now)
 {
-  if (l->phase == LOAD_DONE)
+  if (kq_leader_load_is_done (l->load))
     kq_sched_cancel (l->sched, id, now);
-  if (kq_sched_state (l->sched, id) == KQ_JOB_UNKNOWN || l->phase != LOAD_DONE)
+  if (kq_sched_state (l->sched, id) == KQ_JOB_UNKNOWN
+      || !kq_leader_load_is_done (l->load))
     g_hash_table_add (l->early_cancels, kq_str_dup (id));
 }
 
@@ -548,7 +339,7 @@
   KqSpec spec;
   char *id;
   if (!kq_sched_add_job (l->sched, i->u.job.stored, i->u.job.revision, now)
-      || l->phase != LOAD_DONE || g_hash_table_size (l->early_cancels) == 0)
+      || !kq_leader_load_is_done (l->load) || g_hash_table_size (l->early_cancels) == 0)
     return;
   if (!kq_spec_unpack (i->u.job.stored, &spec))
     return;
@@ -619,7 +410,7 @@
 kq_leader_query (KqLeader *l, KqAskKind what, KqStr about, KqTime now, KqBuf *text)
 {
   KqLoadDigest load;
-  if (l->phase != LOAD_DONE)
+  if (!kq_leader_load_is_done (l->load))
     return -1;
   switch (what)
     {
