--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -4,11 +4,10 @@
 #include "base/log.h"
 #include "base/task.h"
 #include "election/election.h"
-#include "election/handover.h"
-#include "election/lease_expiry.h"
 #include "fleet/accepts.h"
 #include "fleet/front.h"
 #include "fleet/leader.h"
+#include "fleet/leader_lease.h"
 #include "fleet/link.h"
 #include "fleet/metrics.h"
 #include "fleet/operator.h"
@@ -62,9 +61,8 @@
   KqCordons *cordons;
   KqAgentInfo self;
   KqReach store;
-  KqLeaseExpiry lease_expiry; /* used while this node leads */
-  KqHandover handover; /* other_ fields: the strongest node since this one was elected */
-  bool store_down;     /* the store's present outage has been logged */
+  KqLeaderLease leader_lease; /* used while this node leads */
+  bool store_down;            /* the store's present outage has been logged */
   bool stopping;
   bool stopped;
   KqTime stopping_at;
@@ -191,8 +189,7 @@
   kq_fleet_operator_leader_changed (f->operators, epoch, now);
   kq_agent_release_all (f->agent);
   kq_agent_leader_confirmed (f->agent, epoch, now);
-  f->lease_expiry = (KqLeaseExpiry){ .length = leader_lease_ms (f) * KQ_MS };
-  f->handover.other_milli = 0;
+  kq_leader_lease_elected (&f->leader_lease, leader_lease_ms (f) * KQ_MS);
   f->leader = kq_leader_new (&c, now);
   kq_sched_set_exclusive_until (kq_leader_sched (f->leader),
                                 kq_election_valid_until (f->election));
@@ -250,22 +247,6 @@
   kq_buf_free (&text);
 }
 
-static void
-handle_heartbeat (KqFleet *f, const KqPeer *p, int64_t store_age_ms, KqTime now)
-{
-  KqTime answered_at = now - store_age_ms * KQ_MS;
-  int share = kq_leader_node_share (f->leader, p);
-  if (store_age_ms < 0)
-    return;
-  if (answered_at > f->lease_expiry.peer_reached_store_at)
-    f->lease_expiry.peer_reached_store_at = answered_at;
-  if (share >= f->handover.other_milli)
-    {
-      f->handover.other_milli = share;
-      f->handover.other_reached_store_at = answered_at;
-    }
-}
-
 static void
 on_from_node (void *arg, KqPeer *p, uint64_t epoch, const KqAgentItem *i, KqTime now)
 {
@@ -273,7 +254,8 @@
   if (f->leader == NULL)
     return;
   if (i->kind == KQ_AGENT_ITEM_HEARTBEAT)
-    handle_heartbeat (f, p, i->u.heartbeat.store_age_ms, now);
+    kq_leader_lease_heartbeat (&f->leader_lease, kq_leader_node_share (f->leader, p),
+                               i->u.heartbeat.store_age_ms, now);
   else if (i->kind == KQ_AGENT_ITEM_ASK && i->u.ask.what == KQ_ASK_ACCEPT)
     kq_accepts_write (f->accepts, p, i->u.ask.call, i->u.ask.about, now);
   else if (i->kind == KQ_AGENT_ITEM_ASK)
@@ -415,22 +397,11 @@
 
 /* Periodic checks. */
 
-static void
-check_stronger_node (KqFleet *f, KqTime now)
-{
-  if (!kq_handover_due (&f->handover, now))
-    return;
-  kq_log (KQ_LOG_INFO, PART,
-          "Handing leadership over to a stronger node. own_milli=%d its_milli=%d",
-          f->handover.own_milli, f->handover.other_milli);
-  f->handover.handed_over_at = now;
-  kq_election_resign (f->election, "a stronger node can lead", !f->stopping, now);
-}
-
 static void
 check_leadership (KqFleet *f, KqTime now)
 {
   KqTime until = kq_election_valid_until (f->election);
+  KqLeaseExpiryAction action;
   const char *why;
   if (f->leader == NULL)
     return;
@@ -439,25 +410,12 @@
                                kq_sched_agents_lost (kq_leader_sched (f->leader)));
   kq_agent_leader_confirmed (f->agent, kq_election_record (f->election)->epoch,
                              MIN (now, until));
-  f->lease_expiry.valid_until = until;
-  f->lease_expiry.peers = kq_link_peer_count (f->link);
-  switch (kq_lease_expiry_action (&f->lease_expiry, now, &why))
-    {
-    case KQ_LEASE_EXPIRY_NONE:
-      check_stronger_node (f, now);
-      break;
-    case KQ_LEASE_EXPIRY_CONTINUE:
-      break;
-    case KQ_LEASE_EXPIRY_RENEW:
-      kq_log (KQ_LOG_INFO, PART,
-              "Another node reaches the store; renewing the leader lease. late_ms=%lld",
-              (long long)((now - until) / KQ_MS));
-      kq_election_renew (f->election);
-      break;
-    case KQ_LEASE_EXPIRY_RESIGN:
-      kq_election_resign (f->election, why, !f->stopping, now);
-      break;
-    }
+  action = kq_leader_lease_check (&f->leader_lease, until, kq_link_peer_count (f->link),
+                                  now, &why);
+  if (action == KQ_LEASE_EXPIRY_RENEW)
+    kq_election_renew (f->election);
+  else if (action == KQ_LEASE_EXPIRY_RESIGN)
+    kq_election_resign (f->election, why, !f->stopping, now);
 }
 
 static void
@@ -600,7 +558,7 @@
   KqStoreCallbacks store = { f, on_store_alive };
   f->config = *c;
   f->cordons = kq_cordons_new ();
-  f->handover.own_milli = (int)c->settings->cpu_share_milli;
+  kq_leader_lease_init (&f->leader_lease, (int)c->settings->cpu_share_milli);
   f->self = (KqAgentInfo){ .name = c->settings->node,
                            .failure_domain = c->settings->failure_domain,
                            .share_milli = (int)c->settings->cpu_share_milli };
