--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -9,8 +9,8 @@
 #include "fleet/leader.h"
 #include "fleet/leader_lease.h"
 #include "fleet/link.h"
-#include "fleet/metrics.h"
-#include "fleet/operator.h"
+#include "fleet/operator_port.h"
+#include "fleet/queries.h"
 #include "fleet/queue_keys.h"
 #include "fleet/reach.h"
 #include "platform/platform.h"
@@ -55,8 +55,7 @@
   KqAccepts *accepts;
   KqFrontHandler *handler;
   KqFront *front;
-  KqMetrics *metrics;
-  KqFleetOperator *operators;
+  KqOperatorPort *operators;
   KqQueueKeys *queues;
   KqCordons *cordons;
   KqAgentInfo self;
@@ -186,7 +185,7 @@
                        .answered = on_answered,
                        .load = on_load };
   kq_link_set_own_epoch (f->link, epoch, now);
-  kq_fleet_operator_leader_changed (f->operators, epoch, now);
+  kq_operator_port_leader_changed (f->operators, epoch, now);
   kq_agent_release_all (f->agent);
   kq_agent_leader_confirmed (f->agent, epoch, now);
   kq_leader_lease_elected (&f->leader_lease, leader_lease_ms (f) * KQ_MS);
@@ -210,7 +209,7 @@
 on_leader_changed (void *arg, const KqLeaderRecord *r, KqTime now)
 {
   KqFleet *f = arg;
-  kq_fleet_operator_leader_changed (f->operators, r->epoch, now);
+  kq_operator_port_leader_changed (f->operators, r->epoch, now);
   if (!f->stopping)
     kq_link_set_leader (f->link, kq_name_str (&r->address), r->epoch, now);
 }
@@ -234,19 +233,6 @@
     kq_leader_node_left (f->leader, p, planned, now);
 }
 
-static void
-answer_query (KqFleet *f, KqPeer *p, const KqAgentItem *query, KqTime now)
-{
-  KqAgentItem i = { .kind = KQ_AGENT_ITEM_ANSWER };
-  KqBuf text = { 0 };
-  i.u.answer.call = query->u.ask.call;
-  i.u.answer.value
-      = kq_leader_query (f->leader, query->u.ask.what, query->u.ask.about, now, &text);
-  i.u.answer.text = kq_buf_str (&text);
-  kq_link_send_peer (p, &i);
-  kq_buf_free (&text);
-}
-
 static void
 on_from_node (void *arg, KqPeer *p, uint64_t epoch, const KqAgentItem *i, KqTime now)
 {
@@ -259,7 +245,7 @@
   else if (i->kind == KQ_AGENT_ITEM_ASK && i->u.ask.what == KQ_ASK_ACCEPT)
     kq_accepts_write (f->accepts, p, i->u.ask.call, i->u.ask.about, now);
   else if (i->kind == KQ_AGENT_ITEM_ASK)
-    answer_query (f, p, i, now);
+    kq_queries_answer_node (f->leader, p, i, now);
   else if (i->kind == KQ_AGENT_ITEM_JOB || i->kind == KQ_AGENT_ITEM_CANCEL
            || i->kind == KQ_AGENT_ITEM_WRITING
            || epoch == kq_election_record (f->election)->epoch)
@@ -283,13 +269,21 @@
     kq_reach_leader_answered (&f->store, now - i->u.ping.store_age_ms * KQ_MS);
 }
 
+static KqQueries
+queries (const KqFleet *f)
+{
+  return (KqQueries){ .leader = f->leader,
+                      .link = f->link,
+                      .epoch = kq_election_record (f->election)->epoch,
+                      .front = f->handler,
+                      .operators = f->operators };
+}
+
 static void
-take_answer (KqFleet *f, uint64_t call, int64_t value, KqStr text, KqTime now)
+handle_answer (KqFleet *f, const KqAgentItem *i, KqTime now)
 {
-  if (kq_fleet_operator_is_call (call))
-    kq_fleet_operator_answer (f->operators, call, value, text, now);
-  else
-    kq_front_handler_answer (f->handler, call, value, now);
+  KqQueries q = queries (f);
+  kq_queries_answer (&q, i->u.answer.call, i->u.answer.value, i->u.answer.text, now);
 }
 
 static void
@@ -304,7 +298,7 @@
   else if (i->kind == KQ_AGENT_ITEM_ORDER)
     kq_agent_order (f->agent, epoch, &i->u.order, now);
   else if (i->kind == KQ_AGENT_ITEM_ANSWER)
-    take_answer (f, i->u.answer.call, i->u.answer.value, i->u.answer.text, now);
+    handle_answer (f, i, now);
   else if (i->kind == KQ_AGENT_ITEM_LOAD)
     kq_front_handler_load (f->handler, epoch, i, now);
 }
@@ -329,21 +323,8 @@
 static bool
 query_leader (void *arg, const KqAgentItem *query, KqTime now)
 {
-  KqFleet *f = arg;
-  KqBuf text = { 0 };
-  int64_t value;
-  if (f->leader != NULL)
-    {
-      value = kq_leader_query (f->leader, query->u.ask.what, query->u.ask.about, now,
-                               &text);
-      take_answer (f, query->u.ask.call, value, kq_buf_str (&text), now);
-      kq_buf_free (&text);
-      return true;
-    }
-  if (!kq_link_connected (f->link))
-    return false;
-  kq_link_send (f->link, kq_election_record (f->election)->epoch, query);
-  return true;
+  KqQueries q = queries (arg);
+  return kq_queries_ask (&q, query, now);
 }
 
 static void
@@ -465,29 +446,6 @@
   kq_counters_print (f->config.counters, out);
 }
 
-/* Callbacks of the metrics port and of operators' questions. */
-
-static void
-on_question (void *arg, KqHttpExchange *x, KqTime now)
-{
-  KqFleet *f = arg;
-  kq_fleet_operator_ask (f->operators, x, kq_http_method (x), kq_http_path (x), now);
-}
-
-static void
-on_question_gone (void *arg, KqHttpExchange *x)
-{
-  KqFleet *f = arg;
-  kq_fleet_operator_gone (f->operators, x);
-}
-
-static void
-reply_to_operator (void *arg, void *exchange, int status, KqStr text)
-{
-  (void)arg;
-  kq_metrics_reply (exchange, status, text);
-}
-
 static bool
 create_parts (KqFleet *f)
 {
@@ -515,17 +473,20 @@
           leader_epoch };
   KqFrontCallbacks owner = { f, on_request, ready, stopping, body_max };
   KqAcceptsOwner accepts = { f, on_accepted, on_answered };
-  KqMetricsOwner metrics = { f, print_metrics, on_question, on_question_gone };
-  KqFleetOperatorConfig operators
-      = { loop, f->config.counters, f, query_leader, reply_to_operator };
-  f->operators = kq_fleet_operator_new (&operators);
+  KqOperatorPortConfig operators = { .loop = loop,
+                                     .ip = s->ip,
+                                     .port = (int)s->metrics_port,
+                                     .counters = f->config.counters,
+                                     .arg = f,
+                                     .print_metrics = print_metrics,
+                                     .query_leader = query_leader };
   f->accepts = kq_accepts_new (f->kv, &accepts);
   f->agent = kq_agent_new (&agent);
   f->link = kq_link_new (&link);
   f->handler = kq_front_handler_new (&handler);
   f->front = kq_front_new (loop, kq_str (s->front), kq_str (s->ready), &owner);
-  f->metrics = kq_metrics_new (loop, s->ip, (int)s->metrics_port, &metrics);
-  return f->link != NULL && f->front != NULL && f->metrics != NULL;
+  f->operators = kq_operator_port_new (&operators);
+  return f->link != NULL && f->front != NULL && f->operators != NULL;
 }
 
 static void
@@ -586,7 +547,7 @@
 {
   kq_front_ports (f->front, front, ready_port);
   *peers = kq_link_port (f->link);
-  *metrics = kq_metrics_port (f->metrics);
+  *metrics = kq_operator_port_number (f->operators);
 }
 
 void
@@ -604,8 +565,7 @@
   kq_front_free (f->front);
   kq_front_handler_free (f->handler);
   kq_accepts_free (f->accepts);
-  kq_metrics_free (f->metrics);
-  kq_fleet_operator_free (f->operators);
+  kq_operator_port_free (f->operators);
   kq_runner_client_free (f->calls);
   kq_advice_free (f->advice);
   kq_maintenance_free (f->maintenance);
