--- a/src/election/election_test.c
+++ b/src/election/election_test.c
@@ -427,7 +427,7 @@
 }
 
 /* Guards against a change of leader whenever the store is unavailable. Whether to resign
- * then depends on what other nodes report (fleet/fleet.c). */
+ * then depends on what other nodes report (fleet/leader_lease.c). */
 static void
 test_unavailable_store_keeps_the_leader (void **state)
 {
