Admission: a refusal at one node keeps another node's announced write

Cause: the leader marks an id that it tells a node to refuse, and the node's report of the refusal removed the mark. If the client had repeated the job at a second node meanwhile, the report also removed that node's announcement, so a third node could be told to refuse the id while the second one's write was on its way.

Change: the mark of a refusal and the announcement of a write differ; the report ends only the former.

--- a/src/fleet/leader_admit.c
+++ b/src/fleet/leader_admit.c
@@ -64,7 +64,7 @@
 kq_leader_admit_note_write (KqLeaderAdmit *a, KqStr id, bool over, KqTime now)
 {
   if (over)
-    kq_refusals_note_write_over (kq_sched_refusals (a->sched), id, now);
+    kq_refusals_note_not_written (kq_sched_refusals (a->sched), id, now);
   else if (kq_sched_state (a->sched, id) == KQ_JOB_UNKNOWN)
     kq_refusals_note_write (kq_sched_refusals (a->sched), id, now);
 }
@@ -132,6 +132,8 @@
   else if (answer == KQ_ADMIT_REFUSE_EARLY)
     retry_ms = (c.refusal->return_at - now + KQ_MS - 1) / KQ_MS;
   if (retry_ms > 0) /* until the node reports the refusal */
+    kq_refusals_note_asked (refusals, q.id, now);
+  else if (answer != KQ_ADMIT_ACCEPT_KNOWN) /* the node's announcement comes later */
     kq_refusals_note_write (refusals, q.id, now);
   ++*a->answers[answer];
   kq_log (KQ_LOG_INFO, PART,
--- a/src/sched/refusals.c
+++ b/src/sched/refusals.c
@@ -11,6 +11,7 @@
   char id[KQ_SPEC_ID_MAX + 1];
   KqTime added_at;
   KqRefusal refusal; /* unused in the table of writes */
+  bool written;      /* in that table: a node writes the job, for all that is known */
   GList link;        /* in Table.order */
 } Row;
 
@@ -146,14 +147,22 @@
   Row *row = find_row (&r->writes, id, now);
   if (row != NULL)
     remove_row (&r->writes, row); /* its time begins anew */
+  row = find_or_add_row (&r->writes, id, now);
+  if (row != NULL)
+    row->written = true;
+}
+
+void
+kq_refusals_note_asked (KqRefusals *r, KqStr id, KqTime now)
+{
   find_or_add_row (&r->writes, id, now);
 }
 
 void
-kq_refusals_note_write_over (KqRefusals *r, KqStr id, KqTime now)
+kq_refusals_note_not_written (KqRefusals *r, KqStr id, KqTime now)
 {
   Row *row = find_row (&r->writes, id, now);
-  if (row != NULL)
+  if (row != NULL && !row->written)
     remove_row (&r->writes, row);
 }
 
--- a/src/sched/refusals.h
+++ b/src/sched/refusals.h
@@ -14,7 +14,9 @@
  * read that precedes a refusal then finds nothing. Nodes that refuse therefore announce
  * each write beforehand, and an announced id isn't refused. A node that is told to refuse
  * a job submits it all the same if the answer comes too late or the store can't be read.
- * So the id counts as announced until the node reports the refusal.
+ * So the id counts as announced until the node reports the refusal. If the client repeats
+ * it at a second node before that, it is accepted there, and the first node's report
+ * doesn't end the second one's announcement.
  *
  * Everything is memory of the leader, bounded in number and time: a new leader knows of
  * no refusal, and the order of return is lost. */
@@ -48,10 +50,13 @@
 /* Takes the id out of both tables, as its job has been accepted. Returns whether it has
  * come back after a refusal, at its time or later. */
 bool kq_refusals_accepted (KqRefusals *r, KqStr id, KqTime now);
-/* Records that a node is about to write the job to the store. */
+/* Records that a node writes the job to the store, or is about to. */
 void kq_refusals_note_write (KqRefusals *r, KqStr id, KqTime now);
-/* Records that the node won't write it. */
-void kq_refusals_note_write_over (KqRefusals *r, KqStr id, KqTime now);
+/* Records that a node is told to refuse the job, and may write it all the same. */
+void kq_refusals_note_asked (KqRefusals *r, KqStr id, KqTime now);
+/* Records that this node has refused it. A write by another node stays open: the client
+ * may have repeated the job there meanwhile. */
+void kq_refusals_note_not_written (KqRefusals *r, KqStr id, KqTime now);
 /* Whether such a write may still be carried out. */
 bool kq_refusals_has_open_write (KqRefusals *r, KqStr id, KqTime now);
 /* Records that a job of this kind was accepted that had not been refused before. */
