Order in an overload: a turn in which nothing starts goes to the next job

Cause: the oldest job of no use keeps the turn until one of its tasks starts. If it fits on no runner, the other jobs of no use wait as long as the overload lasts.

Change: a job that has had the turn for 2 s of consecutive passes without a start is put behind the others of no use.

--- a/src/sched/load_pass.c
+++ b/src/sched/load_pass.c
@@ -16,6 +16,11 @@
 #define EFFICIENCY_MAX 20.0
 /* Jobs of no use get a turn while they have less than this share of what runs. */
 #define TURN_PERCENT 5
+/* A turn in which no task could be started for this time goes to the next job: one that
+ * fits on no runner would keep it, and the others would wait as long as an overload
+ * lasts. Most tasks run for less than this, so room for a usual task becomes free
+ * earlier. */
+#define TURN_MAX (2 * KQ_SEC)
 
 static KqLoadKind
 step_kind (const KqStep *p)
@@ -277,26 +282,66 @@
   return any_in_time ? least : 0;
 }
 
-/* Gives the oldest of the jobs of no use a turn. */
+/* The oldest of the jobs, but those whose turns have passed come last. */
+static KqOccurrence *
+find_next_turn (const KqLoadJob *jobs, size_t n)
+{
+  KqOccurrence *next = NULL;
+  for (size_t i = 0; i < n; i++)
+    {
+      KqOccurrence *o = jobs[i].occurrence;
+      if (next == NULL || o->turn_passed_at < next->turn_passed_at
+          || (o->turn_passed_at == next->turn_passed_at && o->due_at < next->due_at))
+        next = o;
+    }
+  return next;
+}
+
+/* Whether the job has had the turn in each pass for TURN_MAX and started nothing. */
+static bool
+is_turn_unused (const KqSched *s, const KqOccurrence *o, KqTime now)
+{
+  return o->turn_since != 0 && o->turn_pass + 1 == s->passes
+         && now - o->turn_since > TURN_MAX;
+}
+
+static void
+give_turn (const KqSched *s, KqOccurrence *o, KqTime now)
+{
+  if (o->turn_since == 0 || o->turn_pass + 1 != s->passes)
+    o->turn_since = now;
+  o->turn_pass = s->passes;
+}
+
+/* Gives one of the jobs of no use a turn. */
 static void
 choose_turn (const KqSched *s, KqLoadSums *l, const KqLoadJob *jobs, size_t n, KqTime now)
 {
-  const KqLoadJob *oldest = NULL;
-  if (l->row.rate <= 0 || l->no_use_milli * 100 >= l->running_milli * TURN_PERCENT)
+  KqOccurrence *o = find_next_turn (jobs, n);
+  if (o == NULL || l->row.rate <= 0
+      || l->no_use_milli * 100 >= l->running_milli * TURN_PERCENT)
     return;
-  for (size_t i = 0; i < n; i++)
-    if (oldest == NULL || jobs[i].job.accepted < oldest->job.accepted)
-      oldest = &jobs[i];
-  l->turn = oldest != NULL ? oldest->occurrence : NULL;
-  if (!s->config.features.forecast_order || l->turn == NULL || l->turn->had_turn)
+  if (is_turn_unused (s, o, now))
+    {
+      kq_log (s->config.features.forecast_order ? KQ_LOG_INFO : KQ_LOG_DEBUG, PART,
+              "A job started nothing in its turn. job=%.*s.%d kind=%s turn_ms=%lld",
+              KQ_STR_ARG (o->job->spec.id), o->number, kq_load_kind_name (l->row.kind),
+              (long long)((now - o->turn_since) / KQ_MS));
+      o->turn_passed_at = now;
+      o->turn_since = 0;
+      o = find_next_turn (jobs, n);
+    }
+  give_turn (s, o, now);
+  l->turn = o;
+  if (!s->config.features.forecast_order || o->had_turn)
     return;
-  l->turn->had_turn = true;
+  o->had_turn = true;
   kq_log (KQ_LOG_INFO, PART,
           "A job of no use any more gets its turn. job=%.*s.%d kind=%s age_ms=%lld "
           "running_milli=%lld of_no_use_milli=%lld",
-          KQ_STR_ARG (l->turn->job->spec.id), l->turn->number,
-          kq_load_kind_name (l->row.kind), (long long)((now - l->turn->due_at) / KQ_MS),
-          (long long)l->running_milli, (long long)l->no_use_milli);
+          KQ_STR_ARG (o->job->spec.id), o->number, kq_load_kind_name (l->row.kind),
+          (long long)((now - o->due_at) / KQ_MS), (long long)l->running_milli,
+          (long long)l->no_use_milli);
 }
 
 /* Logs when the class of a waiting job has changed. */
@@ -365,7 +410,7 @@
 static void
 sum_up_job (const KqLoadJob *j)
 {
-  const KqOccurrence *o = j->occurrence;
+  KqOccurrence *o = j->occurrence;
   KqLoadRow *row = &j->sums->row;
   bool late = j->alone != KQ_ALONE_IN_TIME || j->job.place.class != KQ_WAITING_IN_TIME;
   int64_t waiting = 0;
@@ -382,6 +427,8 @@
           && (row->waiting_milli == 0 || p->cpu_milli < row->waiting_milli))
         row->waiting_milli = p->cpu_milli;
     }
+  if (waiting_milli < j->waiting_milli)
+    o->turn_since = 0;
   j->sums->running_milli += j->waiting_milli - waiting_milli;
   j->sums->fitting_milli -= j->waiting_milli - waiting_milli;
   row->running_work += (j->waiting_work - waiting) / RUNNING_DONE_RATIO;
--- a/src/sched/load_pass.h
+++ b/src/sched/load_pass.h
@@ -50,7 +50,8 @@
 
 /* Whether the occurrence is to be placed before all others of its kind in this pass. Jobs
  * of no use any more come last, and would wait as long as an overload lasts; so the
- * oldest of them goes first while such jobs have less than a twentieth of what runs. */
+ * oldest of them goes first while such jobs have less than a twentieth of what runs. One
+ * that can start nothing in its turn for 2 s is put behind the others. */
 bool kq_load_has_turn (const KqOccurrence *o);
 
 /* Notes that a run has ended, whether its task is done or not. */
--- a/src/sched/load_pass_test.c
+++ b/src/sched/load_pass_test.c
@@ -12,10 +12,11 @@
 
 #include <cmocka.h>
 
-/* Submits a job of `width` tasks of 4 cores and 1 s, with an objective of 2 s. More than
- * ten are in two steps that may run at once. */
+/* Submits a job of `width` tasks of 1 s, with an objective of 2 s. More than ten are in
+ * two steps that may run at once. */
 static void
-submit (KqSchedFixture *d, const char *id, int32_t width, KqTime age, uint64_t revision)
+submit_sized (KqSchedFixture *d, const char *id, int32_t width, int32_t cpu_milli,
+              KqTime age, uint64_t revision)
 {
   KqStep steps[2] = { kq_sched_fixture_step (), kq_sched_fixture_step () };
   KqSpec spec = { .id = kq_str (id),
@@ -33,7 +34,7 @@
   for (int i = 0; i < spec.n_steps; i++)
     {
       steps[i].width = width / spec.n_steps;
-      steps[i].cpu_milli = 4000;
+      steps[i].cpu_milli = cpu_milli;
       steps[i].estimate_ms = 1000;
     }
   kq_spec_pack (&spec, &b);
@@ -41,6 +42,13 @@
   kq_buf_free (&b);
 }
 
+/* As above, with tasks of 4 cores. */
+static void
+submit (KqSchedFixture *d, const char *id, int32_t width, KqTime age, uint64_t revision)
+{
+  submit_sized (d, id, width, 4000, age, revision);
+}
+
 static int
 set_up (void **state)
 {
@@ -256,6 +264,20 @@
   assert_last_started (d, "old");
 }
 
+/* Guards against jobs of no use that wait for as long as an overload lasts, because the
+ * oldest of them has the turn and fits on no runner. */
+static void
+test_job_that_fits_nowhere_leaves_the_turn (void **state)
+{
+  KqSchedFixture *d = *state;
+  submit_sized (d, "huge", 1, 64000, 80 * KQ_SEC, 11);
+  submit (d, "old", 1, 60 * KQ_SEC, 12);
+  submit (d, "newest", 1, 0, 13);
+  kq_sched_fixture_run (d, 3 * KQ_SEC);
+  end_last_run (d, 1);
+  assert_last_started (d, "old");
+}
+
 /* Guards against a slow fleet that counts as fast: tasks that take twice their estimate
  * halve the rate. */
 static void
@@ -286,6 +308,7 @@
     TEST (test_load_that_is_gone_leaves_no_waiting_work),
     TEST (test_objective_runs_from_the_accepting_nodes_clock),
     TEST (test_job_of_no_use_gets_its_turn),
+    TEST (test_job_that_fits_nowhere_leaves_the_turn),
     TEST (test_rate_follows_what_tasks_take),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -108,6 +108,9 @@
   KqWaitingPlace place;  /* of the last pass, while it waits (load_pass.h) */
   KqWaitingClass logged; /* the class in its last log line */
   bool had_turn;         /* it has been placed first, though of no use (load_pass.h) */
+  KqTime turn_since;  /* since when it has had the turn and started nothing; 0: hasn't */
+  uint64_t turn_pass; /* KqSched.passes when it had the turn last */
+  KqTime turn_passed_at; /* when it lost a turn in which it started nothing; 0: never */
   struct KqOccurrence *next;
 } KqOccurrence;
 
