Load account: limit the work of a step

Cause: clients declare cpu and estimates up to 2^31 - 1, and work is their product times the number of tasks. It overflowed, and a negative sum in the account makes every other job of the service look in time.

Change: the work of a step is limited to KQ_LOAD_WORK_MAX, and a forecast wait to 30 years.

Result: the new test in load_pass_test failed with the plain product and passes with the limit; load_pass, waiting_order, wait_places, admission, front_admit and leader_admit tests pass.

--- a/src/sched/job_load.c
+++ b/src/sched/job_load.c
@@ -8,11 +8,11 @@
   for (int32_t i = 0; i < spec->n_steps; i++)
     {
       const KqStep *p = &spec->steps[i];
-      int64_t cpu = (int64_t)p->width * p->cpu_milli;
-      work[p->filling ? KQ_LOAD_FILLING : KQ_LOAD_RESERVED] += cpu * p->estimate_ms;
-      out->work += cpu * p->estimate_ms;
+      int64_t step_work = kq_load_work (p->cpu_milli, p->estimate_ms, p->width);
+      work[p->filling ? KQ_LOAD_FILLING : KQ_LOAD_RESERVED] += step_work;
+      out->work += step_work;
       if (p->n_after == 0)
-        out->start_milli += cpu;
+        out->start_milli += (int64_t)p->width * p->cpu_milli;
       if (p->cpu_milli > out->largest_milli)
         out->largest_milli = p->cpu_milli;
     }
--- a/src/sched/load_account.c
+++ b/src/sched/load_account.c
@@ -7,6 +7,15 @@
   return names[k];
 }
 
+int64_t
+kq_load_work (int32_t cpu_milli, int32_t estimate_ms, int32_t n)
+{
+  int64_t one = (int64_t)cpu_milli * estimate_ms;
+  if (n <= 0 || one <= 0)
+    return 0;
+  return one > KQ_LOAD_WORK_MAX / n ? KQ_LOAD_WORK_MAX : one * n;
+}
+
 const KqLoadRow *
 kq_load_find (const KqLoadDigest *d, KqStr service, KqLoadKind kind)
 {
--- a/src/sched/load_account.h
+++ b/src/sched/load_account.h
@@ -51,6 +51,13 @@
 } KqLoadRow;
 
 #define KQ_LOAD_ROWS_MAX 24
+/* Most work of the tasks of one step, more than a thousand days of a core. Clients
+ * declare cpu and estimate up to 2^31 - 1 each; sums over 20,000 waiting tasks don't
+ * overflow. */
+#define KQ_LOAD_WORK_MAX ((int64_t)100000000000000)
+
+/* The work of n tasks, KQ_LOAD_WORK_MAX at most; 0 if n is below 1. */
+int64_t kq_load_work (int32_t cpu_milli, int32_t estimate_ms, int32_t n);
 
 /* The load of all services, as a leader sends it to the nodes. */
 typedef struct
--- a/src/sched/load_pass.c
+++ b/src/sched/load_pass.c
@@ -158,7 +158,7 @@
 static int64_t
 tasks_work (const KqStep *p, int32_t n)
 {
-  return p->lasting ? 0 : (int64_t)p->cpu_milli * p->estimate_ms * n;
+  return p->lasting ? 0 : kq_load_work (p->cpu_milli, p->estimate_ms, n);
 }
 
 static int64_t
--- a/src/sched/load_pass_test.c
+++ b/src/sched/load_pass_test.c
@@ -2,21 +2,23 @@
  * each, which a job of two tasks has taken. */
 
 #include "bench/sched_fixture.h"
+#include "sched/job_load.h"
 #include "sched/load_pass.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
 
-/* Submits a job of `width` tasks of 1 s, with an objective of 2 s. More than ten are in
- * two steps that may run at once. */
+/* Submits a job of `width` tasks, with an objective of 500 ms beyond 1.5 times their
+ * estimate. More than ten are in two steps that may run at once. */
 static void
 submit_sized (KqSchedFixture *d, const char *id, int32_t width, int32_t cpu_milli,
-              KqTime age, uint64_t revision)
+              int32_t estimate_ms, KqTime age, uint64_t revision)
 {
   KqStep steps[2] = { kq_sched_fixture_step (), kq_sched_fixture_step () };
   KqSpec spec = { .id = kq_str (id),
@@ -35,18 +37,18 @@
     {
       steps[i].width = width / spec.n_steps;
       steps[i].cpu_milli = cpu_milli;
-      steps[i].estimate_ms = 1000;
+      steps[i].estimate_ms = estimate_ms;
     }
   kq_spec_pack (&spec, &b);
   kq_sched_add_job (d->sched, kq_buf_str (&b), revision, d->now);
   kq_buf_free (&b);
 }
 
-/* As above, with tasks of 4 cores. */
+/* As above, with tasks of 4 cores and 1 s. */
 static void
 submit (KqSchedFixture *d, const char *id, int32_t width, KqTime age, uint64_t revision)
 {
-  submit_sized (d, id, width, 4000, age, revision);
+  submit_sized (d, id, width, 4000, 1000, age, revision);
 }
 
 static int
@@ -270,7 +272,7 @@
 test_job_that_fits_nowhere_leaves_the_turn (void **state)
 {
   KqSchedFixture *d = *state;
-  submit_sized (d, "huge", 1, 64000, 80 * KQ_SEC, 11);
+  submit_sized (d, "huge", 1, 64000, 1000, 80 * KQ_SEC, 11);
   submit (d, "old", 1, 60 * KQ_SEC, 12);
   submit (d, "newest", 1, 0, 13);
   kq_sched_fixture_run (d, 3 * KQ_SEC);
@@ -278,6 +280,31 @@
   assert_last_started (d, "old");
 }
 
+/* Guards against work that overflows: clients declare estimates and cpu up to 2^31 - 1,
+ * and a negative sum made each other job of the service look in time. */
+static void
+test_work_of_enormous_tasks_is_limited (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep step
+      = { .width = KQ_SPEC_TASKS_MAX, .cpu_milli = INT32_MAX, .estimate_ms = INT32_MAX };
+  KqSpec spec = { .steps = &step, .n_steps = 1, .slo_ms = 1 };
+  KqJobLoad load;
+  KqLoadRow row;
+  assert_true (kq_job_load (&spec, &load));
+  assert_int_equal (load.work, KQ_LOAD_WORK_MAX);
+  for (uint64_t i = 0; i < 100; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "huge%d", (int)i);
+      submit_sized (d, id, 2, INT32_MAX, INT32_MAX, 0, 11 + i);
+    }
+  kq_sched_fixture_run (d, 600 * KQ_MS);
+  row = row_of (d, KQ_LOAD_RESERVED);
+  assert_int_equal (row.waiting_jobs, 100);
+  assert_int_equal (row.in_time_work + row.late_work, 100 * KQ_LOAD_WORK_MAX);
+}
+
 /* Guards against a slow fleet that counts as fast: tasks that take twice their estimate
  * halve the rate. */
 static void
@@ -309,6 +336,7 @@
     TEST (test_objective_runs_from_the_accepting_nodes_clock),
     TEST (test_job_of_no_use_gets_its_turn),
     TEST (test_job_that_fits_nowhere_leaves_the_turn),
+    TEST (test_work_of_enormous_tasks_is_limited),
     TEST (test_rate_follows_what_tasks_take),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/sched/wait_places.c
+++ b/src/sched/wait_places.c
@@ -15,7 +15,7 @@
 {
   const KqStep *p = &o->job->spec.steps[step];
   const KqStepState *st = &o->steps[step];
-  return (int64_t)(p->width - st->done - st->active) * p->cpu_milli * p->estimate_ms;
+  return kq_load_work (p->cpu_milli, p->estimate_ms, p->width - st->done - st->active);
 }
 
 /* The counts of the present pass, cleared at the first use in it. */
--- a/src/sched/waiting_order.c
+++ b/src/sched/waiting_order.c
@@ -77,10 +77,16 @@
     qsort (items, n, sizeof *items, compare_items);
 }
 
+/* Longer forecast waits, some 30 years, count as this: times don't overflow. */
+#define WAIT_MAX_MS ((int64_t)1000000000000)
+
 static KqTime
 forecast_end (const KqWaitingLoad *load, const KqWaitingJob *j, int64_t ahead)
 {
-  return load->now + (ahead / load->rate + j->chain_ms) * KQ_MS;
+  int64_t wait_ms = ahead / load->rate;
+  if (wait_ms > WAIT_MAX_MS)
+    wait_ms = WAIT_MAX_MS;
+  return load->now + (wait_ms + j->chain_ms) * KQ_MS;
 }
 
 static bool
