Load account: a task that waits for a label or gpu isn't one without room

Cause: free room counts for a job only if its tasks are smaller than the smallest waiting one. A task that waits for a runner's label or gpus counted too, so jobs without such needs could be refused beside free cpu.

Change: KqLoadRow.waiting_milli leaves out steps with a label or gpus.

Result: the new test in load_pass_test failed before (4000 instead of 0, with 8 cores free) and passes; load_pass, admission and front_admit tests pass.

--- a/src/sched/load_account.h
+++ b/src/sched/load_account.h
@@ -47,7 +47,8 @@
   int64_t largest_milli; /* the most of it on one runner */
   int32_t waiting_jobs;
   int32_t late_jobs;     /* those of them that are placed behind */
-  int64_t waiting_milli; /* cpu of the smallest task that found no room; 0: none waits */
+  int64_t waiting_milli; /* cpu of the smallest task that found no room and needs
+                            neither label nor gpu; 0: none waits */
 } KqLoadRow;
 
 #define KQ_LOAD_ROWS_MAX 24
--- a/src/sched/load_pass.c
+++ b/src/sched/load_pass.c
@@ -406,6 +406,14 @@
 
 /* The account after the pass */
 
+/* Whether a waiting task of the step shows that others of its size find no room: one that
+ * needs a label or a gpu may wait beside free cpu. */
+static bool
+needs_only_cpu (const KqStep *p)
+{
+  return p->label.len == 0 && p->gpus == 0;
+}
+
 /* What the job still has waiting after the starts of the pass. */
 static void
 sum_up_job (const KqLoadJob *j)
@@ -423,7 +431,7 @@
       waiting += tasks_work (p, n);
       waiting_milli += tasks_milli (p, n);
       waits = waits || n > 0;
-      if (n > 0 && o->steps[i].open && step_kind (p) == row->kind
+      if (n > 0 && o->steps[i].open && step_kind (p) == row->kind && needs_only_cpu (p)
           && (row->waiting_milli == 0 || p->cpu_milli < row->waiting_milli))
         row->waiting_milli = p->cpu_milli;
     }
--- a/src/sched/load_pass_test.c
+++ b/src/sched/load_pass_test.c
@@ -305,6 +305,25 @@
   assert_int_equal (row.in_time_work + row.late_work, 100 * KQ_LOAD_WORK_MAX);
 }
 
+/* Guards against refusals beside free room: a task that waits for a label doesn't show
+ * that others of its size find no room elsewhere. */
+static void
+test_task_that_waits_for_a_label_takes_no_room_from_others (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqLoadRow row;
+  submit (d, "labelled", 1, 0, 11);
+  kq_book_find (d->sched, KQ_STR ("labelled"))->spec.steps[0].label = KQ_STR ("no such");
+  kq_sched_cancel (d->sched, KQ_STR ("first"), d->now);
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0);
+  kq_sched_fixture_run (d, 600 * KQ_MS);
+  row = row_of (d, KQ_LOAD_RESERVED);
+  assert_int_equal (row.waiting_jobs, 1);
+  assert_int_equal (row.free_milli, 8000);
+  assert_int_equal (row.waiting_milli, 0);
+}
+
 /* Guards against a slow fleet that counts as fast: tasks that take twice their estimate
  * halve the rate. */
 static void
@@ -337,6 +356,7 @@
     TEST (test_job_of_no_use_gets_its_turn),
     TEST (test_job_that_fits_nowhere_leaves_the_turn),
     TEST (test_work_of_enormous_tasks_is_limited),
+    TEST (test_task_that_waits_for_a_label_takes_no_room_from_others),
     TEST (test_rate_follows_what_tasks_take),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
