--- a/src/sched/features.h
+++ b/src/sched/features.h
@@ -16,8 +16,6 @@
                              with the work ahead of it, not alone (waiting_order.h) */
   bool learned_estimates; /* estimates = "learned": run times are corrected by what the
                              tasks of the queue have taken (estimates.h) */
-  bool domain_health;     /* failures of hosts of one failure domain or rack count for all
-                             of its hosts (domain_health.h) */
   bool large_task_room;   /* waiting tasks that are too large for the free room of any
                              runner get runners reserved (large_tasks.h) */
   bool admission;         /* admission = "forecast": a job that can't be of use any more
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -74,7 +74,6 @@
   { "estimates", "declared", "learned", AT (scheduling.learned_estimates) },
   { "large_task_room", "off", "on", AT (scheduling.large_task_room) },
   { "admission", "all", "forecast", AT (scheduling.admission) },
-  { "domain_health", "off", "on", AT (scheduling.domain_health) },
 };
 #define N_SWITCHES (sizeof switches / sizeof switches[0])
 
