Digests only where the leader's settings ask for admission

The leader sent digests to all nodes twice a second, and asked for the load, which walks all runners, in each iteration of its loop, also where no node refuses anything. Besides: an order's key could overflow for an objective that ended before the host's boot.

--- a/src/fleet/admission.c
+++ b/src/fleet/admission.c
@@ -148,6 +148,12 @@
          || differs (a->largest_milli, b->largest_milli);
 }
 
+bool
+kq_admit_digest_may_be_sent (KqTime sent_at, KqTime now)
+{
+  return sent_at == 0 || now - sent_at >= DIGEST_INTERVAL_MIN;
+}
+
 bool
 kq_admit_digest_is_due (const KqLoadDigest *sent, KqTime sent_at,
                         const KqLoadDigest *next, KqTime now)
@@ -156,7 +162,7 @@
   bool changed = sent->known != next->known || sent->n_rows != next->n_rows;
   if (sent_at == 0 && !next->known)
     return false;
-  if (sent_at != 0 && now - sent_at < DIGEST_INTERVAL_MIN)
+  if (!kq_admit_digest_may_be_sent (sent_at, now))
     return false;
   for (size_t i = 0; i < next->n_rows; i++)
     {
--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -103,6 +103,9 @@
  */
 void kq_admit_digest_copy (KqAdmitDigest *to, const KqLoadDigest *from);
 
+/* Whether enough time has passed since a digest was sent for another one; sent_at 0: none
+ * was sent. */
+bool kq_admit_digest_may_be_sent (KqTime sent_at, KqTime now);
 /* Whether the leader is due to send the digest `next`. sent: the last one that it sent at
  * sent_at; 0: never. */
 bool kq_admit_digest_is_due (const KqLoadDigest *sent, KqTime sent_at,
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -113,12 +113,15 @@
   ev_timer_start (ev, &l->timer);
 }
 
-/* Sends the load to all nodes when that is due. */
+/* Sends the load to all nodes when that is due. Nodes use it for admission only. */
 static void
 send_load (KqLeader *l, KqTime now)
 {
   KqLoadDigest load;
   const KqAgentItem *i;
+  /* To ask for the load costs a walk over all runners. */
+  if (!l->config.features.admission || !kq_leader_admit_may_send (l->admit, now))
+    return;
   kq_sched_load (l->sched, now, &load);
   i = kq_leader_admit_send (l->admit, &load, (KqPeer **)l->peers->pdata, l->peers->len,
                             now);
--- a/src/fleet/leader_admit.c
+++ b/src/fleet/leader_admit.c
@@ -148,6 +148,12 @@
   return retry_ms;
 }
 
+bool
+kq_leader_admit_may_send (const KqLeaderAdmit *a, KqTime now)
+{
+  return kq_admit_digest_may_be_sent (a->sent_at, now);
+}
+
 const KqAgentItem *
 kq_leader_admit_send (KqLeaderAdmit *a, const KqLoadDigest *load, KqPeer *const *peers,
                       size_t n_peers, KqTime now)
--- a/src/sched/features.h
+++ b/src/sched/features.h
@@ -5,8 +5,9 @@
  * switch on, in section [scheduling]. All are off by default: jobs are then placed by
  * their declared estimates, the earliest objective first, and none is refused for load.
  *
- * Nodes with different settings work together: the leader's settings count for placing,
- * those of the node that receives a job for its admission. */
+ * Nodes with different settings work together: the leader's settings count for placing.
+ * For its admission a job needs the switch on the node that receives it and on the
+ * leader, which sends no digest of the load otherwise. */
 
 #include <stdbool.h>
 
--- a/src/sched/waiting_order.c
+++ b/src/sched/waiting_order.c
@@ -101,6 +101,8 @@
 deferral_key (const Stage *st, const Item *i)
 {
   int64_t size = st->load->rule == KQ_DEFER_LARGEST ? i->job->work : (int64_t)i->job->due;
+  if (size < 0) /* an objective that ended before the host's boot */
+    size = 0;
   if (i->job->returned)
     return INT64_MAX - size;
   return i->job->begun ? INT64_MAX / 2 - size : -size;
