Explain: one account of what is before a job

Two parts printed it, with two forecasts of the end. The place in the order stays, and tells the class that order = "forecast" has decided on.

--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -1,7 +1,6 @@
 /* explain: lines of text that tell operators what a job waits for. */
 
 #include "sched/cordoning.h"
-#include "sched/load_pass.h"
 #include "sched/place.h"
 #include "sched/wait_places.h"
 
@@ -63,20 +62,17 @@
   kq_cordoning_explain (s, now, out);
   kq_sched_load (s, now, &load);
   for (const KqOccurrence *o = j->occurrences; o != NULL; o = o->next)
-    {
-      kq_load_explain (s, o, now, out);
-      for (int32_t i = 0; i < j->spec.n_steps; i++)
-        {
-          if (o->steps[i].done == j->spec.steps[i].width && j->spec.n_steps > STEPS_MAX)
-            continue; /* the lines are for those that aren't done */
-          if (n_steps++ == STEPS_MAX || out->len > KQ_EXPLAIN_BYTES_MAX)
-            {
-              kq_buf_printf (out, "further steps are left out\n");
-              return;
-            }
-          explain_step (s, o, i, &load, now, out);
-        }
-    }
+    for (int32_t i = 0; i < j->spec.n_steps; i++)
+      {
+        if (o->steps[i].done == j->spec.steps[i].width && j->spec.n_steps > STEPS_MAX)
+          continue; /* the lines are for those that aren't done */
+        if (n_steps++ == STEPS_MAX || out->len > KQ_EXPLAIN_BYTES_MAX)
+          {
+            kq_buf_printf (out, "further steps are left out\n");
+            return;
+          }
+        explain_step (s, o, i, &load, now, out);
+      }
 }
 
 void
--- a/src/sched/load_pass.h
+++ b/src/sched/load_pass.h
@@ -58,10 +58,9 @@
 void kq_load_note_run_end (const KqRun *run, KqTime now);
 /* Notes that the run's task is done. */
 void kq_load_note_done (const KqRun *run, KqTime now);
+
 /* load_report.c */
 /* Sets the gauges of the account. */
 void kq_load_gauges (KqSched *s);
-/* Appends what was decided on the occurrence; nothing if it doesn't wait. */
-void kq_load_explain (const KqSched *s, const KqOccurrence *o, KqTime now, KqBuf *out);
 
 #endif
--- a/src/sched/load_report.c
+++ b/src/sched/load_report.c
@@ -116,17 +116,3 @@
         *gauge = (uint64_t)r->free_milli;
       }
 }
-
-void
-kq_load_explain (const KqSched *s, const KqOccurrence *o, KqTime now, KqBuf *out)
-{
-  const KqWaitingPlace *p = &o->place;
-  if (!s->config.features.forecast_order || p->forecast_end == 0)
-    return;
-  kq_buf_printf (out,
-                 "occurrence %d: place %s, forecast to end in %lld ms, behind %lld jobs "
-                 "with %lld core ms of work\n",
-                 o->number, kq_waiting_class_name (p->class),
-                 (long long)((p->forecast_end - now) / KQ_MS), (long long)p->jobs_ahead,
-                 (long long)(p->work_ahead / 1000));
-}
--- a/src/sched/wait_places.c
+++ b/src/sched/wait_places.c
@@ -67,6 +67,8 @@
     }
   kq_buf_printf (out, ", rank %s among %s tasks of %.*s", w->rank,
                  kq_load_kind_name (kind), KQ_STR_ARG (j->spec.service));
+  if (s->config.features.forecast_order && o->place.forecast_end != 0)
+    kq_buf_printf (out, " (%s)", kq_waiting_class_name (o->place.class));
   kq_buf_printf (out, ", before it %d jobs", w->jobs_before);
   if (kind == KQ_LOAD_LASTING)
     return;
