--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -307,6 +307,17 @@
     }
 }
 
+static KqSchedFeatures
+features_of (const KqSchedRig *r)
+{
+  if ((r->plays & KQ_SCHED_RIG_SWITCHES) == 0)
+    return r->features;
+  return (KqSchedFeatures){ .forecast_order = true,
+                            .learned_estimates = true,
+                            .large_task_room = true,
+                            .admission = true };
+}
+
 static void
 load_cancels (KqSchedRig *r)
 {
@@ -325,7 +336,7 @@
   KqSchedConfig c = { .lease_ms = KQ_SCHED_RIG_LEASE_MS,
                       .renew_without_leader_ms = KQ_SCHED_RIG_RENEW_WITHOUT_LEADER_MS,
                       .keep_ms = KEEP_MS,
-                      .features = r->features,
+                      .features = features_of (r),
                       .cordons = r->cordons,
                       .counters = r->counters,
                       .maintenance_ms = KQ_SCHED_RIG_MAINTENANCE_MS,
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -28,6 +28,7 @@
 #define KQ_SCHED_RIG_SLOW_STORE                                                          \
   2u /* a write of the lists of runners and agents takes time */
 #define KQ_SCHED_RIG_OWN_AGENT 4u /* one of the agents is on the leader's node */
+#define KQ_SCHED_RIG_SWITCHES 8u  /* all decisions of sched/features.h are on */
 /* As fails_index of a job: each of its tasks always fails. */
 #define KQ_SCHED_RIG_ALL_FAIL (-2)
 
--- a/bench/sched_soak_main.c
+++ b/bench/sched_soak_main.c
@@ -1,4 +1,5 @@
-/* sched_soak [SEED [STEPS [SEEDS [day] [cordons] [slow_store] [own_agent]]]]: random
+/* sched_soak [SEED [STEPS [SEEDS [day] [cordons] [slow_store] [own_agent]
+ * [switches]]]]: random
  * faults on the scheduler (sched_soak.h). With `day`: random days of STEPS rounds
  * (sched_day.h). The other words: KQ_SCHED_RIG_CORDONS and following. The exit status is
  * not 0 if an invariant was breached. KQ_SOAK_LOG in the environment: debug logs. */
@@ -19,7 +20,8 @@
   unsigned plays;
 } words[] = { { "cordons", KQ_SCHED_RIG_CORDONS },
               { "slow_store", KQ_SCHED_RIG_SLOW_STORE },
-              { "own_agent", KQ_SCHED_RIG_OWN_AGENT } };
+              { "own_agent", KQ_SCHED_RIG_OWN_AGENT },
+              { "switches", KQ_SCHED_RIG_SWITCHES } };
 
 int
 main (int argc, char **argv)
--- a/src/sched/sched_day_test.c
+++ b/src/sched/sched_day_test.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "bench/sched_day.h"
+#include "bench/sched_rig.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -12,29 +13,45 @@
 #define SEEDS 60
 #define ROUNDS 4
 
-/* Guards against work that waits beside free room after faults, which no invariant of
- * sched_random_test shows. */
-static void
-test_nothing_waits_beside_free_room (void **state)
+/* Plays the days, with what `plays` adds (KQ_SCHED_RIG_CORDONS and following). */
+static int
+count_broken (unsigned plays)
 {
   int broken = 0;
-  (void)state;
   kq_log_set_level (KQ_LOG_ERROR);
   for (uint64_t seed = SEEDS_FROM; seed < SEEDS_FROM + SEEDS; seed++)
     {
       char why[200];
-      if (kq_sched_day (seed, ROUNDS, 0, why, sizeof why) == 0)
+      if (kq_sched_day (seed, ROUNDS, plays, why, sizeof why) == 0)
         continue;
       print_error ("seed %llu: %s\n", (unsigned long long)seed, why);
       broken++;
     }
-  assert_int_equal (broken, 0);
+  return broken;
+}
+
+/* Guards against work that waits beside free room after faults, which no invariant of
+ * sched_random_test shows. */
+static void
+test_nothing_waits_beside_free_room (void **state)
+{
+  (void)state;
+  assert_int_equal (count_broken (0), 0);
+}
+
+/* Guards against deferred jobs and reserved runners that leave work beside free room. */
+static void
+test_nothing_waits_with_all_decisions_on (void **state)
+{
+  (void)state;
+  assert_int_equal (count_broken (KQ_SCHED_RIG_SWITCHES), 0);
 }
 
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_nothing_waits_beside_free_room) };
+      = { cmocka_unit_test (test_nothing_waits_beside_free_room),
+          cmocka_unit_test (test_nothing_waits_with_all_decisions_on) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
