--- a/bench/sched_day.c
+++ b/bench/sched_day.c
@@ -61,6 +61,8 @@
   int load_percent; /* of the room, that jobs are submitted for */
   KqTime calm_at;   /* from then on waiting tasks count; KQ_TIME_NEVER: faults go on */
   int jobs;
+  GHashTable *ended; /* ids of jobs that were seen to have ended: the scheduler forgets
+                        them after a while */
 } Day;
 
 static int
@@ -79,7 +81,9 @@
 job_ended (Day *d, const char *id)
 {
   KqJobState state = kq_sched_rig_state (&d->rig, id);
-  return state >= KQ_JOB_COMPLETED && state < KQ_JOB_UNKNOWN;
+  if (state >= KQ_JOB_COMPLETED && state < KQ_JOB_UNKNOWN)
+    g_hash_table_add (d->ended, strdup (id));
+  return g_hash_table_contains (d->ended, id);
 }
 
 /* cpu of the tasks of all jobs that haven't ended, in percent of the room. */
@@ -506,6 +510,7 @@
   int broken;
   kq_sched_rig_init (&d->rig, 4 + (int)(seed % 8), room, seed);
   d->idle = kq_sched_idle_new ();
+  d->ended = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   for (int i = below (d, 3); i > 0; i--)
     kq_sched_rig_add_agent (&d->rig);
   for (int i = 0; i < FEATURES; i++)
@@ -534,6 +539,7 @@
   broken = d->rig.breaches;
   snprintf (why, (size_t)why_size, "%s", d->rig.first_breach);
   kq_sched_idle_free (d->idle);
+  g_hash_table_destroy (d->ended);
   kq_sched_rig_clear (&d->rig);
   free (d);
   return broken;
