--- a/bench/sched_day.c
+++ b/bench/sched_day.c
@@ -82,8 +82,11 @@
 {
   KqJobState state = kq_sched_rig_state (&d->rig, id);
   if (state >= KQ_JOB_COMPLETED && state < KQ_JOB_UNKNOWN)
-    g_hash_table_add (d->ended, strdup (id));
-  return g_hash_table_contains (d->ended, id);
+    {
+      g_hash_table_add (d->ended, strdup (id));
+      return true;
+    }
+  return state == KQ_JOB_UNKNOWN && g_hash_table_contains (d->ended, id);
 }
 
 /* cpu of the tasks of all jobs that haven't ended, in percent of the room. */
--- a/bench/sched_idle.c
+++ b/bench/sched_idle.c
@@ -17,6 +17,7 @@
 {
   GHashTable *since_ms;    /* job or task -> GINT: since when it has waited beside room */
   GHashTable *last_ran_ms; /* lasting task -> GINT */
+  GHashTable *ended;       /* jobs seen to have ended: the scheduler forgets them */
   KqRoom free_room[KQ_SCHED_RIG_RUNNERS_MAX];
   bool usable[KQ_SCHED_RIG_RUNNERS_MAX];
   bool half_free;
@@ -28,6 +29,7 @@
   KqSchedIdle *c = kq_alloc (sizeof *c);
   c->since_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   c->last_ran_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  c->ended = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   return c;
 }
 
@@ -36,6 +38,7 @@
 {
   g_hash_table_destroy (c->since_ms);
   g_hash_table_destroy (c->last_ran_ms);
+  g_hash_table_destroy (c->ended);
   free (c);
 }
 
@@ -270,6 +273,11 @@
   KqJobState state = kq_sched_rig_state (r, id);
   bool waits;
   if (state >= KQ_JOB_COMPLETED && state < KQ_JOB_UNKNOWN)
+    {
+      g_hash_table_add (c->ended, strdup (id));
+      return;
+    }
+  if (state == KQ_JOB_UNKNOWN && g_hash_table_contains (c->ended, id))
     return;
   waits = calm && kq_sched_rig_running (r, id) == 0 && could_run (c, r, spec);
   if (waits)
--- a/src/sched/sched_day_test.c
+++ b/src/sched/sched_day_test.c
@@ -47,14 +47,15 @@
   assert_int_equal (count_broken (KQ_SCHED_RIG_SWITCHES), 0);
 }
 
-/* Guards against a false breach of a long day: the scheduler has forgotten the first jobs
- * when the ends of all are checked. */
+/* Guards against false breaches of long days: the scheduler has forgotten the first jobs
+ * when waits (5002) and the ends of all jobs (5000) are checked. */
 static void
 test_long_day_remembers_ended_jobs (void **state)
 {
   char why[200] = "";
   (void)state;
   kq_log_set_level (KQ_LOG_ERROR);
+  assert_int_equal (kq_sched_day (5002, 30, 0, why, sizeof why), 0);
   assert_int_equal (kq_sched_day (5000, 40, 0, why, sizeof why), 0);
   assert_string_equal (why, "");
 }
