--- a/src/sched/waiting_order.h
+++ b/src/sched/waiting_order.h
@@ -5,9 +5,10 @@
  *
  * In a burst that brings more work than the runners can do, each job judged alone still
  * looks in time. With the earliest objective first, jobs get their tasks in turns and
- * each ends just too late: of 549 filling jobs of a day at 1.7 times the usual load, 261
- * ended late. Here each job is judged with the work ahead of it, and as few jobs as
- * possible are put behind so that the others end in time (Moore and Hodgson's rule).
+ * each ends just too late. Here each job is judged with the work ahead of it, and jobs
+ * are put behind so that the others end in time: with KQ_DEFER_LARGEST as few as possible
+ * (Moore and Hodgson's rule), with KQ_DEFER_NEWEST those that came last, so that large
+ * jobs don't pay for small ones.
  *
  * Of those in time, jobs that have begun come first: a job that gets its tasks in turns
  * with others ends as late as the last of them. They are also put behind later than jobs
