--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -5,6 +5,8 @@
 capacity.py --check  fails if the page differs from the generated tables
 capacity.py take NAME FILE
                      saves the figures of a sweep's output as docs/sweeps/NAME.txt
+capacity.py take-day NAME REPORT
+                     saves the figures of one day's report as docs/fleet-days/NAME.json
 
 A sweep plays one day at several fleet sizes and prints, for each role, the middle and the
 busiest process. This file holds no measured values, only the target and the extrapolation:
@@ -12,12 +14,14 @@
 and the largest size played and limited to 0..2.
 """
 
+import json
 import os
 import re
 import sys
 
 PAGE = "docs/CAPACITY.md"
 FOLDER = "docs/sweeps"
+DAYS_FOLDER = "docs/fleet-days"
 
 # Target size and limits for each process.
 WORKERS = 4100
@@ -92,16 +96,71 @@
     return out
 
 
+# What a day's report holds of each role's load, in its order.
+LOAD_ROWS = ("processor %", "memory MB", "kB a second", "wake-ups a second", "connections",
+             "new connections a second")
+
+
+def save_day(name, path):
+    """Keeps of a report what the page shows."""
+    with open(path, encoding="utf-8") as f:
+        r = json.load(f)
+    rows = {}
+    for role, load in r["load"].items():
+        rows |= {f"{role}: {n}": pair for n, pair in zip(LOAD_ROWS, load["of"])}
+    rows |= {f"{n}, ms": pair for n, pair in r["times"].items() if pair}
+    kept = {"hosts": r["machines"], "runners": r["services"][0]["servers"], "worth": r["G"],
+            "served": r["served"], "refused": r["refused"], "failed": r["failed"],
+            "rules broken": r["breaks"], "parts": {n: v for n, _, v in r["parts"]},
+            "prices": {n: [q, p] for n, q, p in r["prices"] if p >= 0.0005}, "rows": rows}
+    os.makedirs(DAYS_FOLDER, exist_ok=True)
+    with open(os.path.join(DAYS_FOLDER, name + ".json"), "w", encoding="utf-8") as f:
+        json.dump(kept, f, indent=1)
+        f.write("\n")
+
+
+def fleet_table():
+    """One column for each day of the whole fleet."""
+    days = {}
+    for name in sorted(n for n in os.listdir(DAYS_FOLDER) if n.endswith(".json")):
+        with open(os.path.join(DAYS_FOLDER, name), encoding="utf-8") as f:
+            days[name.removesuffix(".json")] = json.load(f)
+    names = list(days)
+    out = ["| middle / busiest | " + " | ".join(names) + " |", "| --- |" + " --- |" * len(names)]
+
+    def add(title, cell):
+        out.append(f"| {title} | " + " | ".join(cell(days[n]) for n in names) + " |")
+
+    add("worth", lambda d: f"{d['worth']:.3f}")
+    add("served", lambda d: f"{d['served']:.3f}")
+    add("refused", lambda d: f"{d['refused']:.3f}")
+    add("failed", lambda d: f"{d['failed']:.3f}")
+    add("rules broken", lambda d: ", ".join(f"{r} {n}" for r, n in d["rules broken"].items())
+        or "none")
+    for part in days[names[0]]["parts"]:
+        add(part, lambda d, part=part: f"{d['parts'][part]:.3f}")
+    add("prices", lambda d: f"{sum(p for _, p in d['prices'].values()):.3f}")
+    add("calls to the store", lambda d: f"{d['prices'].get('cloud calls', [0])[0]:.0f}")
+    for row in list(dict.fromkeys(r for n in names for r in days[n]["rows"])):
+        add(row, lambda d, row=row: " / ".join(format_number(v) for v in d["rows"][row])
+            if row in d["rows"] else "")
+    return out
+
+
+def fill_table(text, marker, lines):
+    begin, end = f"<!-- begin {marker} -->\n", f"<!-- end {marker} -->"
+    if begin not in text:
+        sys.exit(f"{PAGE} has no table '{marker}'")
+    head, rest = text.split(begin, 1)
+    return head + begin + "\n".join(lines) + "\n" + end + rest.split(end, 1)[1]
+
+
 def fill_tables(text):
+    text = fill_table(text, "fleet", fleet_table())
     for name in sorted(os.listdir(FOLDER)):
         sweep = Sweep(os.path.join(FOLDER, name))
         for part, table in (("days", days_table), ("roles", roles_table)):
-            marker = f"{part} {name.removesuffix('.txt')}"
-            begin, end = f"<!-- begin {marker} -->\n", f"<!-- end {marker} -->"
-            if begin not in text:
-                sys.exit(f"{PAGE} has no table '{marker}'")
-            head, rest = text.split(begin, 1)
-            text = head + begin + "\n".join(table(sweep)) + "\n" + end + rest.split(end, 1)[1]
+            text = fill_table(text, f"{part} {name.removesuffix('.txt')}", table(sweep))
     return text
 
 
@@ -117,6 +176,9 @@
     if sys.argv[1:2] == ["take"]:
         save_figures(sys.argv[2], sys.argv[3])
         return
+    if sys.argv[1:2] == ["take-day"]:
+        save_day(sys.argv[2], sys.argv[3])
+        return
     with open(PAGE, encoding="utf-8") as f:
         page = f.read()
     text = fill_tables(page)
