Submissions: the leader writes what the store refuses or doesn't answer

Cause: a node judges the store to be down after three failed calls or 2.6 s. Until then each client of a node that the store turns away got 503, or 504 after a second without an answer.

Change: a refused write goes to the leader if the store answers it; a write without an answer is repeated there. The key must not exist, so the job is written once whichever write is carried out, and a job whose first write may still be carried out is never said not to have run.

Test: test_leader_writes_a_job_that_the_store_refuses, test_leader_repeats_a_write_without_an_answer.

--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -129,7 +129,7 @@
     kq_front_pending_refuse (q, "the store can't be read", KQ_FRONT_RETRY_STORE_MS,
                              q->handler->counts.refused_store, now);
   else if (q->step == KQ_FRONT_SUBMIT_WRITE)
-    kq_front_submit_write (q);
+    kq_front_submit_again (q, now);
   else
     kq_front_pending_read (q, q->step);
 }
--- a/src/fleet/front_pending.h
+++ b/src/fleet/front_pending.h
@@ -89,8 +89,12 @@
                             const KqQueue *queue, KqTime now);
 /* Writes the job, or repeats the write. */
 void kq_front_submit_write (KqFrontPending *q);
+/* Repeats a write without an answer: through the leader if the store answers it. The key
+ * must not exist, so the job is written once, whichever write is carried out. */
+void kq_front_submit_again (KqFrontPending *q, KqTime now);
 /* The leader's answer in step SUBMIT_LEADER: a KqAcceptResult; any other value: the
- * leader hasn't tried to write the job. */
+ * leader hasn't tried to write the job. The job isn't refused if a write of this node may
+ * still be carried out. */
 void kq_front_submit_written_by_leader (KqFrontPending *q, int64_t result, KqTime now);
 /* The leader's answer in step ADMIT_ASK; below 1: the job is accepted. */
 void kq_front_submit_judged (KqFrontPending *q, int64_t retry_ms, KqTime now);
--- a/src/fleet/front_submit.c
+++ b/src/fleet/front_submit.c
@@ -24,6 +24,51 @@
   q->handler->config.notify_leader (q->handler->config.arg, &i, now);
 }
 
+/* Tells the leader that a write of the job is about to be sent, or that the job is
+ * refused (over). A client whose connection breaks repeats its job at another node. The
+ * leader would tell that node to refuse it, and no key would be found there while the
+ * first node's write is on its way. The leader doesn't refuse an id of which it has been
+ * told. */
+static void
+announce_write (KqFrontPending *q, bool over, KqTime now)
+{
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_WRITING };
+  i.u.writing.id = q->id;
+  i.u.writing.over = over;
+  if (q->handler->config.admission)
+    q->handler->config.notify_leader (q->handler->config.arg, &i, now);
+}
+
+/* Has the leader write the job; refuses it, for the reason `why`, if there is no time or
+ * the leader doesn't reach the store either. */
+static void
+submit_via_leader (KqFrontPending *q, const char *why, KqTime now)
+{
+  KqFrontHandler *h = q->handler;
+  KqTime left = q->deadline - KQ_FRONT_DEADLINE_SLACK_MS * KQ_MS - now;
+  if (left <= 0 || !h->config.store_reached_by_leader (h->config.arg, now))
+    {
+      kq_front_pending_refuse (q, why, KQ_FRONT_RETRY_STORE_MS, h->counts.refused_store,
+                               now);
+      return;
+    }
+  q->step = KQ_FRONT_SUBMIT_LEADER;
+  ++*h->counts.via_leader;
+  announce_write (q, false, now);
+  kq_front_pending_query (q, KQ_ASK_ACCEPT, kq_buf_str (&q->stored),
+                          MIN (left, LEADER_WRITE_TIMEOUT), now);
+}
+
+void
+kq_front_submit_again (KqFrontPending *q, KqTime now)
+{
+  KqFrontHandler *h = q->handler;
+  if (h->config.store_reached_by_leader (h->config.arg, now))
+    submit_via_leader (q, "the store doesn't answer", now);
+  else
+    kq_front_submit_write (q);
+}
+
 static void
 on_submit_written (void *arg, const KqKvReply *r, KqTime now)
 {
@@ -48,27 +93,11 @@
       if (q->write_unknown)
         kq_front_pending_schedule_retry (q, KQ_FRONT_SUBMIT_WRITE, now);
       else
-        kq_front_pending_refuse (q, "the store refused", KQ_FRONT_RETRY_STORE_MS,
-                                 q->handler->counts.refused_store, now);
+        submit_via_leader (q, "the store refused", now);
       break;
     }
 }
 
-/* Tells the leader that a write of the job is about to be sent, or that the job is
- * refused (over). A client whose connection breaks repeats its job at another node. The
- * leader would tell that node to refuse it, and no key would be found there while the
- * first node's write is on its way. The leader doesn't refuse an id of which it has been
- * told. */
-static void
-announce_write (KqFrontPending *q, bool over, KqTime now)
-{
-  KqAgentItem i = { .kind = KQ_AGENT_ITEM_WRITING };
-  i.u.writing.id = q->id;
-  i.u.writing.over = over;
-  if (q->handler->config.admission)
-    q->handler->config.notify_leader (q->handler->config.arg, &i, now);
-}
-
 void
 kq_front_submit_write (KqFrontPending *q)
 {
@@ -84,30 +113,12 @@
   free ((char *)key.ptr);
 }
 
-static void
-submit_via_leader (KqFrontPending *q, KqTime now)
-{
-  KqFrontHandler *h = q->handler;
-  KqTime left = q->deadline - KQ_FRONT_DEADLINE_SLACK_MS * KQ_MS - now;
-  if (left <= 0 || !h->config.store_reached_by_leader (h->config.arg, now))
-    {
-      kq_front_pending_refuse (q, "the store is away", KQ_FRONT_RETRY_STORE_MS,
-                               h->counts.refused_store, now);
-      return;
-    }
-  q->step = KQ_FRONT_SUBMIT_LEADER;
-  ++*h->counts.via_leader;
-  announce_write (q, false, now);
-  kq_front_pending_query (q, KQ_ASK_ACCEPT, kq_buf_str (&q->stored),
-                          MIN (left, LEADER_WRITE_TIMEOUT), now);
-}
-
 void
 kq_front_submit_written_by_leader (KqFrontPending *q, int64_t result, KqTime now)
 {
   if (result == KQ_ACCEPT_DONE)
     kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
-  else if (result == KQ_ACCEPT_UNKNOWN)
+  else if (result == KQ_ACCEPT_UNKNOWN || q->write_unknown)
     kq_front_pending_reply_kind (q, KQ_REPLY_UNKNOWN, now);
   else
     kq_front_pending_refuse (q, "the store is away", KQ_FRONT_RETRY_STORE_MS,
@@ -138,7 +149,7 @@
   switch (h->config.store_state (h->config.arg, now))
     {
     case KQ_REACH_DOWN:
-      submit_via_leader (q, now);
+      submit_via_leader (q, "the store is away", now);
       break;
     case KQ_REACH_SUSPECT:
       kq_front_pending_read (q, KQ_FRONT_SUBMIT_PROBE);
--- a/src/fleet/front_test.c
+++ b/src/fleet/front_test.c
@@ -332,6 +332,49 @@
   assert_int_equal (fake.leader_call, 0);
 }
 
+/* Guards against refusing clients of a node that the store turns away, before the node
+ * has judged the store to be down. */
+static void
+test_leader_writes_a_job_that_the_store_refuses (void **state)
+{
+  Test *t = *state;
+  fake.has_leader = fake.leader_reaches_store = true;
+  submit (t, KQ_REACH_UP);
+  answer (KQ_KV_REFUSED);
+  assert_int_equal (fake.replies, 0);
+  assert_int_not_equal (fake.leader_call, 0);
+  kq_front_handler_answer (t->handler, fake.leader_call, KQ_ACCEPT_DONE, kq_time_now ());
+  assert_int_equal (fake.reply.kind, KQ_REPLY_DONE);
+  fake.leader_reaches_store = false;
+  submit (t, KQ_REACH_UP);
+  answer (KQ_KV_REFUSED);
+  assert_int_equal (fake.reply.kind, KQ_REPLY_REFUSED);
+  assert_int_equal (fake.replies, 2);
+}
+
+/* Guards against a reply with unknown outcome to clients of a node whose way to the store
+ * is cut, and against a refusal of a job whose first write may still be carried out. */
+static void
+test_leader_repeats_a_write_without_an_answer (void **state)
+{
+  static const int64_t results[] = { KQ_ACCEPT_DONE, KQ_ACCEPT_REFUSED, -1 };
+  static const KqReplyKind replies[]
+      = { KQ_REPLY_DONE, KQ_REPLY_UNKNOWN, KQ_REPLY_UNKNOWN };
+  Test *t = *state;
+  fake.has_leader = fake.leader_reaches_store = true;
+  for (int i = 0; i < 3; i++)
+    {
+      fake.leader_call = 0;
+      submit (t, KQ_REACH_UP);
+      answer (KQ_KV_UNKNOWN);
+      run_for (t, 0.25);
+      assert_int_not_equal (fake.leader_call, 0);
+      kq_front_handler_answer (t->handler, fake.leader_call, results[i], kq_time_now ());
+      assert_int_equal (fake.reply.kind, replies[i]);
+      assert_int_equal (fake.replies, i + 1);
+    }
+}
+
 static void
 ask_for_state (Test *t)
 {
@@ -411,6 +454,8 @@
           FIXTURE_TEST (test_leader_without_a_write_refuses),
           FIXTURE_TEST (test_leader_without_a_reply_leaves_the_outcome_unknown),
           FIXTURE_TEST (test_no_time_for_the_leader_refuses_at_once),
+          FIXTURE_TEST (test_leader_writes_a_job_that_the_store_refuses),
+          FIXTURE_TEST (test_leader_repeats_a_write_without_an_answer),
           FIXTURE_TEST (test_job_that_no_leader_knows_is_read),
           FIXTURE_TEST (test_refused_read_is_repeated_after_a_pause) };
   return cmocka_run_group_tests (tests, NULL, NULL);
