Operators' keys: the leader relays their changes to the nodes

Cause: each node watched the operators' keys. 294 nodes behind a link of 150 Mbit/s fetched each version of the configuration whole, and a watch that has fallen behind is sent every version between.

Change: the leader watches, and sends its nodes each change as the compressed difference from the last value that they have (zstd; hundreds of bytes instead of tens of kilobytes). A node watches by itself until the leader relays, and again when the connection ends or the leader's own watch hasn't been answered for 1.5 s. It goes on after the last revision that it was told. Leaders of earlier versions aren't asked.

link.c and fleet.c give up parts that stand for themselves (peer_reports, fleet_peers).

Tests: key_log_test, key_feed_test.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SECONDS ?= 30
 JOBS ?= 12
 
-PKGS = libmicrohttpd libcurl glib-2.0 jansson libxxhash
+PKGS = libmicrohttpd libcurl glib-2.0 jansson libxxhash libzstd
 CFLAGS = -std=c11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror -Isrc -I. -Istandin -Ifuzz \
          $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CXXFLAGS = -std=c++17 -O2 -g -Wall -Wextra -Werror -Isrc
--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -226,6 +226,18 @@
     case KQ_AGENT_ITEM_PING:
       kq_pack_i64 (p, i->u.ping.heartbeat_sent_at);
       kq_pack_i64 (p, i->u.ping.store_age_ms);
+      kq_pack_u64 (p, i->u.ping.keys_revision);
+      kq_pack_i64 (p, i->u.ping.keys_age_ms);
+      break;
+    case KQ_AGENT_ITEM_FOLLOW:
+      kq_pack_u64 (p, i->u.follow.revision);
+      break;
+    case KQ_AGENT_ITEM_KEY_CHANGE:
+      kq_pack_str (p, i->u.key_change.key);
+      kq_pack_u64 (p, i->u.key_change.revision);
+      kq_pack_bool (p, i->u.key_change.deleted);
+      kq_pack_u64 (p, i->u.key_change.base);
+      kq_pack_str (p, i->u.key_change.data);
       break;
     case KQ_AGENT_ITEM_FENCED:
     case KQ_AGENT_ITEM_LEAVE:
@@ -307,6 +319,18 @@
     case KQ_AGENT_ITEM_PING:
       i->u.ping.heartbeat_sent_at = kq_read_i64 (r);
       i->u.ping.store_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
+      i->u.ping.keys_revision = r->left > 0 ? kq_read_u64 (r) : 0;
+      i->u.ping.keys_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
+      return;
+    case KQ_AGENT_ITEM_FOLLOW:
+      i->u.follow.revision = kq_read_u64 (r);
+      return;
+    case KQ_AGENT_ITEM_KEY_CHANGE:
+      i->u.key_change.key = kq_read_str (r);
+      i->u.key_change.revision = kq_read_u64 (r);
+      i->u.key_change.deleted = kq_read_bool (r);
+      i->u.key_change.base = kq_read_u64 (r);
+      i->u.key_change.data = kq_read_str (r);
       return;
     case KQ_AGENT_ITEM_FENCED:
     case KQ_AGENT_ITEM_LEAVE:
@@ -322,7 +346,7 @@
 {
   /* By KqAgentItemKind, and for orders by KqOrderKind. */
   static const uint8_t of_kind[]
-      = { 0, 0, 3, 2, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2 };
+      = { 0, 0, 3, 4, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2, 1, 5 };
   static const uint8_t of_order[] = { 5, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_AGENT_ITEM_ORDER)
     return of_order[i->u.order.kind];
@@ -361,7 +385,7 @@
       || !kq_unpacked_open (&u, kq_str_n (rest->ptr + sizeof n, n), &r))
     return false;
   kind = kq_read_i64 (&r);
-  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_WRITING)
+  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_KEY_CHANGE)
     {
       out->kind = (KqAgentItemKind)kind;
       out->runner = kq_read_str (&r);
--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -12,8 +12,9 @@
 #include "agent/run_delta.h"
 #include "sched/sched.h"
 
-/* Version 1 has no WELCOME, CHANGES and LEAVE: it sends whole lists. */
-#define KQ_AGENT_PROTOCOL_VERSION 2
+/* Version 1 has no WELCOME, CHANGES and LEAVE: it sends whole lists. Version 2 has no
+ * FOLLOW: each node watches the operators' keys. */
+#define KQ_AGENT_PROTOCOL_VERSION 3
 
 typedef enum
 {
@@ -40,9 +41,12 @@
   KQ_AGENT_ITEM_LEAVE,   /* node to leader: planned stop; all its runners are released */
   KQ_AGENT_ITEM_GRANTS,  /* node to leader: the leases that it has granted before */
   /* skipped by nodes that don't know them */
-  KQ_AGENT_ITEM_LOAD,   /* leader to node: the load of all services */
-  KQ_AGENT_ITEM_WRITING /* node to leader: the node is about to write a job to the store,
-                           or has refused it for load */
+  KQ_AGENT_ITEM_LOAD,    /* leader to node: the load of all services */
+  KQ_AGENT_ITEM_WRITING, /* node to leader: the node is about to write a job to the store,
+                            or has refused it for load */
+  /* from version 3 on */
+  KQ_AGENT_ITEM_FOLLOW,    /* node to leader: relay changes of the operators' keys */
+  KQ_AGENT_ITEM_KEY_CHANGE /* leader to node: such a change */
 } KqAgentItemKind;
 
 typedef enum
@@ -59,6 +63,16 @@
   KQ_ASK_CORDONS  /* text for operators on the cordoned failure domains */
 } KqAskKind;
 
+/* A change of a key in the store (fleet/key_log.h). */
+typedef struct
+{
+  KqStr key;
+  uint64_t revision;
+  bool deleted;
+  uint64_t base; /* revision of the value that `data` is a difference from; 0: none */
+  KqStr data;    /* the compressed value; "" if it is deleted */
+} KqKeyChange;
+
 typedef struct
 {
   KqAgentItemKind kind;
@@ -96,7 +110,16 @@
       KqTime heartbeat_sent_at; /* sent_at of the node's last HEARTBEAT received */
       int64_t
           store_age_ms; /* since the store's last answer to the leader; -1: not given */
+      uint64_t keys_revision; /* all changes of the operators' keys up to it have been
+                                 relayed on this connection */
+      int64_t keys_age_ms;    /* since the leader was last told that there are no others;
+                                 -1: changes aren't relayed to this node */
     } ping;
+    struct
+    {
+      uint64_t revision; /* the node knows all changes up to it */
+    } follow;
+    KqKeyChange key_change;
     KqRunnerList list;
     struct
     {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -3,19 +3,9 @@
 #include "agent/agent.h"
 #include "base/log.h"
 #include "base/task.h"
-#include "election/election.h"
-#include "fleet/accepts.h"
-#include "fleet/front.h"
-#include "fleet/leader.h"
-#include "fleet/leader_lease.h"
-#include "fleet/link.h"
-#include "fleet/operator_port.h"
-#include "fleet/queries.h"
-#include "fleet/queue_keys.h"
-#include "fleet/reach.h"
+#include "fleet/fleet_impl.h"
 #include "platform/platform.h"
 
-#include <ev.h>
 #include <glib.h>
 
 #include <stdio.h>
@@ -41,33 +31,6 @@
  * the delay, so that stronger nodes win; nodes near the store have shorter calls. */
 #define CANDIDACY_DELAY_MS 200
 
-struct KqFleet
-{
-  KqFleetConfig config;
-  KqKv *kv;
-  KqRunnerClient *calls;
-  KqAdviceClient *advice;           /* NULL: none in the settings */
-  KqMaintenanceClient *maintenance; /* NULL: no control plane in the settings */
-  KqAgent *agent;
-  KqLink *link;
-  KqElection *election;
-  KqLeader *leader; /* NULL: this node isn't leader */
-  KqAccepts *accepts;
-  KqFrontHandler *handler;
-  KqFront *front;
-  KqOperatorPort *operators;
-  KqQueueKeys *queues;
-  KqCordons *cordons;
-  KqAgentInfo self;
-  KqReach store;
-  KqLeaderLease leader_lease; /* used while this node leads */
-  bool store_down;            /* the store's present outage has been logged */
-  bool stopping;
-  bool stopped;
-  KqTime stopping_at;
-  ev_timer check_timer;
-};
-
 static void
 on_answered (void *arg, KqTime sent_at, KqTime now)
 {
@@ -101,6 +64,14 @@
     kq_leader_cordons_changed (f->leader, now);
 }
 
+static void
+on_key_changed (void *arg, uint64_t revision, KqTime now)
+{
+  KqFleet *f = arg;
+  (void)now;
+  kq_key_feed_changed (f->keys, revision);
+}
+
 static KqReachState
 store_state (void *arg, KqTime now)
 {
@@ -189,6 +160,7 @@
   kq_agent_release_all (f->agent);
   kq_agent_leader_confirmed (f->agent, epoch, now);
   kq_leader_lease_elected (&f->leader_lease, leader_lease_ms (f) * KQ_MS);
+  kq_key_feed_set_leading (f->keys, true, now);
   f->leader = kq_leader_new (&c, now);
   kq_sched_set_exclusive_until (kq_leader_sched (f->leader),
                                 kq_election_valid_until (f->election));
@@ -201,6 +173,7 @@
   KqFleet *f = arg;
   (void)why;
   kq_link_set_own_epoch (f->link, 0, now);
+  kq_key_feed_set_leading (f->keys, false, now);
   kq_leader_free (f->leader);
   f->leader = NULL;
 }
@@ -214,102 +187,6 @@
     kq_link_set_leader (f->link, kq_name_str (&r->address), r->epoch, now);
 }
 
-/* Callbacks of the connections between nodes. */
-
-static void
-on_joined (void *arg, KqPeer *p, const KqAgentInfo *info, KqTime now)
-{
-  KqFleet *f = arg;
-  if (f->leader != NULL)
-    kq_leader_node_joined (f->leader, p, info, now);
-}
-
-static void
-on_left (void *arg, KqPeer *p, bool planned, KqTime now)
-{
-  KqFleet *f = arg;
-  kq_accepts_peer_left (f->accepts, p);
-  if (f->leader != NULL)
-    kq_leader_node_left (f->leader, p, planned, now);
-}
-
-static void
-on_from_node (void *arg, KqPeer *p, uint64_t epoch, const KqAgentItem *i, KqTime now)
-{
-  KqFleet *f = arg;
-  if (f->leader == NULL)
-    return;
-  if (i->kind == KQ_AGENT_ITEM_HEARTBEAT)
-    kq_leader_lease_heartbeat (&f->leader_lease, kq_leader_node_share (f->leader, p),
-                               i->u.heartbeat.store_age_ms, now);
-  else if (i->kind == KQ_AGENT_ITEM_ASK && i->u.ask.what == KQ_ASK_ACCEPT)
-    kq_accepts_write (f->accepts, p, i->u.ask.call, i->u.ask.about, now);
-  else if (i->kind == KQ_AGENT_ITEM_ASK)
-    kq_queries_answer_node (f->leader, p, i, now);
-  else if (i->kind == KQ_AGENT_ITEM_JOB || i->kind == KQ_AGENT_ITEM_CANCEL
-           || i->kind == KQ_AGENT_ITEM_WRITING
-           || epoch == kq_election_record (f->election)->epoch)
-    kq_leader_handle_item (f->leader, p, i, now);
-}
-
-static void
-on_connected (void *arg, KqTime now)
-{
-  KqFleet *f = arg;
-  kq_agent_release_all (f->agent);
-  kq_agent_leader_confirmed (f->agent, kq_election_record (f->election)->epoch, now);
-  kq_agent_report_grants (f->agent, kq_election_record (f->election)->epoch, now);
-}
-
-static void
-handle_ping (KqFleet *f, uint64_t epoch, const KqAgentItem *i, KqTime now)
-{
-  kq_agent_leader_confirmed (f->agent, epoch, i->u.ping.heartbeat_sent_at);
-  if (i->u.ping.store_age_ms >= 0)
-    kq_reach_leader_answered (&f->store, now - i->u.ping.store_age_ms * KQ_MS);
-}
-
-static KqQueries
-queries (const KqFleet *f)
-{
-  return (KqQueries){ .leader = f->leader,
-                      .link = f->link,
-                      .epoch = kq_election_record (f->election)->epoch,
-                      .front = f->handler,
-                      .operators = f->operators };
-}
-
-static void
-handle_answer (KqFleet *f, const KqAgentItem *i, KqTime now)
-{
-  KqQueries q = queries (f);
-  kq_queries_answer (&q, i->u.answer.call, i->u.answer.value, i->u.answer.text, now);
-}
-
-static void
-on_from_leader (void *arg, uint64_t epoch, const KqAgentItem *i, KqTime now)
-{
-  KqFleet *f = arg;
-  kq_agent_leader_heard (f->agent, epoch, now);
-  if (i->kind == KQ_AGENT_ITEM_PING)
-    handle_ping (f, epoch, i, now);
-  else if (i->kind == KQ_AGENT_ITEM_WELCOME)
-    kq_agent_use_changes (f->agent, i->u.welcome.version > 1);
-  else if (i->kind == KQ_AGENT_ITEM_ORDER)
-    kq_agent_order (f->agent, epoch, &i->u.order, now);
-  else if (i->kind == KQ_AGENT_ITEM_ANSWER)
-    handle_answer (f, i, now);
-  else if (i->kind == KQ_AGENT_ITEM_LOAD)
-    kq_front_handler_load (f->handler, epoch, i, now);
-}
-
-static int64_t
-store_age_ms (void *arg, KqTime now)
-{
-  const KqFleet *f = arg;
-  return f->store.answered_at == 0 ? -1 : (now - f->store.answered_at) / KQ_MS;
-}
-
 static void
 on_agent_item (void *arg, uint64_t epoch, const KqAgentItem *i)
 {
@@ -323,7 +200,7 @@
 static bool
 query_leader (void *arg, const KqAgentItem *query, KqTime now)
 {
-  KqQueries q = queries (arg);
+  KqQueries q = kq_fleet_queries (arg);
   return kq_queries_ask (&q, query, now);
 }
 
@@ -425,6 +302,7 @@
               (long long)((now - f->store.answered_at) / KQ_MS));
     }
   check_leadership (f, now);
+  kq_key_feed_check (f->keys, kq_election_record (f->election)->epoch, now);
   if (f->stopping)
     check_stop (f, now);
   kq_log_flush ();
@@ -464,8 +342,7 @@
                         .ip = s->ip,
                         .port = (int)s->peer_port,
                         .self = f->self,
-                        .owner = { f, on_joined, on_left, on_from_node, on_connected,
-                                   on_from_leader, store_age_ms } };
+                        .owner = kq_fleet_link_owner (f) };
   KqFrontHandlerConfig handler
       = { loop,           f->kv,       f->config.counters,      f,
           queue_table,    store_state, store_reached_by_leader, query_leader,
@@ -515,7 +392,8 @@
 kq_fleet_new (const KqFleetConfig *c)
 {
   KqFleet *f = kq_alloc (sizeof *f);
-  KqQueueKeysOwner queues = { f, on_answered, on_store_failed, on_cordons_changed };
+  KqQueueKeysOwner queues
+      = { f, on_answered, on_store_failed, on_key_changed, on_cordons_changed };
   KqStoreCallbacks store = { f, on_store_alive };
   f->config = *c;
   f->cordons = kq_cordons_new ();
@@ -538,6 +416,7 @@
     }
   start_election (f);
   f->queues = kq_queue_keys_new (c->loop, f->kv, f->cordons, &queues);
+  f->keys = kq_key_feed_new (f->link, f->queues, c->counters);
   ev_timer_start (kq_loop_ev (c->loop), &f->check_timer);
   return f;
 }
@@ -559,6 +438,8 @@
   kq_leader_free (f->leader);
   f->leader = NULL;
   kq_election_free (f->election);
+  kq_key_feed_free (f->keys);
+  f->keys = NULL;
   kq_queue_keys_free (f->queues);
   kq_link_free (f->link);
   kq_agent_free (f->agent);
--- /dev/null
+++ b/src/fleet/fleet_impl.h
@@ -0,0 +1,55 @@
+#ifndef KQ_FLEET_FLEET_IMPL_H
+#define KQ_FLEET_FLEET_IMPL_H
+
+/* fleet_impl: a node of a fleet and its parts. Only fleet.c and fleet_peers.c include it.
+ */
+
+#include "election/election.h"
+#include "fleet/accepts.h"
+#include "fleet/fleet.h"
+#include "fleet/front.h"
+#include "fleet/key_feed.h"
+#include "fleet/leader.h"
+#include "fleet/leader_lease.h"
+#include "fleet/link.h"
+#include "fleet/operator_port.h"
+#include "fleet/queries.h"
+#include "fleet/queue_keys.h"
+#include "fleet/reach.h"
+
+#include <ev.h>
+
+struct KqFleet
+{
+  KqFleetConfig config;
+  KqKv *kv;
+  KqRunnerClient *calls;
+  KqAdviceClient *advice;           /* NULL: none in the settings */
+  KqMaintenanceClient *maintenance; /* NULL: no control plane in the settings */
+  KqAgent *agent;
+  KqLink *link;
+  KqElection *election;
+  KqLeader *leader; /* NULL: this node isn't leader */
+  KqAccepts *accepts;
+  KqFrontHandler *handler;
+  KqFront *front;
+  KqOperatorPort *operators;
+  KqQueueKeys *queues;
+  KqKeyFeed *keys; /* NULL until the queues are followed */
+  KqCordons *cordons;
+  KqAgentInfo self;
+  KqReach store;
+  KqLeaderLease leader_lease; /* used while this node leads */
+  bool store_down;            /* the store's present outage has been logged */
+  bool stopping;
+  bool stopped;
+  KqTime stopping_at;
+  ev_timer check_timer;
+};
+
+/* fleet_peers.c */
+KqLinkOwner kq_fleet_link_owner (KqFleet *f);
+/* What is needed to put a question to the leader, or to answer it. */
+KqQueries kq_fleet_queries (const KqFleet *f);
+
+#endif
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -29,9 +29,16 @@
   KqRand rand;
   ev_timer timer;
   GHashTable *revisions;  /* key -> revision, in the pointer */
+  GHashTable *deleted;    /* key -> revision, of applied deletions: an own call that was
+                             sent before may still report an older value */
+  uint64_t deleted_to;    /* the highest of these revisions */
   GHashTable *listed;     /* while listing: keys seen so far */
   char *after;            /* last key of the previous page; NULL: first page */
   uint64_t seen_revision; /* the next watch starts after this revision */
+  uint64_t known_to;      /* all changes up to it have been reported */
+  KqTime answered_at;     /* when the last answer arrived */
+  bool suspended;
+  bool idle; /* suspended, and no call is outstanding or due */
   bool listing;
   bool call_pending; /* a call is outstanding */
   bool freed;        /* freed while a call was outstanding or a callback running */
@@ -44,6 +51,7 @@
 destroy (KqFollow *f)
 {
   g_hash_table_destroy (f->revisions);
+  g_hash_table_destroy (f->deleted);
   if (f->listed != NULL)
     g_hash_table_destroy (f->listed);
   free (f->after);
@@ -84,9 +92,10 @@
 {
   char *key = kq_str_dup (i->key);
   uint64_t known = (uint64_t)(uintptr_t)g_hash_table_lookup (f->revisions, key);
+  uint64_t deleted = (uint64_t)(uintptr_t)g_hash_table_lookup (f->deleted, key);
   if (f->listed != NULL && !i->deleted)
     g_hash_table_add (f->listed, kq_str_dup (i->key));
-  if (i->revision <= known)
+  if (i->revision <= known || i->revision <= deleted)
     {
       free (key);
       return;
@@ -138,6 +147,7 @@
       return;
     }
   f->listing = false;
+  f->known_to = f->seen_revision;
   drop_unlisted (f, now);
   g_hash_table_destroy (f->listed);
   f->listed = NULL;
@@ -183,6 +193,7 @@
     {
     case KQ_KV_OK:
       f->failures = 0;
+      f->answered_at = now;
       f->owner.answered (f->owner.arg, r->called_at, now);
       if (f->listing)
         handle_page (f, r, now);
@@ -192,6 +203,7 @@
             handle_item (f, &r->items[i], now);
           if (r->revision > f->seen_revision)
             f->seen_revision = r->revision;
+          f->known_to = f->seen_revision;
           pause = r->n_items > 0 ? f->pause_ms : 0;
         }
       break;
@@ -214,6 +226,8 @@
   f->in_callback = false;
   if (f->freed)
     destroy (f);
+  else if (f->suspended && !f->listing)
+    f->idle = true;
   else if (pause > 0)
     call_later (f, pause);
   else
@@ -236,6 +250,61 @@
     kq_kv_watch (f->kv, kq_str (f->prefix), f->seen_revision, wait_ms, cb);
 }
 
+void
+kq_follow_suspend (KqFollow *f, bool suspended)
+{
+  bool idle = f->idle;
+  f->suspended = suspended;
+  if (suspended || !idle)
+    return;
+  f->idle = false;
+  call_store (f);
+}
+
+void
+kq_follow_apply (KqFollow *f, const KqKvItem *i, KqTime now)
+{
+  f->in_callback = true;
+  handle_item (f, i, now);
+  f->in_callback = false;
+  if (i->deleted)
+    {
+      g_hash_table_insert (f->deleted, kq_str_dup (i->key),
+                           (gpointer)(uintptr_t)i->revision);
+      f->deleted_to = i->revision > f->deleted_to ? i->revision : f->deleted_to;
+    }
+  if (f->freed && !f->call_pending)
+    destroy (f);
+}
+
+void
+kq_follow_set_wait (KqFollow *f, int wait_ms)
+{
+  f->wait_ms = wait_ms;
+}
+
+void
+kq_follow_applied_to (KqFollow *f, uint64_t revision)
+{
+  if (f->listing || revision <= f->known_to)
+    return;
+  f->known_to = f->seen_revision = revision;
+  if (!f->call_pending && f->known_to >= f->deleted_to)
+    g_hash_table_remove_all (f->deleted);
+}
+
+uint64_t
+kq_follow_known_to (const KqFollow *f)
+{
+  return f->known_to;
+}
+
+KqTime
+kq_follow_answered_at (const KqFollow *f)
+{
+  return f->answered_at;
+}
+
 KqFollow *
 kq_follow_new (KqLoop *loop, KqKv *kv, KqStr prefix, int wait_ms, int pause_ms,
                const KqFollowOwner *owner)
@@ -249,6 +318,7 @@
   f->pause_ms = pause_ms;
   f->rand = kq_rand (kq_rand_system ());
   f->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  f->deleted = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   ev_timer_init (&f->timer, on_timer, 0, 0);
   f->timer.data = f;
   start_listing (f);
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -34,6 +34,21 @@
 /* May be called from the owner's callbacks. */
 void kq_follow_free (KqFollow *f);
 
+/* Sets the longest wait of later watches. */
+void kq_follow_set_wait (KqFollow *f, int wait_ms);
+/* Suspended, it makes no further call once the present one has ended; the changes are to
+ * be passed in by kq_follow_apply. Resumed, it goes on with what it hasn't been told. */
+void kq_follow_suspend (KqFollow *f, bool suspended);
+/* Takes a change that was heard from elsewhere; reports it unless it is known. */
+void kq_follow_apply (KqFollow *f, const KqKvItem *i, KqTime now);
+/* Notes that all changes up to the revision have been applied. */
+void kq_follow_applied_to (KqFollow *f, uint64_t revision);
+/* The revision up to which all changes have been reported; 0: the keys aren't listed yet.
+ */
+uint64_t kq_follow_known_to (const KqFollow *f);
+/* When the last answer arrived; 0: none has. */
+KqTime kq_follow_answered_at (const KqFollow *f);
+
 /* Delay before the next try after `failures` (1 or more) consecutive failed calls. cut:
  * the last answer was cut off after its beginning. Randomized, so that many nodes don't
  * retry at once. */
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -2,6 +2,7 @@
 
 #include "base/listen.h"
 #include "base/log.h"
+#include "fleet/peer_reports.h"
 #include "wire/conn.h"
 
 #include <ev.h>
@@ -32,23 +33,16 @@
   bool joined;  /* has sent HELLO, and no LEAVE since */
   bool damaged; /* has sent invalid data: it has to reconnect */
   bool unknown_logged;
+  bool follows;                  /* changes of the operators' keys are relayed to it */
   bool in_message;               /* one of its messages is being handled */
   bool closed;                   /* closed meanwhile: freed after the message */
-  GHashTable *reports;           /* runner -> RunnerReport */
+  KqPeerReports *reports;        /* the last list of each runner */
   KqTime heartbeat_sent_at;      /* time of its last heartbeat, by its clock */
   KqTime exclusive_heartbeat_at; /* heartbeat_sent_at of the last heartbeat that
                                     was received before exclusive_until */
   KqBuf out;
 };
 
-/* A runner's runs as the peer has reported them. */
-typedef struct
-{
-  char *runner;
-  uint64_t assignment;
-  KqRunDeltaState *runs;
-} RunnerReport;
-
 struct KqLink
 {
   KqLinkConfig config;
@@ -72,20 +66,11 @@
   uint64_t out_epoch; /* epoch of those items */
 };
 
-static void
-free_report (gpointer p)
-{
-  RunnerReport *t = p;
-  free (t->runner);
-  kq_run_delta_state_free (t->runs);
-  free (t);
-}
-
 static void
 free_peer (KqPeer *p)
 {
   kq_buf_free (&p->out);
-  g_hash_table_destroy (p->reports);
+  kq_peer_reports_free (p->reports);
   free (p);
 }
 
@@ -117,35 +102,14 @@
   l->config.owner.joined (l->config.owner.arg, p, &i->u.hello.info, now);
 }
 
-/* Returns the runner's last list under this assignment; adds an empty one if there is
- * none. */
-static KqRunDeltaState *
-find_or_add_runs (KqPeer *p, KqStr runner, uint64_t assignment)
-{
-  char *id = kq_str_dup (runner);
-  RunnerReport *t = g_hash_table_lookup (p->reports, id);
-  if (t == NULL || t->assignment != assignment)
-    {
-      t = kq_alloc (sizeof *t);
-      t->runner = id;
-      t->assignment = assignment;
-      t->runs = kq_run_delta_state_new ();
-      g_hash_table_replace (p->reports, t->runner, t);
-    }
-  else
-    free (id);
-  return t->runs;
-}
-
 /* Applies the changes to the runner's last list, and passes the new list on as a LIST. */
 static void
 apply_changes (KqPeer *p, uint64_t epoch, const KqAgentItem *i, KqTime now)
 {
   KqLink *l = p->link;
   KqAgentItem list = { .kind = KQ_AGENT_ITEM_LIST, .runner = i->runner };
-  KqRunDeltaState *runs = find_or_add_runs (p, i->runner, i->u.changes.list.assignment);
-  KqRunRow *rows = NULL;
-  if (!kq_run_delta_apply (runs, &i->u.changes.running))
+  KqRunRow *rows;
+  if (!kq_peer_reports_apply (p->reports, i, &list.u.list, &rows))
     {
       kq_log (KQ_LOG_ERROR, PART,
               "Changes do not apply to the last list. error=%d agent=%d runner=%.*s "
@@ -155,9 +119,6 @@
       p->damaged = true;
       return;
     }
-  list.u.list = i->u.changes.list;
-  list.u.list.n_running = kq_run_delta_list (runs, &rows);
-  list.u.list.running = rows;
   l->config.owner.from_node (l->config.owner.arg, p, epoch, &list, now);
   free (rows);
 }
@@ -256,7 +217,7 @@
   p = kq_alloc (sizeof *p);
   p->link = l;
   p->agent = -1;
-  p->reports = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_report);
+  p->reports = kq_peer_reports_new ();
   cb.arg = p;
   p->conn = kq_conn_accept (l->config.loop, fd, &cb);
   g_ptr_array_add (l->peers, p);
@@ -448,13 +409,19 @@
 {
   KqAgentItem i = { .kind = KQ_AGENT_ITEM_PING };
   guint n = 0;
+  uint64_t keys_revision = 0;
+  int64_t keys_age_ms = -1;
   i.u.ping.store_age_ms = l->config.owner.store_age_ms (l->config.owner.arg, now);
+  if (l->config.owner.keys != NULL)
+    l->config.owner.keys (l->config.owner.arg, &keys_revision, &keys_age_ms, now);
   while (n < l->peers->len)
     {
       KqPeer *p = g_ptr_array_index (l->peers, n);
       if (now - kq_conn_heard_at (p->conn) <= PEER_TIMEOUT)
         {
           i.u.ping.heartbeat_sent_at = acknowledged_until (p, now);
+          i.u.ping.keys_revision = p->follows ? keys_revision : 0;
+          i.u.ping.keys_age_ms = p->follows ? keys_age_ms : -1;
           kq_link_send_peer (p, &i);
           n++;
           continue;
@@ -505,6 +472,34 @@
   return p->agent;
 }
 
+void
+kq_peer_set_follows (KqPeer *p, bool follows)
+{
+  p->follows = follows;
+}
+
+size_t
+kq_link_send_followers (KqLink *l, const KqAgentItem *i)
+{
+  size_t n = 0;
+  for (guint k = 0; k < l->peers->len; k++)
+    {
+      KqPeer *p = g_ptr_array_index (l->peers, k);
+      if (!p->follows)
+        continue;
+      kq_link_send_peer (p, i);
+      n++;
+    }
+  return n;
+}
+
+void
+kq_link_clear_followers (KqLink *l)
+{
+  for (guint i = 0; i < l->peers->len; i++)
+    ((KqPeer *)g_ptr_array_index (l->peers, i))->follows = false;
+}
+
 size_t
 kq_link_peer_count (const KqLink *l)
 {
--- a/src/fleet/link.h
+++ b/src/fleet/link.h
@@ -29,6 +29,8 @@
   void (*from_leader) (void *arg, uint64_t epoch, const KqAgentItem *i, KqTime now);
   /* Time since the store's last answer to this node; -1: none yet. */
   int64_t (*store_age_ms) (void *arg, KqTime now);
+  /* On the leader: what pings say of the operators' keys (KqAgentItem). May be NULL. */
+  void (*keys) (void *arg, uint64_t *revision, int64_t *age_ms, KqTime now);
 } KqLinkOwner;
 
 typedef struct
@@ -68,6 +70,12 @@
 /* The scheduler's number of the node's agent; -1: none. */
 void kq_peer_set_agent (KqPeer *p, int agent);
 int kq_peer_agent (const KqPeer *p);
+/* Whether changes of the operators' keys are relayed to the node. */
+void kq_peer_set_follows (KqPeer *p, bool follows);
+/* On the leader: sends an item to all nodes that follow; returns their number. */
+size_t kq_link_send_followers (KqLink *l, const KqAgentItem *i);
+/* On the leader: no node follows any more. */
+void kq_link_clear_followers (KqLink *l);
 /* On the leader: the number of connected nodes. */
 size_t kq_link_peer_count (const KqLink *l);
 
--- a/src/fleet/link_test.c
+++ b/src/fleet/link_test.c
@@ -111,7 +111,7 @@
 {
   KqLinkConfig c = { .loop = loop, .ip = "127.0.0.1" };
   c.owner = (KqLinkOwner){
-    t, on_joined, on_left, on_from_node, on_connected, on_from_leader, store_age_ms
+    t, on_joined, on_left, on_from_node, on_connected, on_from_leader, store_age_ms, NULL
   };
   return kq_link_new (&c);
 }
--- a/src/fleet/queue_keys.c
+++ b/src/fleet/queue_keys.c
@@ -1,18 +1,17 @@
 #include "fleet/queue_keys.h"
 
 #include "base/log.h"
-#include "fleet/follow.h"
 #include "port/source.h"
 
 #include <stdlib.h>
 
 #define PART "queues"
-#define WATCH_MS 1500
 
 struct KqQueueKeys
 {
   KqQueueKeysOwner owner;
   KqFollow *follow;
+  KqKeyLog *log;
   KqQueueTable *table;
   KqCordons *cordons;
 };
@@ -49,6 +48,14 @@
   k->owner.cordons_changed (k->owner.arg, now);
 }
 
+static void
+note_change (KqQueueKeys *k, const KqKvItem *i, KqTime now)
+{
+  kq_key_log_add (k->log, i);
+  if (k->owner.key_changed != NULL)
+    k->owner.key_changed (k->owner.arg, i->revision, now);
+}
+
 static void
 on_item (void *arg, const KqKvItem *i, KqTime now)
 {
@@ -56,6 +63,7 @@
   KqStr domain;
   bool bad;
   KqQueueTable *t = kq_source_config (i->key, i->value, &bad);
+  note_change (k, i, now);
   if (kq_source_cordon (i->key, &domain))
     add_cordon (k, domain, i, now);
   if (bad)
@@ -80,7 +88,9 @@
 static void
 on_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
+  KqKvItem i = { .key = key, .revision = revision, .deleted = true };
   KqStr domain;
+  note_change (arg, &i, now);
   if (kq_source_cordon (key, &domain))
     {
       lift_cordon (arg, domain, revision, now);
@@ -96,6 +106,7 @@
 on_synced (void *arg, KqTime now)
 {
   KqQueueKeys *k = arg;
+  kq_key_log_begin (k->log, kq_follow_known_to (k->follow));
   if (k->cordons->complete)
     return;
   k->cordons->complete = true;
@@ -124,7 +135,9 @@
   KqFollowOwner follow = { k, on_item, on_gone, on_synced, on_answered, on_failed };
   k->owner = *owner;
   k->cordons = cordons;
-  k->follow = kq_follow_new (loop, kv, kq_source_config_prefix (), WATCH_MS, 0, &follow);
+  k->log = kq_key_log_new ();
+  k->follow = kq_follow_new (loop, kv, kq_source_config_prefix (), KQ_QUEUE_KEYS_WATCH_MS,
+                             0, &follow);
   return k;
 }
 
@@ -134,6 +147,7 @@
   if (k == NULL)
     return;
   kq_follow_free (k->follow);
+  kq_key_log_free (k->log);
   kq_queue_table_free (k->table);
   free (k);
 }
@@ -143,3 +157,15 @@
 {
   return k->table;
 }
+
+KqFollow *
+kq_queue_keys_follow (const KqQueueKeys *k)
+{
+  return k->follow;
+}
+
+KqKeyLog *
+kq_queue_keys_log (const KqQueueKeys *k)
+{
+  return k->log;
+}
--- a/src/fleet/queue_keys.h
+++ b/src/fleet/queue_keys.h
@@ -4,18 +4,24 @@
 /* queue_keys: follows the operators' configuration of queues, and their cordons, in the
  * store. */
 
-#include "port/kv.h"
+#include "fleet/follow.h"
+#include "fleet/key_log.h"
 #include "steps/cordons.h"
 #include "steps/queues.h"
 
 typedef struct KqQueueKeys KqQueueKeys;
 
+/* Longest wait of a watch. */
+#define KQ_QUEUE_KEYS_WATCH_MS 1500
+
 typedef struct
 {
   void *arg;
   /* As in KqFollowOwner. */
   void (*answered) (void *arg, KqTime sent_at, KqTime now);
   void (*failed) (void *arg, KqTime sent_at);
+  /* A key was written or deleted, and `log` holds the change. May be NULL. */
+  void (*key_changed) (void *arg, uint64_t revision, KqTime now);
   /* The set of cordons has changed. */
   void (*cordons_changed) (void *arg, KqTime now);
 } KqQueueKeysOwner;
@@ -28,4 +34,9 @@
  * iteration of the loop. */
 const KqQueueTable *kq_queue_keys_table (const KqQueueKeys *k);
 
+/* What it follows the keys by: another node may be asked for changes instead of the
+ * store. */
+KqFollow *kq_queue_keys_follow (const KqQueueKeys *k);
+KqKeyLog *kq_queue_keys_log (const KqQueueKeys *k);
+
 #endif
--- a/src/fleet/queue_keys_test.c
+++ b/src/fleet/queue_keys_test.c
@@ -94,7 +94,7 @@
 static int
 set_up (void **state)
 {
-  KqQueueKeysOwner owner = { NULL, on_answered, on_failed, on_cordons_changed };
+  KqQueueKeysOwner owner = { NULL, on_answered, on_failed, NULL, on_cordons_changed };
   (void)state;
   kq_log_set_level (KQ_LOG_ERROR);
   memset (&t, 0, sizeof t);
--- a/src/port/kv.h
+++ b/src/port/kv.h
@@ -66,6 +66,9 @@
   uint64_t lease; /* the key is deleted when this lease ends; 0: never */
 } KqKvPut;
 
+/* The store takes values of at most so many bytes. */
+#define KQ_KV_VALUE_MAX ((size_t)1 << 20)
+
 /* A transaction: all or nothing. The store takes at most KQ_KV_TXN_MAX checks, puts and
  * removes together. */
 #define KQ_KV_TXN_MAX 32
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -3,7 +3,8 @@
 set -eu
 need="gcc g++ make pkg-config clang clang-format clang-tidy libclang-rt-14-dev
   libev-dev libmsgpack-dev libmicrohttpd-dev libcurl4-openssl-dev libglib2.0-dev
-  libtomlplusplus-dev libcmocka-dev libjansson-dev libxxhash-dev python3"
+  libtomlplusplus-dev libcmocka-dev libjansson-dev libxxhash-dev
+  libzstd-dev python3"
 missing=""
 for p in $need; do
   state=$(dpkg-query -W -f='${Status}' "$p" 2>/dev/null || true)
