Agents: a table that grows, runners shared out by an index, a window for first lists

Changes: the table grows, with sums kept as agents come and go; agents are sorted by load in each failure domain while runners are given out; leases that agents tell are kept by runner; the bound on first lists follows how soon they arrive, as that on starts does; a runner stays where it is until it has listed its runs, and moves only to an agent that is less loaded afterwards; runners beyond the list's size aren't used, with error 305 and a gauge. tickets.h leaves state.h.

--- a/Makefile
+++ b/Makefile
@@ -285,6 +285,11 @@
 .PHONY: lives
 lives: all $(BUILD)/bench/lives
 	@$(BUILD)/bench/lives $(BUILD) $(SEED) $(SEEDS) $(LIVES)
+# Cost of the scheduler's decisions by the size of the fleet, with a node for ten runners.
+.PHONY: bench-sched
+BENCH_SCHED_SIZES ?= 350,1500,6000,12000
+bench-sched: $(BUILD)/bench/sched_load
+	@$< $(SEED) $(BENCH_SCHED_SIZES) 1 10
 # Real processes under random faults (SEED, SEEDS, SECONDS of faults in each run).
 .PHONY: soak-live
 soak-live: all $(BUILD)/soak
--- a/bench/sched_load.h
+++ b/bench/sched_load.h
@@ -26,6 +26,9 @@
 {
   double cpu_s;              /* processor time in the scheduler */
   double pass_s;             /* of that in kq_sched_run */
+  double longest_pass_s;     /* in one call of kq_sched_run */
+  KqTime all_listed_at;      /* when all runners had agents and had listed their runs,
+                                from the leader's start; 0: never */
   double list_s;             /* in kq_sched_list */
   double store_s;            /* in writing batches for the store */
   uint64_t lists;            /* passed to the scheduler */
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -290,8 +290,6 @@
   agent_info.leader = false;
   agent = kq_sched_agent_up (l->sched, &agent_info, now);
   kq_peer_set_agent (p, agent);
-  if (agent < 0)
-    return;
   while (l->peers->len <= (guint)agent)
     g_ptr_array_add (l->peers, NULL);
   g_ptr_array_index (l->peers, agent) = p;
--- a/src/sched/agents.h
+++ b/src/sched/agents.h
@@ -1,8 +1,9 @@
 #ifndef KQ_SCHED_AGENTS_H
 #define KQ_SCHED_AGENTS_H
 
-/* agents: assigns runners to agents. An agent is the part of a node that sends the
- * leader's orders to runners, reads their lists and renews their leases.
+/* agents: the agents that are connected, and which of them a runner is assigned to. An
+ * agent is the part of a node that sends the leader's orders to runners, reads their
+ * lists and renews their leases.
  *
  * Calls to runners cost a node more processor time than scheduling decisions, so runners
  * are spread over the nodes in proportion to their processor shares. The leader's own
@@ -12,6 +13,8 @@
 #include "base/str.h"
 #include "base/time.h"
 
+#include <glib.h>
+
 typedef struct
 {
   KqName name;
@@ -31,20 +34,31 @@
   int advice_requests; /* unanswered requests to the advice service */
 } KqAgentState;
 
-#define KQ_AGENTS_MAX 512
-
 typedef struct
 {
-  KqAgentState list[KQ_AGENTS_MAX];
+  KqAgentState *list; /* by agent number */
   int n;
-  KqName lost[KQ_AGENTS_MAX]; /* agents that went down unplanned and haven't come back */
-  int n_lost;
+  int capacity;
+  GHashTable *by_name; /* name -> agent number + 1, of those that are up */
+  GHashTable *lost; /* names of agents that went down unplanned and haven't come back */
+  /* Sums over the agents that are up and stored. */
+  int n_usable;       /* the leader's own agent included */
+  int n_others;       /* without it */
+  int64_t shares;     /* share_milli of the n_others */
+  int64_t own_shares; /* share_milli of the leader's own agent */
 } KqAgents;
 
-/* Adds an agent that has connected; returns its number, -1: the table is full. */
+void kq_agents_init (KqAgents *a);
+void kq_agents_clear (KqAgents *a);
+/* Adds an agent that has connected; returns its number. */
 int kq_agents_up (KqAgents *a, const KqAgentInfo *info);
 /* planned: it was shut down on purpose, and isn't counted as lost. */
 void kq_agents_down (KqAgents *a, int agent, bool planned);
+/* The number of the agent of that name that is up; -1: none. */
+int kq_agents_find (const KqAgents *a, KqStr name);
+bool kq_agents_any_lost (const KqAgents *a);
+/* The number of agents that have runners. */
+int kq_agents_count_used (const KqAgents *a);
 /* Whether some agent may be given runners. */
 bool kq_agents_any_usable (const KqAgents *a);
 /* The leader's own agent if it must be ready for use, as at most one other agent is up;
@@ -52,16 +66,13 @@
 int kq_agents_leader_needed (const KqAgents *a);
 /* Notes that the agent of that name is in the stored list: it may be given runners. */
 void kq_agents_set_stored (KqAgents *a, KqStr name);
-/* The best agent for one more runner in a failure domain; -1: none is up, or all are at
- * the bound on runners whose first list hasn't arrived.
- *
- * The bound is for the recovery after all nodes were lost, when they come back one by
- * one. Without it the first agent would be assigned the whole fleet, and the lists of
- * hundreds of runners at once would fill a slow link and delay the renewal of the
- * leader's own lease. */
-int kq_agents_pick (const KqAgents *a, KqStr failure_domain);
+/* Notes that the agent is to be left out of the stored list. */
+void kq_agents_set_unused (KqAgents *a, int agent);
 /* Whether the agent has so many more of the `total` runners than its processor share
  * calls for that one of them should move to another agent. */
 bool kq_agents_overloaded (const KqAgents *a, int agent, int total);
+/* Whether a runner that moves between these agents leaves the one it goes to less loaded
+ * than the other one was. */
+bool kq_agents_move_helps (const KqAgents *a, int from, int to);
 
 #endif
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -3,6 +3,7 @@
  * job has several. */
 
 #include "sched/load_pass.h"
+#include "sched/tickets.h"
 
 #include <assert.h>
 #include <math.h>
--- a/src/sched/explain.c
+++ b/src/sched/explain.c
@@ -2,6 +2,7 @@
 
 #include "sched/cordoning.h"
 #include "sched/place.h"
+#include "sched/tickets.h"
 #include "sched/wait_places.h"
 
 /* Steps of an explanation. Each may take a walk over all runners, which must
--- a/src/sched/grantors.c
+++ b/src/sched/grantors.c
@@ -7,30 +7,18 @@
 /* Version of the stored format, its first field. */
 #define FORMAT_VERSION 1
 
-static void
-free_grantor (gpointer p)
-{
-  KqGrantor *g = p;
-  g_hash_table_destroy (g->leases);
-  free (g);
-}
-
-GPtrArray *
+GHashTable *
 kq_grantors_new (void)
 {
-  return g_ptr_array_new_with_free_func (free_grantor);
+  return g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
 }
 
 static KqGrantor *
 find_grantor (const KqSched *s, KqStr name)
 {
-  for (guint i = 0; i < s->grantors->len; i++)
-    {
-      KqGrantor *g = g_ptr_array_index (s->grantors, i);
-      if (kq_str_eq (kq_name_str (&g->name), name))
-        return g;
-    }
-  return NULL;
+  char key[KQ_NAME_MAX + 1];
+  return kq_str_copy (name, key, sizeof key) ? g_hash_table_lookup (s->grantors, key)
+                                             : NULL;
 }
 
 static KqGrantor *
@@ -42,8 +30,7 @@
   g = kq_alloc (sizeof *g);
   g->name = kq_name (name);
   g->gone = true; /* it has granted nothing yet */
-  g->leases = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
-  g_ptr_array_add (s->grantors, g);
+  g_hash_table_insert (s->grantors, kq_str_dup (kq_name_str (&g->name)), g);
   return g;
 }
 
@@ -90,18 +77,21 @@
                               kq_runners_latest_unseen_lease_end (s, now));
       if (!a->used)
         g->gone_at = gone_at;
-      a->stored = a->used = false;
+      kq_agents_set_unused (&s->agents, i);
     }
 }
 
 void
 kq_grantors_check (KqSched *s, KqTime now)
 {
+  GHashTableIter it;
+  gpointer value;
   if (now >= s->exclusive_until)
     return;
-  for (guint i = 0; i < s->grantors->len; i++)
+  g_hash_table_iter_init (&it, s->grantors);
+  while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      KqGrantor *g = value;
       if (g->up || g->gone || now < g->gone_at)
         continue;
       g->gone = true;
@@ -144,10 +134,13 @@
 kq_sched_used_agents_pack (KqSched *s, KqBuf *out)
 {
   KqPacker p;
+  GHashTableIter it;
+  gpointer value;
   size_t n = 0;
-  for (guint i = 0; i < s->grantors->len; i++)
+  g_hash_table_iter_init (&it, s->grantors);
+  while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      KqGrantor *g = value;
       g->in_sent_list = !g->gone;
       n += g->in_sent_list;
     }
@@ -156,9 +149,10 @@
   kq_pack_i64 (&p, FORMAT_VERSION);
   kq_pack_u64 (&p, s->config.term);
   kq_pack_bool (&p, s->grantors_complete);
-  for (guint i = 0; i < s->grantors->len; i++)
+  g_hash_table_iter_init (&it, s->grantors);
+  while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      const KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      const KqGrantor *g = value;
       if (g->in_sent_list)
         kq_pack_str (&p, kq_name_str (&g->name));
     }
@@ -167,9 +161,12 @@
 void
 kq_grantors_stored (KqSched *s)
 {
-  for (guint i = 0; i < s->grantors->len; i++)
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, s->grantors);
+  while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      KqGrantor *g = value;
       g->in_stored_list = g->in_sent_list;
       if (g->in_stored_list && g->up)
         kq_agents_set_stored (&s->agents, kq_name_str (&g->name));
@@ -179,15 +176,16 @@
   s->assign_soon = true;
 }
 
+/* Notes that some agent has granted the runner a lease until `ends`. */
 static void
-raise_end (KqGrantor *g, KqStr runner, KqTime ends)
+note_granted (KqSched *s, KqStr runner, KqTime ends)
 {
   char *id = kq_str_dup (runner);
-  KqTime *known = g_hash_table_lookup (g->leases, id);
+  KqTime *known = g_hash_table_lookup (s->granted_until, id);
   if (known == NULL)
     {
       known = kq_alloc (sizeof *known);
-      g_hash_table_insert (g->leases, id, known);
+      g_hash_table_insert (s->granted_until, id, known);
     }
   else
     free (id);
@@ -210,7 +208,7 @@
   for (size_t i = 0; i < l->n_rows; i++)
     {
       KqTime ends = now + l->rows[i].left_ms * KQ_MS;
-      raise_end (g, l->rows[i].runner, ends);
+      note_granted (s, l->rows[i].runner, ends);
       if (ends > latest)
         latest = ends;
     }
@@ -219,39 +217,30 @@
     g->gone_at = latest;
 }
 
-static KqTime
-latest_reported_end (const KqSched *s, const KqRunnerState *r)
-{
-  KqTime latest = 0;
-  for (guint i = 0; i < s->grantors->len; i++)
-    {
-      const KqGrantor *g = g_ptr_array_index (s->grantors, i);
-      const KqTime *lease = g_hash_table_lookup (g->leases, r->id);
-      if (g->earlier && g->restart_ends > latest)
-        latest = g->restart_ends;
-      if (lease != NULL && *lease > latest)
-        latest = *lease;
-    }
-  return latest;
-}
-
 void
 kq_grantors_apply (KqSched *s, KqTime now)
 {
+  GHashTableIter it;
+  gpointer value;
+  KqTime restart_ends = 0; /* the latest of all earlier agents */
   KqTime longest = 0;
   if (!s->earlier_grantors_known || s->settled)
     return;
-  for (guint i = 0; i < s->grantors->len; i++)
+  g_hash_table_iter_init (&it, s->grantors);
+  while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      const KqGrantor *g = g_ptr_array_index (s->grantors, i);
+      const KqGrantor *g = value;
       if (g->earlier && !g->reported)
         return;
+      if (g->earlier && g->restart_ends > restart_ends)
+        restart_ends = g->restart_ends;
     }
   s->earlier_grantors_known = false; /* applied */
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      KqTime ends = latest_reported_end (s, r);
+      const KqTime *granted = g_hash_table_lookup (s->granted_until, r->id);
+      KqTime ends = granted != NULL && *granted > restart_ends ? *granted : restart_ends;
       if (ends < r->earlier_lease_ends)
         r->earlier_lease_ends = ends;
       if (r->used_by_earlier_leader && !r->listed && r->earlier_lease_ends > longest)
@@ -260,6 +249,6 @@
   kq_log (KQ_LOG_INFO, PART,
           "All agents of earlier leaders have told their leases. agents=%u after_ms=%lld "
           "longest_left_ms=%lld",
-          s->grantors->len, (long long)((now - s->started_at) / KQ_MS),
+          g_hash_table_size (s->grantors), (long long)((now - s->started_at) / KQ_MS),
           (long long)(longest > now ? (longest - now) / KQ_MS : 0));
 }
--- a/src/sched/grantors.h
+++ b/src/sched/grantors.h
@@ -19,10 +19,10 @@
   bool in_sent_list;   /* it is in the list that was packed last, to be stored */
   bool in_stored_list; /* it is in the stored list */
   KqTime restart_ends; /* latest end of leases of earlier processes on its node */
-  GHashTable *leases;  /* runner id -> latest end (KqTime) of its reported lease */
 } KqGrantor;
 
-GPtrArray *kq_grantors_new (void);
+/* KqGrantor by name. */
+GHashTable *kq_grantors_new (void);
 /* Notes that the agent has connected. */
 void kq_grantors_agent_up (KqSched *s, const KqName *name);
 /* Notes that the agent isn't connected, or isn't used, any more: its leases may last
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -3,6 +3,7 @@
 
 #include "sched/cordoning.h"
 #include "sched/reports.h"
+#include "sched/tickets.h"
 
 #include <string.h>
 
@@ -279,6 +280,8 @@
   if (r->silent || !r->renewed)
     kq_learn_skip (r);
   s->assign_soon = s->assign_soon || !r->listed;
+  if (!r->listed && !r->silent)
+    kq_window_adapt (&s->list_window, now - r->assigned_at);
   if (!l->more_ended)
     r->listed = true;
   r->silent = false;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -12,6 +12,7 @@
 #include "sched/load_pass.h"
 #include "sched/place.h"
 #include "sched/placing.h"
+#include "sched/tickets.h"
 #include "sched/wait_places.h"
 #include "sched/waits.h"
 
--- a/src/sched/placing.c
+++ b/src/sched/placing.c
@@ -9,6 +9,7 @@
 #include "sched/placing.h"
 
 #include "sched/place.h"
+#include "sched/tickets.h"
 
 /* Interval at which a step that finds no runner searches all of them again: what it
  * accepts, and what is kept free, change with time without any change of a runner. */
--- a/src/sched/placing_test.c
+++ b/src/sched/placing_test.c
@@ -29,6 +29,21 @@
   assert_true (examined_per_start (1600, 1.3) < 1600.0 / 8);
 }
 
+/* Guards against a takeover that takes longer the larger the fleet is: tasks of earlier
+ * jobs wait until all runners have listed their runs. */
+static void
+test_large_fleet_is_taken_over_in_time (void **state)
+{
+  static const int sizes[] = { 350, 6000, 12000 };
+  (void)state;
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      KqSchedLoadConfig c
+          = { .runners = sizes[i], .load = 0.01, .span = 1500 * KQ_MS, .seed = 7 };
+      assert_true (kq_sched_load_run (&c).all_listed_at > 0);
+    }
+}
+
 /* A waiting task must be placed when its room becomes free, not only at the next search
  * of all runners. */
 static void
@@ -65,6 +80,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_a_task_searches_a_small_part_of_a_large_fleet),
+          cmocka_unit_test (test_large_fleet_is_taken_over_in_time),
           cmocka_unit_test_setup_teardown (test_freed_room_is_used_at_once,
                                            kq_sched_fixture_set_up,
                                            kq_sched_fixture_tear_down) };
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -1,10 +1,12 @@
 /* runners: the state of each runner, its assignment to an agent, and the expiry of its
  * lease, after which nothing can run there any more. */
 
+#include "sched/agent_picker.h"
 #include "sched/cordoning.h"
 #include "sched/grantors.h"
 #include "sched/maintenance.h"
 #include "sched/reports.h"
+#include "sched/tickets.h"
 
 #include <stdlib.h>
 
@@ -330,6 +332,7 @@
   if (r->agent >= 0)
     kq_runners_drop_agent (s, r, true, now);
   r->agent = agent;
+  r->assigned_at = now;
   r->watched = r->stale_logged = r->renewed = false;
   r->unreported_checks = 0;
   r->listed = false; /* the new agent knows neither the runner's clock nor its runs */
@@ -373,6 +376,7 @@
 void
 kq_runners_assign (KqSched *s, KqTime now)
 {
+  KqAgentPicker *picker = NULL;
   int total;
   s->assign_soon = false;
   if (!s->loaded)
@@ -382,15 +386,28 @@
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      int was = r->agent;
       int agent;
       if (r->address[0] == '\0' || !r->in_stored_list)
         continue;
-      if (r->agent >= 0 && !kq_agents_overloaded (&s->agents, r->agent, total))
+      /* A runner that has yet to list its runs stays: else it could go back and forth
+       * between agents that have to wait for its list. */
+      if (was >= 0
+          && ((!r->listed && !r->silent)
+              || !kq_agents_overloaded (&s->agents, was, total)))
         continue;
-      agent = kq_agents_pick (&s->agents, kq_str (r->domain));
-      if (agent >= 0 && agent != r->agent)
-        assign_agent (s, r, agent, now);
+      if (picker == NULL)
+        picker = kq_agent_picker_new (&s->agents, s->list_window.size);
+      agent = kq_agent_picker_pick (picker, kq_str (r->domain));
+      if (agent < 0 || agent == was
+          || (was >= 0 && !kq_agents_move_helps (&s->agents, was, agent)))
+        continue;
+      assign_agent (s, r, agent, now);
+      kq_agent_picker_assigned (picker, agent);
+      if (was >= 0)
+        kq_agent_picker_update (picker, was);
     }
+  kq_agent_picker_free (picker);
 }
 
 void
@@ -531,7 +548,8 @@
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      if (r->in_sent_list != kq_runners_may_run (r))
+      if (r->in_sent_list ? !kq_runners_may_run (r)
+                          : kq_runners_may_run (r) && s->runners_left_out == 0)
         s->used_runners_dirty = true;
       if (now >= s->exclusive_until || !kq_runners_lease_is_over (r, now))
         continue;
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -2,6 +2,7 @@
  * end or the runner's lease has expired. Its resources stay reserved all that time. */
 
 #include "sched/load_pass.h"
+#include "sched/tickets.h"
 
 #include <stdlib.h>
 
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -104,7 +104,9 @@
   s->pools = kq_pools_new ();
   s->batch = g_ptr_array_new ();
   s->waves = kq_maintenance_new_waves ();
+  kq_agents_init (&s->agents);
   s->grantors = kq_grantors_new ();
+  s->granted_until = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
   s->refusals = kq_refusals_new ();
   s->grantors_complete = c->term <= 1; /* there was no leader before */
   s->started_at = s->next_check_at = s->stored_at = now;
@@ -113,6 +115,7 @@
   s->disturb = kq_disturb_new ();
   s->estimates = c->features.learned_estimates ? kq_estimates_new () : NULL;
   kq_window_init (&s->window);
+  kq_window_init (&s->list_window);
   make_counters (s);
   return s;
 }
@@ -128,7 +131,9 @@
   g_ptr_array_free (s->pools, TRUE);
   g_ptr_array_free (s->batch, TRUE);
   g_ptr_array_free (s->waves, TRUE);
-  g_ptr_array_free (s->grantors, TRUE);
+  kq_agents_clear (&s->agents);
+  g_hash_table_destroy (s->grantors);
+  g_hash_table_destroy (s->granted_until);
   kq_disturb_free (s->disturb);
   kq_estimates_free (s->estimates);
   kq_refusals_free (s->refusals);
@@ -369,7 +374,7 @@
   int n = kq_agents_up (&s->agents, info);
   (void)now;
   s->pass_needed = true;
-  if (n >= 0 && !info->leader)
+  if (!info->leader)
     kq_grantors_agent_up (s, &info->name);
   return n;
 }
@@ -377,13 +382,7 @@
 int
 kq_sched_agent_find (const KqSched *s, KqStr name)
 {
-  for (int i = 0; i < s->agents.n; i++)
-    {
-      const KqAgentState *a = &s->agents.list[i];
-      if (a->up && kq_str_eq (kq_name_str (&a->info.name), name))
-        return i;
-    }
-  return -1;
+  return kq_agents_find (&s->agents, name);
 }
 
 int
@@ -395,7 +394,7 @@
 bool
 kq_sched_agents_lost (const KqSched *s)
 {
-  return s->agents.n_lost > 0;
+  return kq_agents_any_lost (&s->agents);
 }
 
 static void
@@ -498,6 +497,13 @@
   *gauge = s->steps_idle;
   gauge = kq_counter (c, "kq_runners_known", "", "Runners known to the leader.");
   *gauge = s->runner_list->len;
+  gauge = kq_counter (c, "kq_runners_left_out", "",
+                      "Runners that aren't used, as the stored list of runners is full.");
+  *gauge = s->runners_left_out;
+  gauge = kq_counter (c, "kq_agents_up", "", "Nodes that are connected to the leader.");
+  *gauge = (uint64_t)g_hash_table_size (s->agents.by_name);
+  gauge = kq_counter (c, "kq_agents_used", "", "Nodes that have runners.");
+  *gauge = (uint64_t)kq_agents_count_used (&s->agents);
   gauge = kq_counter (c, "kq_run_starts_under_way", "", "Starts without an answer yet.");
   *gauge = (uint64_t)s->window.unanswered;
   gauge = kq_counter (c, "kq_run_starts_window", "",
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -221,7 +221,7 @@
 /* Notes that the runner's entry is gone from the store: it gets no more tasks. */
 void kq_sched_entry_gone (KqSched *s, KqStr id, KqTime now);
 
-/* Adds an agent that has connected; returns its number, -1: there are too many. */
+/* Adds an agent that has connected; returns its number. */
 int kq_sched_agent_up (KqSched *s, const KqAgentInfo *info, KqTime now);
 /* The share of a processor that the agent has for its calls, in thousandths. */
 int kq_sched_agent_share (const KqSched *s, int agent);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -49,27 +49,7 @@
   KqRunnerState *avoid;  /* the runner where it failed or stalled last; NULL: none */
 } KqTaskState;
 
-/* The advice service's answer on whether a runner may run a step. */
-typedef struct
-{
-  KqRunnerState *runner;
-  int64_t started_ms; /* start of the runner process that was asked about, Unix time */
-  char *ticket;       /* NULL: refused, or no answer yet */
-  KqTime valid_until; /* end of the ticket's validity; without a ticket, 0: no answer yet,
-                         not 0: refused */
-} KqTicket;
-
-/* What the advice service has answered for one step. */
-typedef struct
-{
-  KqTicket *rows;
-  int32_t n_rows;
-  int agent;        /* the agent whose request for this step is unanswered; -1: none */
-  KqTime asked_at;  /* when that request was sent */
-  KqTime again_at;  /* earliest time of the next request */
-  int late_agent;   /* the agent of the last request that wasn't answered in time */
-  int late_answers; /* answers to such requests that late_agent may still send */
-} KqTickets;
+typedef struct KqTickets KqTickets;
 
 typedef struct
 {
@@ -263,6 +243,7 @@
   int unreported_checks;  /* checks since its agent's last report: sched/reports.h */
   KqTime heard_at;        /* when its last list arrived */
   int agent;              /* the agent assigned to it; -1: none */
+  KqTime assigned_at;     /* when that agent was assigned */
   uint64_t assignment;    /* number of its assignment to the agent (order TAKE) */
   uint64_t ends_seen;     /* the highest KqEndRow.number in its lists */
   uint64_t ends_batch;    /* the highest whose effects are stored or in the open batch */
@@ -320,6 +301,7 @@
   guint scan_from;             /* index of the runner at which the next search begins */
   bool used_runners_dirty;     /* the list of used runners, or that of agents, has changed
                                   since they were last packed */
+  size_t runners_left_out;     /* of the list that was packed last: they didn't fit */
   bool assign_soon;            /* an agent may be able to take a runner that has none */
   int64_t wall_minus_now_ms;   /* Unix time less KqTime, in ms */
   KqTime started_at;
@@ -336,13 +318,16 @@
   double slowness_mean; /* as KqRunnerState.slowness, over all runners */
   KqDisturb *disturb;
   KqEstimates *estimates; /* learned run times; NULL: switched off */
-  KqWindow window;
+  KqWindow window;        /* of start orders */
+  KqWindow list_window; /* its size bounds the runners whose first list is outstanding */
   KqTime window_logged_at;     /* time of the last log line on a closed window */
   KqTime waits_logged_at;      /* time of the last log lines on what tasks wait for */
   uint64_t load_number;        /* KqLoadDigest.number of the last pass; 0: unknown */
   KqTime load_at;              /* time of the last pass */
   uint64_t steps_idle;         /* KqWaits.n_idle of the last pass */
-  GPtrArray *grantors;         /* KqGrantor */
+  GHashTable *grantors;        /* name -> KqGrantor */
+  GHashTable *granted_until;   /* runner id -> latest end (KqTime) of the leases that
+                                  agents have reported: sched/grantors.h */
   bool grantors_complete;      /* they are all that may have granted leases that last */
   bool earlier_grantors_known; /* those of earlier leaders are known, and their leases
                                   aren't applied yet (kq_grantors_apply) */
@@ -547,22 +532,6 @@
 /* Counts a lasting task with that cpu that has been placed on the runner. */
 void kq_pools_count_lasting (const KqRunnerState *r, int32_t cpu_milli);
 
-/* tickets.c: tickets of the advice service for steps of advised queues. */
-/* The ticket for the step on the runner that is valid now; NULL: none. Owned by the step.
- */
-const char *kq_tickets_find (const KqOccurrence *o, int32_t step, const KqRunnerState *r,
-                             KqTime now);
-/* Asks for tickets for the step, as a task found no runner with one. Does nothing while
- * an answer is outstanding. */
-void kq_tickets_request (KqSched *s, KqOccurrence *o, int32_t step, KqTime now);
-/* Drops the step's ticket for the runner, which has refused it. */
-void kq_tickets_drop (KqOccurrence *o, int32_t step, const KqRunnerState *r);
-/* Drops the step's answers on a runner that is about to be freed. */
-void kq_tickets_forget_runner (KqStepState *st, const KqRunnerState *r);
-/* Drops all unanswered requests of an agent that is down; the steps ask again. */
-void kq_tickets_drop_requests (KqSched *s, int agent);
-void kq_tickets_free (KqTickets *a);
-
 /* pass.c */
 /* Makes one placing pass: starts the waiting tasks for which there is room. */
 void kq_pass (KqSched *s, KqTime now);
--- a/src/sched/store.c
+++ b/src/sched/store.c
@@ -7,9 +7,12 @@
 
 #include "sched/grantors.h"
 
+#include "base/result.h"
+#include "port/kv.h"
 #include "wire/pack.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Time from one batch to the next if only ends are to be acknowledged, or the last batch
  * left changes unstored. */
@@ -17,6 +20,8 @@
 /* Number of a job's keys in the store, all removed with it: job, cancellation, progress.
  */
 #define KEYS_PER_JOB 3
+/* Bytes of a runner's row in the list beside its strings, at most. */
+#define ROW_OVERHEAD 24
 
 static bool
 has_expired (const KqSched *s, const KqJob *j, KqTime now)
@@ -173,21 +178,53 @@
   return s->used_runners_dirty && s->loaded;
 }
 
+/* The most bytes that the runner takes in the list. */
+static size_t
+row_bytes (const KqRunnerState *r)
+{
+  return ROW_OVERHEAD + strlen (r->id) + strlen (r->service) + strlen (r->address)
+         + strlen (r->domain);
+}
+
+/* Chooses the runners of the list, and returns their number. Those that are in the stored
+ * list come first: runs may be there. The others, if they don't fit in one value of the
+ * store, aren't used. */
+static size_t
+choose_listed (KqSched *s)
+{
+  size_t bytes = 0;
+  size_t n = 0;
+  size_t n_left_out = 0;
+  for (int stored = 1; stored >= 0; stored--)
+    for (guint i = 0; i < s->runner_list->len; i++)
+      {
+        KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+        bool may_run = kq_runners_may_run (r);
+        bool fits = stored || bytes + row_bytes (r) <= KQ_KV_VALUE_MAX;
+        if (r->in_stored_list != stored)
+          continue;
+        r->in_sent_list = may_run && fits;
+        bytes += r->in_sent_list ? row_bytes (r) : 0;
+        n += r->in_sent_list;
+        n_left_out += may_run && !fits;
+      }
+  if (n_left_out > 0)
+    kq_log (KQ_LOG_ERROR, PART,
+            "The list of runners is full; the others aren't used. error=%d runners=%zu "
+            "left_out=%zu bytes=%zu",
+            KQ_ERR_STORE_TOO_LARGE, n, n_left_out, bytes);
+  s->runners_left_out = n_left_out;
+  return n;
+}
+
 bool
 kq_sched_used_runners_pack (KqSched *s, KqBuf *out)
 {
   KqPacker p;
-  size_t n = 0;
   if (!kq_sched_used_runners_pending (s))
     return false;
-  for (guint i = 0; i < s->runner_list->len; i++)
-    {
-      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      r->in_sent_list = kq_runners_may_run (r);
-      n += r->in_sent_list;
-    }
   kq_packer_init (&p, out);
-  kq_pack_array (&p, n);
+  kq_pack_array (&p, choose_listed (s));
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
--- a/src/sched/takeover_test.c
+++ b/src/sched/takeover_test.c
@@ -20,6 +20,7 @@
   KqSched *sched;
   KqCounters *counters;
   KqTime now;
+  int takes;             /* TAKE orders so far */
   int agent_of[RUNNERS]; /* -1: none */
   uint64_t assignment[RUNNERS];
   bool listed[RUNNERS]; /* since the runner was assigned */
@@ -40,6 +41,7 @@
   int n = runner_of (o->runner);
   if (o->kind == KQ_ORDER_TAKE)
     {
+      f->takes++;
       f->agent_of[n] = agent;
       f->assignment[n] = o->u.take.assignment;
       f->listed[n] = false;
@@ -190,6 +192,31 @@
   assert_true (RUNNERS - count_runners_of (f, -1) > 128);
 }
 
+/* Guards against runners that move between the few agents that may take one just now, as
+ * each of them has more than its part: each move is two orders, and a lease to wait for.
+ */
+static void
+test_runners_stay_while_agents_come_up (void **state)
+{
+  Fleet *f = *state;
+  for (int i = 0; i < 4 * AGENTS; i++)
+    {
+      char name[16];
+      snprintf (name, sizeof name, "n%d", i);
+      add_agent (f, name, i % AGENTS == 0 ? 1000 : 120);
+      run (f, 20 * KQ_MS);
+      if (i % 4 == 3)
+        send_first_lists (f);
+    }
+  for (int i = 0; i < 20; i++)
+    {
+      run (f, 100 * KQ_MS);
+      send_first_lists (f);
+    }
+  assert_int_equal (count_runners_of (f, -1), 0);
+  assert_in_range (f->takes, RUNNERS, 2 * RUNNERS);
+}
+
 /* Guards against unreachable runners that keep the others from being assigned. */
 static void
 test_unreachable_runners_dont_delay_the_others (void **state)
@@ -222,6 +249,8 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_runners_are_assigned_in_batches, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_runners_stay_while_agents_come_up, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_unreachable_runners_dont_delay_the_others,
                                      set_up, tear_down),
   };
--- a/src/sched/tickets.c
+++ b/src/sched/tickets.c
@@ -7,6 +7,8 @@
  * those for urgent steps don't queue behind others at the service. The answers are kept
  * per step: a refusal of a runner for good, a ticket while it is valid. */
 
+#include "sched/tickets.h"
+
 #include "sched/place.h"
 
 #include <stdio.h>
--- /dev/null
+++ b/src/sched/tickets.h
@@ -0,0 +1,45 @@
+#ifndef KQ_SCHED_TICKETS_H
+#define KQ_SCHED_TICKETS_H
+
+/* tickets: tickets of the advice service for steps of advised queues. */
+
+#include "sched/state.h"
+
+/* The advice service's answer on whether a runner may run a step. */
+typedef struct
+{
+  KqRunnerState *runner;
+  int64_t started_ms; /* start of the runner process that was asked about, Unix time */
+  char *ticket;       /* NULL: refused, or no answer yet */
+  KqTime valid_until; /* end of the ticket's validity; without a ticket, 0: no answer yet,
+                         not 0: refused */
+} KqTicket;
+
+/* What the advice service has answered for one step. */
+struct KqTickets
+{
+  KqTicket *rows;
+  int32_t n_rows;
+  int agent;        /* the agent whose request for this step is unanswered; -1: none */
+  KqTime asked_at;  /* when that request was sent */
+  KqTime again_at;  /* earliest time of the next request */
+  int late_agent;   /* the agent of the last request that wasn't answered in time */
+  int late_answers; /* answers to such requests that late_agent may still send */
+};
+
+/* The ticket for the step on the runner that is valid now; NULL: none. Owned by the step.
+ */
+const char *kq_tickets_find (const KqOccurrence *o, int32_t step, const KqRunnerState *r,
+                             KqTime now);
+/* Asks for tickets for the step, as a task found no runner with one. Does nothing while
+ * an answer is outstanding. */
+void kq_tickets_request (KqSched *s, KqOccurrence *o, int32_t step, KqTime now);
+/* Drops the step's ticket for the runner, which has refused it. */
+void kq_tickets_drop (KqOccurrence *o, int32_t step, const KqRunnerState *r);
+/* Drops the step's answers on a runner that is about to be freed. */
+void kq_tickets_forget_runner (KqStepState *st, const KqRunnerState *r);
+/* Drops all unanswered requests of an agent that is down; the steps ask again. */
+void kq_tickets_drop_requests (KqSched *s, int agent);
+void kq_tickets_free (KqTickets *a);
+
+#endif
