Pools: sums over runners are kept as runners change

Cause: each placing pass summed up all runners, and a leader makes several hundred a second.

Change: a pass counts only the runners that have changed since the last one. The size of the pieces in which free cpu is counted follows the waiting tasks in steps of a fifth, as a change of it has all runners counted.

Test: the rig of the random tests compares the sums with a new count after each step.

--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -251,6 +251,8 @@
       kq_sched_rig_maintenance_tick (r);
       kq_sched_rig_cordon_tick (r);
       kq_sched_run (r->sched, r->now, r->now / KQ_MS);
+      if (!kq_sched_sums_are_exact (r->sched))
+        kq_sched_rig_breach (r, "sums", "not those of the runners");
       store (r);
     }
 }
--- a/src/sched/cordoning.c
+++ b/src/sched/cordoning.c
@@ -65,6 +65,8 @@
       r->cordoned = kq_cordoning_applies (s, r);
       if (before && !r->cordoned)
         kq_runners_note_change (s, r);
+      else if (before != r->cordoned)
+        kq_pools_note_change (s, r);
     }
   s->pass_needed = true;
   for (size_t i = 0; i < c->n; i++)
--- a/src/sched/load_pass.c
+++ b/src/sched/load_pass.c
@@ -21,6 +21,9 @@
  * lasts. Most tasks run for less than this, so room for a usual task becomes free
  * earlier. */
 #define TURN_MAX (2 * KQ_SEC)
+/* The size of pieces of free cpu follows the mean of waiting tasks when it is off by more
+ * than this share of it. */
+#define PIECE_OFF_PERCENT 20
 
 static KqLoadKind
 step_kind (const KqStep *p)
@@ -100,29 +103,32 @@
   l->turn = NULL;
 }
 
-void
-kq_load_count_running (const KqRunnerState *r)
+static int64_t
+in_pieces (int64_t milli, int64_t piece)
 {
-  KqLoadSums *l = r->pool->load;
-  if (r->silent || r->gone)
-    return;
-  l[KQ_LOAD_RESERVED].running_milli += r->used.cpu_milli - r->lasting_milli;
-  l[KQ_LOAD_FILLING].running_milli += r->filling_milli;
-  l[KQ_LOAD_LASTING].running_milli += r->lasting_milli;
+  if (milli <= 0)
+    return 0;
+  return piece > 0 ? milli / piece * piece : milli;
 }
 
-static void
-add_fitting (KqLoadSums *l, int64_t milli)
+void
+kq_load_count_running (const KqRunnerState *r, KqPoolSums *out)
 {
-  if (milli > 0)
-    l->fitting_milli += l->mean_milli > 0 ? milli / l->mean_milli * l->mean_milli : milli;
+  if (r->silent || r->gone)
+    return;
+  out->running_milli[KQ_LOAD_RESERVED] = r->used.cpu_milli - r->lasting_milli;
+  out->running_milli[KQ_LOAD_FILLING] = r->filling_milli;
+  out->running_milli[KQ_LOAD_LASTING] = r->lasting_milli;
 }
 
 void
-kq_load_count_fitting (const KqRunnerState *r)
+kq_load_count_fitting (const KqRunnerState *r, KqPoolSums *out)
 {
-  add_fitting (&r->pool->load[KQ_LOAD_RESERVED], r->room.cpu_milli - r->used.cpu_milli);
-  add_fitting (&r->pool->load[KQ_LOAD_FILLING], kq_place_left_to_filling (r));
+  const KqLoadSums *l = r->pool->load;
+  out->fitting_milli[KQ_LOAD_RESERVED] = in_pieces (r->room.cpu_milli - r->used.cpu_milli,
+                                                    l[KQ_LOAD_RESERVED].piece_milli);
+  out->fitting_milli[KQ_LOAD_FILLING]
+      = in_pieces (kq_place_left_to_filling (r), l[KQ_LOAD_FILLING].piece_milli);
 }
 
 /* Free room counts like running tasks: before a burst has filled it, and while jobs wait
@@ -450,6 +456,18 @@
     row->in_time_work += waiting;
 }
 
+/* Sets the size of pieces by the tasks that wait, if it is far off. Returns whether it
+ * has changed. */
+static bool
+adapt_piece (KqLoadSums *l)
+{
+  int64_t mean = l->waiting_tasks > 0 ? l->waiting_milli / l->waiting_tasks : 0;
+  if (mean == 0 || llabs (mean - l->piece_milli) * 100 <= mean * PIECE_OFF_PERCENT)
+    return false;
+  l->piece_milli = mean;
+  return true;
+}
+
 void
 kq_load_end_pass (KqLoadPass *p, KqSched *s, KqTime now)
 {
@@ -460,7 +478,8 @@
       {
         KqLoadSums *l = pool_sums (s, i, k);
         l->fitting_milli = l->fitting_milli > 0 ? l->fitting_milli : 0;
-        l->mean_milli = l->waiting_tasks > 0 ? l->waiting_milli / l->waiting_tasks : 0;
+        if (adapt_piece (l))
+          ((KqPool *)g_ptr_array_index (s->pools, i))->pieces_changed = true;
       }
   set_rates (s, now);
   s->load_at = now;
--- a/src/sched/load_pass.h
+++ b/src/sched/load_pass.h
@@ -32,11 +32,11 @@
   GArray *jobs; /* KqLoadJob */
 } KqLoadPass;
 
-/* Adds what runs on the runner to its service's sums, KqLoadSums.running_milli. Runs on a
- * runner that doesn't answer may be gone: they don't count. */
-void kq_load_count_running (const KqRunnerState *r);
-/* Adds its free room to KqLoadSums.fitting_milli; for a runner that may be used. */
-void kq_load_count_fitting (const KqRunnerState *r);
+/* Sets running_milli to what runs on the runner. Runs on a runner that doesn't answer may
+ * be gone: they don't count. */
+void kq_load_count_running (const KqRunnerState *r, KqPoolSums *out);
+/* Sets fitting_milli to its free room; for a runner that may be used. */
+void kq_load_count_fitting (const KqRunnerState *r, KqPoolSums *out);
 /* Begins a pass. To be called after kq_pools_begin_pass. */
 void kq_load_begin_pass (KqLoadPass *p, KqSched *s, KqTime now);
 /* Takes an open occurrence with the ends of its objective and its use. */
--- a/src/sched/load_sums.h
+++ b/src/sched/load_sums.h
@@ -16,8 +16,10 @@
   double spent;
   KqTime at;
   int64_t running_milli; /* cpu of tasks that run or are being started */
-  int64_t fitting_milli; /* free cpu in pieces that hold a task of mean_milli */
-  int64_t mean_milli;    /* mean cpu of the tasks that waited in the last pass; 0: none */
+  int64_t fitting_milli; /* free cpu in pieces of piece_milli */
+  int64_t piece_milli;   /* about the mean cpu of the tasks that waited last; 0: none has.
+                            It follows the mean in steps, as each change has all runners
+                            counted anew. */
   int64_t waiting_milli; /* total cpu of the tasks that wait in this pass */
   int64_t waiting_tasks; /* their number */
   int64_t no_use_milli;  /* the part of it that belongs to jobs of no use any more */
--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -311,6 +311,8 @@
       r->host_waits = r->host_leaving && host_waits (s, r);
       if (before && !r->host_leaving)
         kq_runners_note_change (s, r);
+      else if (before != r->host_leaving)
+        kq_pools_note_change (s, r);
     }
 }
 
--- a/src/sched/pools.c
+++ b/src/sched/pools.c
@@ -12,6 +12,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Time constant with which the recorded peak decays. */
 #define PEAK_DECAY (30.0 * KQ_SEC)
@@ -58,35 +59,143 @@
 }
 
 void
-kq_pools_begin_pass (KqSched *s)
+kq_pools_note_change (KqSched *s, KqRunnerState *r)
 {
-  for (guint i = 0; i < s->pools->len; i++)
+  if (r->uncounted)
+    return;
+  r->uncounted = true;
+  g_ptr_array_add (s->uncounted, r);
+}
+
+/* Adds the sums to others (sign 1), or subtracts them (sign -1). */
+static void
+add_sums (KqPoolSums *to, const KqPoolSums *c, int sign)
+{
+  to->whole_milli += sign * c->whole_milli;
+  to->reserved_milli += sign * c->reserved_milli;
+  to->usable_milli += sign * c->usable_milli;
+  to->used_milli += sign * c->used_milli;
+  to->no_lasting_milli += sign * c->no_lasting_milli;
+  to->demand_milli += sign * c->demand_milli;
+  for (int k = 0; k < KQ_LOAD_KINDS; k++)
     {
-      KqPool *p = g_ptr_array_index (s->pools, i);
-      p->whole_milli = p->reserved_milli = 0;
-      p->usable_milli = p->used_milli = p->no_lasting_milli = p->demand_milli = 0;
-      for (int k = 0; k < KQ_LOAD_KINDS; k++)
-        p->load[k].running_milli = p->load[k].fitting_milli = 0;
+      to->running_milli[k] += sign * c->running_milli[k];
+      to->fitting_milli[k] += sign * c->fitting_milli[k];
+    }
+}
+
+static void
+count_runner (const KqRunnerState *r, KqPoolSums *out)
+{
+  *out = (KqPoolSums){ 0 };
+  kq_load_count_running (r, out);
+  out->demand_milli = r->used.cpu_milli - r->lasting_milli;
+  if (r->n_lasting == 0)
+    out->demand_milli += r->filling_milli;
+  if (!r->in_store)
+    return;
+  out->whole_milli = r->room.cpu_milli;
+  out->reserved_milli = r->used.cpu_milli;
+  if (r->draining || r->host_leaving || r->cordoned || r->silent)
+    return;
+  kq_load_count_fitting (r, out);
+  out->usable_milli = r->room.cpu_milli;
+  out->used_milli = r->used.cpu_milli;
+  if (r->n_lasting == 0)
+    out->no_lasting_milli = r->room.cpu_milli;
+}
+
+void
+kq_pools_remove_runner (KqSched *s, KqRunnerState *r)
+{
+  if (r->counted_pool != NULL)
+    add_sums (&r->counted_pool->runners, &r->counted, -1);
+  if (r->uncounted)
+    g_ptr_array_remove_fast (s->uncounted, r);
+}
+
+/* Counts the runners that have changed since the last pass. */
+static void
+count_changed (KqSched *s)
+{
+  for (guint i = 0; i < s->uncounted->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->uncounted, i);
+      r->uncounted = false;
+      if (r->counted_pool != NULL)
+        add_sums (&r->counted_pool->runners, &r->counted, -1);
+      r->counted_pool = r->pool;
+      count_runner (r, &r->counted);
+      add_sums (&r->pool->runners, &r->counted, 1);
     }
+  g_ptr_array_set_size (s->uncounted, 0);
+}
+
+bool
+kq_sched_sums_are_exact (const KqSched *s)
+{
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      KqPool *p = r->pool;
-      kq_load_count_running (r);
-      p->demand_milli += r->used.cpu_milli - r->lasting_milli;
-      if (r->n_lasting == 0)
-        p->demand_milli += r->filling_milli;
-      if (!r->in_store)
-        continue;
-      p->whole_milli += r->room.cpu_milli;
-      p->reserved_milli += r->used.cpu_milli;
-      if (r->draining || r->host_leaving || r->cordoned || r->silent)
-        continue;
-      kq_load_count_fitting (r);
-      p->usable_milli += r->room.cpu_milli;
-      p->used_milli += r->used.cpu_milli;
-      if (r->n_lasting == 0)
-        p->no_lasting_milli += r->room.cpu_milli;
+      KqPoolSums now;
+      count_runner (r, &now);
+      if (!r->uncounted && !r->pool->pieces_changed
+          && (r->counted_pool != r->pool || memcmp (&now, &r->counted, sizeof now) != 0))
+        return false;
+    }
+  for (guint i = 0; i < s->pools->len; i++)
+    {
+      const KqPool *p = g_ptr_array_index (s->pools, i);
+      KqPoolSums sum = { 0 };
+      for (guint k = 0; k < s->runner_list->len; k++)
+        {
+          const KqRunnerState *r = g_ptr_array_index (s->runner_list, k);
+          if (r->counted_pool == p)
+            add_sums (&sum, &r->counted, 1);
+        }
+      if (memcmp (&sum, &p->runners, sizeof sum) != 0)
+        return false;
+    }
+  return true;
+}
+
+/* Has the runners of pools counted whose size of pieces has changed. */
+static void
+recount_pieces (KqSched *s)
+{
+  bool any = false;
+  for (guint i = 0; i < s->pools->len; i++)
+    any = any || ((KqPool *)g_ptr_array_index (s->pools, i))->pieces_changed;
+  for (guint i = 0; any && i < s->runner_list->len; i++)
+    {
+      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
+      if (r->pool->pieces_changed)
+        kq_pools_note_change (s, r);
+    }
+  for (guint i = 0; i < s->pools->len; i++)
+    ((KqPool *)g_ptr_array_index (s->pools, i))->pieces_changed = false;
+}
+
+void
+kq_pools_begin_pass (KqSched *s)
+{
+  recount_pieces (s);
+  count_changed (s);
+  for (guint i = 0; i < s->pools->len; i++)
+    {
+      KqPool *p = g_ptr_array_index (s->pools, i);
+      const KqPoolSums *sums = &p->runners;
+      p->whole_milli = sums->whole_milli;
+      p->reserved_milli = sums->reserved_milli;
+      p->usable_milli = sums->usable_milli;
+      p->used_milli = sums->used_milli;
+      p->no_lasting_milli = sums->no_lasting_milli;
+      p->demand_milli = sums->demand_milli;
+      for (int k = 0; k < KQ_LOAD_KINDS; k++)
+        {
+          p->load[k].running_milli = sums->running_milli[k];
+          p->load[k].fitting_milli = sums->fitting_milli[k];
+        }
     }
 }
 
--- a/src/sched/reports.c
+++ b/src/sched/reports.c
@@ -49,6 +49,7 @@
        * does one that has just been assigned the runner. */
       kq_runners_drop_agent (s, r, !r->silent, now);
       r->silent = true;
+      kq_pools_note_change (s, r);
       s->assign_soon = true;
     }
 }
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -77,6 +77,7 @@
 {
   r->changed = ++s->changes;
   s->pass_needed = true;
+  kq_pools_note_change (s, r);
   if (s->changed_last == r)
     return;
   unlink_changed (s, r);
@@ -261,6 +262,7 @@
   kq_log (KQ_LOG_INFO, PART, "Runner entry removed. runner=%s runs=%d silent=%d", r->id,
           r->n_runs, r->silent);
   r->in_store = false;
+  kq_pools_note_change (s, r);
 }
 
 /* Ends all runs of the runner as lost: it hasn't reported their ends. */
@@ -444,6 +446,7 @@
   end_lost_runs (s, r, "its host was taken down", now);
   r->taken_down = r->gone
       = r->entry_started_ms == 0 || r->entry_started_ms == r->started_ms;
+  kq_pools_note_change (s, r);
   set_lease_over (r, "host taken down", now);
   s->used_runners_dirty = true;
 }
@@ -474,6 +477,7 @@
             "Runner doesn't answer. runner=%s runs=%d lease_left_ms=%lld", r->id,
             r->n_runs, (long long)lease_left_ms);
   r->silent = true;
+  kq_pools_note_change (s, r);
   r->renewed = false; /* its agent renews the lease only after a list */
   if (lease_left_ms >= 0)
     kq_runners_extend_lease (r, ends, "silence");
@@ -492,6 +496,7 @@
   end_lost_runs (s, r, "another runner at its address", now);
   r->listed = false;
   r->silent = true;
+  kq_pools_note_change (s, r);
   set_lease_over (r, "other runner", now);
 }
 
@@ -506,6 +511,7 @@
     }
   kq_log (KQ_LOG_INFO, PART, "Runner removed. runner=%s", r->id);
   unlink_changed (s, r);
+  kq_pools_remove_runner (s, r);
   g_ptr_array_remove (s->runner_list, r);
   g_hash_table_remove (s->runners, r->id);
   s->used_runners_dirty = true;
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -100,6 +100,7 @@
     r->runs->prev = run;
   r->runs = run;
   update_reservations (run, 1);
+  kq_pools_note_change (s, r);
   j->n_runs++;
   j->spent.runs++;
   run->job_next = j->run_list;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -102,6 +102,7 @@
   s->runners = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_runner);
   s->runner_list = g_ptr_array_new ();
   s->pools = kq_pools_new ();
+  s->uncounted = g_ptr_array_new ();
   s->batch = g_ptr_array_new ();
   s->waves = kq_maintenance_new_waves ();
   kq_agents_init (&s->agents);
@@ -129,6 +130,7 @@
   g_hash_table_destroy (s->jobs);
   g_ptr_array_free (s->runner_list, TRUE);
   g_ptr_array_free (s->pools, TRUE);
+  g_ptr_array_free (s->uncounted, TRUE);
   g_ptr_array_free (s->batch, TRUE);
   g_ptr_array_free (s->waves, TRUE);
   kq_agents_clear (&s->agents);
@@ -303,6 +305,7 @@
           kq_sched_entry (s, &e, now);
           known = kq_runners_find (s, e.id);
           known->in_store = false; /* until its entry is seen */
+          kq_pools_note_change (s, known);
           known->in_stored_list = known->in_sent_list = known->used_by_earlier_leader
               = true;
         }
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -307,6 +307,9 @@
 KqTime kq_sched_passed_at (const KqSched *s);
 /* Sets the gauges among the counters to the present numbers of jobs, runs and runners. */
 void kq_sched_gauges (KqSched *s);
+/* Whether the sums over runners that the scheduler keeps equal those of a new count. For
+ * tests, as it takes a walk over all runners. */
+bool kq_sched_sums_are_exact (const KqSched *s);
 
 /* A job's progress to be stored. It must be in the store before runners may forget the
  * ends of runs that led to it. */
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -206,7 +206,10 @@
 {
   char *id;
   char *service;
-  KqPool *pool; /* the runners of its service */
+  KqPool *pool;         /* the runners of its service */
+  KqPoolSums counted;   /* what it adds to the sums of counted_pool */
+  KqPool *counted_pool; /* NULL: not counted yet */
+  bool uncounted;       /* it has changed since it was counted */
   char *address;
   char *domain;
   char *rack;
@@ -285,7 +288,8 @@
   GHashTable *jobs;    /* id -> KqJob */
   GHashTable *runners; /* id -> KqRunnerState */
   GPtrArray *runner_list;
-  GPtrArray *pools; /* KqPool */
+  GPtrArray *pools;     /* KqPool */
+  GPtrArray *uncounted; /* KqRunnerState: those with `uncounted` */
   KqAgents agents;
   uint64_t assignments;  /* number of assignments of runners to agents so far */
   uint64_t runners_made; /* number of runners added so far */
@@ -517,7 +521,12 @@
 GPtrArray *kq_pools_new (void);
 /* The pool of a service, created if there is none. Owned by the scheduler. */
 KqPool *kq_pools_get (KqSched *s, KqStr service);
-/* Starts a placing pass: sums up the cpu of each service's runners anew. */
+/* Notes that something has changed which counts in the sums of the runner's pool: its
+ * room, what is reserved of it, or whether it may be used. */
+void kq_pools_note_change (KqSched *s, KqRunnerState *r);
+/* Takes a runner out that is about to be freed. */
+void kq_pools_remove_runner (KqSched *s, KqRunnerState *r);
+/* Starts a placing pass: brings the sums of each service's runners up to date. */
 void kq_pools_begin_pass (KqSched *s);
 /* Adds n waiting tasks of the step to the pool's demand. */
 void kq_pools_add_waiting (KqPool *pool, const KqStep *p, int32_t n);
