Submissions: a write without an answer is read back

Cause: a store that loses answers carries the writes out.

Change: after 500 ms without an answer the job's key is read, for 300 ms at most. If it is there the client gets its 200; else the write is repeated, through the leader if the store answers it.

Test: test_write_without_an_answer_is_read_back.

--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -9,8 +9,9 @@
 
 #define PART "front"
 /* Timeout of one write. A write without an answer may safely be retried: it is
- * conditional on the job's key not existing. */
-#define WRITE_TIMEOUT_MS 900
+ * conditional on the job's key not existing. Before that the key is read: stores lose
+ * answers of writes that they carry out. */
+#define WRITE_TIMEOUT_MS 500
 /* Retries end after this time; the client can decide better whether to go on. */
 #define RETRY_PERIOD_MAX (1000 * KQ_MS)
 /* Timeout of the read that precedes a write while the store is suspected, and of the one
@@ -18,6 +19,8 @@
  * case the client can be told that its job was not accepted, in the second the job is
  * submitted. */
 #define PROBE_TIMEOUT_MS 400
+/* Timeout of the read after a write without an answer. */
+#define CHECK_TIMEOUT_MS 300
 /* Delay before a call without an answer is retried, doubled each time. A store in trouble
  * resets connections at once: without a delay nine nodes made 500 calls a second. */
 #define RETRY_DELAY_MIN (80 * KQ_MS)
@@ -28,9 +31,10 @@
 #define SWEEP_PERIOD_S 0.04
 
 static const char *const step_names[]
-    = { "submit",        "submit_read", "ask_admission", "admission_read",
-        "submit_leader", "ask_leader",  "read_progress", "read_cancel",
-        "read_job",      "cancel_read", "cancel_write",  "count_waiting" };
+    = { "submit",         "submit_check",  "submit_read", "ask_admission",
+        "admission_read", "submit_leader", "ask_leader",  "read_progress",
+        "read_cancel",    "read_job",      "cancel_read", "cancel_write",
+        "count_waiting" };
 
 static void
 start_sweep (KqFrontHandler *h)
@@ -123,7 +127,7 @@
 retry (KqFrontPending *q, KqTime now)
 {
   if (!may_retry (q, now)
-      && (q->step == KQ_FRONT_SUBMIT_WRITE || q->step == KQ_FRONT_CANCEL_READ))
+      && (q->step <= KQ_FRONT_SUBMIT_CHECK || q->step == KQ_FRONT_CANCEL_READ))
     kq_front_pending_reply_kind (q, KQ_REPLY_UNKNOWN, now);
   else if (!may_retry (q, now))
     kq_front_pending_refuse (q, "the store can't be read", KQ_FRONT_RETRY_STORE_MS,
@@ -200,6 +204,8 @@
     {
       if (q->step == KQ_FRONT_CANCEL_READ)
         kq_front_pending_schedule_retry (q, KQ_FRONT_CANCEL_READ, now);
+      else if (q->step == KQ_FRONT_SUBMIT_CHECK)
+        kq_front_pending_schedule_retry (q, KQ_FRONT_SUBMIT_WRITE, now);
       else if (q->step == KQ_FRONT_SUBMIT_PROBE)
         kq_front_pending_refuse (q, "the store doesn't answer", KQ_FRONT_RETRY_STORE_MS,
                                  q->handler->counts.refused_store, now);
@@ -234,6 +240,12 @@
       else
         kq_front_pending_reply_kind (q, KQ_REPLY_NO_JOB, now);
       break;
+    case KQ_FRONT_SUBMIT_CHECK:
+      if (r->result == KQ_KV_OK)
+        kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+      else
+        kq_front_submit_again (q, now);
+      break;
     case KQ_FRONT_SUBMIT_PROBE:
       if (r->result == KQ_KV_OK)
         kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
@@ -263,6 +275,8 @@
   ++*q->handler->counts.from_store;
   if (step == KQ_FRONT_SUBMIT_PROBE || step == KQ_FRONT_ADMIT_READ)
     timeout = MIN (timeout, PROBE_TIMEOUT_MS);
+  else if (step == KQ_FRONT_SUBMIT_CHECK)
+    timeout = MIN (timeout, CHECK_TIMEOUT_MS);
   kq_kv_get (q->handler->config.kv, key, timeout, (KqKvCallback){ on_read, q });
   free ((char *)key.ptr);
 }
--- a/src/fleet/front_pending.h
+++ b/src/fleet/front_pending.h
@@ -25,6 +25,7 @@
 typedef enum
 {
   KQ_FRONT_SUBMIT_WRITE,
+  KQ_FRONT_SUBMIT_CHECK,  /* reads the job's key after a write without an answer */
   KQ_FRONT_SUBMIT_PROBE,  /* reads the job's key to see whether the store answers */
   KQ_FRONT_ADMIT_ASK,     /* waits for the leader's answer whether to refuse the job */
   KQ_FRONT_ADMIT_READ,    /* reads the job's key: one that is there isn't refused */
--- a/src/fleet/front_submit.c
+++ b/src/fleet/front_submit.c
@@ -85,7 +85,7 @@
       break;
     case KQ_KV_UNKNOWN:
       q->write_unknown = true;
-      kq_front_pending_schedule_retry (q, KQ_FRONT_SUBMIT_WRITE, now);
+      kq_front_pending_schedule_retry (q, KQ_FRONT_SUBMIT_CHECK, now);
       break;
     default:
       /* An earlier try may still be carried out, so the job cannot be reported as
--- a/src/fleet/front_test.c
+++ b/src/fleet/front_test.c
@@ -352,6 +352,30 @@
   assert_int_equal (fake.replies, 2);
 }
 
+/* Guards against a reply with unknown outcome, or one that comes late, while the store
+ * loses answers of writes that it carries out. */
+static void
+test_write_without_an_answer_is_read_back (void **state)
+{
+  Test *t = *state;
+  submit (t, KQ_REACH_UP);
+  assert_in_range (fake.timeout_ms, 1, 500);
+  answer (KQ_KV_UNKNOWN);
+  run_for (t, 0.25);
+  assert_int_equal (fake.call, GET);
+  assert_in_range (fake.timeout_ms, 1, 300);
+  answer (KQ_KV_OK);
+  assert_int_equal (fake.reply.kind, KQ_REPLY_DONE);
+  submit (t, KQ_REACH_UP);
+  answer (KQ_KV_UNKNOWN);
+  run_for (t, 0.25);
+  answer (KQ_KV_NOT_FOUND);
+  assert_int_equal (fake.call, TXN);
+  answer (KQ_KV_CONFLICT);
+  assert_int_equal (fake.reply.kind, KQ_REPLY_DONE);
+  assert_int_equal (fake.replies, 2);
+}
+
 /* Guards against a reply with unknown outcome to clients of a node whose way to the store
  * is cut, and against a refusal of a job whose first write may still be carried out. */
 static void
@@ -368,6 +392,8 @@
       submit (t, KQ_REACH_UP);
       answer (KQ_KV_UNKNOWN);
       run_for (t, 0.25);
+      answer (KQ_KV_UNKNOWN);
+      run_for (t, 0.25);
       assert_int_not_equal (fake.leader_call, 0);
       kq_front_handler_answer (t->handler, fake.leader_call, results[i], kq_time_now ());
       assert_int_equal (fake.reply.kind, replies[i]);
@@ -455,6 +481,7 @@
           FIXTURE_TEST (test_leader_without_a_reply_leaves_the_outcome_unknown),
           FIXTURE_TEST (test_no_time_for_the_leader_refuses_at_once),
           FIXTURE_TEST (test_leader_writes_a_job_that_the_store_refuses),
+          FIXTURE_TEST (test_write_without_an_answer_is_read_back),
           FIXTURE_TEST (test_leader_repeats_a_write_without_an_answer),
           FIXTURE_TEST (test_job_that_no_leader_knows_is_read),
           FIXTURE_TEST (test_refused_read_is_repeated_after_a_pause) };
