Election: a leader that the store refuses resigns before its lease ends

Tests: test_refused_leader_resigns_before_its_lease_ends, test_request_to_end_the_lease_arrives, test_refused_renewals_are_noted, test_lease_of_a_resigned_leader_is_ended.

--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -232,6 +232,9 @@
     case KQ_AGENT_ITEM_FOLLOW:
       kq_pack_u64 (p, i->u.follow.revision);
       break;
+    case KQ_AGENT_ITEM_END_LEASE:
+      kq_pack_u64 (p, i->u.end_lease.lease);
+      break;
     case KQ_AGENT_ITEM_KEY_CHANGE:
       kq_pack_str (p, i->u.key_change.key);
       kq_pack_u64 (p, i->u.key_change.revision);
@@ -325,6 +328,9 @@
     case KQ_AGENT_ITEM_FOLLOW:
       i->u.follow.revision = kq_read_u64 (r);
       return;
+    case KQ_AGENT_ITEM_END_LEASE:
+      i->u.end_lease.lease = kq_read_u64 (r);
+      return;
     case KQ_AGENT_ITEM_KEY_CHANGE:
       i->u.key_change.key = kq_read_str (r);
       i->u.key_change.revision = kq_read_u64 (r);
@@ -346,7 +352,7 @@
 {
   /* By KqAgentItemKind, and for orders by KqOrderKind. */
   static const uint8_t of_kind[]
-      = { 0, 0, 3, 4, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2, 1, 5 };
+      = { 0, 0, 3, 4, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2, 1, 5, 1 };
   static const uint8_t of_order[] = { 5, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_AGENT_ITEM_ORDER)
     return of_order[i->u.order.kind];
@@ -385,7 +391,7 @@
       || !kq_unpacked_open (&u, kq_str_n (rest->ptr + sizeof n, n), &r))
     return false;
   kind = kq_read_i64 (&r);
-  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_KEY_CHANGE)
+  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_END_LEASE)
     {
       out->kind = (KqAgentItemKind)kind;
       out->runner = kq_read_str (&r);
--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -45,8 +45,10 @@
   KQ_AGENT_ITEM_WRITING, /* node to leader: the node is about to write a job to the store,
                             or has refused it for load */
   /* from version 3 on */
-  KQ_AGENT_ITEM_FOLLOW,    /* node to leader: relay changes of the operators' keys */
-  KQ_AGENT_ITEM_KEY_CHANGE /* leader to node: such a change */
+  KQ_AGENT_ITEM_FOLLOW,     /* node to leader: relay changes of the operators' keys */
+  KQ_AGENT_ITEM_KEY_CHANGE, /* leader to node: such a change */
+  KQ_AGENT_ITEM_END_LEASE   /* leader to node: it has resigned, and the store refuses it:
+                               the node is to end its lease */
 } KqAgentItemKind;
 
 typedef enum
@@ -120,6 +122,10 @@
       uint64_t revision; /* the node knows all changes up to it */
     } follow;
     KqKeyChange key_change;
+    struct
+    {
+      uint64_t lease; /* its id in the store */
+    } end_lease;
     KqRunnerList list;
     struct
     {
--- a/src/agent/frame_test.c
+++ b/src/agent/frame_test.c
@@ -53,6 +53,35 @@
   kq_buf_free (&b);
 }
 
+static void
+test_key_changes_round_trip (void **state)
+{
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_KEY_CHANGE };
+  KqBuf b = { 0 };
+  KqAgentItem o;
+  (void)state;
+  i.u.key_change = (KqKeyChange){ KQ_STR ("op/a"), 12, true, 7, KQ_STR ("bytes") };
+  o = round_trip (&i, &b);
+  assert_true (kq_str_eq (o.u.key_change.key, KQ_STR ("op/a")));
+  assert_int_equal (o.u.key_change.revision, 12);
+  assert_true (o.u.key_change.deleted);
+  assert_int_equal (o.u.key_change.base, 7);
+  assert_true (kq_str_eq (o.u.key_change.data, KQ_STR ("bytes")));
+  i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_FOLLOW };
+  i.u.follow.revision = 9;
+  assert_int_equal (round_trip (&i, &b).u.follow.revision, 9);
+  i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_END_LEASE };
+  i.u.end_lease.lease = 41;
+  assert_int_equal (round_trip (&i, &b).u.end_lease.lease, 41);
+  i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_PING };
+  i.u.ping.keys_revision = 13;
+  i.u.ping.keys_age_ms = 250;
+  o = round_trip (&i, &b);
+  assert_int_equal (o.u.ping.keys_revision, 13);
+  assert_int_equal (o.u.ping.keys_age_ms, 250);
+  kq_buf_free (&b);
+}
+
 static void
 test_advice_round_trips (void **state)
 {
@@ -362,6 +391,7 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_list_round_trips),
           cmocka_unit_test (test_orders_round_trip),
+          cmocka_unit_test (test_key_changes_round_trip),
           cmocka_unit_test (test_advice_round_trips),
           cmocka_unit_test (test_outcome_and_unreached_round_trip),
           cmocka_unit_test (test_grants_round_trip),
--- a/src/election/election.c
+++ b/src/election/election.c
@@ -55,6 +55,7 @@
                                    not known */
   KqTime lease_requested_at;
   KqTime valid_until;
+  KqTime refused_since; /* see kq_election_refused_since */
   KqTime write_sent;
   uint64_t serial; /* of the attempt to lead; answers to calls of earlier attempts are
                       dropped */
@@ -154,6 +155,7 @@
   switch (r->result)
     {
     case KQ_KV_OK:
+      e->refused_since = 0;
       if (r->called_at + e->config.ttl_ms * KQ_MS > e->valid_until)
         e->valid_until = r->called_at + e->config.ttl_ms * KQ_MS;
       break;
@@ -164,6 +166,8 @@
     case KQ_KV_UNKNOWN:
       break; /* later renewals are in flight */
     default:
+      if (e->refused_since == 0)
+        e->refused_since = now;
       set_timer (e, RENEWAL_RETRY_MS);
     }
 }
@@ -184,6 +188,7 @@
   e->record.address = e->config.address;
   e->record.epoch = epoch;
   e->valid_until = e->lease_requested_at + e->config.ttl_ms * KQ_MS;
+  e->refused_since = 0;
   ++*e->elections;
   kq_log (KQ_LOG_INFO, PART, "Leading. epoch=%llu term=%u lease=%llu",
           (unsigned long long)epoch, e->term, (unsigned long long)e->lease);
@@ -471,6 +476,27 @@
   return e->phase == LEADING ? e->valid_until : 0;
 }
 
+KqTime
+kq_election_refused_since (const KqElection *e)
+{
+  return e->phase == LEADING ? e->refused_since : 0;
+}
+
+uint64_t
+kq_election_lease (const KqElection *e)
+{
+  return e->lease;
+}
+
+void
+kq_election_end_lease (KqElection *e, uint64_t lease)
+{
+  kq_log (KQ_LOG_INFO, PART, "Ending the lease of a leader that has resigned. epoch=%llu",
+          (unsigned long long)e->record.epoch);
+  kq_kv_lease_revoke (e->config.kv, lease, STORE_TIMEOUT_MS,
+                      new_callback (e, ignore_reply));
+}
+
 bool
 kq_election_is_leader (const KqElection *e)
 {
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -51,6 +51,12 @@
 /* The time until which this node's lease is certainly good; 0: this node isn't the
  * leader. */
 KqTime kq_election_valid_until (const KqElection *e);
+/* Since when the store has refused all renewals of this node's lease; 0: it hasn't. */
+KqTime kq_election_refused_since (const KqElection *e);
+/* The id of this node's last lease in the store. */
+uint64_t kq_election_lease (const KqElection *e);
+/* Ends the lease of a leader that has resigned and can't do so itself. */
+void kq_election_end_lease (KqElection *e, uint64_t lease);
 bool kq_election_is_leader (const KqElection *e);
 const KqLeaderRecord *kq_election_record (const KqElection *e);
 /* Renews the lease now; does nothing unless this node leads. */
--- a/src/election/election_test.c
+++ b/src/election/election_test.c
@@ -56,6 +56,7 @@
   int term_reads;
   bool slow_renewals; /* renewals are answered after a minute */
   bool unavailable;
+  bool refuses;
   bool slow_reads;
   int record_reads;            /* of the leader's record */
   bool hold_watch;             /* watches aren't answered for now */
@@ -202,7 +203,9 @@
     case END:
       break;
     }
-  if (fake.unavailable)
+  if (fake.refuses)
+    r.result = KQ_KV_REFUSED;
+  else if (fake.unavailable)
     r = (KqKvReply){ .result = KQ_KV_UNKNOWN };
   p->cb.done (p->cb.arg, &r, kq_time_now ());
 }
@@ -439,6 +442,36 @@
   assert_true (kq_election_valid_until (r->election) < kq_time_now ());
 }
 
+/* Guards against a leader that doesn't notice, or never forgets, that the store refuses
+ * it: whether to resign before the lease ends follows from that. */
+static void
+test_refused_renewals_are_noted (void **state)
+{
+  Rig *r = *state;
+  assert_true (run_until (&r->elected, 1));
+  assert_int_equal (kq_election_refused_since (r->election), 0);
+  fake.refuses = true;
+  fake.renewals = 0;
+  run_until (&fake.renewals, 3);
+  assert_true (kq_election_refused_since (r->election) != 0);
+  fake.refuses = false;
+  fake.renewals = 0;
+  run_until (&fake.renewals, 3);
+  assert_int_equal (kq_election_refused_since (r->election), 0);
+}
+
+/* Guards against a time without a leader, for the length of a lease: the leader has
+ * resigned and can't end its lease itself. */
+static void
+test_lease_of_a_resigned_leader_is_ended (void **state)
+{
+  Rig *r = *state;
+  assert_true (run_until (&r->elected, 1));
+  assert_int_equal (kq_election_lease (r->election), fake.next_lease);
+  kq_election_end_lease (r->election, 77);
+  assert_int_equal (fake.revoked_lease, 77);
+}
+
 /* Guards against a time without a leader, for the length of a lease: a leader is elected
  * again, its watch reports late that its earlier record was deleted, and it takes that
  * for the current one. */
@@ -560,6 +593,9 @@
     cmocka_unit_test_setup_teardown (test_deleted_key_ends_leadership, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_renewals_dont_wait_for_answers, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_refused_renewals_are_noted, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_lease_of_a_resigned_leader_is_ended, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_unavailable_store_keeps_the_leader, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_late_deletion_of_an_earlier_record, set_up,
--- a/src/election/lease_expiry.c
+++ b/src/election/lease_expiry.c
@@ -10,6 +10,20 @@
 /* A renewal takes a handshake and a call, of 100 ms each between regions. */
 #define RENEWAL_TIMEOUT (300 * KQ_MS)
 
+/* How long the store must have refused all renewals, which are repeated every 120 ms. */
+#define REFUSED_MIN (300 * KQ_MS)
+/* A peer's report that the store answered it is current for a heartbeat and its way. */
+#define PEER_REPORT_CURRENT (400 * KQ_MS)
+
+/* Whether the store refuses this leader, and has answered a peer meanwhile. */
+static bool
+refused_alone (const KqLeaseExpiry *e, KqTime now)
+{
+  return e->refused_since != 0 && now - e->refused_since >= REFUSED_MIN
+         && e->peer_reached_store_at > e->refused_since
+         && now - e->peer_reached_store_at < PEER_REPORT_CURRENT;
+}
+
 static bool
 peer_reaches_store (const KqLeaseExpiry *e, KqTime now)
 {
@@ -23,7 +37,8 @@
   if (now < e->valid_until)
     {
       e->renewal_sent_at = 0;
-      return KQ_LEASE_EXPIRY_NONE;
+      *why = "the store refuses this node and answers others";
+      return refused_alone (e, now) ? KQ_LEASE_EXPIRY_RESIGN : KQ_LEASE_EXPIRY_NONE;
     }
   if (now - e->valid_until > MAX_UNRENEWED)
     *why = "not renewed for too long";
--- a/src/election/lease_expiry.h
+++ b/src/election/lease_expiry.h
@@ -1,7 +1,11 @@
 #ifndef KQ_ELECTION_LEASE_EXPIRY_H
 #define KQ_ELECTION_LEASE_EXPIRY_H
 
-/* lease_expiry: decides what a leader does once its lease in the store may have expired.
+/* lease_expiry: decides what a leader does once its lease in the store may have expired,
+ * or can't be renewed.
+ *
+ * A leader that the store refuses while it answers other nodes resigns before its lease
+ * ends, and has another node end the lease: the next leader needn't wait for it.
  *
  * While no node reaches the store nobody else can be elected, so the leader keeps
  * working. Once another node reaches the store, the lease may have expired there.
@@ -20,6 +24,7 @@
   KqTime
       peer_reached_store_at; /* when the store last answered another node; 0: not known */
   int peers;                 /* number of other nodes that are connected */
+  KqTime refused_since; /* since when the store has refused all renewals; 0: it hasn't */
   KqTime renewal_sent_at; /* when a renewal was requested because a peer had reached the
                       store; 0: none since the lease was last good */
 } KqLeaseExpiry;
--- a/src/election/lease_expiry_test.c
+++ b/src/election/lease_expiry_test.c
@@ -91,6 +91,26 @@
   assert_int_equal (next (&e, 3 * KQ_SEC), KQ_LEASE_EXPIRY_CONTINUE);
 }
 
+/* Guards against a second without a leader: the store refuses the leader only, which
+ * waits for the end of its lease. A store that refuses or leaves out everybody is no
+ * reason to resign, and neither is one refusal. */
+static void
+test_refused_leader_resigns_before_its_lease_ends (void **state)
+{
+  KqLeaseExpiry e = expired ();
+  KqTime refused = -1200 * KQ_MS;
+  (void)state;
+  e.refused_since = EXPIRED_AT + refused;
+  e.peer_reached_store_at = e.refused_since - KQ_MS;
+  assert_int_equal (next (&e, refused + 310 * KQ_MS), KQ_LEASE_EXPIRY_NONE);
+  e.peer_reached_store_at = e.refused_since + 100 * KQ_MS;
+  assert_int_equal (next (&e, refused + 200 * KQ_MS), KQ_LEASE_EXPIRY_NONE);
+  assert_int_equal (next (&e, refused + 310 * KQ_MS), KQ_LEASE_EXPIRY_RESIGN);
+  assert_int_equal (next (&e, refused + 600 * KQ_MS), KQ_LEASE_EXPIRY_NONE);
+  e.refused_since = 0;
+  assert_int_equal (next (&e, refused + 310 * KQ_MS), KQ_LEASE_EXPIRY_NONE);
+}
+
 int
 main (void)
 {
@@ -100,6 +120,7 @@
     cmocka_unit_test (test_leader_without_an_answer_resigns),
     cmocka_unit_test (test_leader_without_peers_resigns),
     cmocka_unit_test (test_outdated_reports_dont_count),
+    cmocka_unit_test (test_refused_leader_resigns_before_its_lease_ends),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -268,12 +268,16 @@
                                kq_sched_agents_lost (kq_leader_sched (f->leader)));
   kq_agent_leader_confirmed (f->agent, kq_election_record (f->election)->epoch,
                              MIN (now, until));
-  action = kq_leader_lease_check (&f->leader_lease, until, kq_link_peer_count (f->link),
-                                  now, &why);
+  action = kq_leader_lease_check (&f->leader_lease, until,
+                                  kq_election_refused_since (f->election),
+                                  kq_link_peer_count (f->link), now, &why);
   if (action == KQ_LEASE_EXPIRY_RENEW)
     kq_election_renew (f->election);
   else if (action == KQ_LEASE_EXPIRY_RESIGN)
-    kq_election_resign (f->election, why, !f->stopping, now);
+    {
+      kq_link_end_lease (f->link, kq_election_lease (f->election));
+      kq_election_resign (f->election, why, !f->stopping, now);
+    }
 }
 
 static void
--- a/src/fleet/fleet_peers.c
+++ b/src/fleet/fleet_peers.c
@@ -90,6 +90,8 @@
     kq_agent_order (f->agent, epoch, &i->u.order, now);
   else if (i->kind == KQ_AGENT_ITEM_ANSWER)
     handle_answer (f, i, now);
+  else if (i->kind == KQ_AGENT_ITEM_END_LEASE)
+    kq_election_end_lease (f->election, i->u.end_lease.lease);
   else if (i->kind == KQ_AGENT_ITEM_LOAD)
     kq_front_handler_load (f->handler, epoch, i, now);
 }
--- a/src/fleet/leader_lease.c
+++ b/src/fleet/leader_lease.c
@@ -47,11 +47,12 @@
 }
 
 KqLeaseExpiryAction
-kq_leader_lease_check (KqLeaderLease *l, KqTime valid_until, int peers, KqTime now,
-                       const char **why)
+kq_leader_lease_check (KqLeaderLease *l, KqTime valid_until, KqTime refused_since,
+                       int peers, KqTime now, const char **why)
 {
   KqLeaseExpiryAction action;
   l->expiry.valid_until = valid_until;
+  l->expiry.refused_since = refused_since;
   l->expiry.peers = peers;
   action = kq_lease_expiry_action (&l->expiry, now, why);
   if (action == KQ_LEASE_EXPIRY_NONE)
--- a/src/fleet/leader_lease.h
+++ b/src/fleet/leader_lease.h
@@ -27,10 +27,12 @@
 void kq_leader_lease_heartbeat (KqLeaderLease *l, int share_milli, int64_t store_age_ms,
                                 KqTime now);
 /* Returns what to do now; to be called a few times a second while this node leads.
- * valid_until: the lease is certainly good until then. peers: number of connected nodes.
+ * valid_until: the lease is certainly good until then. refused_since: since when the
+ * store has refused all renewals, 0: it hasn't. peers: number of connected nodes.
  * With KQ_LEASE_EXPIRY_RESIGN, *why is set to the reason, a constant string: the lease
  * may have expired, or a stronger node can lead. */
 KqLeaseExpiryAction kq_leader_lease_check (KqLeaderLease *l, KqTime valid_until,
-                                           int peers, KqTime now, const char **why);
+                                           KqTime refused_since, int peers, KqTime now,
+                                           const char **why);
 
 #endif
--- a/src/fleet/leader_lease_test.c
+++ b/src/fleet/leader_lease_test.c
@@ -25,7 +25,7 @@
 static KqLeaseExpiryAction
 check_good_lease (KqLeaderLease *l, KqTime now, const char **why)
 {
-  return kq_leader_lease_check (l, now + KQ_SEC, 2, now, why);
+  return kq_leader_lease_check (l, now + KQ_SEC, 0, 2, now, why);
 }
 
 /* Guards against a weak leader that stays although a stronger node reaches the store, and
--- a/src/fleet/link.h
+++ b/src/fleet/link.h
@@ -60,6 +60,9 @@
 /* Starts accepting nodes as the leader of this epoch; 0: no longer leader. Closes all
  * connections first. */
 void kq_link_set_own_epoch (KqLink *l, uint64_t epoch, KqTime now);
+/* On a leader that is about to resign: asks some nodes that the store answers to end its
+ * lease. */
+void kq_link_end_lease (KqLink *l, uint64_t lease);
 /* Sets the time until which no other node can be leader; 0 at first. Pings sent later may
  * come from a replaced leader and must not extend leases: they acknowledge only
  * heartbeats that are older than the time it takes to detect lost nodes; with nodes_lost,
--- a/src/fleet/link_test.c
+++ b/src/fleet/link_test.c
@@ -38,6 +38,7 @@
   int cancels;
   bool loses_leadership; /* the leader does, when it receives a cancellation */
   int n_welcomes;        /* seen by the node */
+  int end_lease;         /* the lease that the node was asked to end; 0: none */
 } Fixture;
 
 static void
@@ -89,6 +90,8 @@
   (void)epoch;
   (void)now;
   t->n_welcomes += i->kind == KQ_AGENT_ITEM_WELCOME;
+  if (i->kind == KQ_AGENT_ITEM_END_LEASE)
+    t->end_lease = (int)i->u.end_lease.lease;
   if (i->kind != KQ_AGENT_ITEM_PING)
     return;
   t->pings++;
@@ -298,6 +301,27 @@
   assert_int_equal (t->cancels, 1);
 }
 
+/* Guards against a request of a resigning leader that is lost as it closes the
+ * connection: the next leader would have to wait for the end of its lease. */
+static void
+test_request_to_end_the_lease_arrives (void **state)
+{
+  Fixture *t = *state;
+  KqAgentItem cancel = { .kind = KQ_AGENT_ITEM_CANCEL };
+  t->until_pings = 3; /* the leader knows by then that the store answers the node */
+  run_until (t, &t->pings, 3);
+  kq_link_send (t->node, EPOCH, &cancel); /* not read when the connection ends */
+  loop_run_with_timeout (t->node_loop, 0.05);
+  kq_link_end_lease (t->leader, 42);
+  kq_link_set_own_epoch (t->leader, 0, kq_time_now ());
+  assert_int_equal (t->left, 1);
+  loop_run_with_timeout (t->node_loop, 0.1);
+  assert_int_equal (t->end_lease, 42);
+  run_until (t, &t->left, 1);
+  loop_run_with_timeout (t->leader_loop, 0.8);
+  assert_int_equal (t->cancels, 0);
+}
+
 /* Accepts one connection, which it returns, and sends a message whose second item can't
  * be decoded. */
 static int
@@ -362,6 +386,8 @@
     cmocka_unit_test_setup_teardown (
         test_damaged_message_of_the_leader_ends_the_connection, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_planned_leave_is_announced, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_request_to_end_the_lease_arrives, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_leadership_is_lost_within_a_message, set_up,
                                      tear_down)
   };
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -177,6 +177,30 @@
   ev_io_start (ev, &c->writable);
 }
 
+static void
+ignore_message (void *arg, KqConn *c, const KqMsg *m)
+{
+  (void)arg;
+  (void)c;
+  (void)m;
+}
+
+static void
+ignore_closed (void *arg, KqConn *c, KqResult why)
+{
+  (void)arg;
+  (void)c;
+  (void)why;
+}
+
+void
+kq_conn_finish (KqConn *c)
+{
+  c->cb = (KqConnCallback){ NULL, NULL, ignore_message, ignore_closed };
+  if (!c->connecting)
+    flush (c);
+}
+
 static void
 finish_connect (KqConn *c)
 {
--- a/src/wire/conn.h
+++ b/src/wire/conn.h
@@ -30,6 +30,9 @@
 /* Takes over an accepted socket. */
 KqConn *kq_conn_accept (KqLoop *loop, int fd, const KqConnCallback *cb);
 void kq_conn_free (KqConn *c);
+/* Sends what is buffered, and drops what still arrives; no callback is called any more.
+ * Freed at once, a connection may be reset, and what was sent last be lost. */
+void kq_conn_finish (KqConn *c);
 void kq_conn_send (KqConn *c, const KqMsg *m);
 void kq_conn_ping (KqConn *c);
 KqTime kq_conn_heard_at (const KqConn *c); /* when bytes last arrived */
