--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -236,11 +236,7 @@
       kq_pack_u64 (p, i->u.end_lease.lease);
       break;
     case KQ_AGENT_ITEM_KEY_CHANGE:
-      kq_pack_str (p, i->u.key_change.key);
-      kq_pack_u64 (p, i->u.key_change.revision);
-      kq_pack_bool (p, i->u.key_change.deleted);
-      kq_pack_u64 (p, i->u.key_change.base);
-      kq_pack_str (p, i->u.key_change.data);
+      kq_agent_item_pack_key_change (p, &i->u.key_change);
       break;
     case KQ_AGENT_ITEM_FENCED:
     case KQ_AGENT_ITEM_LEAVE:
@@ -332,11 +328,7 @@
       i->u.end_lease.lease = kq_read_u64 (r);
       return;
     case KQ_AGENT_ITEM_KEY_CHANGE:
-      i->u.key_change.key = kq_read_str (r);
-      i->u.key_change.revision = kq_read_u64 (r);
-      i->u.key_change.deleted = kq_read_bool (r);
-      i->u.key_change.base = kq_read_u64 (r);
-      i->u.key_change.data = kq_read_str (r);
+      kq_agent_item_read_key_change (r, &i->u.key_change);
       return;
     case KQ_AGENT_ITEM_FENCED:
     case KQ_AGENT_ITEM_LEAVE:
--- a/src/agent/frame_rows.c
+++ b/src/agent/frame_rows.c
@@ -268,3 +268,23 @@
     }
   kq_read_array_end (r, &list);
 }
+
+void
+kq_agent_item_pack_key_change (KqPacker *p, const KqKeyChange *c)
+{
+  kq_pack_str (p, c->key);
+  kq_pack_u64 (p, c->revision);
+  kq_pack_bool (p, c->deleted);
+  kq_pack_u64 (p, c->base);
+  kq_pack_str (p, c->data);
+}
+
+void
+kq_agent_item_read_key_change (KqReader *r, KqKeyChange *c)
+{
+  c->key = kq_read_str (r);
+  c->revision = kq_read_u64 (r);
+  c->deleted = kq_read_bool (r);
+  c->base = kq_read_u64 (r);
+  c->data = kq_read_str (r);
+}
--- a/src/fleet/key_feed.c
+++ b/src/fleet/key_feed.c
@@ -55,8 +55,7 @@
   f->applied = kq_counter (counters, "kq_key_changes_applied_total", "",
                            "Changes of operators' keys received from the leader.");
   f->switches = kq_counter (counters, "kq_key_feed_lost_total", "",
-                            "Times that this node went back to its own watch of the "
-                            "operators' keys.");
+                            "Returns to the own watch of operators' keys.");
   return f;
 }
 
--- a/src/fleet/key_feed_test.c
+++ b/src/fleet/key_feed_test.c
@@ -233,7 +233,7 @@
   for (int i = 0; i < 100; i++)
     {
       t.now += 300 * KQ_MS;
-      hear_ping ((uint64_t)(7 + i), 400);
+      hear_ping (7 + (uint64_t)i, 400);
       kq_key_feed_check (t.feed, EPOCH, t.now);
     }
   assert_int_equal (t.calls, 0);
