Who leads is told by other nodes as well as by the store

Change: a node that is taken for the leader and isn't says who is, if it knows (item LEADER), instead of closing the connection without a word. A new leader tells the last one, which the store may refuse. Only a leader later than all that a node knows of counts, so that an outdated word keeps nobody from standing for election.

Tests: test_node_that_does_not_lead_tells_who_does, test_new_leader_tells_the_last_one, test_other_nodes_tell_who_leads.

--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -235,6 +235,9 @@
     case KQ_AGENT_ITEM_END_LEASE:
       kq_pack_u64 (p, i->u.end_lease.lease);
       break;
+    case KQ_AGENT_ITEM_LEADER:
+      kq_agent_item_pack_leader (p, i);
+      break;
     case KQ_AGENT_ITEM_KEY_CHANGE:
       kq_agent_item_pack_key_change (p, &i->u.key_change);
       break;
@@ -327,6 +330,9 @@
     case KQ_AGENT_ITEM_END_LEASE:
       i->u.end_lease.lease = kq_read_u64 (r);
       return;
+    case KQ_AGENT_ITEM_LEADER:
+      kq_agent_item_read_leader (r, i);
+      return;
     case KQ_AGENT_ITEM_KEY_CHANGE:
       kq_agent_item_read_key_change (r, &i->u.key_change);
       return;
@@ -344,7 +350,7 @@
 {
   /* By KqAgentItemKind, and for orders by KqOrderKind. */
   static const uint8_t of_kind[]
-      = { 0, 0, 3, 4, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2, 1, 5, 1 };
+      = { 0, 0, 3, 4, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2, 1, 5, 1, 3 };
   static const uint8_t of_order[] = { 5, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_AGENT_ITEM_ORDER)
     return of_order[i->u.order.kind];
@@ -383,7 +389,7 @@
       || !kq_unpacked_open (&u, kq_str_n (rest->ptr + sizeof n, n), &r))
     return false;
   kind = kq_read_i64 (&r);
-  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_END_LEASE)
+  if (kind >= KQ_AGENT_ITEM_ORDER && kind <= KQ_AGENT_ITEM_LEADER)
     {
       out->kind = (KqAgentItemKind)kind;
       out->runner = kq_read_str (&r);
--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -47,8 +47,9 @@
   /* from version 3 on */
   KQ_AGENT_ITEM_FOLLOW,     /* node to leader: relay changes of the operators' keys */
   KQ_AGENT_ITEM_KEY_CHANGE, /* leader to node: such a change */
-  KQ_AGENT_ITEM_END_LEASE   /* leader to node: it has resigned, and the store refuses it:
+  KQ_AGENT_ITEM_END_LEASE,  /* leader to node: it has resigned, and the store refuses it:
                                the node is to end its lease */
+  KQ_AGENT_ITEM_LEADER      /* any node to any node: who leads */
 } KqAgentItemKind;
 
 typedef enum
@@ -126,6 +127,12 @@
     {
       uint64_t lease; /* its id in the store */
     } end_lease;
+    struct
+    {
+      KqName node;
+      KqName address; /* "ip:port" to which nodes connect */
+      uint64_t epoch;
+    } leader;
     KqRunnerList list;
     struct
     {
--- a/src/agent/frame_rows.c
+++ b/src/agent/frame_rows.c
@@ -288,3 +288,19 @@
   c->base = kq_read_u64 (r);
   c->data = kq_read_str (r);
 }
+
+void
+kq_agent_item_pack_leader (KqPacker *p, const KqAgentItem *i)
+{
+  kq_pack_name (p, &i->u.leader.node);
+  kq_pack_name (p, &i->u.leader.address);
+  kq_pack_u64 (p, i->u.leader.epoch);
+}
+
+void
+kq_agent_item_read_leader (KqReader *r, KqAgentItem *i)
+{
+  i->u.leader.node = kq_read_name (r);
+  i->u.leader.address = kq_read_name (r);
+  i->u.leader.epoch = kq_read_u64 (r);
+}
--- a/src/agent/frame_rows.h
+++ b/src/agent/frame_rows.h
@@ -25,6 +25,8 @@
 void kq_agent_item_pack_grants (KqPacker *p, const KqGrantList *l);
 void kq_agent_item_read_grants (KqReader *r, KqGrantList *l);
 
+void kq_agent_item_pack_leader (KqPacker *p, const KqAgentItem *i);
+void kq_agent_item_read_leader (KqReader *r, KqAgentItem *i);
 void kq_agent_item_pack_key_change (KqPacker *p, const KqKeyChange *c);
 void kq_agent_item_read_key_change (KqReader *r, KqKeyChange *c);
 
--- a/src/agent/frame_test.c
+++ b/src/agent/frame_test.c
@@ -73,6 +73,14 @@
   i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_END_LEASE };
   i.u.end_lease.lease = 41;
   assert_int_equal (round_trip (&i, &b).u.end_lease.lease, 41);
+  i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_LEADER };
+  i.u.leader.node = kq_name (KQ_STR ("n7"));
+  i.u.leader.address = kq_name (KQ_STR ("10.0.0.7:7720"));
+  i.u.leader.epoch = 6;
+  o = round_trip (&i, &b);
+  assert_true (kq_name_eq (&o.u.leader.node, &i.u.leader.node));
+  assert_true (kq_name_eq (&o.u.leader.address, &i.u.leader.address));
+  assert_int_equal (o.u.leader.epoch, 6);
   i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_PING };
   i.u.ping.keys_revision = 13;
   i.u.ping.keys_age_ms = 250;
--- a/src/election/election.c
+++ b/src/election/election.c
@@ -42,6 +42,8 @@
   KqElectionConfig config;
   KqFollow *follow;
   KqLeaderRecord record;
+  KqName last_address;      /* of the last other leader */
+  uint64_t vacant_revision; /* of the last deletion of a leader's record; 0: none */
   Phase phase;
   ev_timer timer;
   KqRand rand;
@@ -388,6 +390,8 @@
     return; /* the answer to our own write, or to the read after it, is still to come */
   if (e->phase == LEADING && i->revision <= e->record.epoch)
     return;
+  if (e->phase == FOLLOWING && record.epoch == e->record.epoch)
+    return; /* heard of already */
   stop_leading (e, "another node leads", now);
   e->record = record;
   if (written_by_earlier_process (e, &record, extra.lease))
@@ -398,6 +402,7 @@
   kq_log (KQ_LOG_INFO, PART, "Leader. node=%.*s address=%.*s epoch=%llu",
           KQ_STR_ARG (kq_name_str (&record.node)),
           KQ_STR_ARG (kq_name_str (&record.address)), (unsigned long long)record.epoch);
+  e->last_address = record.address;
   e->config.changed (e->config.arg, &e->record, now);
 }
 
@@ -407,6 +412,8 @@
   KqElection *e = arg;
   if (!kq_str_eq (key, kq_leader_key))
     return;
+  if (revision > e->vacant_revision)
+    e->vacant_revision = revision;
   if (revision <= e->record.epoch)
     {
       /* The watch reports late that the record before our own write was deleted. */
@@ -476,6 +483,29 @@
   return e->phase == LEADING ? e->valid_until : 0;
 }
 
+void
+kq_election_hear (KqElection *e, const KqLeaderRecord *r, KqTime now)
+{
+  if (r->epoch <= e->record.epoch || r->epoch <= e->vacant_revision
+      || kq_name_eq (&r->address, &e->config.address)
+      || (e->phase != FOLLOWING && e->phase != LEADING))
+    return;
+  kq_log (KQ_LOG_INFO, PART,
+          "Heard of a leader. node=%.*s address=%.*s epoch=%llu was=%llu",
+          KQ_STR_ARG (kq_name_str (&r->node)), KQ_STR_ARG (kq_name_str (&r->address)),
+          (unsigned long long)r->epoch, (unsigned long long)e->record.epoch);
+  stop_leading (e, "another node leads", now);
+  e->record = *r;
+  e->last_address = r->address;
+  e->config.changed (e->config.arg, &e->record, now);
+}
+
+KqStr
+kq_election_last_address (const KqElection *e)
+{
+  return kq_name_str (&e->last_address);
+}
+
 KqTime
 kq_election_refused_since (const KqElection *e)
 {
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -51,6 +51,11 @@
 /* The time until which this node's lease is certainly good; 0: this node isn't the
  * leader. */
 KqTime kq_election_valid_until (const KqElection *e);
+/* Takes another node's word of who leads, which this node may be unable to read in the
+ * store. Ignores a leader that isn't later than all that this node knows of. */
+void kq_election_hear (KqElection *e, const KqLeaderRecord *r, KqTime now);
+/* The address of the last other leader; "": none is known. */
+KqStr kq_election_last_address (const KqElection *e);
 /* Since when the store has refused all renewals of this node's lease; 0: it hasn't. */
 KqTime kq_election_refused_since (const KqElection *e);
 /* The id of this node's last lease in the store. */
--- a/src/election/election_test.c
+++ b/src/election/election_test.c
@@ -460,6 +460,39 @@
   assert_int_equal (kq_election_refused_since (r->election), 0);
 }
 
+static bool
+hears_of (Rig *r, uint64_t epoch)
+{
+  KqLeaderRecord other = { .node = kq_name (KQ_STR ("other")),
+                           .address = kq_name (KQ_STR ("127.0.0.1:9")),
+                           .epoch = epoch };
+  kq_election_hear (r->election, &other, kq_time_now ());
+  return kq_election_record (r->election)->epoch == epoch;
+}
+
+/* Guards against a node that the store refuses and that knows no leader, and against an
+ * outdated word: of a leader whose record is known to be gone, no node would stand for
+ * election. */
+static void
+test_other_nodes_tell_who_leads (void **state)
+{
+  Rig *r = *state;
+  uint64_t first;
+  assert_true (run_until (&r->elected, 1));
+  first = r->epoch;
+  assert_false (hears_of (r, first - 1));
+  assert_true (kq_election_is_leader (r->election));
+  assert_true (hears_of (r, first + 1));
+  assert_int_equal (r->lost, 1);
+  assert_true (
+      kq_str_eq (kq_election_last_address (r->election), KQ_STR ("127.0.0.1:9")));
+  fake.revision += 10;
+  fake.leader_revision = 0;
+  fake.changed_at = ++fake.revision;
+  assert_true (run_until (&r->elected, 2));
+  assert_false (hears_of (r, fake.changed_at - 1));
+}
+
 /* Guards against a time without a leader, for the length of a lease: the leader has
  * resigned and can't end its lease itself. */
 static void
@@ -593,6 +626,7 @@
     cmocka_unit_test_setup_teardown (test_deleted_key_ends_leadership, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_renewals_dont_wait_for_answers, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_other_nodes_tell_who_leads, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_renewals_are_noted, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_lease_of_a_resigned_leader_is_ended, set_up,
                                      tear_down),
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -156,6 +156,7 @@
                        .answered = on_answered,
                        .load = on_load };
   kq_link_set_own_epoch (f->link, epoch, now);
+  kq_link_announce (f->link, kq_election_last_address (f->election));
   kq_operator_port_leader_changed (f->operators, epoch, now);
   kq_agent_release_all (f->agent);
   kq_agent_leader_confirmed (f->agent, epoch, now);
--- a/src/fleet/fleet_peers.c
+++ b/src/fleet/fleet_peers.c
@@ -110,6 +110,28 @@
   kq_key_feed_ping_values (f->keys, revision, age_ms, now);
 }
 
+static void
+on_heard_leader (void *arg, const KqAgentItem *i, KqTime now)
+{
+  KqFleet *f = arg;
+  KqLeaderRecord r = { i->u.leader.node, i->u.leader.address, i->u.leader.epoch };
+  if (f->election != NULL)
+    kq_election_hear (f->election, &r, now);
+}
+
+static bool
+fill_leader (void *arg, KqAgentItem *i)
+{
+  const KqFleet *f = arg;
+  const KqLeaderRecord *r = f->election != NULL ? kq_election_record (f->election) : NULL;
+  if (r == NULL || r->epoch == 0)
+    return false;
+  i->u.leader.node = r->node;
+  i->u.leader.address = r->address;
+  i->u.leader.epoch = r->epoch;
+  return true;
+}
+
 KqLinkOwner
 kq_fleet_link_owner (KqFleet *f)
 {
@@ -120,5 +142,7 @@
                         on_connected,
                         on_from_leader,
                         store_age_ms,
-                        on_ping_keys };
+                        on_ping_keys,
+                        on_heard_leader,
+                        fill_leader };
 }
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -61,7 +61,9 @@
     {
       if (i.kind == KQ_AGENT_ITEM_WELCOME)
         l->leader_version = i.u.welcome.version;
-      if (i.kind != KQ_AGENT_ITEM_UNKNOWN)
+      if (i.kind == KQ_AGENT_ITEM_LEADER && l->config.owner.heard_leader != NULL)
+        l->config.owner.heard_leader (l->config.owner.arg, &i, now);
+      else if (i.kind != KQ_AGENT_ITEM_UNKNOWN)
         l->config.owner.from_leader (l->config.owner.arg, m->u.agent.epoch, &i, now);
       kq_agent_item_clear (&i);
     }
--- a/src/fleet/link.h
+++ b/src/fleet/link.h
@@ -3,7 +3,8 @@
 
 /* link: the connections between the leader and the other nodes.
  *
- * Every node listens; a node that isn't leader keeps one connection to the leader. Items
+ * Every node listens; a node that isn't leader keeps one connection to the leader, and
+ * tells nodes that take it for the leader who leads, if it knows. Items
  * sent within one iteration of the loop are batched into one frame. Either side closes a
  * connection on which it has received nothing for a while; the node then reconnects. */
 
@@ -31,6 +32,11 @@
   int64_t (*store_age_ms) (void *arg, KqTime now);
   /* On the leader: what pings say of the operators' keys (KqAgentItem). May be NULL. */
   void (*keys) (void *arg, uint64_t *revision, int64_t *age_ms, KqTime now);
+  /* Another node has said who leads. May be NULL. */
+  void (*heard_leader) (void *arg, const KqAgentItem *i, KqTime now);
+  /* Fills in a LEADER item with the leader that this node knows; false: it knows none.
+   * May be NULL. */
+  bool (*leader) (void *arg, KqAgentItem *i);
 } KqLinkOwner;
 
 typedef struct
@@ -60,6 +66,9 @@
 /* Starts accepting nodes as the leader of this epoch; 0: no longer leader. Closes all
  * connections first. */
 void kq_link_set_own_epoch (KqLink *l, uint64_t epoch, KqTime now);
+/* On a new leader: tells the node at the address, the last leader, who leads now. The
+ * store may refuse that node, and others that would turn to it. */
+void kq_link_announce (KqLink *l, KqStr address);
 /* On a leader that is about to resign: asks some nodes that the store answers to end its
  * lease. */
 void kq_link_end_lease (KqLink *l, uint64_t lease);
--- a/src/fleet/link_impl.h
+++ b/src/fleet/link_impl.h
@@ -26,6 +26,8 @@
   ev_timer heartbeat_timer;
   ev_prepare before_poll;
   GPtrArray *peers;
+  KqConn *announcing; /* to the last leader; NULL: none */
+  KqTime announced_at;
   GPtrArray *ending; /* KqConn, of peers that were asked to end this node's lease */
   KqTime ended_at;
   uint64_t own_epoch;     /* of this node's leadership; 0: it isn't leader */
--- a/src/fleet/link_peers.c
+++ b/src/fleet/link_peers.c
@@ -17,6 +17,8 @@
 #define END_LEASE_NODES 3
 /* For so long their connections are kept for what was sent last. */
 #define END_INTERVAL (300 * KQ_MS)
+/* How long a new leader tries to reach the last one. */
+#define ANNOUNCE_TIMEOUT (2 * KQ_SEC)
 
 struct KqPeer
 {
@@ -26,7 +28,9 @@
   bool joined;  /* has sent HELLO, and no LEAVE since */
   bool damaged; /* has sent invalid data: it has to reconnect */
   bool unknown_logged;
-  bool asked_to_end_lease;       /* its connection is kept for END_INTERVAL */
+  bool asked_to_end_lease;
+  bool lingers;                  /* its connection is kept for END_INTERVAL */
+  bool turned_away;              /* this node doesn't lead */
   KqTime store_answered_at;      /* by its last heartbeat; 0: not known */
   bool follows;                  /* changes of the operators' keys are relayed to it */
   bool in_message;               /* one of its messages is being handled */
@@ -52,12 +56,14 @@
 close_peer (KqPeer *p, const char *why, KqTime now)
 {
   KqLink *l = p->link;
-  kq_log (KQ_LOG_INFO, PART, "Node disconnected. agent=%d why=%s heard_ms_ago=%lld",
-          p->agent, why, (long long)((now - kq_conn_heard_at (p->conn)) / KQ_MS));
+  kq_log (p->turned_away ? KQ_LOG_DEBUG : KQ_LOG_INFO, PART,
+          "Node disconnected. agent=%d why=%s heard_ms_ago=%lld", p->agent, why,
+          (long long)((now - kq_conn_heard_at (p->conn)) / KQ_MS));
   if (p->joined)
     l->config.owner.left (l->config.owner.arg, p, false, now);
-  if (p->asked_to_end_lease)
+  if (p->lingers)
     {
+      l->ended_at = now;
       kq_conn_finish (p->conn);
       g_ptr_array_add (l->ending, p->conn);
     }
@@ -68,11 +74,30 @@
     free_peer (p);
 }
 
+/* Tells a node that takes this one for the leader who leads, if that is known. */
+static void
+turn_away (KqPeer *p)
+{
+  KqLink *l = p->link;
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_LEADER };
+  p->turned_away = true;
+  if (l->config.owner.leader == NULL || !l->config.owner.leader (l->config.owner.arg, &i))
+    return;
+  p->lingers = true;
+  kq_link_send_peer (p, &i);
+  kq_link_flush (p->conn, l->own_epoch, &p->out);
+}
+
 static void
 handle_hello (KqPeer *p, const KqAgentItem *i, KqTime now)
 {
   KqLink *l = p->link;
   KqAgentItem answer = { .kind = KQ_AGENT_ITEM_WELCOME };
+  if (l->own_epoch == 0)
+    {
+      turn_away (p);
+      return;
+    }
   answer.u.welcome.version = KQ_AGENT_PROTOCOL_VERSION;
   if (i->u.hello.version > 1)
     kq_link_send_peer (p, &answer);
@@ -127,6 +152,8 @@
     p->exclusive_heartbeat_at = p->heartbeat_sent_at;
   if (i->kind == KQ_AGENT_ITEM_HELLO)
     handle_hello (p, i, now);
+  else if (i->kind == KQ_AGENT_ITEM_LEADER && l->config.owner.heard_leader != NULL)
+    l->config.owner.heard_leader (l->config.owner.arg, i, now);
   else if (i->kind == KQ_AGENT_ITEM_UNKNOWN)
     log_unknown (p, i->u.unknown.kind);
   else if (!p->joined)
@@ -154,13 +181,18 @@
   if (m->kind != KQ_MSG_AGENT)
     return;
   p->in_message = true;
-  while (!p->closed && !p->damaged && kq_agent_item_unpack (&rest, &i))
+  while (!p->closed && !p->damaged && !p->turned_away && kq_agent_item_unpack (&rest, &i))
     {
       handle_peer_item (p, m->u.agent.epoch, &i, now);
       kq_agent_item_clear (&i);
     }
   p->in_message = false;
-  if (!p->closed && (p->damaged || rest.len > 0))
+  if (!p->closed && p->turned_away)
+    {
+      g_ptr_array_remove_fast (l->peers, p);
+      close_peer (p, "this node doesn't lead", now);
+    }
+  else if (!p->closed && (p->damaged || rest.len > 0))
     {
       kq_log (KQ_LOG_ERROR, PART, "A node's message cannot be decoded. error=%d left=%zu",
               KQ_ERR_FRAME_FORMAT, rest.len);
@@ -192,11 +224,6 @@
   (void)events;
   if (fd < 0)
     return;
-  if (l->own_epoch == 0)
-    {
-      close (fd); /* the node retries with the leader that it knows by then */
-      return;
-    }
   p = kq_alloc (sizeof *p);
   p->link = l;
   p->agent = -1;
@@ -224,6 +251,55 @@
     }
 }
 
+static void
+end_announcing (KqLink *l)
+{
+  kq_conn_free (l->announcing);
+  l->announcing = NULL;
+}
+
+static void
+on_announce_connected (void *arg, KqConn *c)
+{
+  KqLink *l = arg;
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_LEADER };
+  KqBuf out = { 0 };
+  if (l->config.owner.leader (l->config.owner.arg, &i))
+    {
+      kq_agent_item_pack (&i, &out);
+      kq_link_flush (c, l->own_epoch, &out);
+    }
+  kq_buf_free (&out);
+}
+
+static void
+on_announce_message (void *arg, KqConn *c, const KqMsg *m)
+{
+  (void)arg;
+  (void)c;
+  (void)m;
+}
+
+static void
+on_announce_closed (void *arg, KqConn *c, KqResult why)
+{
+  (void)c;
+  (void)why;
+  end_announcing (arg);
+}
+
+void
+kq_link_announce (KqLink *l, KqStr address)
+{
+  KqConnCallback cb
+      = { l, on_announce_connected, on_announce_message, on_announce_closed };
+  end_announcing (l);
+  if (address.len == 0)
+    return;
+  l->announced_at = kq_loop_now (l->config.loop);
+  l->announcing = kq_conn_open (l->config.loop, address, &cb);
+}
+
 static void
 free_ended (KqLink *l)
 {
@@ -274,6 +350,8 @@
     }
   if (now - l->ended_at >= END_INTERVAL)
     free_ended (l);
+  if (now - l->announced_at >= ANNOUNCE_TIMEOUT)
+    end_announcing (l);
 }
 
 void
@@ -301,7 +379,7 @@
         }
       if (best == NULL)
         return;
-      best->asked_to_end_lease = true;
+      best->asked_to_end_lease = best->lingers = true;
       kq_link_send_peer (best, &i);
       kq_link_flush (best->conn, l->own_epoch, &best->out);
     }
@@ -377,6 +455,7 @@
       free_peer (p);
     }
   g_ptr_array_free (l->peers, TRUE);
+  end_announcing (l);
   free_ended (l);
   g_ptr_array_free (l->ending, TRUE);
 }
--- a/src/fleet/link_test.c
+++ b/src/fleet/link_test.c
@@ -38,6 +38,8 @@
   int cancels;
   bool loses_leadership; /* the leader does, when it receives a cancellation */
   int n_welcomes;        /* seen by the node */
+  uint64_t known;        /* epoch of the leader that the links know of; 0: none */
+  uint64_t heard;        /* epoch of the leader that one was told of; 0: none */
   int end_lease;         /* the lease that the node was asked to end; 0: none */
 } Fixture;
 
@@ -109,13 +111,35 @@
   return 0;
 }
 
+static void
+on_heard_leader (void *arg, const KqAgentItem *i, KqTime now)
+{
+  Fixture *t = arg;
+  (void)now;
+  t->heard = i->u.leader.epoch;
+}
+
+static bool
+fill_leader (void *arg, KqAgentItem *i)
+{
+  const Fixture *t = arg;
+  i->u.leader.epoch = t->known;
+  return t->known != 0;
+}
+
 static KqLink *
 new_link (Fixture *t, KqLoop *loop)
 {
   KqLinkConfig c = { .loop = loop, .ip = "127.0.0.1" };
-  c.owner = (KqLinkOwner){
-    t, on_joined, on_left, on_from_node, on_connected, on_from_leader, store_age_ms, NULL
-  };
+  c.owner = (KqLinkOwner){ .arg = t,
+                           .joined = on_joined,
+                           .left = on_left,
+                           .from_node = on_from_node,
+                           .connected = on_connected,
+                           .from_leader = on_from_leader,
+                           .store_age_ms = store_age_ms,
+                           .heard_leader = on_heard_leader,
+                           .leader = fill_leader };
   return kq_link_new (&c);
 }
 
@@ -322,6 +346,43 @@
   assert_int_equal (t->cancels, 0);
 }
 
+/* Guards against nodes that stay without a leader for as long as the store refuses them:
+ * they turn to the last leader, which knows the next one. */
+static void
+test_node_that_does_not_lead_tells_who_does (void **state)
+{
+  Fixture *t = *state;
+  run_until (t, &t->n_welcomes, 1);
+  kq_link_set_own_epoch (t->leader, 0, kq_time_now ());
+  t->known = EPOCH + 2;
+  for (int i = 0; i < 40 && t->heard == 0; i++)
+    {
+      loop_run_with_timeout (t->node_loop, 0.02);
+      loop_run_with_timeout (t->leader_loop, 0.02);
+    }
+  assert_int_equal (t->heard, EPOCH + 2);
+  assert_int_equal (t->joined, 1);
+}
+
+/* Guards against a last leader that doesn't learn of the next one, as the store refuses
+ * it: the new leader tells it. */
+static void
+test_new_leader_tells_the_last_one (void **state)
+{
+  Fixture *t = *state;
+  char address[32];
+  snprintf (address, sizeof address, "127.0.0.1:%d", kq_link_port (t->leader));
+  kq_link_leave (t->node);
+  t->known = EPOCH + 2;
+  kq_link_announce (t->node, kq_str (address));
+  for (int i = 0; i < 20 && t->heard == 0; i++)
+    {
+      loop_run_with_timeout (t->node_loop, 0.02);
+      loop_run_with_timeout (t->leader_loop, 0.02);
+    }
+  assert_int_equal (t->heard, EPOCH + 2);
+}
+
 /* Accepts one connection, which it returns, and sends a message whose second item can't
  * be decoded. */
 static int
@@ -388,6 +449,10 @@
     cmocka_unit_test_setup_teardown (test_planned_leave_is_announced, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_request_to_end_the_lease_arrives, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_node_that_does_not_lead_tells_who_does, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_new_leader_tells_the_last_one, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_leadership_is_lost_within_a_message, set_up,
                                      tear_down)
   };
