--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -248,6 +248,16 @@
     }
 }
 
+/* Earlier versions leave out the last fields. */
+static void
+read_ping (KqReader *r, KqAgentItem *i)
+{
+  i->u.ping.heartbeat_sent_at = kq_read_i64 (r);
+  i->u.ping.store_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
+  i->u.ping.keys_revision = r->left > 0 ? kq_read_u64 (r) : 0;
+  i->u.ping.keys_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
+}
+
 static void
 read_fields (KqReader *r, KqAgentItem *i)
 {
@@ -319,10 +329,7 @@
       i->u.writing.over = kq_read_bool (r);
       return;
     case KQ_AGENT_ITEM_PING:
-      i->u.ping.heartbeat_sent_at = kq_read_i64 (r);
-      i->u.ping.store_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
-      i->u.ping.keys_revision = r->left > 0 ? kq_read_u64 (r) : 0;
-      i->u.ping.keys_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
+      read_ping (r, i);
       return;
     case KQ_AGENT_ITEM_FOLLOW:
       i->u.follow.revision = kq_read_u64 (r);
