--- a/fuzz/fuzz.h
+++ b/fuzz/fuzz.h
@@ -27,6 +27,9 @@
  * waves, advice. Its own: settings, jobs, agent items, learned disturbance, waves. */
 void kq_fuzz_platform (KqStr data);
 
+/* A change of an operators' key as a leader relays it. */
+void kq_fuzz_keys (KqStr data);
+
 /* Aborts if the property doesn't hold, also in a build without asserts. */
 void kq_fuzz_check (bool holds, const char *property);
 
--- a/tests/corpus_test.c
+++ b/tests/corpus_test.c
@@ -18,7 +18,7 @@
   { "record", kq_fuzz_record },     { "table", kq_fuzz_table },
   { "row", kq_fuzz_row },           { "settings", kq_fuzz_settings },
   { "hosts", kq_fuzz_hosts },       { "worker", kq_fuzz_worker },
-  { "platform", kq_fuzz_platform },
+  { "platform", kq_fuzz_platform }, { "keys", kq_fuzz_keys },
 };
 
 /* Runs the target on the file, on each proper prefix of it, and with each single byte
