--- a/src/sched/large_tasks.c
+++ b/src/sched/large_tasks.c
@@ -18,8 +18,6 @@
 #define CHOICE_INTERVAL (200 * KQ_MS)
 /* A task counts as started lately for this time. */
 #define STARTED_LATELY (3 * KQ_SEC)
-/* A lost lasting task that has waited for this long may use any room. */
-#define LOST_WAIT_MAX (2 * KQ_SEC)
 
 static bool
 is_reserving (const KqStep *p)
@@ -48,7 +46,7 @@
   if (r->reservation.since == 0 || starved)
     return true;
   if (p->lasting)
-    return lost && st->lost_since != 0 && now - st->lost_since >= LOST_WAIT_MAX;
+    return lost && st->lost_since != 0 && now - st->lost_since >= KQ_PLACE_LOST_WAIT_MAX;
   if (p->filling)
     return p->gpus == 0
            && r->used.mem_mb + p->mem_mb + r->reservation.mem_mb <= r->room.mem_mb;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -22,7 +22,7 @@
 /* Ranks, served in this order. */
 enum
 {
-  RANK_LOST, /* a lost lasting task that has waited for LOST_WAIT_MAX */
+  RANK_LOST, /* a lost lasting task that has waited for KQ_PLACE_LOST_WAIT_MAX */
   RANK_IN_TIME,
   /* Late reserved steps, with large_task_room: they give their room back within a second
    * or two, whereas a lasting task keeps it. Behind waiting lasting tasks, large tasks
@@ -44,10 +44,6 @@
 #define HOPELESS_RATIO 3
 /* Which job is put behind when not all can be in time (waiting_order.h). */
 #define DEFER_RULE KQ_DEFER_NEWEST
-/* A lasting task that has lost its run goes first after waiting for this time. When many
- * hosts went down, short jobs in time kept the room from these tasks for 14 s, during
- * which their callers had no service. */
-#define LOST_WAIT_MAX (2 * KQ_SEC)
 /* A pass follows at the latest after this time while tasks wait, even if nothing has
  * happened: ranks change with time, and so does what a waiting task accepts. */
 #define PASS_INTERVAL_MAX (500 * KQ_MS)
@@ -286,7 +282,7 @@
       g_array_append_val (waiting, t);
       if (st->lost_since != 0 && !kq_book_has_lost_waiting (st, &j->spec.steps[i]))
         st->lost_since = 0;
-      if (st->lost_since != 0 && now - st->lost_since >= LOST_WAIT_MAX)
+      if (st->lost_since != 0 && now - st->lost_since >= KQ_PLACE_LOST_WAIT_MAX)
         {
           t.rank = RANK_LOST;
           t.lost = true;
