--- a/src/election/lease_expiry.c
+++ b/src/election/lease_expiry.c
@@ -10,9 +10,10 @@
 /* A renewal takes a handshake and a call, of 100 ms each between regions. */
 #define RENEWAL_TIMEOUT (300 * KQ_MS)
 
-/* How long the store must have refused all renewals, which are repeated every 120 ms. */
+/* Time of refused renewals after which the leader resigns; one is sent every 120 ms. */
 #define REFUSED_MIN (300 * KQ_MS)
-/* A peer's report that the store answered it is current for a heartbeat and its way. */
+/* For how long a peer's report counts as current: a heartbeat interval and its delivery.
+ */
 #define PEER_REPORT_CURRENT (400 * KQ_MS)
 
 /* Whether the store refuses this leader, and has answered a peer meanwhile. */
