--- a/src/fleet/key_feed.h
+++ b/src/fleet/key_feed.h
@@ -16,8 +16,8 @@
 #include "fleet/link.h"
 #include "fleet/queue_keys.h"
 
-/* The leader's watch is answered every half a second and its pings are 0.3 s apart, so the
- * age stays below 0.9 s while nothing fails. */
+/* The leader's watch is answered every half a second and its pings are 0.3 s apart, so
+ * the age stays below 0.9 s while nothing fails. */
 #define KQ_KEY_FEED_AGE_MAX (1500 * KQ_MS)
 /* Longest wait of a leader's watch. */
 #define KQ_KEY_FEED_WATCH_MS 500
