--- a/fuzz/fuzz_keys.c
+++ b/fuzz/fuzz_keys.c
@@ -12,7 +12,7 @@
 kq_fuzz_keys (KqStr data)
 {
   KqKeyLog *l = kq_key_log_new ();
-  KqKvItem base = { .key = KQ_STR ("op/config"),
+  KqKvItem base = { .key = KQ_STR ("a/key"),
                     .revision = BASE_REVISION,
                     .value = KQ_STR (BASE_VALUE) };
   KqKeyChange c = { .key = base.key, .revision = BASE_REVISION + 1 };
