--- a/src/fleet/key_feed.h
+++ b/src/fleet/key_feed.h
@@ -5,8 +5,8 @@
  *
  * The leader watches these keys and relays their changes to the nodes connected to it. If
  * each node watched them itself, calls to the store and the bytes of each configuration
- * would grow with the fleet: 300 nodes behind a link between regions received successive
- * configurations more slowly than operators wrote them.
+ * would grow with the fleet, and hundreds of nodes behind a link between regions would
+ * receive successive configurations more slowly than operators write them.
  *
  * A node watches the keys itself until the leader relays them, and again when the way
  * through the leader is in doubt: the connection has ended, or the leader hasn't been
--- a/src/fleet/key_log.h
+++ b/src/fleet/key_log.h
@@ -1,7 +1,8 @@
 #ifndef KQ_FLEET_KEY_LOG_H
 #define KQ_FLEET_KEY_LOG_H
 
-/* key_log: the latest changes of the operators' keys, and their form between nodes.
+/* key_log: the latest changes of the operators' keys, and their form between nodes. It is
+ * for configurations that change in quick succession while hundreds of nodes need each.
  *
  * Every node keeps them, as each may become leader and relay changes to the other nodes
  * (fleet/key_feed.h). A value travels as its difference from an earlier value of its key
--- a/src/fleet/link_peers.c
+++ b/src/fleet/link_peers.c
@@ -15,7 +15,7 @@
 #define LOSS_DETECTION (2 * KQ_SEC)
 /* How many nodes a leader that resigns asks to end its lease, as one may fail. */
 #define END_LEASE_NODES 3
-/* How long their connections are kept, so that what was sent last arrives. */
+/* How long a closed peer's connection is kept, so that what was sent last arrives. */
 #define END_INTERVAL (300 * KQ_MS)
 /* How long a new leader tries to reach the last one. */
 #define ANNOUNCE_TIMEOUT (2 * KQ_SEC)
--- a/src/fleet/peer_reports.h
+++ b/src/fleet/peer_reports.h
@@ -2,7 +2,8 @@
 #define KQ_FLEET_PEER_REPORTS_H
 
 /* peer_reports: on the leader, the runs that a node has listed last for each of its
- * runners. Nodes send the differences from these lists. */
+ * runners. Nodes send the differences from these lists, as thousands of runners list
+ * several runs each, several times a second. */
 
 #include "agent/frame.h"
 
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -61,8 +61,8 @@
 /* Whether the runner is of the kind, or on the rack, that the label names; "": any. */
 bool kq_place_has_label (const KqRunnerState *r, KqStr label);
 /* A lasting task that has lost its run goes first after waiting for this time, and may
- * use any room. When many hosts went down, short jobs in time kept the room from these
- * tasks for 14 s, during which their callers had no service. */
+ * use any room. When many hosts go down, short jobs in time keep the room from these
+ * tasks, whose callers have no service meanwhile. */
 #define KQ_PLACE_LOST_WAIT_MAX (2 * KQ_SEC)
 /* A filling task starts only where this share of its cpu is unused. With less it would
  * run slowly, slow down the other filling tasks there, and hold memory all that time. */
