Accepts: the leader reads a write without an answer back

Cause: front_submit reads such a write back, but the leader, which writes for nodes that the store turns away, answered "unknown" at once. A store that loses answers of writes that it carries out so left the client without its job's id. Change: the leader reads the job's key after 450 ms without an answer, for at most 250 ms; both stay within the node's wait for the leader. Result: test_write_without_an_answer_is_read_back fails without the change.

--- a/src/fleet/accepts.c
+++ b/src/fleet/accepts.c
@@ -9,9 +9,10 @@
 #include <stdlib.h>
 
 #define PART "accepts"
-/* Timeout of a write: shorter by a round trip than LEADER_WRITE_TIMEOUT (front.c), for
- * which the node waits for the answer. */
-#define WRITE_TIMEOUT_MS 700
+/* Timeouts of a write, and of the read after one without an answer: together shorter by a
+ * round trip than LEADER_WRITE_TIMEOUT (front_submit.c), for which the node waits. */
+#define WRITE_TIMEOUT_MS 450
+#define READ_TIMEOUT_MS 250
 /* No jobs are written for this long after a write without an answer: by then the leader's
  * other calls have shown whether it still reaches the store. */
 #define PAUSE_AFTER_UNKNOWN (700 * KQ_MS)
@@ -23,6 +24,7 @@
   KqAccepts *accepts; /* NULL: freed meanwhile */
   KqPeer *peer;       /* NULL: disconnected meanwhile */
   uint64_t call;      /* the peer's number of its query */
+  char *key;          /* the job's key in the store */
   KqBuf stored;       /* the job in its stored form */
 } Call;
 
@@ -83,11 +85,10 @@
 }
 
 static void
-on_written (void *arg, const KqKvReply *r, KqTime now)
+end_call (Call *c, KqAcceptResult result, const KqKvReply *r, uint64_t revision,
+          KqTime now)
 {
-  Call *c = arg;
   KqAccepts *a = c->accepts;
-  KqAcceptResult result = result_of (r->result);
   if (a == NULL)
     goto out;
   g_ptr_array_remove_fast (a->calls, c);
@@ -95,15 +96,38 @@
     a->unknown_at = now;
   if (result == KQ_ACCEPT_DONE)
     a->owner.answered (a->owner.arg, r->called_at, now);
-  if (r->result == KQ_KV_OK)
-    a->owner.accepted (a->owner.arg, kq_buf_str (&c->stored), r->revision, now);
+  if (revision != 0)
+    a->owner.accepted (a->owner.arg, kq_buf_str (&c->stored), revision, now);
   if (c->peer != NULL)
     answer (c->peer, c->call, result);
 out:
   kq_buf_free (&c->stored);
+  free (c->key);
   free (c);
 }
 
+static void
+on_read_back (void *arg, const KqKvReply *r, KqTime now)
+{
+  bool found = r->result == KQ_KV_OK && r->n_items == 1;
+  end_call (arg, found ? KQ_ACCEPT_DONE : KQ_ACCEPT_UNKNOWN, r,
+            found ? r->items[0].revision : 0, now);
+}
+
+/* A write without an answer is read back: stores lose answers of writes that they carry
+ * out. */
+static void
+on_written (void *arg, const KqKvReply *r, KqTime now)
+{
+  Call *c = arg;
+  KqAcceptResult result = result_of (r->result);
+  if (result == KQ_ACCEPT_UNKNOWN && c->accepts != NULL)
+    kq_kv_get (c->accepts->kv, kq_str (c->key), READ_TIMEOUT_MS,
+               (KqKvCallback){ on_read_back, c });
+  else
+    end_call (c, result, r, r->result == KQ_KV_OK ? r->revision : 0, now);
+}
+
 static void
 write_job (KqAccepts *a, Call *c, KqStr id)
 {
@@ -111,6 +135,7 @@
   KqKvCheck check = { key, 0 };
   KqKvPut put = { key, kq_buf_str (&c->stored), 0 };
   KqKvTxn t = { &check, 1, &put, 1, NULL, 0 };
+  c->key = kq_str_dup (key);
   kq_kv_txn (a->kv, &t, WRITE_TIMEOUT_MS, (KqKvCallback){ on_written, c });
   free ((char *)key.ptr);
 }
--- a/src/fleet/accepts_test.c
+++ b/src/fleet/accepts_test.c
@@ -38,6 +38,15 @@
   fake.cb = cb;
 }
 
+void
+kq_kv_get (KqKv *kv, KqStr key, int timeout_ms, KqKvCallback cb)
+{
+  (void)kv;
+  (void)timeout_ms;
+  assert_true (kq_str_eq (key, kq_str (fake.key)));
+  fake.cb = cb;
+}
+
 void
 kq_link_send_peer (KqPeer *p, const KqAgentItem *i)
 {
@@ -99,7 +108,8 @@
 static void
 store_answers (KqKvResult result)
 {
-  KqKvReply r = { .result = result, .revision = 9 };
+  KqKvItem job = { .key = kq_str (fake.key), .revision = 9 };
+  KqKvReply r = { .result = result, .revision = 9, .items = &job, .n_items = 1 };
   fake.cb.done (fake.cb.arg, &r, START);
 }
 
@@ -136,10 +146,26 @@
   KqAccepts *a = begin ();
   (void)state;
   store_answers (KQ_KV_UNKNOWN);
+  assert_int_equal (fake.answers, 0);
+  store_answers (KQ_KV_NOT_FOUND);
   assert_int_equal (fake.value, KQ_ACCEPT_UNKNOWN);
   kq_accepts_free (a);
 }
 
+/* Guards against a client that isn't told of its accepted job, as the store loses answers
+ * of writes that it carries out. */
+static void
+test_write_without_an_answer_is_read_back (void **state)
+{
+  KqAccepts *a = begin ();
+  (void)state;
+  store_answers (KQ_KV_UNKNOWN);
+  store_answers (KQ_KV_OK);
+  assert_int_equal (fake.accepted, 1);
+  assert_int_equal (fake.value, KQ_ACCEPT_DONE);
+  kq_accepts_free (a);
+}
+
 static void
 test_refused_write_is_refused (void **state)
 {
@@ -190,6 +216,7 @@
   KqAccepts *a = begin ();
   (void)state;
   store_answers (KQ_KV_UNKNOWN);
+  store_answers (KQ_KV_UNKNOWN);
   write_job (a, 6, START + 100 * KQ_MS);
   assert_int_equal (fake.writes, 1);
   assert_int_equal (fake.call, 6);
@@ -208,6 +235,7 @@
     cmocka_unit_test (test_job_is_written_and_accepted),
     cmocka_unit_test (test_repeat_is_the_same_job),
     cmocka_unit_test (test_write_without_an_answer_has_unknown_outcome),
+    cmocka_unit_test (test_write_without_an_answer_is_read_back),
     cmocka_unit_test (test_refused_write_is_refused),
     cmocka_unit_test (test_node_or_leader_is_gone_before_the_answer),
     cmocka_unit_test (test_invalid_job_is_refused),
