Accepts: only its own record, read back, counts as accepted

Cause: a job submitted a second time, whose second write got no answer, would have been read back as the first record, at its revision, and told to the leader as new although it may have been run since. Other writes also went on during the read. Change: a record that differs from the one written isn't told to the leader; the pause starts as the write ends without an answer, as before the read-back. Result: test_earlier_record_is_not_accepted_again fails with the record taken for this write's.

--- a/src/fleet/accepts.c
+++ b/src/fleet/accepts.c
@@ -92,8 +92,6 @@
   if (a == NULL)
     goto out;
   g_ptr_array_remove_fast (a->calls, c);
-  if (result == KQ_ACCEPT_UNKNOWN)
-    a->unknown_at = now;
   if (result == KQ_ACCEPT_DONE)
     a->owner.answered (a->owner.arg, r->called_at, now);
   if (revision != 0)
@@ -109,9 +107,12 @@
 static void
 on_read_back (void *arg, const KqKvReply *r, KqTime now)
 {
+  Call *c = arg;
   bool found = r->result == KQ_KV_OK && r->n_items == 1;
-  end_call (arg, found ? KQ_ACCEPT_DONE : KQ_ACCEPT_UNKNOWN, r,
-            found ? r->items[0].revision : 0, now);
+  /* Any other record is of an earlier submission, and the job may have been run since. */
+  bool ours = found && kq_str_eq (r->items[0].value, kq_buf_str (&c->stored));
+  end_call (c, found ? KQ_ACCEPT_DONE : KQ_ACCEPT_UNKNOWN, r,
+            ours ? r->items[0].revision : 0, now);
 }
 
 /* A write without an answer is read back: stores lose answers of writes that they carry
@@ -122,8 +123,11 @@
   Call *c = arg;
   KqAcceptResult result = result_of (r->result);
   if (result == KQ_ACCEPT_UNKNOWN && c->accepts != NULL)
-    kq_kv_get (c->accepts->kv, kq_str (c->key), READ_TIMEOUT_MS,
-               (KqKvCallback){ on_read_back, c });
+    {
+      c->accepts->unknown_at = now;
+      kq_kv_get (c->accepts->kv, kq_str (c->key), READ_TIMEOUT_MS,
+                 (KqKvCallback){ on_read_back, c });
+    }
   else
     end_call (c, result, r, r->result == KQ_KV_OK ? r->revision : 0, now);
 }
--- a/src/fleet/accepts.h
+++ b/src/fleet/accepts.h
@@ -7,9 +7,10 @@
  * their connections, so if the leader didn't write for them, every job sent to those
  * nodes would be refused.
  *
- * The leader makes one write per job and replies with its result; a job whose write got
- * no answer may have been accepted. After such a write no jobs are written for a while:
- * the store may be about to become unreachable for the leader as well. */
+ * The leader makes one write per job and replies with its result. A write without an
+ * answer is read back; if the job isn't found, the write may still be carried out. Then
+ * no jobs are written for a while: the store may be about to become unreachable for the
+ * leader as well. */
 
 #include "fleet/link.h"
 #include "port/kv.h"
@@ -21,7 +22,7 @@
 {
   KQ_ACCEPT_DONE,    /* the job is in the store */
   KQ_ACCEPT_REFUSED, /* the job hasn't been written, and won't be by this call */
-  KQ_ACCEPT_UNKNOWN  /* the write got no answer: it may or may not be carried out */
+  KQ_ACCEPT_UNKNOWN  /* no answer and not found: it may or may not be carried out */
 } KqAcceptResult;
 
 typedef struct
--- a/src/fleet/accepts_test.c
+++ b/src/fleet/accepts_test.c
@@ -18,6 +18,8 @@
 {
   int writes;
   char key[64];
+  char stored[256]; /* the record that a read finds */
+  size_t stored_len;
   KqKvCallback cb;
   int answers;
   uint64_t call; /* of the last answer */
@@ -34,6 +36,9 @@
   (void)timeout_ms;
   assert_int_equal (t->checks[0].revision, 0);
   kq_str_copy (t->checks[0].key, fake.key, sizeof fake.key);
+  fake.stored_len = t->puts[0].value.len;
+  assert_true (fake.stored_len <= sizeof fake.stored);
+  memcpy (fake.stored, t->puts[0].value.ptr, fake.stored_len);
   fake.writes++;
   fake.cb = cb;
 }
@@ -108,7 +113,8 @@
 static void
 store_answers (KqKvResult result)
 {
-  KqKvItem job = { .key = kq_str (fake.key), .revision = 9 };
+  KqStr stored = { fake.stored, fake.stored_len };
+  KqKvItem job = { .key = kq_str (fake.key), .value = stored, .revision = 9 };
   KqKvReply r = { .result = result, .revision = 9, .items = &job, .n_items = 1 };
   fake.cb.done (fake.cb.arg, &r, START);
 }
@@ -166,6 +172,21 @@
   kq_accepts_free (a);
 }
 
+/* Guards against a second run of a job that was submitted before: the record found isn't
+ * of this write. */
+static void
+test_earlier_record_is_not_accepted_again (void **state)
+{
+  KqAccepts *a = begin ();
+  (void)state;
+  store_answers (KQ_KV_UNKNOWN);
+  fake.stored[0]++;
+  store_answers (KQ_KV_OK);
+  assert_int_equal (fake.accepted, 0);
+  assert_int_equal (fake.value, KQ_ACCEPT_DONE);
+  kq_accepts_free (a);
+}
+
 static void
 test_refused_write_is_refused (void **state)
 {
@@ -216,11 +237,11 @@
   KqAccepts *a = begin ();
   (void)state;
   store_answers (KQ_KV_UNKNOWN);
-  store_answers (KQ_KV_UNKNOWN);
   write_job (a, 6, START + 100 * KQ_MS);
   assert_int_equal (fake.writes, 1);
   assert_int_equal (fake.call, 6);
   assert_int_equal (fake.value, KQ_ACCEPT_REFUSED);
+  store_answers (KQ_KV_UNKNOWN);
   write_job (a, 7, START + KQ_SEC);
   assert_int_equal (fake.writes, 2);
   store_answers (KQ_KV_OK);
@@ -236,6 +257,7 @@
     cmocka_unit_test (test_repeat_is_the_same_job),
     cmocka_unit_test (test_write_without_an_answer_has_unknown_outcome),
     cmocka_unit_test (test_write_without_an_answer_is_read_back),
+    cmocka_unit_test (test_earlier_record_is_not_accepted_again),
     cmocka_unit_test (test_refused_write_is_refused),
     cmocka_unit_test (test_node_or_leader_is_gone_before_the_answer),
     cmocka_unit_test (test_invalid_job_is_refused),
