--- a/src/sched/agents_test.c
+++ b/src/sched/agents_test.c
@@ -67,8 +67,7 @@
   kq_agents_clear (&a);
 }
 
-/* Guards against nodes that join a large fleet and are never used: the table of agents
- * had 512 rows. */
+/* Guards against nodes that join a large fleet and are never used. */
 static void
 test_every_node_of_a_large_fleet_gets_runners (void **state)
 {
