Review case 1: an entry of another writer makes tasks run twice

Cause: only four fields of a runner's entry are checked. An entry that the platform calls one of another writer passes as a change of address, and the 421 of whoever answers there is taken as proof that the runner's process has ended. Case: such an entry stands under the key of a live runner until its next heartbeat, with the address of another runner.

--- a/review/fleet_test.c
+++ b/review/fleet_test.c
@@ -212,6 +212,8 @@
   char *text;
   snprintf (address, sizeof address, "127.0.0.1:%d", kq_web_port (r->web));
   json_object_set_new (j, "address", json_string (address));
+  json_object_set_new (j, "cold_left_ms", json_integer (0));
+  json_object_set_new (j, "clock_ms", json_integer (clock_of (r)));
   text = json_dumps (j, JSON_COMPACT);
   kq_platform_kv_put (kv, r->key, kq_str (text));
   free (text);
@@ -452,13 +454,30 @@
   return NULL;
 }
 
+/* Two runs of one task at a time, on runners that are up. */
+static void
+check_twice (const Runner *r, const Run *run)
+{
+  for (int i = 0; i < n_runners; i++)
+    for (guint k = 0; runners[i].up && k < runners[i].runs->len; k++)
+      {
+        const Run *other = g_ptr_array_index (runners[i].runs, k);
+        if (strcmp (other->task, run->task) == 0)
+          broken ("TWICE: %s is started as run %u on runner %s while run %u of it is at "
+                  "work on runner %s, its lease good for %lld ms",
+                  run->task, run->number, r->id, other->number, runners[i].id,
+                  (long long)(runners[i].lease_end - clock_of (&runners[i])));
+      }
+}
+
 /* The rules that a start alone can break. */
 static void
-check_start (Runner *r, const Run *run, const char *saved)
+check_start (const Runner *r, const Run *run, const char *saved)
 {
   const Step *s = &run->job->steps[run->step];
   char key[96];
   const char *first;
+  check_twice (r, run);
   if (s->needs != NULL && strcmp (s->needs, r->kind) != 0)
     broken ("ROUTE: %s run %u needs kind %s and is started on runner %s of kind %s "
             "(born %lld)",
@@ -1000,6 +1019,43 @@
   return result_of (wait_state (1, j, "completed", 60000));
 }
 
+/* Another writer puts an entry under a runner's key, with fields missing or of another
+ * type, and the address of another runner. The runner itself goes on, and writes its own
+ * entry at its next heartbeat. */
+static int
+entry_case (void)
+{
+  const Step step = { .width = 16, .cpu = 4000, .mem = 500, .ms = 6000, .after = -1 };
+  char entry[400];
+  Job *j;
+  for (int i = 0; i < 8; i++)
+    add_runner ("a", 16000);
+  for (n_nodes = 0; n_nodes < 3; n_nodes++)
+    start_node (n_nodes);
+  run_for (4000);
+  j = new_job (&step, 1);
+  if (!hand_in (0, j, 10000))
+    return 2;
+  run_for (1000);
+  /* Between two heartbeats, as most moments are. */
+  while (now_ms () - runners[0].beat_at < HEARTBEAT_MS / 3
+         || now_ms () - runners[0].beat_at > HEARTBEAT_MS / 2)
+    run_for (10);
+  if (runners[0].runs->len == 0)
+    return 2;
+  if (trouble)
+    {
+      snprintf (entry, sizeof entry,
+                "{\"service\":\"desk\",\"address\":\"127.0.0.1:%d\",\"zone\":3,"
+                "\"slots\":\"8\",\"state\":\"ready\",\"seq\":\"none\","
+                "\"room\":{\"cpu\":16000,\"mem_mb\":64000,\"gpu\":0}}",
+                kq_web_port (runners[1].web));
+      note ("TROUBLE another writer puts %s = %s", runners[0].key, entry);
+      kq_platform_kv_put (kv, runners[0].key, kq_str (entry));
+    }
+  return result_of (wait_state (1, j, "completed", 60000));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1029,6 +1085,8 @@
   ev_timer_start (kq_loop_ev (loop), &tick);
   if (strcmp (argv[1], "gang") == 0)
     result = gang_case ();
+  else if (strcmp (argv[1], "entry") == 0)
+    result = entry_case ();
   for (int i = 0; i < n_nodes; i++)
     if (nodes[i].pid > 0)
       {
