Review case 2: a job runs after its cancelling was acknowledged with 410

Cause: a cancellation of a job that isn't in the store is answered with 410 and leaves nothing there. A write of the job whose answer was lost may still be carried out. Case: both writes of one submission get no answer and are carried out 5.9 s later; the client cancels the job in between, and a GET at a third node is answered with 410.

--- a/review/fleet_test.c
+++ b/review/fleet_test.c
@@ -7,6 +7,7 @@
 
 #include "http/client.h"
 #include "platform_kv.h"
+#include "store_test.h"
 
 #include <ev.h>
 #include <glib.h>
@@ -35,6 +36,8 @@
 #define RESTORE_MS 100
 #define GANG_MS 3000
 #define HEARTBEAT_MS 1500
+#define CANCEL_MS 3000
+#define LATE_MS 5900 /* platform_lost, late: done 1 to 6 s later */
 
 typedef struct
 {
@@ -55,7 +58,8 @@
   char spec[64];
   Step steps[STEPS_MAX];
   int n_steps;
-  int accepted; /* status of the last answer to its submission */
+  int accepted;      /* status of the last answer to its submission */
+  int64_t cancelled; /* when its cancelling was acknowledged; 0: not yet */
 } Job;
 
 typedef struct
@@ -478,6 +482,10 @@
   char key[96];
   const char *first;
   check_twice (r, run);
+  if (run->job->cancelled != 0 && now_ms () - run->job->cancelled > CANCEL_MS)
+    broken ("UNASKED: %s is started on runner %s %.3f s after the cancelling of its job "
+            "was acknowledged",
+            run->task, r->id, (double)(now_ms () - run->job->cancelled) / 1000);
   if (s->needs != NULL && strcmp (s->needs, r->kind) != 0)
     broken ("ROUTE: %s run %u needs kind %s and is started on runner %s of kind %s "
             "(born %lld)",
@@ -1056,6 +1064,70 @@
   return result_of (wait_state (1, j, "completed", 60000));
 }
 
+static void
+on_late (bool carried_out)
+{
+  note ("store: a write whose answer was lost is carried out late%s",
+        carried_out ? "" : ": its condition no longer holds");
+}
+
+/* The answers to the writes of one job are lost, and the writes are carried out late.
+ * Meanwhile its client, which got no clear answer, cancels it. */
+static int
+cancel_case (void)
+{
+  const Step step = { .width = 4, .cpu = 1000, .mem = 500, .ms = 2000, .after = -1 };
+  const Step other = { .width = 1, .cpu = 1000, .mem = 500, .ms = 300, .after = -1 };
+  Job *j;
+  bool done = false;
+  char state[64];
+  int status = 0;
+  int writes;
+  int lost;
+  for (int i = 0; i < 8; i++)
+    add_runner ("a", 16000);
+  for (n_nodes = 0; n_nodes < 3; n_nodes++)
+    start_node (n_nodes);
+  run_for (4000);
+  if (!hand_in (0, new_job (&other, 1), 10000))
+    return 2;
+  j = new_job (&step, 1);
+  j->accepted = -1;
+  store_lose_writes (trouble ? j->id : "", LATE_MS, on_late);
+  if (trouble)
+    note ("TROUBLE answers of the store are lost, for the writes of job %s", j->id);
+  submit (0, j);
+  for (int i = 0; i < 12; i++)
+    {
+      submit (i % n_nodes, new_job (&other, 1));
+      run_for (100);
+    }
+  while (j->accepted < 0)
+    run_for (5);
+  store_counts (&writes, &lost);
+  store_lose_writes ("", LATE_MS, on_late);
+  note ("TROUBLE is over: %d of %d writes were lost", lost, writes);
+  do
+    {
+      done = false;
+      ask (1, "DELETE", j->id, KQ_STR (""), NULL, &done, &status, NULL);
+      while (!done)
+        run_for (5);
+      if (status == 200 || status == 410)
+        break;
+      run_for (300);
+    }
+  while (now_ms () - began_ms < 30000);
+  if (status != 200 && status != 410)
+    return 2;
+  j->cancelled = now_ms ();
+  note ("client: the cancelling is acknowledged with %d", status);
+  get_state (2, j, state);
+  note ("client: then the state of the job at node 3 is %s", state);
+  run_for (LATE_MS + 5000);
+  return result_of (true);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1087,6 +1159,8 @@
     result = gang_case ();
   else if (strcmp (argv[1], "entry") == 0)
     result = entry_case ();
+  else if (strcmp (argv[1], "cancel") == 0)
+    result = cancel_case ();
   for (int i = 0; i < n_nodes; i++)
     if (nodes[i].pid > 0)
       {
