Cancellations: a job that isn't stored is cancelled as well

Cause: a submission whose writes get no answer is answered with 504, and the client cancels it at another node. That node read the job's key, didn't find it and answered "no such job", and stored nothing. The submission's write had only one condition, that the job's key doesn't exist, so the store carried it out seconds later as if nobody had cancelled.

Evidence, from the nodes' logs: "Answered. job=..02 at=submit_leader reply=unknown unsure=1" at 20.346, "at=cancel_read reply=no_job" at 20.522, no cancellation after it, "Job added. job=..02 revision=86" at 25.214. The leader never had a cancellation to apply, so the other hypothesis, that it lost one, is out.

Change: a cancellation is stored also without its job (condition: the job's key doesn't exist), and the acknowledgement waits for that write. A submission, by a node or by the leader, is written only if there is no cancellation. The two conditions exclude each other, so whichever write is carried out first makes the other fail; no clock and no leader is needed.

A second submission of such an id finds the cancellation. It is accepted, as a second submission of any other cancelled job is, and stored beside the cancellation; the leader hears of it by its watch only, behind the cancellation. Until then a GET is answered with 410, since there is no job, afterwards with `canceled`. For that the front end reads the cancellation after the job, not before it: two tests of front_test expect the keys in that order now, with one read more; what they guard against is unchanged.

The leader keeps a table of cancellations whose jobs it doesn't know (it was a set without a bound that was never cleared), and deletes them from the store after keep_s, if there is still no job. A new leader reads them with the jobs and counts their time anew. Ids that no job can have are answered at once and leave no key.

--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -163,6 +163,7 @@
     struct
     {
       KqStr id;
+      uint64_t revision; /* of its key; 0: not known. Not sent to other nodes */
     } cancel;
     struct
     {
--- a/src/fleet/accepts.c
+++ b/src/fleet/accepts.c
@@ -1,6 +1,7 @@
 #include "fleet/accepts.h"
 
 #include "base/log.h"
+#include "fleet/job_writes.h"
 #include "fleet/keys.h"
 #include "steps/spec.h"
 
@@ -13,6 +14,9 @@
  * round trip than LEADER_WRITE_TIMEOUT (front_submit.c), for which the node waits. */
 #define WRITE_TIMEOUT_MS 450
 #define READ_TIMEOUT_MS 250
+/* A write that has met a cancellation is repeated within this time; the node waits for
+ * the repeated one as well. */
+#define REWRITE_TIME (250 * KQ_MS)
 /* No jobs are written for this long after a write without an answer: by then the leader's
  * other calls have shown whether it still reaches the store. */
 #define PAUSE_AFTER_UNKNOWN (700 * KQ_MS)
@@ -21,11 +25,13 @@
 
 typedef struct
 {
-  KqAccepts *accepts; /* NULL: freed meanwhile */
-  KqPeer *peer;       /* NULL: disconnected meanwhile */
-  uint64_t call;      /* the peer's number of its query */
-  char *key;          /* the job's key in the store */
-  KqBuf stored;       /* the job in its stored form */
+  KqAccepts *accepts;       /* NULL: freed meanwhile */
+  KqPeer *peer;             /* NULL: disconnected meanwhile */
+  uint64_t call;            /* the peer's number of its query */
+  char *id;                 /* the job's */
+  KqBuf stored;             /* the job in its stored form */
+  uint64_t cancel_revision; /* of the cancellation stored before it; 0: none is known */
+  KqTime begun_at;
 } Call;
 
 struct KqAccepts
@@ -94,13 +100,15 @@
   g_ptr_array_remove_fast (a->calls, c);
   if (result == KQ_ACCEPT_DONE)
     a->owner.answered (a->owner.arg, r->called_at, now);
-  if (revision != 0)
+  /* A job that was cancelled before reaches the leader by its watch, behind the
+   * cancellation. */
+  if (revision != 0 && c->cancel_revision == 0)
     a->owner.accepted (a->owner.arg, kq_buf_str (&c->stored), revision, now);
   if (c->peer != NULL)
     answer (c->peer, c->call, result);
 out:
   kq_buf_free (&c->stored);
-  free (c->key);
+  free (c->id);
   free (c);
 }
 
@@ -115,6 +123,37 @@
             ours ? r->items[0].revision : 0, now);
 }
 
+static void
+read_back (Call *c, KqTime now)
+{
+  KqStr key = kq_key_of (KQ_KEY_JOB, kq_str (c->id));
+  c->accepts->unknown_at = now;
+  kq_kv_get (c->accepts->kv, key, READ_TIMEOUT_MS, (KqKvCallback){ on_read_back, c });
+  free ((char *)key.ptr);
+}
+
+static void on_written (void *arg, const KqKvReply *r, KqTime now);
+
+static void
+write_job (Call *c)
+{
+  kq_job_write (c->accepts->kv, kq_str (c->id), kq_buf_str (&c->stored),
+                c->cancel_revision, WRITE_TIMEOUT_MS, (KqKvCallback){ on_written, c });
+}
+
+/* The job was cancelled before it could be stored: stores it with its cancellation. */
+static void
+write_cancelled (Call *c, const KqKvReply *r, KqTime now)
+{
+  kq_log (KQ_LOG_INFO, PART,
+          "The job was cancelled before it was stored. job=%s revision=%llu", c->id,
+          (unsigned long long)c->cancel_revision);
+  if (now - c->begun_at < REWRITE_TIME)
+    write_job (c);
+  else
+    end_call (c, KQ_ACCEPT_UNKNOWN, r, 0, now);
+}
+
 /* A write without an answer is read back: stores lose answers of writes that they carry
  * out. */
 static void
@@ -122,28 +161,17 @@
 {
   Call *c = arg;
   KqAcceptResult result = result_of (r->result);
-  if (result == KQ_ACCEPT_UNKNOWN && c->accepts != NULL)
-    {
-      c->accepts->unknown_at = now;
-      kq_kv_get (c->accepts->kv, kq_str (c->key), READ_TIMEOUT_MS,
-                 (KqKvCallback){ on_read_back, c });
-    }
+  if (c->accepts == NULL)
+    end_call (c, result, r, 0, now);
+  else if (r->result == KQ_KV_CONFLICT
+           && !kq_job_write_found_job (r, &c->cancel_revision))
+    write_cancelled (c, r, now);
+  else if (result == KQ_ACCEPT_UNKNOWN)
+    read_back (c, now);
   else
     end_call (c, result, r, r->result == KQ_KV_OK ? r->revision : 0, now);
 }
 
-static void
-write_job (KqAccepts *a, Call *c, KqStr id)
-{
-  KqStr key = kq_key_of (KQ_KEY_JOB, id);
-  KqKvCheck check = { key, 0 };
-  KqKvPut put = { key, kq_buf_str (&c->stored), 0 };
-  KqKvTxn t = { &check, 1, &put, 1, NULL, 0 };
-  c->key = kq_str_dup (key);
-  kq_kv_txn (a->kv, &t, WRITE_TIMEOUT_MS, (KqKvCallback){ on_written, c });
-  free ((char *)key.ptr);
-}
-
 void
 kq_accepts_write (KqAccepts *a, KqPeer *p, uint64_t call, KqStr stored, KqTime now)
 {
@@ -164,9 +192,11 @@
   c->accepts = a;
   c->peer = p;
   c->call = call;
+  c->id = kq_str_dup (spec.id);
+  c->begun_at = now;
   kq_buf_add_str (&c->stored, stored);
   g_ptr_array_add (a->calls, c);
-  write_job (a, c, spec.id);
+  write_job (c);
   kq_spec_clear (&spec);
 }
 
--- a/src/fleet/accepts_test.c
+++ b/src/fleet/accepts_test.c
@@ -25,6 +25,7 @@
   uint64_t call; /* of the last answer */
   int64_t value;
   int accepted;
+  uint64_t cancel_revision; /* that the last write expects */
 } fake;
 
 static KqPeer *const peer = (KqPeer *)&fake;
@@ -35,6 +36,8 @@
   (void)kv;
   (void)timeout_ms;
   assert_int_equal (t->checks[0].revision, 0);
+  assert_true (kq_str_eq (t->checks[1].key, KQ_STR ("kq/in/x/j1")));
+  fake.cancel_revision = t->checks[1].revision;
   kq_str_copy (t->checks[0].key, fake.key, sizeof fake.key);
   fake.stored_len = t->puts[0].value.len;
   assert_true (fake.stored_len <= sizeof fake.stored);
@@ -187,6 +190,42 @@
   kq_accepts_free (a);
 }
 
+/* Guards against a job that starts after its cancellation was acknowledged: no write may
+ * overlook the cancellation, and the leader may have read neither. */
+static void
+test_job_cancelled_before_is_stored_beside_its_cancellation (void **state)
+{
+  KqKvItem cancel
+      = { .key = KQ_STR ("kq/in/x/j1"), .value = KQ_STR ("0"), .revision = 5 };
+  KqKvReply r = { .result = KQ_KV_CONFLICT, .items = &cancel, .n_items = 1 };
+  KqAccepts *a = begin ();
+  (void)state;
+  assert_int_equal (fake.cancel_revision, 0);
+  fake.cb.done (fake.cb.arg, &r, START);
+  assert_int_equal (fake.answers, 0);
+  assert_int_equal (fake.writes, 2);
+  assert_int_equal (fake.cancel_revision, 5);
+  store_answers (KQ_KV_OK);
+  assert_int_equal (fake.value, KQ_ACCEPT_DONE);
+  assert_int_equal (fake.accepted, 0);
+  kq_accepts_free (a);
+}
+
+/* Guards against use of freed memory when the store reports a conflict after
+ * kq_accepts_free. */
+static void
+test_leader_is_gone_before_a_conflict (void **state)
+{
+  KqKvItem cancel = { .key = KQ_STR ("kq/in/x/j1"), .revision = 5 };
+  KqKvReply r = { .result = KQ_KV_CONFLICT, .items = &cancel, .n_items = 1 };
+  KqAccepts *a = begin ();
+  (void)state;
+  kq_accepts_free (a);
+  fake.cb.done (fake.cb.arg, &r, START);
+  assert_int_equal (fake.writes, 1);
+  assert_int_equal (fake.answers, 0);
+}
+
 static void
 test_refused_write_is_refused (void **state)
 {
@@ -258,6 +297,8 @@
     cmocka_unit_test (test_write_without_an_answer_has_unknown_outcome),
     cmocka_unit_test (test_write_without_an_answer_is_read_back),
     cmocka_unit_test (test_earlier_record_is_not_accepted_again),
+    cmocka_unit_test (test_job_cancelled_before_is_stored_beside_its_cancellation),
+    cmocka_unit_test (test_leader_is_gone_before_a_conflict),
     cmocka_unit_test (test_refused_write_is_refused),
     cmocka_unit_test (test_node_or_leader_is_gone_before_the_answer),
     cmocka_unit_test (test_invalid_job_is_refused),
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "fleet/accepts.h"
 #include "fleet/front_pending.h"
+#include "fleet/job_writes.h"
 #include "fleet/keys.h"
 
 #include <stdlib.h>
@@ -33,7 +34,7 @@
 static const char *const step_names[]
     = { "submit",         "submit_check",  "submit_read", "ask_admission",
         "admission_read", "submit_leader", "ask_leader",  "read_progress",
-        "read_cancel",    "read_job",      "cancel_read", "cancel_write",
+        "read_job",       "read_cancel",   "cancel_read", "cancel_write",
         "count_waiting" };
 
 static void
@@ -87,8 +88,8 @@
   kq_front_pending_reply (q, &r, now);
 }
 
-static bool
-may_retry (const KqFrontPending *q, KqTime now)
+bool
+kq_front_pending_may_retry (const KqFrontPending *q, KqTime now)
 {
   return now + (KQ_FRONT_DEADLINE_SLACK_MS + 50) * KQ_MS < q->deadline
          && now - q->received_at < RETRY_PERIOD_MAX;
@@ -126,10 +127,10 @@
 static void
 retry (KqFrontPending *q, KqTime now)
 {
-  if (!may_retry (q, now)
+  if (!kq_front_pending_may_retry (q, now)
       && (q->step <= KQ_FRONT_SUBMIT_CHECK || q->step == KQ_FRONT_CANCEL_READ))
     kq_front_pending_reply_kind (q, KQ_REPLY_UNKNOWN, now);
-  else if (!may_retry (q, now))
+  else if (!kq_front_pending_may_retry (q, now))
     kq_front_pending_refuse (q, "the store can't be read", KQ_FRONT_RETRY_STORE_MS,
                              q->handler->counts.refused_store, now);
   else if (q->step == KQ_FRONT_SUBMIT_WRITE)
@@ -138,8 +139,8 @@
     kq_front_pending_read (q, q->step);
 }
 
-static void
-notify_cancel (KqFrontPending *q, KqTime now)
+void
+kq_front_pending_notify_cancel (KqFrontPending *q, KqTime now)
 {
   KqAgentItem i = { .kind = KQ_AGENT_ITEM_CANCEL };
   i.u.cancel.id = q->id;
@@ -153,8 +154,9 @@
   kq_front_pending_report_call (q, r, now);
   if (r->result == KQ_KV_OK)
     {
-      notify_cancel (q, now);
-      kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+      kq_front_pending_notify_cancel (q, now);
+      kq_front_pending_reply_kind (q, q->revision != 0 ? KQ_REPLY_DONE : KQ_REPLY_NO_JOB,
+                                   now);
     }
   else if (r->result == KQ_KV_CONFLICT)
     kq_front_pending_read (
@@ -163,22 +165,18 @@
     kq_front_pending_schedule_retry (q, KQ_FRONT_CANCEL_READ, now);
 }
 
+/* Stores the cancellation, also of a job that isn't stored: a write of it may be
+ * outstanding at another node. */
 static void
 write_cancel (KqFrontPending *q, KqTime now)
 {
-  KqStr job = kq_key_of (KQ_KEY_JOB, q->id);
-  KqStr mark = kq_key_of (KQ_KEY_CANCEL, q->id);
-  KqKvCheck check = { job, q->revision };
-  KqKvPut put = { mark, KQ_STR ("1"), 0 };
-  KqKvTxn t = { &check, 1, &put, 1, NULL, 0 };
   q->step = KQ_FRONT_CANCEL_WRITE;
-  kq_kv_txn (q->handler->config.kv, &t, kq_front_pending_timeout_ms (q, now),
-             (KqKvCallback){ on_cancel_written, q });
-  free ((char *)job.ptr);
-  free ((char *)mark.ptr);
+  kq_cancel_write (q->handler->config.kv, q->id, q->revision,
+                   kq_front_pending_timeout_ms (q, now),
+                   (KqKvCallback){ on_cancel_written, q });
 }
 
-/* Replies with the job's stored final state, or else reads the cancellation's key. */
+/* Replies with the job's stored final state, or else reads whether it is stored. */
 static void
 handle_progress (KqFrontPending *q, const KqKvReply *r, KqTime now)
 {
@@ -187,7 +185,7 @@
   if (state >= KQ_JOB_COMPLETED && state < KQ_JOB_UNKNOWN)
     reply_state (q, state, now);
   else
-    kq_front_pending_read (q, KQ_FRONT_READ_CANCEL);
+    kq_front_pending_read (q, KQ_FRONT_READ_JOB);
 }
 
 static void
@@ -209,7 +207,7 @@
       else if (q->step == KQ_FRONT_SUBMIT_PROBE)
         kq_front_pending_refuse (q, "the store doesn't answer", KQ_FRONT_RETRY_STORE_MS,
                                  q->handler->counts.refused_store, now);
-      else if (may_retry (q, now))
+      else if (kq_front_pending_may_retry (q, now))
         kq_front_pending_schedule_retry (q, q->step, now);
       else
         kq_front_pending_refuse (q, "the store can't be read", KQ_FRONT_RETRY_STORE_MS,
@@ -221,24 +219,18 @@
     case KQ_FRONT_READ_PROGRESS:
       handle_progress (q, r, now);
       break;
-    case KQ_FRONT_READ_CANCEL:
-      if (r->result == KQ_KV_OK)
-        reply_state (q, KQ_JOB_CANCELLED, now);
-      else
-        kq_front_pending_read (q, KQ_FRONT_READ_JOB);
-      break;
     case KQ_FRONT_READ_JOB:
       if (r->result == KQ_KV_OK)
-        reply_state (q, KQ_JOB_RUNNING, now);
+        kq_front_pending_read (q, KQ_FRONT_READ_CANCEL);
       else
         kq_front_pending_reply_kind (q, KQ_REPLY_NO_JOB, now);
       break;
+    case KQ_FRONT_READ_CANCEL:
+      reply_state (q, r->result == KQ_KV_OK ? KQ_JOB_CANCELLED : KQ_JOB_RUNNING, now);
+      break;
     case KQ_FRONT_CANCEL_READ:
       q->revision = r->n_items == 1 ? r->items[0].revision : 0;
-      if (r->result == KQ_KV_OK)
-        write_cancel (q, now);
-      else
-        kq_front_pending_reply_kind (q, KQ_REPLY_NO_JOB, now);
+      write_cancel (q, now);
       break;
     case KQ_FRONT_SUBMIT_CHECK:
       if (r->result == KQ_KV_OK)
@@ -364,6 +356,8 @@
     kq_front_pending_reply_kind (q, KQ_REPLY_NO_QUEUE, now);
   else if (r->kind == KQ_FRONT_SUBMIT)
     kq_front_submit_begin (q, r, queue, now);
+  else if (r->kind == KQ_FRONT_CANCEL && !kq_spec_id_is_valid (id))
+    kq_front_pending_reply_kind (q, KQ_REPLY_NO_JOB, now);
   else if (r->kind == KQ_FRONT_CANCEL
            && h->config.store_state (h->config.arg, now) == KQ_REACH_DOWN)
     kq_front_pending_refuse (q, "the store is away", KQ_FRONT_RETRY_STORE_MS,
--- a/src/fleet/front_pending.h
+++ b/src/fleet/front_pending.h
@@ -32,8 +32,8 @@
   KQ_FRONT_SUBMIT_LEADER, /* the leader writes the job */
   KQ_FRONT_STATE_LEADER,  /* waits for the state from the leader */
   KQ_FRONT_READ_PROGRESS, /* the READ_ steps find a job's state in the store */
-  KQ_FRONT_READ_CANCEL,
   KQ_FRONT_READ_JOB,
+  KQ_FRONT_READ_CANCEL, /* of a stored job */
   KQ_FRONT_CANCEL_READ,
   KQ_FRONT_CANCEL_WRITE,
   KQ_FRONT_COUNT_LEADER /* waits for the number of waiting jobs from the leader */
@@ -52,10 +52,12 @@
   KqTime leader_deadline;
   KqTime retry_at; /* set while in `retries` */
   KqTime retry_delay;
-  uint64_t revision;  /* of the job's key */
-  bool write_unknown; /* a write of this request got no answer */
-  KqFrontDoubt doubt; /* in the ADMIT_ steps: why the leader is asked */
-  int64_t refused_ms; /* in ADMIT_READ: the Retry-After by the leader's answer */
+  uint64_t revision;        /* of the job's key; 0: the job isn't stored */
+  uint64_t cancel_revision; /* of a submission: of the cancellation stored before it; 0:
+                               none is known */
+  bool write_unknown;       /* a write of this request got no answer */
+  KqFrontDoubt doubt;       /* in the ADMIT_ steps: why the leader is asked */
+  int64_t refused_ms;       /* in ADMIT_READ: the Retry-After by the leader's answer */
 } KqFrontPending;
 
 struct KqFrontHandler
@@ -79,6 +81,10 @@
 /* Reports the call's result to the owner, which judges the store by it. */
 void kq_front_pending_report_call (KqFrontPending *q, const KqKvReply *r, KqTime now);
 void kq_front_pending_schedule_retry (KqFrontPending *q, KqFrontStep step, KqTime now);
+/* Whether there is time for another call to the store. */
+bool kq_front_pending_may_retry (const KqFrontPending *q, KqTime now);
+/* Tells the leader that the job's cancellation is stored. */
+void kq_front_pending_notify_cancel (KqFrontPending *q, KqTime now);
 /* Reads the key that the step is about. */
 void kq_front_pending_read (KqFrontPending *q, KqFrontStep step);
 /* Sends a query to the leader; the step gets its answer, or -1 after `wait`. */
--- a/src/fleet/front_submit.c
+++ b/src/fleet/front_submit.c
@@ -3,10 +3,9 @@
 #include "base/log.h"
 #include "fleet/accepts.h"
 #include "fleet/front_pending.h"
-#include "fleet/keys.h"
-
-#include <stdlib.h>
+#include "fleet/job_writes.h"
 
+#define PART "front"
 /* Timeout of a job that the leader writes: a round trip between regions and its call. */
 #define LEADER_WRITE_TIMEOUT (1000 * KQ_MS)
 /* Timeout of the question whether to refuse a job; then it is accepted. */
@@ -69,6 +68,25 @@
     kq_front_submit_write (q);
 }
 
+/* The job is stored already, by an earlier request or an earlier try, or it was cancelled
+ * before it could be stored. It is then stored with its cancellation. */
+static void
+handle_conflict (KqFrontPending *q, const KqKvReply *r, KqTime now)
+{
+  if (kq_job_write_found_job (r, &q->cancel_revision))
+    {
+      kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+      return;
+    }
+  kq_log (KQ_LOG_INFO, PART,
+          "The job was cancelled before it was stored. job=%.*s revision=%llu",
+          KQ_STR_ARG (q->id), (unsigned long long)q->cancel_revision);
+  if (kq_front_pending_may_retry (q, now))
+    kq_front_submit_write (q);
+  else
+    kq_front_pending_reply_kind (q, KQ_REPLY_UNKNOWN, now);
+}
+
 static void
 on_submit_written (void *arg, const KqKvReply *r, KqTime now)
 {
@@ -77,11 +95,14 @@
   switch (r->result)
     {
     case KQ_KV_OK:
-      notify_job (q, r->revision, now);
+      /* A job that was cancelled before reaches the leader by its watch, behind the
+       * cancellation. */
+      if (q->cancel_revision == 0)
+        notify_job (q, r->revision, now);
       kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
       break;
-    case KQ_KV_CONFLICT: /* stored already, by an earlier request or an earlier try */
-      kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+    case KQ_KV_CONFLICT:
+      handle_conflict (q, r, now);
       break;
     case KQ_KV_UNKNOWN:
       q->write_unknown = true;
@@ -102,15 +123,11 @@
 kq_front_submit_write (KqFrontPending *q)
 {
   KqTime now = kq_loop_now (q->handler->config.loop);
-  KqStr key = kq_key_of (KQ_KEY_JOB, q->id);
-  KqKvCheck check = { key, 0 };
-  KqKvPut put = { key, kq_buf_str (&q->stored), 0 };
-  KqKvTxn t = { &check, 1, &put, 1, NULL, 0 };
   q->step = KQ_FRONT_SUBMIT_WRITE;
   announce_write (q, false, now);
-  kq_kv_txn (q->handler->config.kv, &t, kq_front_pending_timeout_ms (q, now),
-             (KqKvCallback){ on_submit_written, q });
-  free ((char *)key.ptr);
+  kq_job_write (q->handler->config.kv, q->id, kq_buf_str (&q->stored), q->cancel_revision,
+                kq_front_pending_timeout_ms (q, now),
+                (KqKvCallback){ on_submit_written, q });
 }
 
 void
--- a/src/fleet/front_test.c
+++ b/src/fleet/front_test.c
@@ -222,6 +222,18 @@
   kq_front_handler_request (t->handler, NULL, &r, kq_time_now ());
 }
 
+/* Answers the read of a job, and that of its cancellation if the job is stored. */
+static void
+answer_reads_of_job (KqKvResult job)
+{
+  assert_string_equal (kq_front_fake.key, "kq/in/j/j1");
+  kq_front_fixture_answer (job);
+  if (job != KQ_KV_OK)
+    return;
+  assert_string_equal (kq_front_fake.key, "kq/in/x/j1");
+  kq_front_fixture_answer (KQ_KV_NOT_FOUND);
+}
+
 /* Guards against a job that is accepted and said not to exist: the leader hasn't heard of
  * it yet, or there is no leader. Only the store knows that there is none. */
 static void
@@ -236,19 +248,17 @@
       ask_for_state (t);
       kq_front_handler_answer (t->handler, kq_front_fake.state_call, KQ_JOB_UNKNOWN,
                                kq_time_now ());
-      assert_string_equal (kq_front_fake.key, "kq/in/j/j1");
-      kq_front_fixture_answer (found[i]);
+      answer_reads_of_job (found[i]);
       assert_int_equal (kq_front_fake.reply.kind, replies[i]);
+      assert_int_equal (kq_front_fake.replies, 2 * i + 1);
 
       kq_front_fake.has_leader = false;
       ask_for_state (t);
       assert_string_equal (kq_front_fake.key, "kq/p/j1");
       kq_front_fixture_answer (KQ_KV_NOT_FOUND);
-      assert_string_equal (kq_front_fake.key, "kq/in/x/j1");
-      kq_front_fixture_answer (KQ_KV_NOT_FOUND);
-      assert_string_equal (kq_front_fake.key, "kq/in/j/j1");
-      kq_front_fixture_answer (found[i]);
+      answer_reads_of_job (found[i]);
       assert_int_equal (kq_front_fake.reply.kind, replies[i]);
+      assert_int_equal (kq_front_fake.replies, 2 * i + 2);
     }
 }
 
@@ -266,9 +276,12 @@
   assert_int_equal (kq_front_fake.call, KQ_FAKE_GET);
   assert_string_equal (kq_front_fake.key, "kq/p/j1");
   kq_front_fixture_answer (KQ_KV_NOT_FOUND);
+  assert_string_equal (kq_front_fake.key, "kq/in/j/j1");
+  kq_front_fixture_answer (KQ_KV_OK);
   assert_string_equal (kq_front_fake.key, "kq/in/x/j1");
   kq_front_fixture_answer (KQ_KV_OK);
   assert_int_equal (kq_front_fake.reply.kind, KQ_REPLY_STATE);
+  assert_int_equal (kq_front_fake.reply.state, KQ_JOB_CANCELLED);
 }
 
 #define FIXTURE_TEST(test)                                                               \
--- a/src/fleet/keys.h
+++ b/src/fleet/keys.h
@@ -6,7 +6,7 @@
  *   kq/lead      the leader's record, under its lease
  *   kq/term      number of leaders so far
  *   kq/in/j/ID   a job as accepted; never changed
- *   kq/in/x/ID   the job's cancellation
+ *   kq/in/x/ID   the job's cancellation, which may be stored before the job
  *   kq/p/ID      the job's progress, written by the leader
  *   kq/runners   runners on which runs may exist, for the next leader
  *   kq/agents    nodes that may have granted them leases, for the next leader
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "election/election.h"
 #include "fleet/batch.h"
+#include "fleet/early_cancels.h"
 #include "fleet/leader_admit.h"
 #include "fleet/leader_load.h"
 #include "fleet/operator.h"
@@ -23,9 +24,9 @@
   KqWaves *waves; /* NULL until loaded */
   KqLeaderAdmit *admit;
   KqLeaderLoad *load;
-  GPtrArray *peers;          /* KqPeer by agent number; NULL: disconnected */
-  GHashTable *early_cancels; /* ids of cancelled jobs that haven't been received yet */
-  int own_agent;             /* agent number of this node */
+  GPtrArray *peers; /* KqPeer by agent number; NULL: disconnected */
+  KqEarlyCancels *early_cancels;
+  int own_agent; /* agent number of this node */
   KqFleetOperatorRate operator_rate;
   ev_timer timer; /* the next run of the scheduler or write of the batch */
   ev_prepare before_poll;
@@ -41,7 +42,6 @@
   kq_leader_admit_free (l->admit);
   kq_sched_free (l->sched);
   g_ptr_array_free (l->peers, TRUE);
-  g_hash_table_destroy (l->early_cancels);
   free (l);
 }
 
@@ -146,6 +146,8 @@
     kq_batch_write (l->batch, now);
   if (l->waves != NULL && !l->closing)
     kq_waves_write (l->waves, now);
+  if (kq_leader_load_is_done (l->load))
+    kq_early_cancels_delete_old (l->early_cancels, now);
   start_timer (l, now);
 }
 
@@ -180,21 +182,24 @@
   l->waves = kq_waves_new (&c);
 }
 
+/* Cancels the job if it is known. */
+static bool
+cancel_known (void *arg, KqStr id)
+{
+  KqLeader *l = arg;
+  if (kq_sched_state (l->sched, id) == KQ_JOB_UNKNOWN)
+    return false;
+  kq_sched_cancel (l->sched, id, kq_loop_now (l->config.loop));
+  return true;
+}
+
 static void
 on_state_loaded (void *arg, KqTime now)
 {
   KqLeader *l = arg;
-  KqAgentItem cancel = { .kind = KQ_AGENT_ITEM_CANCEL };
-  GHashTableIter it;
-  gpointer id;
   kq_sched_loaded (l->sched, now);
   start_waves (l);
-  g_hash_table_iter_init (&it, l->early_cancels);
-  while (g_hash_table_iter_next (&it, &id, NULL))
-    {
-      cancel.u.cancel.id = kq_str (id);
-      kq_sched_cancel (l->sched, cancel.u.cancel.id, now);
-    }
+  kq_early_cancels_filter (l->early_cancels, cancel_known, l);
   l->dirty = true;
 }
 
@@ -222,6 +227,13 @@
                           .arg = l,
                           .deposed = on_deposed,
                           .answered = on_answered };
+  KqEarlyCancelsConfig cancels = { .kv = c->kv,
+                                   .epoch = c->epoch,
+                                   .keep_ms = c->keep_ms,
+                                   .counters = c->counters,
+                                   .arg = l,
+                                   .deposed = on_deposed,
+                                   .answered = on_answered };
   KqLeaderLoadConfig load = { .loop = c->loop,
                               .kv = c->kv,
                               .learned_estimates = c->features.learned_estimates,
@@ -235,7 +247,7 @@
   l->config.self.leader = true;
   l->own_agent = -1;
   l->peers = g_ptr_array_new ();
-  l->early_cancels = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  l->early_cancels = kq_early_cancels_new (&cancels);
   l->sched = kq_sched_new (&sched, now);
   l->admit = kq_leader_admit_new (l->sched, c->counters);
   batch.sched = l->sched;
@@ -265,6 +277,7 @@
   ev_prepare_stop (ev, &l->before_poll);
   kq_waves_free (l->waves);
   kq_batch_free (l->batch);
+  kq_early_cancels_free (l->early_cancels);
   kq_leader_load_free (l->load); /* calls destroy */
 }
 
@@ -325,30 +338,25 @@
 }
 
 static void
-handle_cancel (KqLeader *l, KqStr id, KqTime now)
+handle_cancel (KqLeader *l, const KqAgentItem *i, KqTime now)
 {
-  if (kq_leader_load_is_done (l->load))
-    kq_sched_cancel (l->sched, id, now);
-  if (kq_sched_state (l->sched, id) == KQ_JOB_UNKNOWN
-      || !kq_leader_load_is_done (l->load))
-    g_hash_table_add (l->early_cancels, kq_str_dup (id));
+  KqStr id = i->u.cancel.id;
+  if (!kq_leader_load_is_done (l->load) || !cancel_known (l, id))
+    kq_early_cancels_add (l->early_cancels, id, i->u.cancel.revision, now);
 }
 
 static void
 handle_job (KqLeader *l, const KqAgentItem *i, KqTime now)
 {
   KqSpec spec;
-  char *id;
   if (!kq_sched_add_job (l->sched, i->u.job.stored, i->u.job.revision, now)
-      || !kq_leader_load_is_done (l->load) || g_hash_table_size (l->early_cancels) == 0)
-    return;
-  if (!kq_spec_unpack (i->u.job.stored, &spec))
+      || !kq_leader_load_is_done (l->load)
+      || kq_early_cancels_count (l->early_cancels) == 0
+      || !kq_spec_unpack (i->u.job.stored, &spec))
     return;
-  id = kq_str_dup (spec.id);
-  if (g_hash_table_contains (l->early_cancels, id))
+  if (kq_early_cancels_take (l->early_cancels, spec.id))
     kq_sched_cancel (l->sched, spec.id, now);
   kq_spec_clear (&spec);
-  free (id);
 }
 
 void
@@ -400,7 +408,7 @@
       handle_job (l, i, now);
       break;
     case KQ_AGENT_ITEM_CANCEL:
-      handle_cancel (l, i->u.cancel.id, now);
+      handle_cancel (l, i, now);
       break;
     default: /* not from a node, or handled by fleet/fleet.c or fleet/link.c */
       break;
--- a/src/fleet/leader_load.c
+++ b/src/fleet/leader_load.c
@@ -81,6 +81,7 @@
     {
       item.kind = KQ_AGENT_ITEM_CANCEL;
       item.u.cancel.id = cancelled;
+      item.u.cancel.revision = i->revision;
     }
   else
     return;
--- a/src/steps/spec.c
+++ b/src/steps/spec.c
@@ -22,12 +22,18 @@
   return NULL;
 }
 
+bool
+kq_spec_id_is_valid (KqStr id)
+{
+  return id.len > 0 && id.len <= KQ_SPEC_ID_MAX;
+}
+
 KqResult
 kq_spec_check (const KqSpec *s, const char **why)
 {
   int64_t tasks = 0;
   *why = NULL;
-  if (s->id.len == 0 || s->id.len > KQ_SPEC_ID_MAX)
+  if (!kq_spec_id_is_valid (s->id))
     *why = "the id is empty or too long";
   else if (s->text.len > KQ_SPEC_TEXT_MAX)
     *why = "the text is too long";
--- a/src/steps/spec.h
+++ b/src/steps/spec.h
@@ -62,6 +62,8 @@
   int32_t n_steps;
 } KqSpec;
 
+/* Whether a job may have that id: it isn't empty or too long. */
+bool kq_spec_id_is_valid (KqStr id);
 /* Checks a job. Returns KQ_OK with *why NULL, or KQ_ERR_JOB_BAD with *why set to a static
  * text. */
 KqResult kq_spec_check (const KqSpec *s, const char **why);
