Submissions: no refusal while a write may still be carried out

What callers saw: 503, "not accepted and never runs", for a job that ran later (REFUSED if the client doesn't try again).

Cause: after a write without an answer the node reads the job's key, which may take 300 ms, and has the leader write the job if the key isn't there. With no time left for that, submit_via_leader refused the job, whatever had been sent before.

Evidence: "Answered. job=j3 at=submit_check reply=refused unsure=1", then "Job added. job=j3" from the late write.

Change: both refusals that follow a write go through one function, which answers that the outcome is unknown if a write of the request got no answer.

Test: front_test test_late_read_back_leaves_the_outcome_unknown; before, the reply was KQ_REPLY_REFUSED (0x5 != 0x8).

--- a/src/fleet/front_submit.c
+++ b/src/fleet/front_submit.c
@@ -38,8 +38,20 @@
     q->handler->config.notify_leader (q->handler->config.arg, &i, now);
 }
 
-/* Has the leader write the job; refuses it, for the reason `why`, if there is no time or
- * the leader doesn't reach the store either. */
+/* No write is being tried. Refuses the job, unless an earlier write of this request may
+ * still be carried out. */
+static void
+reply_not_written (KqFrontPending *q, const char *why, KqTime now)
+{
+  if (q->write_unknown)
+    kq_front_pending_reply_kind (q, KQ_REPLY_UNKNOWN, now);
+  else
+    kq_front_pending_refuse (q, why, KQ_FRONT_RETRY_STORE_MS,
+                             q->handler->counts.refused_store, now);
+}
+
+/* Has the leader write the job, unless there is no time, or the leader doesn't reach the
+ * store either. `why` is the reason for a refusal. */
 static void
 submit_via_leader (KqFrontPending *q, const char *why, KqTime now)
 {
@@ -47,8 +59,7 @@
   KqTime left = q->deadline - KQ_FRONT_DEADLINE_SLACK_MS * KQ_MS - now;
   if (left <= 0 || !h->config.store_reached_by_leader (h->config.arg, now))
     {
-      kq_front_pending_refuse (q, why, KQ_FRONT_RETRY_STORE_MS, h->counts.refused_store,
-                               now);
+      reply_not_written (q, why, now);
       return;
     }
   q->step = KQ_FRONT_SUBMIT_LEADER;
@@ -135,11 +146,10 @@
 {
   if (result == KQ_ACCEPT_DONE)
     kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
-  else if (result == KQ_ACCEPT_UNKNOWN || q->write_unknown)
+  else if (result == KQ_ACCEPT_UNKNOWN)
     kq_front_pending_reply_kind (q, KQ_REPLY_UNKNOWN, now);
   else
-    kq_front_pending_refuse (q, "the store is away", KQ_FRONT_RETRY_STORE_MS,
-                             q->handler->counts.refused_store, now);
+    reply_not_written (q, "the store is away", now);
 }
 
 static void
--- a/src/fleet/front_test.c
+++ b/src/fleet/front_test.c
@@ -284,6 +284,23 @@
   assert_int_equal (kq_front_fake.reply.state, KQ_JOB_CANCELLED);
 }
 
+/* Guards against a job that runs although it was reported as refused: its write may still
+ * be carried out, and no time is left to have the leader write it. */
+static void
+test_late_read_back_leaves_the_outcome_unknown (void **state)
+{
+  KqFrontFixture *t = *state;
+  kq_front_fake.has_leader = kq_front_fake.leader_reaches_store = true;
+  kq_front_fixture_submit (t, KQ_REACH_UP, 600);
+  kq_front_fixture_answer (KQ_KV_UNKNOWN);
+  kq_front_fixture_run_for (t, 0.25);
+  assert_int_equal (kq_front_fake.call, KQ_FAKE_GET);
+  kq_front_fixture_run_for (t, 0.2);
+  kq_front_fixture_answer (KQ_KV_NOT_FOUND);
+  assert_int_equal (kq_front_fake.replies, 1);
+  assert_int_equal (kq_front_fake.reply.kind, KQ_REPLY_UNKNOWN);
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_front_fixture_set_up,                        \
                                    kq_front_fixture_tear_down)
@@ -305,6 +322,7 @@
           FIXTURE_TEST (test_leader_writes_a_job_that_the_store_refuses),
           FIXTURE_TEST (test_write_without_an_answer_is_read_back),
           FIXTURE_TEST (test_leader_repeats_a_write_without_an_answer),
+          FIXTURE_TEST (test_late_read_back_leaves_the_outcome_unknown),
           FIXTURE_TEST (test_job_that_no_leader_knows_is_read),
           FIXTURE_TEST (test_refused_read_is_repeated_after_a_pause) };
   return cmocka_run_group_tests (tests, NULL, NULL);
