Leader: a job that is listed again comes behind its cancellation

What could happen: a cancelled job starts and is stopped a moment later. No caller has reported it.

Cause: when the store has compacted a leader's watch of jobs, the leader lists them again while it schedules. Jobs sort before cancellations, and the pages came to the scheduler one by one, so a job was startable until the page with its cancellation had been read.

Change: jobs of such a listing are passed on when the listing is complete. The first listing of a new leader needs none of this, as nothing starts before all is loaded.

Test: leader_load_test; before, the job was passed on first (fake.jobs <= fake.cancels).

--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -299,6 +299,12 @@
   return f->known_to;
 }
 
+bool
+kq_follow_is_listing (const KqFollow *f)
+{
+  return f->listing;
+}
+
 KqTime
 kq_follow_answered_at (const KqFollow *f)
 {
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -46,6 +46,8 @@
 /* The revision up to which all changes have been reported; 0: the keys aren't listed yet.
  */
 uint64_t kq_follow_known_to (const KqFollow *f);
+/* Whether the keys are being listed: those reported aren't of one moment. */
+bool kq_follow_is_listing (const KqFollow *f);
 /* When the last answer arrived; 0: none has. */
 KqTime kq_follow_answered_at (const KqFollow *f);
 
--- a/src/fleet/leader_load.c
+++ b/src/fleet/leader_load.c
@@ -8,6 +8,7 @@
 #include "sched/sched.h"
 
 #include <ev.h>
+#include <glib.h>
 
 #include <stdlib.h>
 
@@ -33,10 +34,18 @@
   LOAD_DONE
 } LoadPhase;
 
+/* A listed job that isn't passed on yet. */
+typedef struct
+{
+  KqBuf stored;
+  uint64_t revision;
+} HeldJob;
+
 struct KqLeaderLoad
 {
   KqLeaderLoadConfig config;
   KqFollow *jobs;
+  GPtrArray *held; /* HeldJob: while jobs are listed again */
   KqFollow *entries;
   LoadPhase phase;
   char *page_after; /* last key of the previous page of progress */
@@ -49,10 +58,19 @@
 
 static void load (KqLeaderLoad *l);
 
+static void
+free_held (gpointer p)
+{
+  HeldJob *h = p;
+  kq_buf_free (&h->stored);
+  free (h);
+}
+
 static void
 destroy (KqLeaderLoad *l)
 {
   l->config.freed (l->config.arg);
+  g_ptr_array_free (l->held, TRUE);
   free (l->page_after);
   free (l);
 }
@@ -64,35 +82,55 @@
   l->config.answered (l->config.arg, sent_at, now);
 }
 
+static void
+pass_job (KqLeaderLoad *l, KqStr stored, uint64_t revision, KqTime now)
+{
+  KqAgentItem i = { .kind = KQ_AGENT_ITEM_JOB };
+  i.u.job.stored = stored;
+  i.u.job.revision = revision;
+  l->config.item (l->config.arg, &i, now);
+}
+
+/* A cancelled job stands in an earlier page than its cancellation. When the leader
+ * already schedules, the job must not start in between. */
+static void
+hold_job (KqLeaderLoad *l, KqStr stored, uint64_t revision)
+{
+  HeldJob *h = kq_alloc (sizeof *h);
+  kq_buf_add_str (&h->stored, stored);
+  h->revision = revision;
+  g_ptr_array_add (l->held, h);
+}
+
 static void
 on_job_item (void *arg, const KqKvItem *i, KqTime now)
 {
   KqLeaderLoad *l = arg;
   KqStr id = kq_key_id (i->key, KQ_KEY_JOB);
   KqStr cancelled = kq_key_id (i->key, KQ_KEY_CANCEL);
-  KqAgentItem item = { 0 };
-  if (id.len > 0)
-    {
-      item.kind = KQ_AGENT_ITEM_JOB;
-      item.u.job.stored = i->value;
-      item.u.job.revision = i->revision;
-    }
+  KqAgentItem cancel = { .kind = KQ_AGENT_ITEM_CANCEL };
+  if (id.len > 0 && l->phase > LOAD_JOBS && kq_follow_is_listing (l->jobs))
+    hold_job (l, i->value, i->revision);
+  else if (id.len > 0)
+    pass_job (l, i->value, i->revision, now);
   else if (cancelled.len > 0)
     {
-      item.kind = KQ_AGENT_ITEM_CANCEL;
-      item.u.cancel.id = cancelled;
-      item.u.cancel.revision = i->revision;
+      cancel.u.cancel.id = cancelled;
+      cancel.u.cancel.revision = i->revision;
+      l->config.item (l->config.arg, &cancel, now);
     }
-  else
-    return;
-  l->config.item (l->config.arg, &item, now);
 }
 
 static void
 on_jobs_synced (void *arg, KqTime now)
 {
   KqLeaderLoad *l = arg;
-  (void)now;
+  for (guint i = 0; i < l->held->len; i++)
+    {
+      const HeldJob *h = g_ptr_array_index (l->held, i);
+      pass_job (l, kq_buf_str (&h->stored), h->revision, now);
+    }
+  g_ptr_array_set_size (l->held, 0);
   if (l->phase != LOAD_JOBS)
     return;
   l->phase = LOAD_PROGRESS;
@@ -266,6 +304,7 @@
 {
   KqLeaderLoad *l = kq_alloc (sizeof *l);
   l->config = *c;
+  l->held = g_ptr_array_new_with_free_func (free_held);
   l->rand = kq_rand (kq_rand_system ());
   ev_timer_init (&l->retry, on_retry, 0, 0);
   l->retry.data = l;
