Settings: a finished job is kept for at least 30 s

What could happen: a job runs twice. Its submission's first write gets no answer, the second is accepted, the job ends, and its keys are deleted after keep_s; if the first write is carried out after that, its conditions hold, and the job is new. With the 120 s of our deployments that takes a write that is two minutes late; keep_s could be 0.

Change: less than 30 s counts as 30 s. A platform's own time may be shorter, so it is no fault of the file.

Test: settings_test test_fleet_keeps_jobs_for_a_least_time; before, keep_ms was 500.

--- a/src/fleet/early_cancels.c
+++ b/src/fleet/early_cancels.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "election/election.h"
 #include "fleet/keys.h"
+#include "settings/fleet_settings.h"
 #include "steps/spec.h"
 
 #include <glib.h>
@@ -233,8 +234,7 @@
 is_old (const KqEarlyCancels *e, const Cancel *c, KqTime now)
 {
   bool crowded = g_hash_table_size (e->by_id) > KQ_EARLY_CANCELS_MAX;
-  int64_t keep_ms = crowded ? MIN (e->config.keep_ms, KQ_EARLY_CANCELS_KEEP_MIN_MS)
-                            : e->config.keep_ms;
+  int64_t keep_ms = crowded ? MIN (e->config.keep_ms, KQ_KEEP_MIN_MS) : e->config.keep_ms;
   return now - c->since > keep_ms * KQ_MS;
 }
 
--- a/src/fleet/early_cancels.h
+++ b/src/fleet/early_cancels.h
@@ -18,8 +18,6 @@
 
 /* About 2 MB. */
 #define KQ_EARLY_CANCELS_MAX 16384
-/* Stores carry out writes up to seconds after their call. */
-#define KQ_EARLY_CANCELS_KEEP_MIN_MS 30000
 
 typedef struct KqEarlyCancels KqEarlyCancels;
 
--- a/src/fleet/early_cancels_test.c
+++ b/src/fleet/early_cancels_test.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "election/election.h"
 #include "fleet/keys.h"
+#include "settings/fleet_settings.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -266,7 +267,7 @@
 test_many_cancellations_are_deleted_sooner (void **state)
 {
   Test *t = *state;
-  KqTime soon = START + (KQ_EARLY_CANCELS_KEEP_MIN_MS + 1) * KQ_MS;
+  KqTime soon = START + (KQ_KEEP_MIN_MS + 1) * KQ_MS;
   char id[16];
   for (int i = 0; i <= KQ_EARLY_CANCELS_MAX; i++)
     {
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -257,6 +257,8 @@
       return p.n;
     }
   fill_defaults (&p);
+  if (out->keep_ms < KQ_KEEP_MIN_MS)
+    out->keep_ms = KQ_KEEP_MIN_MS;
   return p.n;
 }
 
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -11,6 +11,11 @@
 #include "sched/features.h"
 #include "settings/settings.h"
 
+/* A finished job is kept for at least so long. The store may carry out a write of its
+ * submission seconds after its call; with the job's keys gone the job would be taken for
+ * a new one. */
+#define KQ_KEEP_MIN_MS 30000
+
 typedef struct
 {
   KqName node;
@@ -30,7 +35,8 @@
   int64_t cpu_share_milli; /* this node's share of a processor core, in thousandths */
   int64_t runner_lease_max_ms;
   int64_t grace_ms; /* time between SIGTERM and SIGKILL */
-  int64_t keep_ms;  /* how long the state of a finished job is kept */
+  int64_t keep_ms;  /* how long the state of a finished job is kept; KQ_KEEP_MIN_MS or
+                       more */
   int log_level;
   KqSchedFeatures scheduling; /* section [scheduling] */
 } KqFleetSettings;
--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -183,16 +183,41 @@
   assert_int_equal (parse_with ("shards = 3", "shards = 3 # \xc4\x8d"), 0);
 }
 
+/* A node's settings, to be completed. */
+static const char form[]
+    = "[fleet]\nnode = \"n1\"\nfailure_domain = \"d1\"\nregion = \"r1\"\n"
+      "[listen]\nip = \"127.0.0.1\"\nfront = \"127.0.0.1:1\"\n"
+      "ready = \"127.0.0.1:2\"\npeer_port = 3\nmetrics_port = 4\n"
+      "[store]\naddress = \"127.0.0.1:5\"\n%s";
+
+/* Guards against a job that runs twice: its keys are deleted soon after its end, and a
+ * write of its submission that was left without an answer is carried out after that. */
+static void
+test_fleet_keeps_jobs_for_a_least_time (void **state)
+{
+  static const struct
+  {
+    const char *setting;
+    int64_t keep_ms;
+  } rows[] = { { "", 120000 },
+               { "[bounds]\nkeep_s = \"0.5\"\n", 30000 },
+               { "[bounds]\nkeep_s = 31\n", 31000 } };
+  (void)state;
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      KqFleetSettings s;
+      char text[512];
+      snprintf (text, sizeof text, form, rows[i].setting);
+      assert_int_equal (kq_fleet_settings_parse (kq_str (text), &s, faults, 8), 0);
+      assert_int_equal (s.keep_ms, rows[i].keep_ms);
+    }
+}
+
 /* Guards against a misspelt switch that leaves a decision under load off, or turns it on,
  * without a word to the operator. */
 static void
 test_fleet_switches (void **state)
 {
-  static const char form[]
-      = "[fleet]\nnode = \"n1\"\nfailure_domain = \"d1\"\nregion = \"r1\"\n"
-        "[listen]\nip = \"127.0.0.1\"\nfront = \"127.0.0.1:1\"\n"
-        "ready = \"127.0.0.1:2\"\npeer_port = 3\nmetrics_port = 4\n"
-        "[store]\naddress = \"127.0.0.1:5\"\n%s";
   KqFleetSettings s;
   KqSettingsFault faults[8];
   char text[512];
@@ -244,10 +269,15 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_whole_file),          cmocka_unit_test (test_each_fault),
-    cmocka_unit_test (test_all_faults_reported), cmocka_unit_test (test_any_bytes),
-    cmocka_unit_test (test_reference),           cmocka_unit_test (test_non_ascii),
-    cmocka_unit_test (test_fleet_switches),      cmocka_unit_test (test_fleet_non_ascii),
+    cmocka_unit_test (test_whole_file),
+    cmocka_unit_test (test_each_fault),
+    cmocka_unit_test (test_all_faults_reported),
+    cmocka_unit_test (test_any_bytes),
+    cmocka_unit_test (test_reference),
+    cmocka_unit_test (test_non_ascii),
+    cmocka_unit_test (test_fleet_keeps_jobs_for_a_least_time),
+    cmocka_unit_test (test_fleet_switches),
+    cmocka_unit_test (test_fleet_non_ascii),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
