Soak: writes that take effect late, and clients that cancel what they don't know of

The stand-in's store had lost answers of writes only after they took effect, and clients cancelled only jobs that were accepted, so the soak could not see a job that runs after its DELETE was answered with 410. A rule with lose_answer and late_ms now makes writes take effect later, clients give up jobs whose submission had no clear answer, and such a job must not start once its cancellation was answered with 410.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -33,7 +33,8 @@
   bool rejected;  /* an attempt was refused as not run */
   bool cancelled; /* the cancellation was acknowledged */
   bool cancel_sent;
-  char state[16]; /* as last received */
+  bool no_such_job; /* the cancellation was answered with 410 */
+  char state[16];   /* as last received */
   int attempts;
 } Job;
 
@@ -229,8 +230,23 @@
 {
   Job *j = arg;
   j->call_open = false;
-  if (a->outcome == KQ_HTTP_DONE && (a->status == 200 || a->status == 410))
-    j->cancelled = true;
+  if (a->outcome != KQ_HTTP_DONE || (a->status != 200 && a->status != 410))
+    return;
+  j->cancelled = true;
+  if (a->status == 200)
+    return;
+  j->no_such_job = true;
+  if (j->accepted)
+    breach (j->soak, "an accepted job is unknown", j->id);
+}
+
+static void call (Soak *s, Job *j, const char *method, KqStr body, ProcsDone done);
+
+static void
+cancel (Soak *s, Job *j)
+{
+  j->cancel_sent = true;
+  call (s, j, "DELETE", KQ_STR (""), on_cancelled);
 }
 
 static void
@@ -295,14 +311,14 @@
 {
   if (j->call_open)
     return;
-  if (!j->accepted && j->attempts < 8)
+  if (!j->accepted && !j->cancelled
+      && (j->cancel_sent || (j->uncertain && rand_below (s, 3) == 0)))
+    cancel (s, j);
+  else if (!j->accepted && j->attempts < 8 && (!j->cancelled || rand_below (s, 40) == 0))
     submit (s, j);
   else if (j->accepted && !has_ended (j) && rand_below (s, 30) == 0 && j->lasting
            && !j->cancelled)
-    {
-      j->cancel_sent = true;
-      call (s, j, "DELETE", KQ_STR (""), on_cancelled);
-    }
+    cancel (s, j);
   else if (j->accepted && !has_ended (j))
     call (s, j, "GET", KQ_STR (""), on_state);
 }
@@ -494,6 +510,8 @@
   done = (int)json_integer_value (json_object_get (o, "done"));
   if (!j->accepted && !j->uncertain && j->rejected && started)
     breach (s, "refused as not run, and it ran", j->id);
+  if (j->no_such_job && started)
+    breach (s, "cancelled as unknown, and it ran", j->id);
   if (j->accepted && !has_ended (j))
     breach (s, "an accepted job never ended", j->id);
   if (strcmp (j->state, "completed") == 0 && done != j->tasks)
@@ -507,11 +525,15 @@
 check_ledger (Soak *s)
 {
   json_t *o = query_platform (s, "/v1/ledger");
+  int early = 0;
+  for (int i = 0; i < s->n_jobs; i++)
+    early += s->jobs[i].no_such_job;
   if (json_integer_value (json_object_get (o, "breaches")) > 0)
     breach (s, "seen by a runner", json_string_value (json_object_get (o, "first")));
-  printf ("seed %llu: %d jobs, %d answers, %d refusals, %lld starts, %lld tasks done, %d "
-          "breaches\n",
-          (unsigned long long)s->plan->seed, s->n_jobs, s->answers, s->refusals,
+  printf ("seed %llu: %d jobs, %d answers, %d refusals, %d cancelled as unknown, %lld "
+          "starts, "
+          "%lld tasks done, %d breaches\n",
+          (unsigned long long)s->plan->seed, s->n_jobs, s->answers, s->refusals, early,
           (long long)json_integer_value (json_object_get (o, "starts")),
           (long long)json_integer_value (json_object_get (o, "done")), s->breaches);
   json_decref (o);
@@ -534,8 +556,7 @@
       Job *j = &s->jobs[i];
       if (!j->lasting || !j->accepted || j->cancelled || j->call_open)
         continue;
-      j->cancel_sent = true;
-      call (s, j, "DELETE", KQ_STR (""), on_cancelled);
+      cancel (s, j);
     }
 }
 
--- a/standin/platform_faults.h
+++ b/standin/platform_faults.h
@@ -2,7 +2,8 @@
 #define KQ_STANDIN_PLATFORM_FAULTS_H
 
 /* platform_faults: bodies of POST /v1/fault for the store and the runners of
- * standin-platform: outages, lost or delayed answers, calls that hang. A test picks one
+ * standin-platform: outages, lost or delayed answers,
+ * writes that take effect late, calls that hang. A test picks one
  * at random without knowing the platform's paths. */
 
 static const char *const kq_platform_kv_faults[]
@@ -10,13 +11,14 @@
         "{\"path\":\"/kv\",\"outage\":\"close\"}",
         "{\"path\":\"/kv\",\"accept_and_hang\":true}",
         "{\"path\":\"/kv-txn\",\"lose_answer\":12}",
+        "{\"path\":\"/kv-txn\",\"lose_answer\":12,\"late_ms\":3000}",
         "{\"path\":\"/kv\",\"answer_delay_ms\":240}",
         "{\"path\":\"/kv-watch\",\"silent_watch\":true}" };
 static const char *const kq_platform_runner_faults[]
     = { "{\"path\":\"/run-\",\"lose_answer\":6}",
         "{\"path\":\"/hold\",\"accept_and_hang\":true}" };
 
-#define KQ_PLATFORM_KV_FAULTS 6
+#define KQ_PLATFORM_KV_FAULTS 7
 #define KQ_PLATFORM_RUNNER_FAULTS 2
 
 #endif
--- a/standin/platform_kv.c
+++ b/standin/platform_kv.c
@@ -353,28 +353,24 @@
   return hold;
 }
 
-static void
-do_txn (KqPlatformKv *kv, KqWebCall *c)
+static bool
+leases_exist (KqPlatformKv *kv, const json_t *puts)
 {
-  json_t *t = kq_json_parse (kq_buf_str (&c->body));
-  const json_t *puts = json_object_get (t, "puts");
-  const json_t *removes = json_object_get (t, "remove");
-  json_t *current = json_array ();
-  if (!preconditions_hold (kv, json_object_get (t, "precondition"), current))
-    {
-      kq_web_reply_json (c, 412, json_pack ("{s:O}", "items", current));
-      goto out;
-    }
   for (size_t i = 0; i < json_array_size (puts); i++)
     {
       uint64_t lease = (uint64_t)json_integer_value (
           json_object_get (json_array_get (puts, i), "lease"));
       if (lease != 0 && g_hash_table_lookup (kv->leases, &lease) == NULL)
-        {
-          kq_web_error (c, 404, "no such lease");
-          goto out;
-        }
+        return false;
     }
+  return true;
+}
+
+static void
+carry_out (KqPlatformKv *kv, const json_t *t)
+{
+  const json_t *puts = json_object_get (t, "puts");
+  const json_t *removes = json_object_get (t, "remove");
   kv->revision++;
   for (size_t i = 0; i < json_array_size (puts); i++)
     {
@@ -385,9 +381,64 @@
     }
   for (size_t i = 0; i < json_array_size (removes); i++)
     remove_item (kv, json_string_value (json_array_get (removes, i)));
-  kq_web_reply_json (c, 200, json_pack ("{s:I}", "rev", (json_int_t)kv->revision));
-  answer_watches (kv);
-out:
+}
+
+/* A transaction whose answer has been lost and that takes effect later. */
+typedef struct
+{
+  ev_timer timer;
+  KqPlatformKv *kv;
+  json_t *txn;
+} DelayedTxn;
+
+static void
+on_delayed_txn (struct ev_loop *ev, ev_timer *w, int events)
+{
+  DelayedTxn *d = w->data;
+  json_t *current = json_array ();
+  (void)ev;
+  (void)events;
+  if (preconditions_hold (d->kv, json_object_get (d->txn, "precondition"), current)
+      && leases_exist (d->kv, json_object_get (d->txn, "puts")))
+    carry_out (d->kv, d->txn);
+  answer_watches (d->kv);
+  json_decref (current);
+  json_decref (d->txn);
+  free (d);
+}
+
+static void
+delay_txn (KqPlatformKv *kv, json_t *t, int64_t ms)
+{
+  DelayedTxn *d = kq_alloc (sizeof *d);
+  d->kv = kv;
+  d->txn = json_incref (t);
+  ev_timer_init (&d->timer, on_delayed_txn, (double)ms / 1000, 0);
+  d->timer.data = d;
+  ev_timer_start (kq_loop_ev (kv->loop), &d->timer);
+}
+
+static void
+do_txn (KqPlatformKv *kv, KqWebCall *c)
+{
+  json_t *t = kq_json_parse (kq_buf_str (&c->body));
+  json_t *current = json_array ();
+  int64_t late_ms = kq_web_late_ms (c);
+  if (late_ms > 0)
+    {
+      delay_txn (kv, t, late_ms);
+      kq_web_reply (c, 200, NULL, NULL, KQ_STR ("{}")); /* it is lost */
+    }
+  else if (!preconditions_hold (kv, json_object_get (t, "precondition"), current))
+    kq_web_reply_json (c, 412, json_pack ("{s:O}", "items", current));
+  else if (!leases_exist (kv, json_object_get (t, "puts")))
+    kq_web_error (c, 404, "no such lease");
+  else
+    {
+      carry_out (kv, t);
+      kq_web_reply_json (c, 200, json_pack ("{s:I}", "rev", (json_int_t)kv->revision));
+      answer_watches (kv);
+    }
   json_decref (current);
   json_decref (t);
 }
--- a/standin/web.c
+++ b/standin/web.c
@@ -26,6 +26,7 @@
   int64_t delay_ms;        /* before the request is handled */
   int64_t answer_delay_ms; /* after it was handled */
   int64_t lose_answer;     /* number of next answers to lose; -1: all */
+  int64_t late_ms;         /* such calls take effect after this time */
   int64_t partial_answer;  /* likewise, sent by half */
   bool hang;
   bool silent_watch;
@@ -115,6 +116,7 @@
   r->delay_ms = optional_int (j, "delay_ms");
   r->answer_delay_ms = optional_int (j, "answer_delay_ms");
   r->lose_answer = optional_int (j, "lose_answer");
+  r->late_ms = optional_int (j, "late_ms");
   r->partial_answer = optional_int (j, "partial_answer");
   r->hang = json_is_true (json_object_get (j, "accept_and_hang"));
   r->silent_watch = json_is_true (json_object_get (j, "silent_watch"));
@@ -296,6 +298,13 @@
   return w->port;
 }
 
+int64_t
+kq_web_late_ms (const KqWebCall *c)
+{
+  const FaultRule *r = find_rule (c);
+  return r != NULL && r->lose_answer != 0 ? r->late_ms : 0;
+}
+
 KqWebCut
 kq_web_cut (const KqWebCall *c)
 {
--- a/standin/web.h
+++ b/standin/web.h
@@ -81,6 +81,9 @@
 /* Whether fail_everything or silent_watch is set for the call's path. */
 bool kq_web_fails (const KqWebCall *c);
 bool kq_web_watch_silent (const KqWebCall *c);
+/* After how many ms the call is to take effect, by a rule with lose_answer and late_ms;
+ * 0: at once. */
+int64_t kq_web_late_ms (const KqWebCall *c);
 /* How much of the next answer to send; counts lose_answer and partial_answer down.
  * kq_web_reply calls it itself. */
 KqWebCut kq_web_cut (const KqWebCall *c);
