Scheduler: "other runner" proves something only where the runner has answered

Cause: the entry gave the runner the address of another one. Its next agent called that address, got 421, and the leader took this for proof that the process was gone: it ended the runs and set the lease as over. The proof holds only for an address at which the runner has answered, since a process keeps its address until it ends.

Change: the leader notes the address at which a runner has listed its runs. An agent's "other runner" about any other address counts as silence, and the runs wait for the lease.

--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -393,7 +393,7 @@
     case KQ_AGENT_ITEM_UNREACHED:
       if (i->u.unreached.other_runner)
         kq_sched_runner_replaced (l->sched, agent, i->runner, i->u.unreached.assignment,
-                                  now);
+                                  i->u.unreached.lease_left_ms, now);
       else
         kq_sched_unreached (l->sched, agent, i->runner, i->u.unreached.assignment,
                             i->u.unreached.lease_left_ms, now);
--- /dev/null
+++ b/src/sched/entry_test.c
@@ -0,0 +1,85 @@
+#include "bench/sched_fixture.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define OTHER_ADDRESS "10.0.0.9:80"
+
+/* Starts a task; returns its runner. */
+static const char *
+start_task (KqSchedFixture *d, char runner[16])
+{
+  kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 1);
+  kq_sched_fixture_accept_starts (d);
+  return memcpy (runner, d->runner, 16);
+}
+
+static KqRunnerEntry
+entry_of (const char *runner)
+{
+  return (KqRunnerEntry){ .id = kq_str (runner),
+                          .service = KQ_STR ("desk"),
+                          .address = KQ_STR (OTHER_ADDRESS),
+                          .failure_domain = KQ_STR ("north"),
+                          .room = { 16000, 64000, 0 } };
+}
+
+static void
+say_replaced (KqSchedFixture *d, const char *runner)
+{
+  kq_sched_runner_replaced (d->sched, d->agent, kq_str (runner),
+                            d->assignment[runner[1] - '0'], -1, d->now);
+}
+
+/* Guards against a second run of a task whose first one goes on: an entry of another
+ * writer gave its runner the address of another one, which answers that it isn't that
+ * runner. */
+static void
+test_address_that_never_answered_proves_nothing (void **state)
+{
+  KqSchedFixture *d = *state;
+  char runner[16];
+  KqRunnerEntry e = entry_of (start_task (d, runner));
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_fixture_run (d, 400 * KQ_MS); /* an agent gets the new address */
+  say_replaced (d, runner);
+  kq_sched_fixture_run (d, 4 * KQ_SEC);
+  assert_int_equal (d->start_orders, 1);
+  kq_sched_fixture_run (d, 8 * KQ_SEC); /* its lease is over */
+  assert_int_equal (d->start_orders, 2);
+}
+
+/* Guards against a task that waits for the lease of a runner that is gone for certain:
+ * another one answers where it did. */
+static void
+test_address_that_answered_proves_that_the_runner_is_gone (void **state)
+{
+  KqSchedFixture *d = *state;
+  char runner[16];
+  start_task (d, runner);
+  say_replaced (d, runner);
+  kq_sched_fixture_run (d, 400 * KQ_MS);
+  assert_int_equal (d->start_orders, 2);
+  assert_string_not_equal (d->runner, runner);
+}
+
+#define FIXTURE_TEST(test)                                                               \
+  cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
+                                   kq_sched_fixture_tear_down)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { FIXTURE_TEST (test_address_that_never_answered_proves_nothing),
+          FIXTURE_TEST (test_address_that_answered_proves_that_the_runner_is_gone) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -288,6 +288,7 @@
   r->unsent_until = 0;
   r->renewed = true;
   r->heard_at = now;
+  kq_runners_note_heard (r);
   kq_runners_extend_lease (r, lease, "list");
   for (size_t i = 0; i < l->n_ended; i++)
     if (l->ended[i].number > r->ends_seen)
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -9,6 +9,7 @@
 #include "sched/tickets.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Time after a lease's computed end before it counts as expired: timers may be late, and
  * answers in flight. */
@@ -53,6 +54,7 @@
   free (r->id);
   free (r->service);
   free (r->address);
+  free (r->heard_address);
   free (r->domain);
   free (r->rack);
   free (r->kind);
@@ -186,6 +188,7 @@
   set_string (&r->service, KQ_STR (""));
   r->pool = kq_pools_get (s, KQ_STR (""));
   set_string (&r->address, KQ_STR (""));
+  set_string (&r->heard_address, KQ_STR (""));
   set_string (&r->domain, KQ_STR (""));
   set_string (&r->rack, KQ_STR (""));
   set_string (&r->kind, KQ_STR (""));
@@ -202,6 +205,12 @@
   return r;
 }
 
+void
+kq_runners_note_heard (KqRunnerState *r)
+{
+  set_string (&r->heard_address, kq_str (r->address));
+}
+
 void
 kq_runners_note_alive (KqRunnerState *r)
 {
@@ -486,11 +495,18 @@
     end_taken_down (s, r, now);
 }
 
+/* A process keeps its address until it ends, so another runner there proves that it is
+ * gone; but not at an address that only an entry has named. */
 void
 kq_sched_runner_replaced (KqSched *s, int agent, KqStr runner, uint64_t assignment,
-                          KqTime now)
+                          int64_t lease_left_ms, KqTime now)
 {
   KqRunnerState *r = kq_runners_find (s, runner);
+  if (r != NULL && strcmp (r->address, r->heard_address) != 0)
+    {
+      kq_sched_unreached (s, agent, runner, assignment, lease_left_ms, now);
+      return;
+    }
   if (r == NULL || !kq_reports_is_current_agent (s, r, agent, assignment, "other runner"))
     return;
   end_lost_runs (s, r, "another runner at its address", now);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -252,10 +252,11 @@
 /* Takes the answer to an order KQ_ORDER_ADVISE. */
 void kq_sched_advice (KqSched *s, int agent, const KqStepAdvice *a, KqTime now);
 
-/* Takes a report that another runner answers at this one's address: its process is gone,
- * and all its runs with it. */
+/* Takes a report that another runner answers at this one's address. If this one has
+ * listed its runs there, its process is gone, and all its runs with it; else it is
+ * unreached. */
 void kq_sched_runner_replaced (KqSched *s, int agent, KqStr runner, uint64_t assignment,
-                               KqTime now);
+                               int64_t lease_left_ms, KqTime now);
 
 /* To be called when the set of cordons has changed. */
 void kq_sched_cordons_changed (KqSched *s, KqTime now);
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -211,6 +211,7 @@
   KqPool *counted_pool; /* NULL: not counted yet */
   bool uncounted;       /* it has changed since it was counted */
   char *address;
+  char *heard_address; /* where it listed its runs last; "": it never did */
   char *domain;
   char *rack;
   char *kind;
@@ -482,6 +483,8 @@
 const char *kq_runners_lease_from (const KqRunnerState *r);
 /* Whether that time is over, and no agent can be renewing the lease. */
 bool kq_runners_lease_is_over (const KqRunnerState *r, KqTime now);
+/* Notes that the runner has listed its runs at its present address. */
+void kq_runners_note_heard (KqRunnerState *r);
 /* Notes that a process of the runner is there which no maintenance has ended. */
 void kq_runners_note_alive (KqRunnerState *r);
 /* Notes that a run may exist on the runner until `ends`, unless a later time is known.
