Entries: one with a field missing or of another type changes nothing known

One that a runner wouldn't write names no runner to use: the leader logs which field made it so, counts it (kq_runner_entries_unusable_total) and places nothing there until a usable one comes. It isn't taken for the removal of the entry any more either, so that waves go on seeing the host's runner.

--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -42,8 +42,9 @@
 read_runner (KqStr text)
 {
   KqBuf key = key_under (kq_source_runners_prefix (), KQ_STR ("i-1"));
-  KqStr id;
-  kq_source_runner (kq_buf_str (&key), text, &id, check_runner, NULL);
+  const char *bad;
+  if (!kq_source_runner (kq_buf_str (&key), text, &bad, check_runner, NULL))
+    kq_fuzz_check (bad != NULL, "an unusable entry has a field that makes it so");
   kq_buf_free (&key);
 }
 
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -237,6 +237,7 @@
   KqLeaderLoadConfig load = { .loop = c->loop,
                               .kv = c->kv,
                               .learned_estimates = c->features.learned_estimates,
+                              .counters = c->counters,
                               .arg = l,
                               .item = on_stored_item,
                               .changed = on_changed,
--- a/src/fleet/leader_load.c
+++ b/src/fleet/leader_load.c
@@ -51,7 +51,8 @@
   char *page_after; /* last key of the previous page of progress */
   int failures;     /* consecutive failed calls */
   KqRand rand;
-  ev_timer retry;    /* repeats a failed call */
+  ev_timer retry; /* repeats a failed call */
+  uint64_t *entries_unusable;
   bool call_pending; /* a call with the callback on_loaded is outstanding */
   bool freed;        /* freed while that call was outstanding */
 };
@@ -148,13 +149,15 @@
 on_entry_item (void *arg, const KqKvItem *i, KqTime now)
 {
   KqLeaderLoad *l = arg;
-  KqStr id;
-  if (!kq_source_runner (i->key, i->value, &id, on_runner_entry, l))
+  KqStr id = kq_source_runner_id (i->key);
+  const char *bad;
+  if (!kq_source_runner (i->key, i->value, &bad, on_runner_entry, l))
     {
+      ++*l->entries_unusable;
       kq_log (KQ_LOG_WARN, PART,
-              "Ignoring an invalid runner entry. runner=%.*s revision=%llu",
-              KQ_STR_ARG (id), (unsigned long long)i->revision);
-      kq_sched_entry_gone (l->config.sched, id, now);
+              "A runner's entry can't be used. runner=%.*s revision=%llu field=%s",
+              KQ_STR_ARG (id), (unsigned long long)i->revision, bad);
+      kq_sched_entry_unusable (l->config.sched, id, now);
     }
   l->config.changed (l->config.arg);
 }
@@ -163,10 +166,8 @@
 on_entry_gone (void *arg, KqStr key, uint64_t revision, KqTime now)
 {
   KqLeaderLoad *l = arg;
-  KqStr id;
   (void)revision;
-  kq_source_runner (key, KQ_STR (""), &id, on_runner_entry, l);
-  kq_sched_entry_gone (l->config.sched, id, now);
+  kq_sched_entry_gone (l->config.sched, kq_source_runner_id (key), now);
   l->config.changed (l->config.arg);
 }
 
@@ -306,6 +307,9 @@
   l->config = *c;
   l->held = g_ptr_array_new_with_free_func (free_held);
   l->rand = kq_rand (kq_rand_system ());
+  l->entries_unusable
+      = kq_counter (c->counters, "kq_runner_entries_unusable_total", "",
+                    "Entries of runners with a field missing or of another type.");
   ev_timer_init (&l->retry, on_retry, 0, 0);
   l->retry.data = l;
   return l;
--- a/src/fleet/leader_load.h
+++ b/src/fleet/leader_load.h
@@ -31,6 +31,7 @@
   KqKv *kv;
   KqSched *sched;         /* must live until freed is called */
   bool learned_estimates; /* whether learned run times are loaded */
+  KqCounters *counters;
   void *arg;
   /* A job or a cancellation is in the store (KQ_AGENT_ITEM_JOB, KQ_AGENT_ITEM_CANCEL). */
   void (*item) (void *arg, const KqAgentItem *i, KqTime now);
--- a/src/fleet/leader_load_test.c
+++ b/src/fleet/leader_load_test.c
@@ -153,7 +153,9 @@
 test_listed_again_job_comes_behind_its_cancellation (void **state)
 {
   KqLoop *loop = kq_loop_new ();
+  KqCounters *counters = kq_counters_new ();
   KqLeaderLoadConfig c = { .loop = loop,
+                           .counters = counters,
                            .item = on_item,
                            .changed = on_changed,
                            .loaded = on_loaded,
@@ -184,6 +186,7 @@
   answer (&fake.range, KQ_KV_OK, &job, 1, true);
   kq_leader_load_free (l); /* with a job that is held back */
   answer (&fake.range, KQ_KV_UNKNOWN, NULL, 0, false);
+  kq_counters_free (counters);
   kq_loop_free (loop);
 }
 
--- a/src/port/source.h
+++ b/src/port/source.h
@@ -27,9 +27,11 @@
 /* Appends the key and value that report the state of a wave: in progress or completed. */
 void kq_source_wave_state (int64_t number, bool completed, KqBuf *key, KqBuf *value);
 
+/* The id of the runner whose entry has that key. */
+KqStr kq_source_runner_id (KqStr key);
 /* Parses a runner's entry and calls take with it; false: the entry describes no usable
- * runner, and take isn't called. *id receives the runner's id in both cases. */
-bool kq_source_runner (KqStr key, KqStr value, KqStr *id,
+ * runner, take isn't called, and *bad receives what is wrong, for logs. */
+bool kq_source_runner (KqStr key, KqStr value, const char **bad,
                        void (*take) (void *arg, const KqRunnerEntry *e), void *arg);
 
 #endif
--- a/src/sched/drain.c
+++ b/src/sched/drain.c
@@ -78,8 +78,9 @@
   for (guint i = 0; i < s->runner_list->len; i++)
     {
       const KqRunnerState *other = g_ptr_array_index (s->runner_list, i);
-      if (other != r && other->pool == r->pool && other->in_store && !other->draining
-          && !other->cordoned && !other->silent && kq_place_has_label (other, label)
+      if (other != r && other->pool == r->pool && other->in_store
+          && !other->entry_unusable && !other->draining && !other->cordoned
+          && !other->silent && kq_place_has_label (other, label)
           && !kq_maintenance_may_end (s, other))
         return true;
     }
--- a/src/sched/entry_test.c
+++ b/src/sched/entry_test.c
@@ -71,6 +71,31 @@
   assert_string_not_equal (d->runner, runner);
 }
 
+/* Guards against a second run of a task, and against tasks on a runner of which no usable
+ * entry is left: an entry of another writer stands under its key, then its own again. */
+static void
+test_unusable_entry_keeps_new_tasks_away_only (void **state)
+{
+  KqSchedFixture *d = *state;
+  char runner[16];
+  KqRunnerEntry e = entry_of (start_task (d, runner));
+  int drops = d->drop_orders;
+  e.address = KQ_STR ("127.0.0.1:1");
+  kq_sched_entry_unusable (d->sched, kq_str ("r0"), d->now);
+  kq_sched_entry_unusable (d->sched, kq_str ("r1"), d->now);
+  kq_sched_entry_unusable (d->sched, kq_str ("r2"), d->now); /* unknown */
+  kq_sched_fixture_submit (d, "bb", kq_sched_fixture_step (), false);
+  kq_sched_fixture_run (d, 2 * KQ_SEC);
+  assert_int_equal (d->start_orders, 1);
+  assert_int_equal (d->stop_orders, 0);
+  assert_int_equal (d->drop_orders, drops);
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_fixture_run (d, 400 * KQ_MS);
+  assert_int_equal (d->start_orders, 2);
+  assert_string_equal (d->runner, runner);
+  assert_string_equal (d->task, "bb.0.0.0");
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -80,6 +105,7 @@
 {
   const struct CMUnitTest tests[]
       = { FIXTURE_TEST (test_address_that_never_answered_proves_nothing),
-          FIXTURE_TEST (test_address_that_answered_proves_that_the_runner_is_gone) };
+          FIXTURE_TEST (test_address_that_answered_proves_that_the_runner_is_gone),
+          FIXTURE_TEST (test_unusable_entry_keeps_new_tasks_away_only) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/load_report.c
+++ b/src/sched/load_report.c
@@ -8,8 +8,8 @@
 static bool
 may_start_tasks (const KqRunnerState *r, KqTime now)
 {
-  return r->in_store && r->in_stored_list && r->agent >= 0 && r->listed && !r->silent
-         && !r->draining && !r->host_leaving && !r->cordoned
+  return r->in_store && !r->entry_unusable && r->in_stored_list && r->agent >= 0
+         && r->listed && !r->silent && !r->draining && !r->host_leaving && !r->cordoned
          && now >= r->cordon_told_until && now >= r->suspect_until
          && now >= r->unsent_until && r->used.mem_mb < r->room.mem_mb;
 }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -117,7 +117,7 @@
 answer_of_runner (const KqRunnerState *r, const KqStep *p, bool starved, KqTime now)
 {
   bool leaving = r->host_leaving && !(r->host_waits && starved && !p->lasting);
-  if (!r->in_store)
+  if (!r->in_store || r->entry_unusable)
     return KQ_PLACE_NO_ENTRY;
   if (!r->in_stored_list)
     return KQ_PLACE_NOT_STORED;
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -13,7 +13,7 @@
 {
   KQ_PLACE_TAKES,
   KQ_PLACE_OTHER_SERVICE,
-  KQ_PLACE_NO_ENTRY,   /* it has no entry in the store */
+  KQ_PLACE_NO_ENTRY,   /* it has no entry in the store, or no usable one */
   KQ_PLACE_NOT_STORED, /* it isn't in the stored list of runners in use */
   KQ_PLACE_NO_AGENT,
   KQ_PLACE_SILENT,
--- a/src/sched/pools.c
+++ b/src/sched/pools.c
@@ -96,7 +96,7 @@
     return;
   out->whole_milli = r->room.cpu_milli;
   out->reserved_milli = r->used.cpu_milli;
-  if (r->draining || r->host_leaving || r->cordoned || r->silent)
+  if (r->draining || r->host_leaving || r->cordoned || r->silent || r->entry_unusable)
     return;
   kq_load_count_fitting (r, out);
   out->usable_milli = r->room.cpu_milli;
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -244,6 +244,7 @@
   set_string (&r->host, e->host);
   r->room = e->room;
   r->in_store = true;
+  r->entry_unusable = false;
   r->host_leaving = kq_maintenance_may_end (s, r);
   r->cordoned = kq_cordoning_applies (s, r);
   r->entry_started_ms = e->started_ms;
@@ -261,6 +262,17 @@
   kq_runners_note_change (s, r);
 }
 
+void
+kq_sched_entry_unusable (KqSched *s, KqStr id, KqTime now)
+{
+  KqRunnerState *r = kq_runners_find (s, id);
+  (void)now;
+  if (r == NULL)
+    return;
+  r->entry_unusable = true;
+  kq_pools_note_change (s, r);
+}
+
 void
 kq_sched_entry_gone (KqSched *s, KqStr id, KqTime now)
 {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -218,6 +218,9 @@
 
 /* Adds a runner, or updates it, by its entry in the store. */
 void kq_sched_entry (KqSched *s, const KqRunnerEntry *e, KqTime now);
+/* Notes that the runner's entry can't be used: it gets no more tasks until there is one
+ * that can, and nothing else that is known of it changes. */
+void kq_sched_entry_unusable (KqSched *s, KqStr id, KqTime now);
 /* Notes that the runner's entry is gone from the store: it gets no more tasks. */
 void kq_sched_entry_gone (KqSched *s, KqStr id, KqTime now);
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -225,6 +225,7 @@
   int64_t started_ms;    /* start of its process, Unix time; 0: not known */
   int64_t entry_started_ms;    /* as started_ms, of the process that wrote its entry */
   bool in_store;               /* it has an entry in the store now */
+  bool entry_unusable;         /* the entry isn't one that a runner writes */
   bool in_stored_list;         /* it is in the stored list of runners in use */
   bool in_sent_list;           /* it is in the list that was packed last, to be stored */
   bool used_by_earlier_leader; /* an earlier leader may have started runs there */
--- a/standin/platform_runner.c
+++ b/standin/platform_runner.c
@@ -154,12 +154,12 @@
 static void
 publish (KqPlatformRunner *r)
 {
-  json_t *j = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:{s:i, s:i, s:i}, s:[s, s], "
-                         "s:I}",
+  json_t *j = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:{s:i, s:i, s:i}, "
+                         "s:[s, s], s:I}",
                          "service", "desk", "address", "", "zone", "north", "version",
-                         "v1", "slots", 8, "state", "ready", "room", "cpu", r->cpu_milli,
-                         "mem_mb", 64000, "gpu", 0, "labels", "a", "r1", "born",
-                         (json_int_t)r->started_ms);
+                         "v1", "slots", 8, "state", "ready", "cold_left_ms", 0, "seq", 1,
+                         "room", "cpu", r->cpu_milli, "mem_mb", 64000, "gpu", 0, "labels",
+                         "a", "r1", "born", (json_int_t)r->started_ms);
   char address[32];
   char *text;
   if (r->kv == NULL)
