Gangs: all members of a run resume from the same checkpoint

Cause: checkpoints were kept for each task, and a start took that of its task. Nothing chose one for the gang.

Change: the newest checkpoint of a gang is kept with its first task: that of the later run, then of the member that is further, then of the lower index. What a run resumes from is fixed when the run is placed, so that a repeated start carries the same value even if a member has ended since. The checkpoint is stored as soon as it changes; a next leader starts runs of its own, all from the stored one. Of the several that earlier versions stored it takes the first.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -23,6 +23,7 @@
   KqSchedFixtureStart start = { .run = d->run };
   memcpy (start.runner, d->runner, sizeof start.runner);
   memcpy (start.task, d->task, sizeof start.task);
+  memcpy (start.checkpoint, d->checkpoint, sizeof start.checkpoint);
   g_array_append_val (d->starts_pending, start);
 }
 
@@ -67,6 +68,7 @@
   kq_str_copy (o->runner, d->runner, sizeof d->runner);
   kq_str_copy (o->u.start.task, d->task, sizeof d->task);
   kq_str_copy (o->u.start.ticket, d->ticket, sizeof d->ticket);
+  kq_str_copy (o->u.start.checkpoint, d->checkpoint, sizeof d->checkpoint);
   d->run = o->u.start.run;
   record_start (d);
 }
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -15,6 +15,7 @@
   char runner[16];
   char task[96];
   uint32_t run;
+  char checkpoint[32];
 } KqSchedFixtureStart;
 
 typedef struct
@@ -27,10 +28,11 @@
   int agent;
   int start_orders; /* START orders so far */
   int stop_orders;  /* STOP orders so far */
-  char runner[16];  /* this and the next three: of the last START order */
+  char runner[16];  /* this and the next four: of the last START order */
   char task[96];
   uint32_t run;
   char ticket[32];
+  char checkpoint[32];
   char stopped_runner[16]; /* this and the next one: of the last STOP order */
   char stopped_task[96];
   int pace_orders;         /* PACE orders so far */
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -202,6 +202,7 @@
           free (o->steps[i].tasks[k].failed_runs);
         }
       free (o->steps[i].tasks);
+      free (o->steps[i].resumes_from);
       kq_tickets_free (o->steps[i].tickets);
     }
   free (o->steps);
@@ -262,6 +263,12 @@
     s->store_due = due;
 }
 
+void
+kq_book_note_checkpoint (KqSched *s, KqJob *j, KqTime now)
+{
+  mark_dirty (s, j, now, false);
+}
+
 void
 kq_book_mark_begun (KqJob *j)
 {
--- /dev/null
+++ b/src/sched/gangs.c
@@ -0,0 +1,58 @@
+/* gangs: the checkpoints of gangs. Each member saves its own; any of them is valid for
+ * the whole gang, and all members of a run must resume from the same one. The newest is
+ * kept with the first task. A run's members resume from what was kept when it was placed,
+ * also if a start is repeated later. */
+
+#include "sched/state.h"
+
+#include <stdlib.h>
+
+/* Whether the run's checkpoint is newer than the one that is kept: of a later run, or of
+ * the same one and further. Of equal ones the member with the lowest index counts. */
+static bool
+is_newer (const KqStepState *st, const KqRun *run)
+{
+  if (st->tasks[0].checkpoint == NULL)
+    return true;
+  if (run->number != st->saved_run)
+    return run->number > st->saved_run;
+  if (run->percent != st->saved_percent)
+    return run->percent > st->saved_percent;
+  return run->index < st->saved_index;
+}
+
+void
+kq_gangs_keep_checkpoint (KqSched *s, KqRun *run, KqTime now)
+{
+  KqStepState *st = &run->occurrence->steps[run->step];
+  if (!is_newer (st, run))
+    return;
+  free (st->tasks[0].checkpoint);
+  st->tasks[0].checkpoint = run->checkpoint;
+  run->checkpoint = NULL;
+  st->saved_run = run->number;
+  st->saved_percent = run->percent;
+  st->saved_index = run->index;
+  kq_book_note_checkpoint (s, run->job, now);
+}
+
+void
+kq_gangs_begin_run (KqStepState *st)
+{
+  const char *newest = st->tasks[0].checkpoint;
+  free (st->resumes_from);
+  st->resumes_from = newest != NULL ? kq_str_dup (kq_str (newest)) : NULL;
+}
+
+void
+kq_gangs_restore (KqStepState *st, int32_t width)
+{
+  for (int32_t i = 1; i < width; i++)
+    {
+      if (st->tasks[0].checkpoint == NULL)
+        st->tasks[0].checkpoint = st->tasks[i].checkpoint;
+      else
+        free (st->tasks[i].checkpoint);
+      st->tasks[i].checkpoint = NULL;
+    }
+}
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -440,6 +440,8 @@
     }
   if (n < p->width && o->job->spec.advised)
     kq_tickets_request (s, o, step, now);
+  if (n == p->width)
+    kq_gangs_begin_run (&o->steps[step]);
   for (int32_t i = 0; i < n; i++)
     {
       if (n == p->width)
--- a/src/sched/progress.c
+++ b/src/sched/progress.c
@@ -169,6 +169,8 @@
       kq_read_array (&steps, &step);
       read_step (&step, &o->steps[i], j->spec.steps[i].width);
       kq_read_array_end (&steps, &step);
+      if (j->spec.steps[i].gang)
+        kq_gangs_restore (&o->steps[i], j->spec.steps[i].width);
       if (o->steps[i].done == j->spec.steps[i].width)
         o->steps_done++;
     }
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -221,7 +221,9 @@
       st->active--;
       if (kq_run_step (run)->lasting && st->lost_since == 0)
         st->lost_since = now;
-      if (run->checkpoint != NULL && kq_run_step (run)->checkpoints)
+      if (run->checkpoint != NULL && kq_run_step (run)->gang)
+        kq_gangs_keep_checkpoint (s, run, now);
+      else if (run->checkpoint != NULL && kq_run_step (run)->checkpoints)
         {
           free (t->checkpoint);
           t->checkpoint = run->checkpoint;
@@ -260,13 +262,24 @@
   s->config.order (s->config.arg, run->runner->agent, o);
 }
 
+/* From which the run resumes; NULL: it begins anew. */
+static const char *
+checkpoint_of_start (const KqRun *run)
+{
+  const KqTaskState *t = kq_book_task_state (run);
+  if (t == NULL)
+    return NULL;
+  return kq_run_step (run)->gang ? run->occurrence->steps[run->step].resumes_from
+                                 : t->checkpoint;
+}
+
 /* A start whose outcome is unknown is repeated: else its task would wait, and its room be
  * reserved, until the runner's lease expires. */
 void
 kq_run_send_start (KqSched *s, KqRun *run, KqTime now)
 {
   char name[96];
-  const KqTaskState *t = kq_book_task_state (run);
+  const char *checkpoint = checkpoint_of_start (run);
   KqOrder o = { .kind = KQ_ORDER_START };
   if (run->runner->agent < 0)
     return;
@@ -274,9 +287,9 @@
   o.u.start.task = kq_str (name);
   o.u.start.run = run->number;
   o.u.start.text = run->job->spec.text;
-  if (t != NULL && t->checkpoint != NULL)
+  if (checkpoint != NULL)
     {
-      o.u.start.checkpoint = kq_str (t->checkpoint);
+      o.u.start.checkpoint = kq_str (checkpoint);
       run->untimed = true;
     }
   if (run->occurrence != NULL && run->job->spec.advised)
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -67,6 +67,12 @@
   uint64_t searched_change;
   bool searched_lost; /* the search was for lasting tasks that have run before */
   bool open;          /* the steps that it depends on are done: its tasks may start */
+  /* Of a gang: see gangs.c. */
+  char *resumes_from; /* the checkpoint of the present run; NULL: none */
+  uint32_t saved_run; /* this and the next two: the run, its progress and the member that
+                         saved the checkpoint of tasks[0] */
+  int saved_percent;
+  int32_t saved_index;
   char rack[24]; /* of a one-rack step: the rack of its first placed task; "": none is
                     placed */
   KqWaitPlace place;
@@ -410,6 +416,8 @@
 void kq_book_mark_has_run (KqSched *s, KqJob *j, KqTaskState *t, KqTime now);
 /* Whether a lasting task that has run before is waiting. */
 bool kq_book_has_lost_waiting (const KqStepState *st, const KqStep *p);
+/* Notes that a checkpoint is to be stored. */
+void kq_book_note_checkpoint (KqSched *s, KqJob *j, KqTime now);
 /* Ends the job in that state, stops its runs and frees its occurrences; does nothing if
  * it has ended already. */
 void kq_book_end_job (KqSched *s, KqJob *j, KqJobState state, KqTime now);
@@ -458,6 +466,14 @@
 /* Stops all runs of the job, which has ended. */
 void kq_run_stop_all (KqSched *s, KqJob *j, KqTime now);
 
+/* gangs.c */
+/* Keeps the checkpoint of a member's run that ends, if it is the newest of its gang. */
+void kq_gangs_keep_checkpoint (KqSched *s, KqRun *run, KqTime now);
+/* Decides from which checkpoint all members of the run that is being placed resume. */
+void kq_gangs_begin_run (KqStepState *st);
+/* Chooses one of the stored checkpoints: earlier versions stored one for each member. */
+void kq_gangs_restore (KqStepState *st, int32_t width);
+
 /* runners.c */
 /* Notes a change that may have made room on the runner: waiting steps that found none
  * search it again. What changes with time alone is found by occasional searches of all
