Random tests of the scheduler: runs save checkpoints, and starts are checked

The rig's runners saved nothing, so no random test could see from what a run resumes. Runs of steps with checkpoints now save every 0.3 s of work and at a stop. At each start a checkpoint must be one of the task, or of its gang, and all members of a run must get the same one.

--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -422,6 +422,7 @@
   r->progress = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_bytes);
   r->done = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->last_start_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  r->resumed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free);
   r->failures = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->last_failure_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->used_agents = g_byte_array_new ();
@@ -454,6 +455,7 @@
   g_hash_table_destroy (r->progress);
   g_hash_table_destroy (r->done);
   g_hash_table_destroy (r->last_start_ms);
+  g_hash_table_destroy (r->resumed);
   g_hash_table_destroy (r->failures);
   g_hash_table_destroy (r->last_failure_ms);
   g_byte_array_free (r->used_agents, TRUE);
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -32,6 +32,8 @@
 /* As fails_index of a job: each of its tasks always fails. */
 #define KQ_SCHED_RIG_ALL_FAIL (-2)
 
+#define KQ_SCHED_RIG_SAVED_MAX 64
+
 typedef struct
 {
   char *task;
@@ -43,8 +45,11 @@
   bool stalled;    /* makes no progress and never ends */
   bool gang_ended; /* with the gang, as gang_end says */
   KqEndReason gang_end;
-  bool gang_complete; /* all members of its gang have run at once */
-  int pace;           /* percent; only if the rig models load */
+  bool gang_complete;                 /* all members of its gang have run at once */
+  int pace;                           /* percent; only if the rig models load */
+  char saved[KQ_SCHED_RIG_SAVED_MAX]; /* the last checkpoint; "": none */
+  KqTime saved_at;
+  int n_saved;
 } KqSchedRigRun;
 
 typedef struct
@@ -54,6 +59,7 @@
   uint32_t run;
   KqEndReason reason;
   KqTime at;
+  char saved[KQ_SCHED_RIG_SAVED_MAX];
   bool lapsed; /* the runner's lease expired before this end was acknowledged */
 } KqSchedRigEnd;
 
@@ -149,7 +155,8 @@
   int percent;      /* of KQ_ORDER_PACE */
   char *task;
   uint32_t run;
-  int64_t lease_end_ms; /* lease granted with the call; -1: none */
+  char checkpoint[KQ_SCHED_RIG_SAVED_MAX]; /* of KQ_ORDER_START */
+  int64_t lease_end_ms;                    /* lease granted with the call; -1: none */
   uint64_t ends_acked;
   int64_t started_ms;     /* not 0: delivered only to the runner process started then */
   KqTime wait;            /* of a poll: for an end, at the runner */
@@ -275,7 +282,9 @@
   GHashTable *last_start_ms; /* task -> GINT: start of its last run */
   GHashTable *failures; /* task -> number of failures acknowledged within the lease */
   GHashTable *last_failure_ms; /* task -> GINT: time of the last of them */
-  uint64_t starts;             /* of runs, so far */
+  GHashTable *resumed; /* "STEP/RUN" of a gang -> the checkpoint of its first start */
+  int resumed_gangs;   /* runs of gangs that resumed from a checkpoint */
+  uint64_t starts;     /* of runs, so far */
 } KqSchedRig;
 
 typedef struct
--- a/bench/sched_rig_agent.c
+++ b/bench/sched_rig_agent.c
@@ -277,6 +277,7 @@
       c.lease_end_ms = end >= 0 ? end : h->lease.end_ms;
       record_grant (r, agent, h, CALL_TIMEOUT);
       c.started_ms = h->lease.started_ms;
+      kq_str_copy (o->u.start.checkpoint, c.checkpoint, sizeof c.checkpoint);
     }
   if (o->kind == KQ_ORDER_PACE)
     c.percent = o->u.pace.percent;
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -81,6 +81,13 @@
 /* Whether it is a member of a gang that makes no progress yet. */
 bool kq_sched_rig_gang_waits (const KqSchedRig *r, const KqSchedRigRun *run);
 
+/* Checks. */
+/* Checks a run that starts from the checkpoint, "": from none. */
+void kq_sched_rig_check_start (KqSchedRig *r, const KqSchedRigRunner *g,
+                               KqSchedRigRun *run, const char *checkpoint);
+/* Has a run that works save a checkpoint if one is due, or at_stop. */
+void kq_sched_rig_save (const KqSchedRig *r, KqSchedRigRun *run, bool at_stop);
+
 /* Load. */
 /* The share of its full speed at which a filling run works. */
 double kq_sched_rig_speed (const KqSchedRig *r, const KqSchedRigRunner *g,
--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -73,18 +73,6 @@
   return j;
 }
 
-static int
-count_runs_of (KqSchedRig *r, const char *task)
-{
-  int n = 0;
-  for (int i = 0; i < r->n_runners; i++)
-    for (guint k = 0; r->runners[i].alive && k < r->runners[i].runs->len; k++)
-      n += strcmp (((KqSchedRigRun *)g_ptr_array_index (r->runners[i].runs, k))->task,
-                   task)
-           == 0;
-  return n;
-}
-
 int64_t
 kq_sched_rig_cpu_used (const KqSchedRig *r, const KqSchedRigRunner *g)
 {
@@ -101,54 +89,6 @@
   return cpu;
 }
 
-static int64_t
-occurrence_of (const char *task)
-{
-  KqStr rest = kq_str (task);
-  int64_t v = 0;
-  kq_str_cut (&rest, '.');
-  kq_str_to_i64 (kq_str_cut (&rest, '.'), &v);
-  return v;
-}
-
-static void
-check_start (KqSchedRig *r, const KqSchedRigRunner *g, const KqSchedRigRun *run)
-{
-  int32_t step;
-  int32_t index;
-  KqSchedRigJob *j = kq_sched_rig_job_of (r, run->task, &step, &index);
-  if (j == NULL)
-    {
-      kq_sched_rig_breach (r, "unasked", run->task);
-      return;
-    }
-  if (j->spec.n_occurrences > 0
-      && r->now / KQ_MS
-             < j->spec.first_ms + occurrence_of (run->task) * j->spec.interval_ms)
-    kq_sched_rig_breach (r, "before its time", run->task);
-  if (count_runs_of (r, run->task) > 1 && !j->spec.steps[step].speculative)
-    kq_sched_rig_breach (r, "twice at a time", run->task);
-  if (g_hash_table_contains (r->done, run->task) && !j->spec.steps[step].speculative)
-    kq_sched_rig_breach (r, "again after done", run->task);
-  if (GPOINTER_TO_INT (g_hash_table_lookup (r->failures, run->task)) >= j->attempts
-      && !j->spec.steps[step].lasting && !j->spec.steps[step].speculative)
-    kq_sched_rig_breach (r, "attempts", run->task);
-  for (int32_t k = 0; k < j->spec.steps[step].n_after; k++)
-    for (int32_t i = 0; i < j->spec.steps[j->spec.steps[step].after[k]].width; i++)
-      {
-        char name[96];
-        char *done_key;
-        snprintf (name, sizeof name, "%.*s.%lld.%d.%d", KQ_STR_ARG (j->spec.id),
-                  (long long)occurrence_of (run->task), j->spec.steps[step].after[k], i);
-        done_key = g_strdup_printf ("ever %s", name);
-        if (!g_hash_table_contains (r->done, done_key))
-          kq_sched_rig_breach (r, "before an earlier step", run->task);
-        g_free (done_key);
-      }
-  if (kq_sched_rig_cpu_used (r, g) > g->room.cpu_milli)
-    kq_sched_rig_breach (r, "over the room", run->task);
-}
-
 static void
 end_run (KqSchedRig *r, KqSchedRigRunner *g, guint at, KqEndReason reason)
 {
@@ -162,6 +102,9 @@
   e->run = run->run;
   e->reason = reason;
   e->at = r->now;
+  if (reason == KQ_END_STOPPED)
+    kq_sched_rig_save (r, run, true);
+  memcpy (e->saved, run->saved, sizeof e->saved);
   g_ptr_array_add (g->ends, e);
   if (run->run > highest_run)
     g_hash_table_insert (g->highest_runs, strdup (run->task),
@@ -224,7 +167,7 @@
                       (int)(g->lease_end_ms - kq_sched_rig_clock_ms (r, g)));
   g_hash_table_insert (r->last_start_ms, strdup (task),
                        GINT_TO_POINTER ((int)(r->now / KQ_MS)));
-  check_start (r, g, run);
+  kq_sched_rig_check_start (r, g, run, c->checkpoint);
   return KQ_ORDER_OK;
 }
 
@@ -342,7 +285,7 @@
                          : (r->now - run->started_at) * 100 / run->length;
       rows[k] = (KqRunRow){ .task = kq_str (run->task),
                             .run = run->run,
-                            .checkpoint = KQ_STR (""),
+                            .checkpoint = kq_str (run->saved),
                             .percent = run->stalled ? 1 : (int)part,
                             .load = kq_sched_rig_load (r, g, run) };
     }
@@ -350,7 +293,7 @@
     {
       const KqSchedRigEnd *end = g_ptr_array_index (g->ends, k);
       ends[k] = (KqEndRow){ end->number, kq_str (end->task), end->run, end->reason,
-                            KQ_STR ("") };
+                            kq_str (end->saved) };
     }
   i.u.list = (KqRunnerList){ .started_ms = g->started_ms,
                              .running = rows,
@@ -515,6 +458,7 @@
       KqEndReason why = run->fails ? KQ_END_FAILED : KQ_END_DONE;
       bool gang_ends = kq_sched_rig_gang_ends (r, run, &why);
       bool over = r->now - run->started_at >= run->length && !run->stalled;
+      kq_sched_rig_save (r, run, false);
       if (!gang_ends
           && (!over || (run->lasting && !run->fails) || kq_sched_rig_gang_waits (r, run)))
         continue;
