Timed jobs: an occurrence that a runner lists exists

Cause: a leader creates an occurrence when it is due by its own time of day. A later one whose clock is behind didn't have it: the end of one of its tasks was acknowledged and dropped, a run that goes on was stopped as not wanted, and the task was started again when the occurrence was due there too.

Change: a listed task of an occurrence that isn't due here creates it, and those before it.

Tests: timed_test, two cases, both failing before (a third start, and a stop).

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -103,7 +103,7 @@
 {
   for (KqTime end = d->now + span; d->now < end; d->now += 10 * KQ_MS)
     {
-      kq_sched_run (d->sched, d->now, d->now / KQ_MS);
+      kq_sched_run (d->sched, d->now, d->now / KQ_MS - d->clock_behind_ms);
       if (!d->mute && d->now - d->reported_at >= KQ_SEC)
         report_nothing (d);
     }
@@ -268,7 +268,7 @@
                       .arg = d };
   KqAgentInfo agent = { .name = kq_name (KQ_STR ("a")), .share_milli = 1000 };
   d->sched = kq_sched_new (&c, d->now);
-  kq_sched_run (d->sched, d->now, d->now / KQ_MS);
+  kq_sched_run (d->sched, d->now, d->now / KQ_MS - d->clock_behind_ms);
   d->agent = kq_sched_agent_up (d->sched, &agent, d->now);
 }
 
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -55,6 +55,7 @@
   KqBuf used_runners;      /* the stored list of runners in use, packed */
   int64_t started_ms;      /* start of the runner process in lists; 1 at first */
   int drop_orders;         /* DROP orders so far */
+  int64_t clock_behind_ms; /* of the leader's time of day */
 
   /* Of the next leader. */
   KqSchedFeatures features;
--- a/bench/sched_idle.c
+++ b/bench/sched_idle.c
@@ -253,7 +253,8 @@
   for (int32_t k = 0; k < kq_spec_occurrences (spec); k++)
     {
       if (spec->n_occurrences > 0
-          && now_ms (r) < spec->first_ms + k * spec->interval_ms + DUE_MARGIN_MS)
+          && now_ms (r) + MIN (r->clock_offset_ms, 0)
+                 < spec->first_ms + k * spec->interval_ms + DUE_MARGIN_MS)
         return false;
       for (int32_t i = 0; i < spec->n_steps; i++)
         {
--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -250,7 +250,7 @@
       handle_due_events (r);
       kq_sched_rig_maintenance_tick (r);
       kq_sched_rig_cordon_tick (r);
-      kq_sched_run (r->sched, r->now, r->now / KQ_MS);
+      kq_sched_run (r->sched, r->now, r->now / KQ_MS + r->clock_offset_ms);
       if (!kq_sched_sums_are_exact (r->sched))
         kq_sched_rig_breach (r, "sums", "not those of the runners");
       store (r);
@@ -351,6 +351,10 @@
   r->own_agent = (r->plays & KQ_SCHED_RIG_OWN_AGENT) != 0
                      ? (int)kq_rand_below (&r->extra_rand, (uint64_t)r->n_agents)
                      : -1;
+  if ((r->plays & KQ_SCHED_RIG_CLOCKS) != 0)
+    r->clock_offset_ms
+        = (int64_t)kq_rand_below (&r->extra_rand, 2 * KQ_SCHED_RIG_CLOCK_MAX_MS)
+          - KQ_SCHED_RIG_CLOCK_MAX_MS;
   kq_sched_free (r->sched);
   r->epoch = ++r->revision;
   r->leader_serial++;
@@ -359,7 +363,7 @@
   r->sched = kq_sched_new (&c, r->now);
   for (int i = 0; i < r->n_agents; i++)
     kq_sched_rig_link_new_leader (r, i);
-  kq_sched_run (r->sched, r->now, r->now / KQ_MS);
+  kq_sched_run (r->sched, r->now, r->now / KQ_MS + r->clock_offset_ms);
   if (r->used_runners->len > 0)
     kq_sched_used_runners (
         r->sched, kq_str_n ((const char *)r->used_runners->data, r->used_runners->len),
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -29,6 +29,9 @@
   2u /* a write of the lists of runners and agents takes time */
 #define KQ_SCHED_RIG_OWN_AGENT 4u /* one of the agents is on the leader's node */
 #define KQ_SCHED_RIG_SWITCHES 8u  /* all decisions of sched/features.h are on */
+#define KQ_SCHED_RIG_CLOCKS 16u   /* each leader has a time of day of its own */
+/* How much the time of day of a leader may be off. */
+#define KQ_SCHED_RIG_CLOCK_MAX_MS 2000
 /* As fails_index of a job: each of its tasks always fails. */
 #define KQ_SCHED_RIG_ALL_FAIL (-2)
 
@@ -252,7 +255,8 @@
   KqSchedFeatures features;
   unsigned plays; /* KQ_SCHED_RIG_CORDONS and following */
   KqRand extra_rand;
-  int own_agent; /* the agent on the leader's node; -1: none */
+  int own_agent;           /* the agent on the leader's node; -1: none */
+  int64_t clock_offset_ms; /* of the leader's time of day */
   /* The write of the lists that is under way. */
   GByteArray *sent_runners;
   GByteArray *sent_agents;
--- a/bench/sched_rig_check.c
+++ b/bench/sched_rig_check.c
@@ -70,13 +70,15 @@
   int32_t step;
   int32_t index;
   KqSchedRigJob *j = kq_sched_rig_job_of (r, run->task, &step, &index);
+  int64_t early_ms
+      = (r->plays & KQ_SCHED_RIG_CLOCKS) != 0 ? KQ_SCHED_RIG_CLOCK_MAX_MS : 0;
   if (j == NULL)
     {
       kq_sched_rig_breach (r, "unasked", run->task);
       return;
     }
   if (j->spec.n_occurrences > 0
-      && r->now / KQ_MS
+      && r->now / KQ_MS + early_ms
              < j->spec.first_ms + occurrence_of (run->task) * j->spec.interval_ms)
     kq_sched_rig_breach (r, "before its time", run->task);
   if (count_runs_of (r, run->task) > 1 && !j->spec.steps[step].speculative)
--- a/bench/sched_soak_main.c
+++ b/bench/sched_soak_main.c
@@ -21,7 +21,8 @@
 } words[] = { { "cordons", KQ_SCHED_RIG_CORDONS },
               { "slow_store", KQ_SCHED_RIG_SLOW_STORE },
               { "own_agent", KQ_SCHED_RIG_OWN_AGENT },
-              { "switches", KQ_SCHED_RIG_SWITCHES } };
+              { "switches", KQ_SCHED_RIG_SWITCHES },
+              { "clocks", KQ_SCHED_RIG_CLOCKS } };
 
 int
 main (int argc, char **argv)
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -439,6 +439,14 @@
  * harmless. */
 #define OCCURRENCE_DELAY_MS 100
 
+static void
+create_occurrence (KqSched *s, KqJob *j, KqTime due_at)
+{
+  kq_book_add_occurrence (j, j->created, due_at);
+  j->created++;
+  s->pass_needed = true;
+}
+
 void
 kq_book_create_due (KqSched *s, KqJob *j, KqTime now)
 {
@@ -453,12 +461,27 @@
             return;
           at = now - (wall - due) * KQ_MS;
         }
-      kq_book_add_occurrence (j, j->created, at);
-      j->created++;
-      s->pass_needed = true;
+      create_occurrence (s, j, at);
     }
 }
 
+void
+kq_book_create_listed (KqSched *s, KqTaskRef *t, KqTime now)
+{
+  KqJob *j = t->job;
+  if (t->occurrence != NULL || t->occurrence_number < j->created
+      || t->occurrence_number >= kq_spec_occurrences (&j->spec)
+      || j->state >= KQ_JOB_COMPLETED)
+    return;
+  kq_log (KQ_LOG_INFO, PART,
+          "A runner lists an occurrence that isn't due here yet. job=%.*s occurrence=%d "
+          "created=%d",
+          KQ_STR_ARG (j->spec.id), t->occurrence_number, j->created);
+  while (j->created <= t->occurrence_number)
+    create_occurrence (s, j, now);
+  t->occurrence = j->occurrences; /* the last one created */
+}
+
 void
 kq_book_unlink (KqSched *s, KqJob *j)
 {
--- a/src/sched/gangs.c
+++ b/src/sched/gangs.c
@@ -1,9 +1,4 @@
-/* gangs: the checkpoints of gangs. Each member saves its own; any of them is valid for
- * the whole gang, and all members of a run must resume from the same one. The newest is
- * kept with the first task. A run's members resume from what was kept when it was placed,
- * also if a start is repeated later. */
-
-#include "sched/state.h"
+#include "sched/gangs.h"
 
 #include <stdlib.h>
 
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -80,6 +80,7 @@
       s->config.order (s->config.arg, r->agent, &o);
       return;
     }
+  kq_book_create_listed (s, &t, now);
   run = find_run (r, &t, row->run);
   if (run == NULL)
     run = adopt_run (s, r, &t, row->run, now);
@@ -176,6 +177,7 @@
   ++*s->ends[e->reason];
   if (!kq_book_find_task (s, e->task, &t))
     return;
+  kq_book_create_listed (s, &t, now);
   kq_book_mark_begun (t.job);
   run = find_run (r, &t, e->run);
   ours = run != NULL && run->occurrence != NULL;
--- a/src/sched/pass.c
+++ b/src/sched/pass.c
@@ -9,6 +9,7 @@
  * end just too late. With order = "forecast" jobs are judged with the work ahead of them
  * as well, and ordered by that within these ranks (waiting_order.h). */
 
+#include "sched/gangs.h"
 #include "sched/load_pass.h"
 #include "sched/place.h"
 #include "sched/placing.h"
--- a/src/sched/progress.c
+++ b/src/sched/progress.c
@@ -3,7 +3,7 @@
  * waiting tasks, and which lasting tasks have run. It doesn't hold where tasks run: a new
  * leader learns that from the runners' lists. */
 
-#include "sched/state.h"
+#include "sched/gangs.h"
 
 #include "wire/pack.h"
 
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -1,6 +1,7 @@
 /* runs: one run of a task on a runner, from its start order until the runner reports its
  * end or the runner's lease has expired. Its resources stay reserved all that time. */
 
+#include "sched/gangs.h"
 #include "sched/load_pass.h"
 #include "sched/tickets.h"
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -67,7 +67,7 @@
   uint64_t searched_change;
   bool searched_lost; /* the search was for lasting tasks that have run before */
   bool open;          /* the steps that it depends on are done: its tasks may start */
-  /* Of a gang: see gangs.c. */
+  /* Of a gang: see gangs.h. */
   char *resumes_from; /* the checkpoint of the present run; NULL: none */
   uint32_t saved_run; /* this and the next two: the run, its progress and the member that
                          saved the checkpoint of tasks[0] */
@@ -423,6 +423,9 @@
 void kq_book_end_job (KqSched *s, KqJob *j, KqJobState state, KqTime now);
 /* Creates the job's occurrences whose time has come. */
 void kq_book_create_due (KqSched *s, KqJob *j, KqTime now);
+/* Creates a listed task's occurrence if it isn't due by this host's clock: it was by that
+ * of the leader that started the task. */
+void kq_book_create_listed (KqSched *s, KqTaskRef *t, KqTime now);
 void kq_book_job_free (KqJob *j);
 /* Takes the job out of the list of open jobs. */
 void kq_book_unlink (KqSched *s, KqJob *j);
@@ -466,14 +469,6 @@
 /* Stops all runs of the job, which has ended. */
 void kq_run_stop_all (KqSched *s, KqJob *j, KqTime now);
 
-/* gangs.c */
-/* Keeps the checkpoint of a member's run that ends, if it is the newest of its gang. */
-void kq_gangs_keep_checkpoint (KqSched *s, KqRun *run, KqTime now);
-/* Decides from which checkpoint all members of the run that is being placed resume. */
-void kq_gangs_begin_run (KqStepState *st);
-/* Chooses one of the stored checkpoints: earlier versions stored one for each member. */
-void kq_gangs_restore (KqStepState *st, int32_t width);
-
 /* runners.c */
 /* Notes a change that may have made room on the runner: waiting steps that found none
  * search it again. What changes with time alone is found by occasional searches of all
--- a/src/sched/timed_test.c
+++ b/src/sched/timed_test.c
@@ -119,6 +119,63 @@
   kq_buf_free (&progress);
 }
 
+/* A leader starts the first occurrence and is followed by one whose clock is behind by
+ * more than the time since. */
+static void
+start_and_change_leader (KqSchedFixture *d, char runner[16], char task[96])
+{
+  int64_t first_ms = d->now / KQ_MS;
+  add_timed_job (d, first_ms);
+  kq_sched_fixture_run (d, DELAY);
+  assert_int_equal (d->start_orders, 1);
+  memcpy (runner, d->runner, 16);
+  memcpy (task, d->task, 96);
+  d->clock_behind_ms = 2000;
+  kq_sched_fixture_new_leader (d);
+  add_timed_job (d, first_ms);
+  kq_sched_loaded (d->sched, d->now);
+  kq_sched_fixture_store_used_runners (d);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+}
+
+/* Guards against a task of an occurrence that runs again after its end was acknowledged:
+ * by the clock of the present leader the occurrence isn't due yet. */
+static void
+test_end_in_an_occurrence_that_is_not_due_counts (void **state)
+{
+  KqSchedFixture *d = *state;
+  char runner[16];
+  char task[96];
+  KqEndRow end = { .number = 1, .reason = KQ_END_DONE };
+  start_and_change_leader (d, runner, task);
+  end.task = kq_str (task);
+  end.run = d->run;
+  kq_sched_fixture_list (d, runner, &end, 1);
+  kq_sched_fixture_list (d, runner[1] == '0' ? "r1" : "r0", NULL, 0);
+  kq_sched_fixture_run (d, 2 * KQ_SEC + INTERVAL); /* until the next one is due */
+  assert_int_equal (d->start_orders, 2);
+  assert_string_equal (d->task, "aa.1.0.0");
+}
+
+/* Guards against a run that is stopped and lost, as by the clock of the present leader
+ * its occurrence isn't due yet. */
+static void
+test_run_in_an_occurrence_that_is_not_due_goes_on (void **state)
+{
+  KqSchedFixture *d = *state;
+  char runner[16];
+  char task[96];
+  KqRunRow row = { .checkpoint = KQ_STR (""), .percent = 10, .load = -1 };
+  start_and_change_leader (d, runner, task);
+  row.task = kq_str (task);
+  row.run = d->run;
+  kq_sched_fixture_list_runs (d, runner, &row, 1);
+  kq_sched_fixture_list (d, runner[1] == '0' ? "r1" : "r0", NULL, 0);
+  kq_sched_fixture_run (d, KQ_SEC);
+  assert_int_equal (d->stop_orders, 0);
+  assert_int_equal (d->start_orders, 1);
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -129,6 +186,8 @@
   const struct CMUnitTest tests[] = {
     FIXTURE_TEST (test_occurrences_start_when_due),
     FIXTURE_TEST (test_occurrences_go_on_under_the_next_leader),
+    FIXTURE_TEST (test_end_in_an_occurrence_that_is_not_due_counts),
+    FIXTURE_TEST (test_run_in_an_occurrence_that_is_not_due_goes_on),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
