Soak: entries of other writers under the keys of live runners

The stand-in's runners can have an entry of another writer put under their key: one to four fields missing or of another type, half of them with the address of the next runner. It stands for 0.2 to 8.2 s, then the runner writes its own again.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -411,14 +411,22 @@
   if (s->runner_fault_end[i] != 0)
     return;
   s->runner_fault_end[i] = kq_time_now () + (KqTime)(200 + rand_below (s, 8000)) * KQ_MS;
-  if (rand_below (s, 2) == 0)
+  switch (rand_below (s, 3))
     {
+    case 0:
       snprintf (path, sizeof path, "/v1/crash?runner=%d", i);
       post (s, s->control_port, path, "{}");
+      break;
+    case 1:
+      snprintf (path, sizeof path, "/v1/entry?runner=%d&seed=%d", i,
+                rand_below (s, 10000));
+      post (s, s->control_port, path, "{}");
+      break;
+    default:
+      post (s, s->runner_ports[i], "/v1/fault",
+            kq_platform_runner_faults[rand_below (s, KQ_PLATFORM_RUNNER_FAULTS)]);
+      break;
     }
-  else
-    post (s, s->runner_ports[i], "/v1/fault",
-          kq_platform_runner_faults[rand_below (s, KQ_PLATFORM_RUNNER_FAULTS)]);
 }
 
 static void
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -4,7 +4,9 @@
  *   GET  /v1/ledger             counts of breached invariants, starts and done tasks
  *   GET  /v1/job?id=ID          {"started":B,"running":N,"done":N}
  *   POST /v1/crash?runner=N     the runner ends without reporting anything
- *   POST /v1/rise?runner=N      starts a crashed runner again, without its earlier state
+ *   POST /v1/rise?runner=N      starts a crashed runner again, without its earlier state;
+ *                               one that is up writes its entry again
+ *   POST /v1/entry?runner=N&seed=S  writes an entry of another writer under its key
  *
  * Faults of the store and the runners are set with POST /v1/fault at their own ports, as
  * for all stand-ins (web.h). */
@@ -52,6 +54,10 @@
     {
       if (kq_web_is (c, "POST", "/v1/crash"))
         kq_platform_runner_crash (p->runners[n]);
+      else if (kq_web_is (c, "POST", "/v1/entry"))
+        kq_platform_runner_foreign_entry (p->runners[n],
+                                          p->runners[(n + 1) % (uint64_t)p->n],
+                                          kq_web_query_u64 (c, "seed", 0));
       else
         kq_platform_runner_restart (p->runners[n]);
       kq_web_reply_json (c, 200, json_object ());
--- a/standin/platform_runner.c
+++ b/standin/platform_runner.c
@@ -1,5 +1,7 @@
 #include "platform_runner.h"
 
+#include "base/rand.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -151,8 +153,8 @@
   free (e);
 }
 
-static void
-publish (KqPlatformRunner *r)
+static json_t *
+entry_json (const KqPlatformRunner *r)
 {
   json_t *j = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:{s:i, s:i, s:i}, "
                          "s:[s, s], s:I}",
@@ -161,18 +163,46 @@
                          "room", "cpu", r->cpu_milli, "mem_mb", 64000, "gpu", 0, "labels",
                          "a", "r1", "born", (json_int_t)r->started_ms);
   char address[32];
-  char *text;
-  if (r->kv == NULL)
-    {
-      json_decref (j);
-      return;
-    }
   snprintf (address, sizeof address, "127.0.0.1:%d", kq_web_port (r->web));
   json_object_set_new (j, "address", json_string (address));
-  text = json_dumps (j, JSON_COMPACT);
-  kq_platform_kv_put (r->kv, r->key, kq_str (text));
+  return j;
+}
+
+/* Writes the entry, which it consumes. */
+static void
+put_entry (const KqPlatformRunner *r, json_t *entry)
+{
+  char *text = json_dumps (entry, JSON_COMPACT);
+  if (r->kv != NULL)
+    kq_platform_kv_put (r->kv, r->key, kq_str (text));
   free (text);
-  json_decref (j);
+  json_decref (entry);
+}
+
+static void
+publish (const KqPlatformRunner *r)
+{
+  put_entry (r, entry_json (r));
+}
+
+void
+kq_platform_runner_foreign_entry (KqPlatformRunner *r, const KqPlatformRunner *other,
+                                  uint64_t seed)
+{
+  static const char *const fields[]
+      = { "service",      "zone", "version", "slots",  "state",
+          "cold_left_ms", "seq",  "room",    "labels", "address" };
+  KqRand rand = kq_rand (seed);
+  json_t *j = entry_json (kq_rand_below (&rand, 2) == 0 ? other : r);
+  for (uint64_t n = 1 + kq_rand_below (&rand, 4); n > 0; n--)
+    {
+      const char *field = fields[kq_rand_below (&rand, 10)];
+      if (kq_rand_below (&rand, 2) == 0)
+        json_object_del (j, field);
+      else
+        json_object_set_new (j, field, json_true ());
+    }
+  put_entry (r, j);
 }
 
 static json_t *
@@ -461,7 +491,10 @@
 kq_platform_runner_restart (KqPlatformRunner *r)
 {
   if (r->alive)
-    return;
+    {
+      publish (r);
+      return;
+    }
   r->alive = true;
   r->started_ms = kq_time_wall_ms ();
   r->started_at = kq_time_now ();
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -39,8 +39,12 @@
                                           const KqPlatformRunnerConfig *c);
 /* Ends the runner as a kill of its process would: closes the port, loses runs and ends
  * and removes its entry from the store. Restart opens the same port with a new start
- * time and without the earlier state. */
+ * time and without the earlier state; a runner that is up only writes its entry again. */
 void kq_platform_runner_crash (KqPlatformRunner *r);
 void kq_platform_runner_restart (KqPlatformRunner *r);
+/* Writes an entry of another writer under the runner's key: fields are missing or of
+ * another type, by the seed, and half of them have the values of the other runner. */
+void kq_platform_runner_foreign_entry (KqPlatformRunner *r, const KqPlatformRunner *other,
+                                       uint64_t seed);
 
 #endif
