--- a/bench/sched_rig_check.c
+++ b/bench/sched_rig_check.c
@@ -48,7 +48,8 @@
   char *key;
   const char *first;
   snprintf (run->saved, sizeof run->saved, "%s", checkpoint);
-  if (checkpoint[0] != '\0' && strncmp (checkpoint, run->task, n) != 0)
+  if (checkpoint[0] != '\0'
+      && !kq_str_has_prefix (kq_str (checkpoint), kq_str_n (run->task, n)))
     kq_sched_rig_breach (r, "a checkpoint of another task", run->task);
   if (!gang)
     return;
