--- a/src/fleet/late_writes_test.c
+++ b/src/fleet/late_writes_test.c
@@ -48,7 +48,7 @@
 
 typedef struct
 {
-  char id[8];
+  char id[16];
   KqTime begins_at;
   int submissions;
   int refusals;         /* submissions answered with KQ_REPLY_REFUSED */
