--- a/src/fleet/early_cancels_test.c
+++ b/src/fleet/early_cancels_test.c
@@ -15,6 +15,8 @@
 
 #include <cmocka.h>
 
+#include "bench/kv_no_leases.h"
+
 #define EPOCH 3
 #define START (100 * KQ_SEC)
 #define KEEP_MS 120000
@@ -87,36 +89,6 @@
   fail ();
 }
 
-void
-kq_kv_lease_grant (KqKv *kv, int64_t ttl_ms, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)ttl_ms;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
-void
-kq_kv_lease_renew (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)lease;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
-void
-kq_kv_lease_revoke (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)lease;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
 static void
 on_deposed (void *arg, const char *why, KqTime now)
 {
--- a/src/fleet/late_writes_test.c
+++ b/src/fleet/late_writes_test.c
@@ -1,23 +1,20 @@
 #include "base/log.h"
-#include "base/rand.h"
 #include "fleet/accepts.h"
 #include "fleet/front.h"
 #include "fleet/keys.h"
 #include "fleet/leader.h"
 
-#include <ev.h>
-#include <glib.h>
-
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
 
+#include "bench/kv_model.h"
+
 /* Random submissions, cancellations and questions at three nodes, whose store loses
  * answers and carries writes out late, while leaders follow one another. Nodes, leaders
  * and the writing of jobs by a leader are the real code; the store is a model. There are
@@ -30,23 +27,13 @@
 /* A client is done with its job after this time; each job begins at its own. */
 #define CLIENT_TIME (700 * KQ_MS)
 #define BEGIN_TIME (3 * KQ_SEC)
-#define LATE_MAX_MS 800
-/* Longer than CLIENT_TIME, the longest retry and LATE_MAX_MS together. */
+/* Longer than CLIENT_TIME, the longest retry and KQ_KV_MODEL_LATE_MAX_MS together. */
 #define KEEP_MS 4000
 #define LEADER_TIME (1400 * KQ_MS)
 /* A leader that doesn't hear of a cancellation from a node reads it within so many ticks,
  * about a second. Counted in ticks, as the process may be held up. */
 #define READ_TICKS 250
 
-typedef struct
-{
-  char key[48];
-  char value[600];
-  size_t len;
-  uint64_t revision;
-  bool deleted;
-} Change;
-
 typedef struct
 {
   char id[16];
@@ -69,8 +56,6 @@
 static struct
 {
   KqLoop *loop;
-  KqRand rand;
-  GPtrArray *changes; /* Change, the oldest first */
   KqCounters *counters;
   KqFrontHandler *nodes[NODES];
   KqAccepts *accepts;
@@ -79,353 +64,9 @@
   uint64_t leader_tick; /* when the present leader began */
   uint64_t ticks;
   Job jobs[JOBS];
-  bool quiet;      /* no trouble any more */
-  int late;        /* writes carried out late */
-  int late_failed; /* those whose condition didn't hold any more */
   KqTime began_at;
 } sim;
 
-static bool
-chance (int percent)
-{
-  return !sim.quiet && kq_rand_below (&sim.rand, 100) < (uint64_t)percent;
-}
-
-/* The model of the store. */
-
-static const Change *
-current (KqStr key)
-{
-  for (guint i = sim.changes->len; i > 0; i--)
-    {
-      const Change *c = g_ptr_array_index (sim.changes, i - 1);
-      if (kq_str_eq (kq_str (c->key), key))
-        return c->deleted ? NULL : c;
-    }
-  return NULL;
-}
-
-static uint64_t
-revision_of (KqStr key)
-{
-  const Change *c = current (key);
-  return c != NULL ? c->revision : 0;
-}
-
-static uint64_t
-store_revision (void)
-{
-  const Change *last = sim.changes->len > 0
-                           ? g_ptr_array_index (sim.changes, sim.changes->len - 1)
-                           : NULL;
-  return last != NULL ? last->revision : 0;
-}
-
-static void
-add_change (KqStr key, KqStr value, bool deleted, uint64_t revision)
-{
-  Change *c = kq_alloc (sizeof *c);
-  assert_true (kq_str_copy (key, c->key, sizeof c->key));
-  assert_true (value.len <= sizeof c->value);
-  if (value.len > 0)
-    memcpy (c->value, value.ptr, value.len);
-  c->len = value.len;
-  c->revision = revision;
-  c->deleted = deleted;
-  g_ptr_array_add (sim.changes, c);
-}
-
-static KqKvItem
-item_of (const Change *c)
-{
-  return (KqKvItem){ .key = kq_str (c->key),
-                     .value = kq_str_n (c->value, c->len),
-                     .revision = c->revision,
-                     .deleted = c->deleted };
-}
-
-/* A call, kept until it is answered and carried out. */
-typedef struct
-{
-  ev_timer timer;
-  enum
-  {
-    GET,
-    RANGE,
-    WATCH,
-    TXN
-  } kind;
-  KqKvCallback cb;
-  KqTime called_at;
-  char *key; /* or prefix */
-  char *from;
-  uint64_t after;
-  KqKvCheck checks[KQ_KV_TXN_MAX];
-  KqKvPut puts[KQ_KV_TXN_MAX];
-  KqStr removes[KQ_KV_TXN_MAX];
-  size_t n_checks;
-  size_t n_puts;
-  size_t n_removes;
-  bool answered; /* or its answer is lost */
-} Call;
-
-static void
-free_call (Call *c)
-{
-  for (size_t i = 0; i < c->n_checks; i++)
-    free ((char *)c->checks[i].key.ptr);
-  for (size_t i = 0; i < c->n_puts; i++)
-    {
-      free ((char *)c->puts[i].key.ptr);
-      free ((char *)c->puts[i].value.ptr);
-    }
-  for (size_t i = 0; i < c->n_removes; i++)
-    free ((char *)c->removes[i].ptr);
-  free (c->key);
-  free (c->from);
-  free (c);
-}
-
-static bool
-conditions_hold (const Call *c)
-{
-  for (size_t i = 0; i < c->n_checks; i++)
-    if (revision_of (c->checks[i].key) != c->checks[i].revision)
-      return false;
-  return true;
-}
-
-static void
-carry_out (const Call *c)
-{
-  uint64_t revision = store_revision () + 1;
-  for (size_t i = 0; i < c->n_puts; i++)
-    add_change (c->puts[i].key, c->puts[i].value, false, revision);
-  for (size_t i = 0; i < c->n_removes; i++)
-    if (current (c->removes[i]) != NULL)
-      add_change (c->removes[i], KQ_STR (""), true, revision);
-}
-
-static void
-answer (Call *c, KqKvResult result, const KqKvItem *items, size_t n)
-{
-  KqKvReply r = { .result = result,
-                  .items = items,
-                  .n_items = n,
-                  .revision = store_revision (),
-                  .called_at = c->called_at };
-  c->answered = true;
-  c->cb.done (c->cb.arg, &r, kq_time_now ());
-}
-
-static void
-answer_txn (Call *c)
-{
-  KqKvItem items[KQ_KV_TXN_MAX];
-  size_t n = 0;
-  if (conditions_hold (c))
-    {
-      carry_out (c);
-      answer (c, KQ_KV_OK, NULL, 0);
-      return;
-    }
-  for (size_t i = 0; i < c->n_checks; i++)
-    if (current (c->checks[i].key) != NULL)
-      items[n++] = item_of (current (c->checks[i].key));
-  answer (c, KQ_KV_CONFLICT, items, n);
-}
-
-static int
-compare_items (const void *a, const void *b)
-{
-  return kq_str_cmp (((const KqKvItem *)a)->key, ((const KqKvItem *)b)->key);
-}
-
-/* Pages aren't a snapshot: further changes may come between them. */
-static void
-answer_range (Call *c)
-{
-  KqKvItem *items = kq_alloc ((sim.changes->len + 1) * sizeof *items);
-  KqKvReply r = { .result = KQ_KV_OK, .items = items, .called_at = c->called_at };
-  for (guint i = 0; i < sim.changes->len; i++)
-    {
-      const Change *one = g_ptr_array_index (sim.changes, i);
-      if (kq_str_has_prefix (kq_str (one->key), kq_str (c->key)) && !one->deleted
-          && kq_str_cmp (kq_str (one->key), kq_str (c->from)) > 0
-          && current (kq_str (one->key)) == one)
-        items[r.n_items++] = item_of (one);
-    }
-  qsort (items, r.n_items, sizeof *items, compare_items);
-  if (r.n_items > 20)
-    {
-      r.n_items = 20;
-      r.more = true;
-    }
-  r.revision = store_revision ();
-  c->cb.done (c->cb.arg, &r, kq_time_now ());
-  free (items);
-}
-
-static void
-answer_watch (Call *c)
-{
-  KqKvItem *items = kq_alloc ((sim.changes->len + 1) * sizeof *items);
-  size_t n = 0;
-  for (guint i = 0; i < sim.changes->len; i++)
-    {
-      const Change *one = g_ptr_array_index (sim.changes, i);
-      if (one->revision > c->after
-          && kq_str_has_prefix (kq_str (one->key), kq_str (c->key)))
-        items[n++] = item_of (one);
-    }
-  answer (c, KQ_KV_OK, items, n);
-  free (items);
-}
-
-static void
-on_call_due (struct ev_loop *ev, ev_timer *w, int events)
-{
-  Call *c = w->data;
-  KqKvItem one;
-  const Change *found;
-  (void)events;
-  if (c->answered)
-    {
-      sim.late++;
-      if (conditions_hold (c))
-        carry_out (c);
-      else
-        sim.late_failed++;
-      free_call (c);
-      return;
-    }
-  if (c->kind == TXN && chance (30))
-    {
-      bool done = chance (30);
-      if (done && conditions_hold (c))
-        carry_out (c);
-      answer (c, chance (15) && !done ? KQ_KV_REFUSED : KQ_KV_UNKNOWN, NULL, 0);
-      free_call (c);
-      return;
-    }
-  if (c->kind == TXN && chance (45))
-    {
-      /* The answer is lost, and the write comes later. */
-      ev_timer_init (&c->timer, on_call_due,
-                     (double)kq_rand_below (&sim.rand, LATE_MAX_MS) / 1000, 0);
-      ev_timer_start (ev, &c->timer);
-      answer (c, KQ_KV_UNKNOWN, NULL, 0);
-      return;
-    }
-  if (c->kind == GET && chance (10))
-    answer (c, KQ_KV_UNKNOWN, NULL, 0);
-  else if (c->kind == WATCH && chance (5))
-    answer (c, KQ_KV_COMPACTED, NULL, 0);
-  else if (c->kind == GET)
-    {
-      found = current (kq_str (c->key));
-      if (found != NULL)
-        one = item_of (found);
-      answer (c, found != NULL ? KQ_KV_OK : KQ_KV_NOT_FOUND, &one, found != NULL);
-    }
-  else if (c->kind == RANGE)
-    answer_range (c);
-  else if (c->kind == WATCH)
-    answer_watch (c);
-  else
-    answer_txn (c);
-  free_call (c);
-}
-
-static Call *
-new_call (int kind, KqStr key, int64_t most_ms, KqKvCallback cb)
-{
-  Call *c = kq_alloc (sizeof *c);
-  double s = (double)kq_rand_below (&sim.rand, (uint64_t)most_ms) / 1000;
-  c->kind = kind;
-  c->cb = cb;
-  c->called_at = kq_time_now ();
-  c->key = kq_str_dup (key);
-  ev_timer_init (&c->timer, on_call_due, s, 0);
-  c->timer.data = c;
-  ev_timer_start (kq_loop_ev (sim.loop), &c->timer);
-  return c;
-}
-
-void
-kq_kv_get (KqKv *kv, KqStr key, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)timeout_ms;
-  new_call (GET, key, 15, cb);
-}
-
-void
-kq_kv_range (KqKv *kv, KqStr prefix, KqStr after, int answer_ms, KqKvCallback cb)
-{
-  Call *c = new_call (RANGE, prefix, 15, cb);
-  (void)kv;
-  (void)answer_ms;
-  c->from = kq_str_dup (after);
-}
-
-void
-kq_kv_watch (KqKv *kv, KqStr prefix, uint64_t after, int wait_ms, KqKvCallback cb)
-{
-  Call *c = new_call (WATCH, prefix, 60, cb);
-  (void)kv;
-  (void)wait_ms;
-  c->after = after;
-}
-
-void
-kq_kv_txn (KqKv *kv, const KqKvTxn *t, int timeout_ms, KqKvCallback cb)
-{
-  Call *c = new_call (TXN, KQ_STR (""), 15, cb);
-  (void)kv;
-  (void)timeout_ms;
-  for (; c->n_checks < t->n_checks; c->n_checks++)
-    c->checks[c->n_checks] = (KqKvCheck){ kq_str_own (t->checks[c->n_checks].key),
-                                          t->checks[c->n_checks].revision };
-  for (; c->n_puts < t->n_puts; c->n_puts++)
-    c->puts[c->n_puts] = (KqKvPut){ kq_str_own (t->puts[c->n_puts].key),
-                                    kq_str_own (t->puts[c->n_puts].value), 0 };
-  for (; c->n_removes < t->n_removes; c->n_removes++)
-    c->removes[c->n_removes] = kq_str_own (t->removes[c->n_removes]);
-}
-
-/* Not called: no leases are used here. */
-
-void
-kq_kv_lease_grant (KqKv *kv, int64_t ttl_ms, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)ttl_ms;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
-void
-kq_kv_lease_renew (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)lease;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
-void
-kq_kv_lease_revoke (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)lease;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
 /* The link: a peer is the front end of a node. */
 
 void
@@ -638,14 +279,14 @@
   q->sent_at = now;
   j->submissions += kind == KQ_FRONT_SUBMIT;
   j->cancellations += kind == KQ_FRONT_CANCEL;
-  kq_front_handler_request (sim.nodes[kq_rand_below (&sim.rand, NODES)],
+  kq_front_handler_request (sim.nodes[kq_rand_below (&kq_kv_model.rand, NODES)],
                             (KqFrontExchange *)q, &r, now);
 }
 
 static void
 act (Job *j, KqTime now)
 {
-  uint64_t n = kq_rand_below (&sim.rand, 100);
+  uint64_t n = kq_rand_below (&kq_kv_model.rand, 100);
   if (j->submissions == 0)
     {
       if (n < 90)
@@ -689,14 +330,14 @@
     {
       Job *j = &sim.jobs[i];
       if (now >= j->begins_at && now - j->begins_at < CLIENT_TIME
-          && kq_rand_below (&sim.rand, 25) == 0)
+          && kq_rand_below (&kq_kv_model.rand, 25) == 0)
         act (j, now);
       check_job (j, now);
     }
-  if (!sim.quiet && now - sim.leader_since > LEADER_TIME)
+  if (!kq_kv_model.quiet && now - sim.leader_since > LEADER_TIME)
     change_leader (now);
   if (now - sim.began_at > BEGIN_TIME + 2 * KQ_SEC)
-    sim.quiet = true;
+    kq_kv_model.quiet = true;
   if (now - sim.began_at > BEGIN_TIME + 4 * KQ_SEC + KEEP_MS * KQ_MS)
     ev_break (ev, EVBREAK_ALL);
 }
@@ -738,8 +379,8 @@
     }
   print_message ("%d writes late, of these %d in vain; %d jobs accepted after their "
                  "cancellation\n",
-                 sim.late, sim.late_failed, n_early);
-  assert_true (sim.late > 50 && sim.late_failed > 10 && n_early > 5);
+                 kq_kv_model.late, kq_kv_model.late_failed, n_early);
+  assert_true (kq_kv_model.late > 50 && kq_kv_model.late_failed > 10 && n_early > 5);
 }
 
 static void
@@ -749,15 +390,14 @@
   memset (&sim, 0, sizeof sim);
   kq_log_set_level (KQ_LOG_ERROR);
   sim.loop = kq_loop_new ();
-  sim.rand = kq_rand (seed);
+  kq_kv_model_init (sim.loop, seed);
   sim.counters = kq_counters_new ();
-  sim.changes = g_ptr_array_new_with_free_func (free);
   sim.began_at = kq_time_now ();
   for (int i = 0; i < JOBS; i++)
     {
       snprintf (sim.jobs[i].id, sizeof sim.jobs[i].id, "j%d", i);
       sim.jobs[i].begins_at
-          = sim.began_at + (KqTime)kq_rand_below (&sim.rand, BEGIN_TIME);
+          = sim.began_at + (KqTime)kq_rand_below (&kq_kv_model.rand, BEGIN_TIME);
     }
   set_up_nodes ();
   change_leader (sim.began_at);
--- a/src/fleet/leader_load_test.c
+++ b/src/fleet/leader_load_test.c
@@ -13,6 +13,8 @@
 
 #include <cmocka.h>
 
+#include "bench/kv_no_leases.h"
+
 /* Fake store: records the outstanding call of each kind under the jobs' prefix, and
  * answers all others at once as empty. */
 static struct
@@ -68,36 +70,6 @@
   fail ();
 }
 
-void
-kq_kv_lease_grant (KqKv *kv, int64_t ttl_ms, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)ttl_ms;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
-void
-kq_kv_lease_renew (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)lease;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
-void
-kq_kv_lease_revoke (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)lease;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
 static void
 answer (KqKvCallback *cb, KqKvResult result, const KqKvItem *items, size_t n, bool more)
 {
--- a/src/fleet/waves_test.c
+++ b/src/fleet/waves_test.c
@@ -12,6 +12,8 @@
 
 #include <cmocka.h>
 
+#include "bench/kv_no_leases.h"
+
 #define EPOCH 5
 #define WRITES_MAX 4
 /* More than the delay after a failed write. */
@@ -90,36 +92,6 @@
   fail ();
 }
 
-void
-kq_kv_lease_grant (KqKv *kv, int64_t ttl_ms, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)ttl_ms;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
-void
-kq_kv_lease_renew (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)lease;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
-void
-kq_kv_lease_revoke (KqKv *kv, uint64_t lease, int timeout_ms, KqKvCallback cb)
-{
-  (void)kv;
-  (void)lease;
-  (void)timeout_ms;
-  (void)cb;
-  fail ();
-}
-
 /* Carries the write out if its conditions hold; returns whether they do. */
 static bool
 carry_out (const Write *w)
