--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -139,8 +139,8 @@
     kq_front_pending_read (q, q->step);
 }
 
-void
-kq_front_pending_notify_cancel (KqFrontPending *q, KqTime now)
+static void
+notify_cancel (KqFrontPending *q, KqTime now)
 {
   KqAgentItem i = { .kind = KQ_AGENT_ITEM_CANCEL };
   i.u.cancel.id = q->id;
@@ -154,7 +154,7 @@
   kq_front_pending_report_call (q, r, now);
   if (r->result == KQ_KV_OK)
     {
-      kq_front_pending_notify_cancel (q, now);
+      notify_cancel (q, now);
       kq_front_pending_reply_kind (q, q->revision != 0 ? KQ_REPLY_DONE : KQ_REPLY_NO_JOB,
                                    now);
     }
--- a/src/fleet/front_pending.h
+++ b/src/fleet/front_pending.h
@@ -83,8 +83,6 @@
 void kq_front_pending_schedule_retry (KqFrontPending *q, KqFrontStep step, KqTime now);
 /* Whether there is time for another call to the store. */
 bool kq_front_pending_may_retry (const KqFrontPending *q, KqTime now);
-/* Tells the leader that the job's cancellation is stored. */
-void kq_front_pending_notify_cancel (KqFrontPending *q, KqTime now);
 /* Reads the key that the step is about. */
 void kq_front_pending_read (KqFrontPending *q, KqFrontStep step);
 /* Sends a query to the leader; the step gets its answer, or -1 after `wait`. */
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -206,6 +206,20 @@
   kq_run_leave_window (s, run);
 }
 
+/* Keeps what the run has saved, for the next one. */
+static void
+keep_checkpoint (KqSched *s, KqRun *run, KqTaskState *t, KqTime now)
+{
+  if (kq_run_step (run)->gang)
+    {
+      kq_gangs_keep_checkpoint (s, run, now);
+      return;
+    }
+  free (t->checkpoint);
+  t->checkpoint = run->checkpoint;
+  run->checkpoint = NULL;
+}
+
 void
 kq_run_end (KqSched *s, KqRun *run, KqTime now)
 {
@@ -222,14 +236,8 @@
       st->active--;
       if (kq_run_step (run)->lasting && st->lost_since == 0)
         st->lost_since = now;
-      if (run->checkpoint != NULL && kq_run_step (run)->gang)
-        kq_gangs_keep_checkpoint (s, run, now);
-      else if (run->checkpoint != NULL && kq_run_step (run)->checkpoints)
-        {
-          free (t->checkpoint);
-          t->checkpoint = run->checkpoint;
-          run->checkpoint = NULL;
-        }
+      if (run->checkpoint != NULL && kq_run_step (run)->checkpoints)
+        keep_checkpoint (s, run, t, now);
     }
   update_reservations (run, -1);
   account_slowed_time (run, 100, now);
