--- a/src/fleet/accepts.c
+++ b/src/fleet/accepts.c
@@ -141,7 +141,7 @@
                 c->cancel_revision, WRITE_TIMEOUT_MS, (KqKvCallback){ on_written, c });
 }
 
-/* The job was cancelled before it could be stored: stores it with its cancellation. */
+/* The job was cancelled before it could be stored: stores it beside its cancellation. */
 static void
 write_cancelled (Call *c, const KqKvReply *r, KqTime now)
 {
--- a/src/fleet/early_cancels.h
+++ b/src/fleet/early_cancels.h
@@ -11,7 +11,7 @@
  * The time counts from when this leader learned of the cancellation, so that it is kept
  * for longer, not shorter, when the leader changes. The store's own limit of writes a
  * second bounds how many come; above KQ_EARLY_CANCELS_MAX they are kept for less time,
- * but not for less than KQ_EARLY_CANCELS_KEEP_MIN_MS. */
+ * but not for less than KQ_KEEP_MIN_MS (settings/fleet_settings.h). */
 
 #include "base/counter.h"
 #include "port/kv.h"
--- a/src/fleet/front_submit.c
+++ b/src/fleet/front_submit.c
@@ -80,7 +80,7 @@
 }
 
 /* The job is stored already, by an earlier request or an earlier try, or it was cancelled
- * before it could be stored. It is then stored with its cancellation. */
+ * before it could be stored. It is then stored beside its cancellation. */
 static void
 handle_conflict (KqFrontPending *q, const KqKvReply *r, KqTime now)
 {
--- a/src/fleet/leader_admit.c
+++ b/src/fleet/leader_admit.c
@@ -9,8 +9,8 @@
 #include <stdlib.h>
 
 #define PART "leader"
-/* Within this time after their call writes are carried out, or after the loss of their
- * node is noticed. */
+/* A write that this leader hasn't been told of may be carried out for so long after an
+ * election or the loss of a node. */
 #define OPEN_WRITE_TIME (10 * KQ_SEC)
 /* Longer forecast waits count as this; kq_retry_after_next advises less anyway. */
 #define WAIT_MAX_MS 60000
--- a/src/sched/gangs_test.c
+++ b/src/sched/gangs_test.c
@@ -78,6 +78,17 @@
   kq_sched_fixture_run (d, 400 * KQ_MS);
 }
 
+/* Starts a gang, whose members save when they are that far, and loses it. */
+static void
+run_and_lose_gang (KqSchedFixture *d, Gang *g, const int *percents)
+{
+  kq_sched_fixture_submit (d, "aa", gang_step (), false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  take_starts (d, g, "");
+  list_members (d, g, percents);
+  lose_members (d);
+}
+
 /* Guards against members of one run that resume from different checkpoints: each had
  * saved its own. */
 static void
@@ -87,11 +98,7 @@
   KqSchedFixture *d = *state;
   char newest[16];
   Gang g;
-  kq_sched_fixture_submit (d, "aa", gang_step (), false);
-  kq_sched_fixture_run (d, 50 * KQ_MS);
-  take_starts (d, &g, "");
-  list_members (d, &g, percents);
-  lose_members (d);
+  run_and_lose_gang (d, &g, percents);
   snprintf (newest, sizeof newest, "%u-1", g.starts[0].run);
   take_starts (d, &g, newest);
   /* A member of the next run has saved one, though it is less far. */
@@ -111,11 +118,7 @@
   KqEndRow end = { .number = 1, .run = 0, .reason = KQ_END_STOPPED };
   char first[16];
   Gang g;
-  kq_sched_fixture_submit (d, "aa", gang_step (), false);
-  kq_sched_fixture_run (d, 50 * KQ_MS);
-  take_starts (d, &g, "");
-  list_members (d, &g, percents);
-  lose_members (d);
+  run_and_lose_gang (d, &g, percents);
   snprintf (first, sizeof first, "%u-0", g.starts[0].run);
   assert_int_equal (d->starts_pending->len, WIDTH);
   memcpy (g.starts, d->starts_pending->data, sizeof g.starts);
@@ -159,11 +162,7 @@
   KqBuf progress = { 0 };
   char newest[16];
   Gang g;
-  kq_sched_fixture_submit (d, "aa", gang_step (), false);
-  kq_sched_fixture_run (d, 50 * KQ_MS);
-  take_starts (d, &g, "");
-  list_members (d, &g, percents);
-  lose_members (d);
+  run_and_lose_gang (d, &g, percents);
   snprintf (newest, sizeof newest, "%u-2", g.starts[0].run);
   store_progress (d, &progress);
   g_array_set_size (d->starts_pending, 0);
