--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# build-2.sh: builds the stand-in of the cases 4 to 8, target/review-cases, after the build
+# of the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+make -j8 BUILD=target target/kumquatd target/libkq.a
+packages="libmicrohttpd libcurl glib-2.0 jansson libxxhash libzstd"
+# shellcheck disable=SC2046
+gcc -std=c11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Isrc -I. -Istandin $(pkg-config --cflags $packages) \
+  -o target/review-cases review/platform_case_test.c standin/platform_kv.c standin/web.c \
+  target/libkq.a -lev -lmsgpackc $(pkg-config --libs $packages) -lstdc++ -lm -lpthread
