--- a/review/platform_case_test.c
+++ b/review/platform_case_test.c
@@ -93,6 +93,7 @@
   GHashTable *highest; /* task -> highest run number that was stopped or ended there */
   GPtrArray *holds;    /* KqWebCall that wait for an end */
   ev_timer tick;
+  ev_timer heartbeat;
 } Machine;
 
 typedef struct
@@ -330,6 +331,19 @@
   put_json ("op/config", j);
 }
 
+static bool store_down;
+static KqTime store_paused_at;
+static KqTime store_paused; /* how long it has been down so far */
+
+/* The store's clock for leases, which pause while it is down: build-2.sh has the store
+ * use it. */
+KqTime store_time_now (void);
+KqTime
+store_time_now (void)
+{
+  return (store_down ? store_paused_at : kq_time_now ()) - store_paused;
+}
+
 /* Runners. */
 
 #define ROOM_CPU 8000
@@ -346,6 +360,8 @@
 {
   char key[48];
   char address[32];
+  if (store_down)
+    return;
   m->entry_at = kq_time_now ();
   snprintf (key, sizeof key, "servers/%s", m->id);
   snprintf (address, sizeof address, "127.0.0.1:%d", kq_web_port (m->web));
@@ -615,7 +631,9 @@
   Machine *m = arg;
   json_t *j = kq_json_parse (kq_buf_str (&c->body));
   uint64_t fence = (uint64_t)json_integer_value (json_object_get (j, "fence"));
-  if (!kq_str_eq (kq_http_header (c->x, "Target-Instance"), kq_str (m->id)))
+  if (!m->alive)
+    kq_http_abort (c->x); /* it is being closed */
+  else if (!kq_str_eq (kq_http_header (c->x, "Target-Instance"), kq_str (m->id)))
     kq_web_error (c, 421, "another runner");
   else if (fence < m->runner_fence)
     refuse (m, c, "fence");
@@ -704,6 +722,16 @@
   ev_timer_start (kq_loop_ev (loop), &e->timer);
 }
 
+static void
+on_heartbeat (struct ev_loop *ev, ev_timer *w, int events)
+{
+  Machine *m = w->data;
+  (void)ev;
+  (void)events;
+  if (m->alive)
+    put_entry (m);
+}
+
 static void
 add_machine (int i)
 {
@@ -717,20 +745,12 @@
   ev_timer_init (&m->tick, on_tick, 0.01, 0.01);
   m->tick.data = m;
   ev_timer_start (kq_loop_ev (loop), &m->tick);
+  ev_timer_init (&m->heartbeat, on_heartbeat, (0.1 + 0.17 * i), HEARTBEAT_MS / 1000.0);
+  m->heartbeat.data = m;
+  ev_timer_start (kq_loop_ev (loop), &m->heartbeat);
   start_runner (m);
 }
 
-static void
-on_heartbeat (struct ev_loop *ev, ev_timer *w, int events)
-{
-  (void)ev;
-  (void)w;
-  (void)events;
-  for (int i = 0; i < n_machines; i++)
-    if (machines[i].alive)
-      put_entry (&machines[i]);
-}
-
 /* The control plane. */
 
 static bool
@@ -1103,7 +1123,7 @@
 
 /* The operator requests the next wave. */
 static void
-request_wave (int cap, const int *members, int n)
+request_wave (int cap, int duration_s, const int *members, int n)
 {
   json_t *names = json_array ();
   char key[32];
@@ -1114,10 +1134,10 @@
       json_array_append_new (names, json_string (machines[members[i]].name));
       note ("wave %lld names %s", (long long)wave.number, machines[members[i]].name);
     }
-  note ("sent: op/wave/%lld, cap %d, 40 s", (long long)wave.number, cap);
+  note ("sent: op/wave/%lld, cap %d, %d s", (long long)wave.number, cap, duration_s);
   snprintf (key, sizeof key, "op/wave/%lld", (long long)wave.number);
   put_json (key, json_pack ("{s:I, s:o, s:i, s:i}", "wave", (json_int_t)wave.number,
-                            "machines", names, "duration_s", 40, "cap", cap));
+                            "machines", names, "duration_s", duration_s, "cap", cap));
 }
 
 /* Waits until each machine of the wave has had its upkeep and is up again. */
@@ -1140,7 +1160,6 @@
 static void
 set_up (int n_nodes_wanted, int n_machines_wanted)
 {
-  static ev_timer heartbeat;
   static ev_timer upkeep;
   KqWebApp app = { .handle = on_cloud_call };
   struct ev_loop *ev = kq_loop_ev (loop);
@@ -1148,9 +1167,6 @@
   put_config ();
   for (n_machines = 0; n_machines < n_machines_wanted; n_machines++)
     add_machine (n_machines);
-  ev_timer_init (&heartbeat, on_heartbeat, HEARTBEAT_MS / 1000.0,
-                 HEARTBEAT_MS / 1000.0);
-  ev_timer_start (ev, &heartbeat);
   ev_timer_init (&upkeep, on_upkeep_over, 0.02, 0.02);
   ev_timer_start (ev, &upkeep);
   add_nodes (n_nodes_wanted);
@@ -1186,7 +1202,7 @@
   leader = find_leader ();
   if (leader == NULL)
     cannot_run ("no leader");
-  request_wave (1, members + 3, 3);
+  request_wave (1, 40, members + 3, 3);
   wait_ms (1000);
   note ("the leader is %s", leader->name);
   if (trouble)
@@ -1233,17 +1249,13 @@
     cannot_run ("the lasting tasks aren't at work");
 }
 
-/* Case crash: a runner crashes and is up again under a new id while a wave is on its way.
- */
+/* Has 14 lasting tasks at work, two on each of seven machines; one machine is free. */
 static void
-case_crash (void)
+start_lasting (void)
 {
   static const char job[]
       = "{\"spec\":\"ms=0\",\"steps\":[{\"count\":14,\"cpu\":2000,\"mem_mb\":1000,"
         "\"est_ms\":500,\"daemon\":true,\"max_per_server\":2,\"may_miss\":1}]}";
-  int members[MACHINES_MAX];
-  Machine *m;
-  set_up (3, 8);
   snprintf (lasting.job, sizeof lasting.job, "5c0e7a21d94b36f8");
   lasting.may_miss = 1;
   lasting.n = 14;
@@ -1251,11 +1263,22 @@
     cannot_run ("the job wasn't accepted");
   wait_for_work (14);
   wait_ms (4000);
+}
+
+/* Case crash: a runner crashes and is up again under a new id while a wave is on its way.
+ */
+static void
+case_crash (void)
+{
+  int members[MACHINES_MAX];
+  Machine *m;
+  set_up (3, 8);
+  start_lasting ();
   for (int i = 0; i < n_machines; i++)
     members[i] = i;
   qsort (members, (size_t)n_machines, sizeof members[0], compare_by_runs);
   m = &machines[members[6]];
-  request_wave (1, members + 5, 3);
+  request_wave (1, 40, members + 5, 3);
   for (int i = 0; i < 200 && count_down_for_wave () == 0; i++)
     wait_ms (20);
   wait_ms (100);
@@ -1270,6 +1293,60 @@
   wait_for_work (14);
 }
 
+#define OUTAGE_MS 4500
+
+/* The store answers nobody for 4.5 s. Entries that are three heartbeats old by then are
+ * removed; the runners write theirs again with their next heartbeat. */
+static void
+take_store_down (void)
+{
+  static const char busy[] = "{\"outage\":\"refuse\"}";
+  static const char clear[] = "{\"clear\":true}";
+  int port = store_port;
+  note ("disruption: the store is down");
+  if (call ("POST", "127.0.0.1", port, "/v1/fault", busy, strlen (busy), NULL) != 200)
+    cannot_run ("the store's fault can't be set");
+  store_paused_at = kq_time_now ();
+  store_down = true;
+  wait_ms (OUTAGE_MS);
+  for (int i = 0; i < n_machines; i++)
+    {
+      char key[48];
+      snprintf (key, sizeof key, "servers/%s", machines[i].id);
+      if (!machines[i].alive
+          || kq_time_now () - machines[i].entry_at < 3 * HEARTBEAT_MS * KQ_MS)
+        continue;
+      note ("entry %s has expired", key);
+      kq_platform_kv_remove (kv, key);
+    }
+  if (call ("POST", "127.0.0.1", port, "/v1/fault", clear, strlen (clear), NULL) != 200)
+    cannot_run ("the store's fault can't be cleared");
+  store_paused += kq_time_now () - store_paused_at;
+  store_down = false;
+  note ("disruption: the store is back");
+}
+
+/* Case outage: the store is down for a while, and entries of live runners have expired
+ * when it is back. */
+static void
+case_outage (void)
+{
+  int members[MACHINES_MAX];
+  set_up (3, 8);
+  start_lasting ();
+  for (int i = 0; i < n_machines; i++)
+    members[i] = i;
+  qsort (members, (size_t)n_machines, sizeof members[0], compare_by_runs);
+  request_wave (3, 20, members + 3, 5);
+  for (int i = 0; i < 200 && count_down_for_wave () == 0; i++)
+    wait_ms (20);
+  wait_ms (500);
+  if (trouble)
+    take_store_down ();
+  wait_for_wave ();
+  wait_for_work (14);
+}
+
 #define LATE_ROUNDS 4
 #define LATE_MS 6000
 
@@ -1286,12 +1363,13 @@
     {
       char id[24];
       char job[200];
-      int length = 600 + (int)kq_rand_below (&rand_state, 2400);
+      int length = 600 + (int)kq_rand_below (&rand_state, 3400);
       snprintf (id, sizeof id, "a7d94b36f80%05x", ++load_jobs);
       snprintf (job, sizeof job,
-                "{\"spec\":\"ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":1500,"
-                "\"mem_mb\":1000,\"est_ms\":%d}]}",
-                length, 1 + (int)kq_rand_below (&rand_state, 6), length);
+                "{\"spec\":\"ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+                "\"mem_mb\":500,\"est_ms\":%d}]}",
+                length, 1 + (int)kq_rand_below (&rand_state, 8),
+                300 + (int)kq_rand_below (&rand_state, 1500), length);
       if (load_on)
         submit (id, job, strlen (job), load_jobs);
       wait_ms (250);
@@ -1317,7 +1395,7 @@
         members[i] = i;
       late_ms = trouble ? LATE_MS : 0;
       late_calls = 0;
-      request_wave (1, members, n_machines);
+      request_wave (1, 40, members, n_machines);
       for (int i = 0; i < 500 && trouble && late_calls == 0; i++)
         load_for (20);
       if (trouble)
@@ -1341,7 +1419,10 @@
   const char *name;
   void (*run) (void);
 } cases[]
-    = { { "freeze", case_freeze }, { "crash", case_crash }, { "late", case_late } };
+    = { { "freeze", case_freeze },
+        { "late", case_late },
+        { "outage", case_outage },
+        { "crash", case_crash } };
 
 int
 main (int argc, char **argv)
