--- a/review/platform_case_test.c
+++ b/review/platform_case_test.c
@@ -5,7 +5,8 @@
  *   target/review-cases CASE RECORD    with TROUBLE=0 in the environment: no disruption
  *
  * Exits with 0 if the rule held, with 1 if it was broken, with 2 if the case couldn't be
- * run. The store is the project's stand-in (standin/platform_kv.c). */
+ * run. `spec` and `stop` are trials, not cases: see REPORT-2.md. The store is the
+ * project's stand-in (standin/platform_kv.c). */
 
 #include "base/rand.h"
 #include "base/str.h"
@@ -1414,6 +1415,76 @@
     }
 }
 
+/* Trial spec, no case: a client's spec has a NUL character. */
+
+static const char *spec_sent;
+static size_t spec_len;
+static int spec_starts;
+
+static void
+check_spec (Machine *m, const json_t *order)
+{
+  const json_t *spec = json_object_get (order, "spec");
+  size_t len = json_string_length (spec);
+  bool same = len == spec_len && memcmp (json_string_value (spec), spec_sent, len) == 0;
+  spec_starts++;
+  note ("a start on %s has a spec of %zu bytes, the client's has %zu", m->name, len,
+        spec_len);
+  if (same)
+    return;
+  broken++;
+  note ("BROKEN: UNASKED: a start with another spec");
+}
+
+static void
+trial_spec (void)
+{
+  char job[200];
+  spec_sent = trouble ? "ms=300\0tail" : "ms=300 tail";
+  spec_len = strlen ("ms=300 tail");
+  snprintf (job, sizeof job,
+            "{\"spec\":\"ms=300%stail\",\"steps\":[{\"count\":3,\"cpu\":2000,"
+            "\"mem_mb\":1000,\"est_ms\":300}]}",
+            trouble ? "\\u0000" : " ");
+  set_up (3, 6);
+  on_start = check_spec;
+  if (submit ("5c0e7a21d94b36f8", job, strlen (job), 0) != 200)
+    cannot_run ("the job wasn't accepted");
+  wait_ms (2000);
+  if (spec_starts < 3)
+    cannot_run ("the tasks haven't been started");
+}
+
+/* Trial stop, no case: nodes are stopped as planned while a client goes on asking them. */
+static void
+trial_stop (void)
+{
+  set_up (3, 4);
+  for (int i = 0; i < 6; i++)
+    {
+      Node *n = &nodes[i % 3];
+      KqTime until = kq_time_now () + 3 * KQ_SEC;
+      int status = 0;
+      int calls = 0;
+      if (trouble)
+        kill (n->pid, SIGTERM);
+      while (trouble ? waitpid (n->pid, &status, WNOHANG) == 0 : kq_time_now () < until)
+        {
+          call ("GET", n->ip, n->front, "/plans/5c0e7a21d94b36f8", NULL, 0, NULL);
+          calls++;
+        }
+      if (!trouble)
+        continue;
+      note ("%s has ended: status %d, signal %d, after %d calls", n->name,
+            WIFEXITED (status) ? WEXITSTATUS (status) : -1,
+            WIFSIGNALED (status) ? WTERMSIG (status) : 0, calls);
+      broken += WIFSIGNALED (status);
+      n->pid = 0;
+      start_node (n);
+      wait_ms (2000);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -1422,7 +1493,9 @@
     = { { "freeze", case_freeze },
         { "late", case_late },
         { "outage", case_outage },
-        { "crash", case_crash } };
+        { "crash", case_crash },
+        { "spec", trial_spec },
+        { "stop", trial_stop } };
 
 int
 main (int argc, char **argv)
