--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# The store is down while a wave is on its way; see claim.txt.
+# The store is down while a wave is on its way; see
+# claim.txt. TROUBLE=0: the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/review-cases ] || [ ! -x target/kumquatd ]; then
   echo "run review/build-2.sh first"
   exit 2
 fi
-target/review-cases outage review/7/record.txt
+target/review-cases outage review/7/record.txt "${TROUBLE:-1}"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/platform_case_test.c
+++ b/review/platform_case_test.c
@@ -2,7 +2,7 @@
  * and nodes of a fleet as child processes. Each case is one disruption of this platform
  * and the check of one rule; see review/N/claim.txt.
  *
- *   target/review-cases CASE RECORD    with TROUBLE=0 in the environment: no disruption
+ *   target/review-cases CASE RECORD TROUBLE    TROUBLE 0: the same without the disruption
  *
  * Exits with 0 if the rule held, with 1 if it was broken, with 2 if the case couldn't be
  * run. `spec` and `stop` are trials, not cases: see REPORT-2.md. The store is the
@@ -1500,20 +1500,19 @@
 int
 main (int argc, char **argv)
 {
-  const char *off = getenv ("TROUBLE");
   char template[] = "/tmp/review-case-XXXXXX";
   void (*run) (void) = NULL;
-  for (size_t i = 0; argc == 3 && i < sizeof cases / sizeof cases[0]; i++)
+  for (size_t i = 0; argc == 4 && i < sizeof cases / sizeof cases[0]; i++)
     if (strcmp (argv[1], cases[i].name) == 0)
       run = cases[i].run;
-  record = argc == 3 ? fopen (argv[2], "w") : NULL;
+  record = argc == 4 ? fopen (argv[2], "w") : NULL;
   if (run == NULL || record == NULL || mkdtemp (template) == NULL)
     {
-      fprintf (stderr, "usage: review-cases CASE RECORD\n");
+      fprintf (stderr, "usage: review-cases CASE RECORD TROUBLE\n");
       return 2;
     }
   snprintf (temp_dir, sizeof temp_dir, "%s", template);
-  trouble = off == NULL || strcmp (off, "0") != 0;
+  trouble = strcmp (argv[3], "0") != 0;
   signal (SIGPIPE, SIG_IGN);
   began_at = kq_time_now ();
   loop = kq_loop_new ();
