--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -11,8 +11,6 @@
 
 #include "sched/drain.h"
 
-#include "wire/pack.h"
-
 #include <stdlib.h>
 #include <string.h>
 
@@ -40,9 +38,8 @@
 /* How much the clocks of hosts may differ. */
 #define CLOCK_SKEW_MS 5000
 
-/* Whether the host has been taken down, or is gone for good. */
-static bool
-has_gone_down (const KqWaveHost *h)
+bool
+kq_wave_host_is_done (const KqWaveHost *h)
 {
   return h->phase >= KQ_HOST_DOWN;
 }
@@ -89,8 +86,8 @@
   return NULL;
 }
 
-static KqWaveHost *
-add_host (KqWave *w, KqStr host)
+KqWaveHost *
+kq_wave_add_host (KqWave *w, KqStr host)
 {
   KqWaveHost *h = find_host (w, host);
   if (h != NULL)
@@ -101,8 +98,8 @@
   return h;
 }
 
-static KqWave *
-get_or_add_wave (KqSched *s, int64_t number)
+KqWave *
+kq_wave_get (KqSched *s, int64_t number)
 {
   KqWave *w = find_wave (s, number);
   if (w != NULL)
@@ -116,7 +113,7 @@
 void
 kq_sched_wave (KqSched *s, const KqWaveInfo *info, KqTime now)
 {
-  KqWave *w = get_or_add_wave (s, info->number);
+  KqWave *w = kq_wave_get (s, info->number);
   if (w->requested)
     return;
   w->requested = true;
@@ -126,7 +123,7 @@
     w->ends_wall_ms = s->wall_minus_now_ms + now / KQ_MS + info->duration_ms;
   w->ends_at = (w->ends_wall_ms - s->wall_minus_now_ms) * KQ_MS;
   for (size_t i = 0; i < info->n_hosts; i++)
-    add_host (w, info->hosts[i]);
+    kq_wave_add_host (w, info->hosts[i]);
   s->waves_dirty = s->waves_dirty || !w->completed;
   kq_log (KQ_LOG_INFO, PART,
           "Maintenance wave requested. wave=%lld hosts=%zu cap=%d duration_ms=%lld",
@@ -153,7 +150,7 @@
   KqTime time = w->ends_at - WAVE_RESERVE - now;
   int64_t wanted;
   for (size_t i = 0; i < w->n_hosts; i++)
-    left += !has_gone_down (&w->hosts[i]);
+    left += !kq_wave_host_is_done (&w->hosts[i]);
   if (time < HOST_DURATION)
     return w->cap;
   wanted = (left * HOST_DURATION + time - 1) / time;
@@ -393,7 +390,7 @@
       begin_drain (s, w, h, now);
     }
   for (size_t i = 0; i < w->n_hosts; i++)
-    if (!has_gone_down (&w->hosts[i]))
+    if (!kq_wave_host_is_done (&w->hosts[i]))
       return;
   w->completed = true;
   s->waves_dirty = true;
@@ -464,80 +461,3 @@
     }
   update_leaving (s);
 }
-
-/* Version of the stored format, its first field. */
-#define FORMAT_VERSION 1
-
-bool
-kq_sched_waves_pending (const KqSched *s)
-{
-  return s->waves_dirty;
-}
-
-void
-kq_sched_waves_pack (KqSched *s, KqBuf *out)
-{
-  KqPacker p;
-  kq_packer_init (&p, out);
-  kq_pack_array (&p, 1 + (size_t)s->waves->len);
-  kq_pack_i64 (&p, FORMAT_VERSION);
-  for (guint i = 0; i < s->waves->len; i++)
-    {
-      const KqWave *w = g_ptr_array_index (s->waves, i);
-      size_t begun = 0;
-      for (size_t k = 0; k < w->n_hosts; k++)
-        begun += has_gone_down (&w->hosts[k]);
-      kq_pack_array (&p, 3 + begun);
-      kq_pack_i64 (&p, w->number);
-      kq_pack_i64 (&p, w->ends_wall_ms);
-      kq_pack_bool (&p, w->completed);
-      for (size_t k = 0; k < w->n_hosts; k++)
-        if (has_gone_down (&w->hosts[k]))
-          kq_pack_str (&p, kq_str (w->hosts[k].host));
-    }
-  s->waves_dirty = false;
-}
-
-void
-kq_sched_waves_failed (KqSched *s)
-{
-  s->waves_dirty = true;
-}
-
-void
-kq_sched_waves_each (const KqSched *s,
-                     void (*take) (void *arg, int64_t number, bool completed), void *arg)
-{
-  for (guint i = 0; i < s->waves->len; i++)
-    {
-      const KqWave *w = g_ptr_array_index (s->waves, i);
-      if (w->requested)
-        take (arg, w->number, w->completed);
-    }
-}
-
-bool
-kq_sched_waves_stored (KqSched *s, KqStr stored)
-{
-  KqUnpacked u;
-  KqReader r;
-  bool good;
-  if (!kq_unpacked_open (&u, stored, &r))
-    return false;
-  good = kq_read_i64 (&r) == FORMAT_VERSION;
-  while (good && !r.bad && r.left > 0)
-    {
-      KqReader one;
-      KqWave *w;
-      kq_read_array (&r, &one);
-      w = get_or_add_wave (s, kq_read_i64 (&one));
-      w->ends_wall_ms = kq_read_i64 (&one);
-      w->completed = kq_read_bool (&one);
-      while (!one.bad && one.left > 0)
-        add_host (w, kq_read_str (&one))->phase = KQ_HOST_BACK;
-      kq_read_array_end (&r, &one);
-    }
-  good = good && !r.bad;
-  kq_unpacked_close (&u);
-  return good;
-}
--- a/src/sched/maintenance.h
+++ b/src/sched/maintenance.h
@@ -42,6 +42,12 @@
 } KqWave;
 
 GPtrArray *kq_maintenance_new_waves (void);
+/* The wave with that number, added if there is none. Owned by the scheduler. */
+KqWave *kq_wave_get (KqSched *s, int64_t number);
+/* The host's part in the wave, added if there is none. Valid until the next call. */
+KqWaveHost *kq_wave_add_host (KqWave *w, KqStr host);
+/* Whether the host has been taken down, or is gone for good. */
+bool kq_wave_host_is_done (const KqWaveHost *h);
 /* Drains and takes down hosts of the waves, as many as are due. */
 void kq_maintenance_update (KqSched *s, KqTime now);
 /* Whether a wave takes the runner's host down and may still end the runner, which must
