Waves: a host is named in the stored record before it is called for

Cause: the control plane checks a token for each host separately. A host that the next leader hasn't called for yet accepts the earlier token, so nothing kept an earlier leader from acting there. A look at the clock before the call wouldn't: the process may be suspended between the look and the call, or the call may be carried out late.

Change: each call is announced in the waves' record, which is written on the condition that the writer still leads, and made only when that write has succeeded. The next leader reads the record, takes no tasks to the hosts in it whose calls weren't answered, counts them as down and calls for them first, with its own token: then the earlier call has been carried out, or the host refuses it. A host that is busy keeps its place while an earlier call for it is unanswered. Hosts that were down at the change of leader count as down for as long as a maintenance takes; before, only the leader's first 3.2 s covered them.

The record has version 2; version 1 is read. One that can't be read is reported with an error number and not replaced, and no host is called for.

test_late_write_does_not_replace_a_newer_one expected the host to go down while no write of the record had succeeded, which is what this forbids: it now expects no call then, and one after the next write; the rest is as before.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -98,12 +98,24 @@
     }
 }
 
+static void
+store_waves (KqSchedFixture *d)
+{
+  if (!kq_sched_waves_pending (d->sched))
+    return;
+  kq_buf_clear (&d->waves);
+  kq_sched_waves_pack (d->sched, &d->waves);
+  kq_sched_waves_written (d->sched);
+}
+
 void
 kq_sched_fixture_run (KqSchedFixture *d, KqTime span)
 {
   for (KqTime end = d->now + span; d->now < end; d->now += 10 * KQ_MS)
     {
       kq_sched_run (d->sched, d->now, d->now / KQ_MS - d->clock_behind_ms);
+      if (!d->store_down)
+        store_waves (d);
       if (!d->mute && d->now - d->reported_at >= KQ_SEC)
         report_nothing (d);
     }
@@ -264,7 +276,7 @@
                       .counters = d->counters,
                       .order = on_order,
                       .maintenance = on_maintenance,
-                      .maintenance_ms = 2000,
+                      .maintenance_ms = d->maintenance_ms,
                       .arg = d };
   KqAgentInfo agent = { .name = kq_name (KQ_STR ("a")), .share_milli = 1000 };
   d->sched = kq_sched_new (&c, d->now);
@@ -323,6 +335,7 @@
   kq_log_set_level (KQ_LOG_ERROR);
   d->now = 100 * KQ_SEC;
   d->started_ms = 1;
+  d->maintenance_ms = 2000;
   d->starts_pending = g_array_new (FALSE, FALSE, sizeof (KqSchedFixtureStart));
   d->counters = kq_counters_new ();
   d->cordons = kq_cordons_new ();
@@ -345,6 +358,7 @@
   kq_sched_free (d->sched);
   kq_cordons_free (d->cordons);
   kq_counters_free (d->counters);
+  kq_buf_free (&d->waves);
   kq_buf_free (&d->used_agents);
   kq_buf_free (&d->used_runners);
   g_array_free (d->starts_pending, TRUE);
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -55,9 +55,12 @@
   KqBuf used_runners;      /* the stored list of runners in use, packed */
   int64_t started_ms;      /* start of the runner process in lists; 1 at first */
   int drop_orders;         /* DROP orders so far */
+  bool store_down;         /* the waves' record isn't written */
+  KqBuf waves;             /* the waves' record as last written, packed */
   int64_t clock_behind_ms; /* of the leader's time of day */
 
   /* Of the next leader. */
+  int64_t maintenance_ms;
   KqSchedFeatures features;
 } KqSchedFixture;
 
@@ -71,8 +74,9 @@
 /* Replaces the scheduler by that of a new leader, which gets the stored list and the
  * runners' entries. The caller passes the jobs in and calls kq_sched_loaded. */
 void kq_sched_fixture_new_leader (KqSchedFixture *d);
-/* Runs the scheduler every 10 ms for the span. Unless mute, each agent sends something
- * about its runners every second that tells nothing of them. */
+/* Runs the scheduler every 10 ms for the span, and writes the waves' record. Unless mute,
+ * each agent sends something about its runners every second that tells nothing of them.
+ */
 void kq_sched_fixture_run (KqSchedFixture *d, KqTime span);
 /* Passes in a list of the runner with these ends and no runs. */
 void kq_sched_fixture_list (KqSchedFixture *d, const char *runner, const KqEndRow *ends,
--- a/bench/sched_rig_maintenance.c
+++ b/bench/sched_rig_maintenance.c
@@ -60,7 +60,8 @@
 {
   if (r->waves_stored->len > 0)
     kq_sched_waves_stored (
-        r->sched, kq_str_n ((const char *)r->waves_stored->data, r->waves_stored->len));
+        r->sched, kq_str_n ((const char *)r->waves_stored->data, r->waves_stored->len),
+        r->now);
   for (int i = 0; i < r->n_waves; i++)
     pass_wave (r, &r->waves[i]);
 }
@@ -85,6 +86,7 @@
   g_byte_array_append (r->waves_stored, (const guint8 *)b.ptr, (guint)b.len);
   kq_buf_free (&b);
   r->revision++;
+  kq_sched_waves_written (r->sched);
   kq_sched_waves_each (r->sched, check_completed, r);
 }
 
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -128,7 +128,7 @@
 {
   KqSchedConfig c = { .counters = kq_counters_new () };
   KqSched *s = kq_sched_new (&c, KQ_SEC);
-  kq_sched_waves_stored (s, text);
+  kq_sched_waves_stored (s, text, KQ_SEC);
   kq_sched_free (s);
   kq_counters_free (c.counters);
 }
--- a/src/fleet/leader_load.c
+++ b/src/fleet/leader_load.c
@@ -208,7 +208,7 @@
 load_value (KqLeaderLoad *l, KqStr value, KqTime now)
 {
   if (l->phase == LOAD_WAVES)
-    return kq_sched_waves_stored (l->config.sched, value);
+    return kq_sched_waves_stored (l->config.sched, value, now);
   if (l->phase == LOAD_LEARNED)
     return kq_sched_learned (l->config.sched, value);
   if (l->phase == LOAD_ESTIMATES)
--- a/src/fleet/waves.c
+++ b/src/fleet/waves.c
@@ -191,6 +191,8 @@
     {
       w->revision = r->revision;
       w->config.answered (w->config.arg, r->called_at, now);
+      kq_sched_waves_written (w->config.sched);
+      w->config.changed (w->config.arg);
       return;
     }
   kq_log (KQ_LOG_WARN, PART, "The state of waves was not written. result=%d", r->result);
--- a/src/fleet/waves_test.c
+++ b/src/fleet/waves_test.c
@@ -145,15 +145,16 @@
 }
 
 static KqWaves *
-new_waves (KqLoop *loop, KqSched *sched)
+new_waves (KqLoop *loop, KqSchedFixture *d)
 {
   KqWavesConfig c = { .loop = loop,
-                      .sched = sched,
+                      .sched = d->sched,
                       .epoch = EPOCH,
                       .changed = on_changed,
                       .deposed = on_deposed,
                       .answered = on_answered };
   memset (&store, 0, sizeof store);
+  d->store_down = true; /* the fixture doesn't write the record: the tests do */
   store.revision = 100;
   store.leader_revision = EPOCH;
   return kq_waves_new (&c);
@@ -176,7 +177,7 @@
 {
   KqSchedFixture *d = *state;
   KqLoop *loop = kq_loop_new ();
-  KqWaves *w = new_waves (loop, d->sched);
+  KqWaves *w = new_waves (loop, d);
   KqStr host = KQ_STR ("h0");
   KqWaveInfo wave = { .number = 1, .hosts = &host, .n_hosts = 1, .duration_ms = 20000 };
   wave.cap = 1;
@@ -185,14 +186,19 @@
   assert_int_equal (store.n_writes, 1);
   answer (&store.writes[0], KQ_KV_UNKNOWN, d->now);
 
-  kq_sched_fixture_run (d, 5 * KQ_SEC); /* takes the host down */
+  kq_sched_fixture_run (d, 5 * KQ_SEC);
+  assert_int_equal (d->hosts_down, 0);
+  kq_waves_write (w, d->now); /* names the host */
+  assert_int_equal (store.n_writes, 2);
+  carry_out_and_answer (&store.writes[1], d->now);
+  kq_sched_fixture_run (d, KQ_SEC);
   assert_int_equal (d->hosts_down, 1);
   kq_sched_maintenance_ended (d->sched, 1, host, KQ_MAINTENANCE_OK, d->now);
   kq_sched_fixture_run (d, KQ_SEC);
   kq_waves_write (w, d->now);
-  assert_int_equal (store.n_writes, 2);
-  assert_true (store.writes[1].completed);
-  carry_out_and_answer (&store.writes[1], d->now);
+  assert_int_equal (store.n_writes, 3);
+  assert_true (store.writes[2].completed);
+  carry_out_and_answer (&store.writes[2], d->now);
   assert_true (store.completed);
 
   assert_false (carry_out (&store.writes[0]));
@@ -207,7 +213,7 @@
 {
   KqSchedFixture *d = *state;
   KqLoop *loop = kq_loop_new ();
-  KqWaves *w = new_waves (loop, d->sched);
+  KqWaves *w = new_waves (loop, d);
   KqStr host = KQ_STR ("h0");
   KqWaveInfo wave = { .number = 1, .hosts = &host, .n_hosts = 1, .duration_ms = 20000 };
   wave.cap = 1;
@@ -231,6 +237,33 @@
   free_waves (w, loop);
 }
 
+/* Guards against a host taken down beside those of the next leader: this leader was
+ * suspended while it drained the host, and another one has been elected meanwhile. */
+static void
+test_leader_that_wakes_takes_no_host_down (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqLoop *loop = kq_loop_new ();
+  KqWaves *w = new_waves (loop, d);
+  KqStr host = KQ_STR ("h0");
+  KqWaveInfo wave = { .number = 1, .hosts = &host, .n_hosts = 1, .duration_ms = 20000 };
+  wave.cap = 1;
+  kq_sched_fixture_run (d, 5 * KQ_SEC);
+  kq_sched_wave (d->sched, &wave, d->now);
+  kq_waves_write (w, d->now);
+  carry_out_and_answer (&store.writes[0], d->now);
+  store.leader_revision = EPOCH + 1;
+  d->now += 4 * KQ_SEC;
+  kq_sched_fixture_run (d, KQ_SEC);
+  kq_waves_write (w, d->now);
+  assert_int_equal (store.n_writes, 2);
+  carry_out_and_answer (&store.writes[1], d->now);
+  kq_sched_fixture_run (d, KQ_SEC);
+  assert_int_equal (store.deposed, 1);
+  assert_int_equal (d->hosts_down, 0);
+  free_waves (w, loop);
+}
+
 int
 main (void)
 {
@@ -239,6 +272,8 @@
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_write_is_repeated_with_the_present_revision,
                                      kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_leader_that_wakes_takes_no_host_down,
+                                     kq_sched_fixture_set_up, kq_sched_fixture_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/drain.c
+++ b/src/sched/drain.c
@@ -37,22 +37,31 @@
   return away < p->max_unavailable;
 }
 
+bool
+kq_drain_is_done (const KqRunnerState *r, KqTime since, KqTime now)
+{
+  if (r->n_runs == 0)
+    return true;
+  if (now - since < DRAIN_MAX)
+    return false;
+  for (const KqRun *run = r->runs; run != NULL; run = run->next)
+    if (run->phase == KQ_RUN_RUNNING && !may_interrupt (run))
+      return false;
+  return true;
+}
+
 bool
 kq_drain_host (KqSched *s, KqRunnerState *r, KqTime since, KqTime now)
 {
-  bool protected_left = false;
   for (KqRun *run = r->runs; run != NULL; run = run->next)
     {
       const KqStep *p = kq_run_step (run);
       int64_t left_ms = (int64_t)p->estimate_ms * (100 - run->percent) / 100;
-      if (run->phase != KQ_RUN_RUNNING)
-        continue;
-      if (!may_interrupt (run))
-        protected_left = true;
-      else if (p->lasting || (p->checkpoints && left_ms > ENDS_SOON_MS))
+      if (run->phase == KQ_RUN_RUNNING && may_interrupt (run)
+          && (p->lasting || (p->checkpoints && left_ms > ENDS_SOON_MS)))
         kq_run_stop (s, run, "its host goes down for maintenance", now);
     }
-  return r->n_runs == 0 || (!protected_left && now - since >= DRAIN_MAX);
+  return kq_drain_is_done (r, since, now);
 }
 
 /* Whether a run there must not be interrupted because another task of its step has waited
--- a/src/sched/drain.h
+++ b/src/sched/drain.h
@@ -5,8 +5,10 @@
 
 #include "sched/state.h"
 
-/* Stops the runs on the host's runner that can go on elsewhere. since: when the drain
- * began. Returns whether the host may go down now. */
+/* Whether the host of the runner may go down now. since: when its drain began. */
+bool kq_drain_is_done (const KqRunnerState *r, KqTime since, KqTime now);
+/* Stops the runs on the host's runner that can go on elsewhere. Returns kq_drain_is_done.
+ */
 bool kq_drain_host (KqSched *s, KqRunnerState *r, KqTime since, KqTime now);
 /* Whether the drain has gone on for too long while a task waits that may need the room of
  * this host. It should be given up then. */
--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -27,8 +27,8 @@
 /* A runner that still lists its runs this long after the maintenance began wasn't ended
  * by the maintenance. */
 #define STILL_ALIVE_AFTER KQ_SEC
-/* A new leader waits this long before its first maintenance call, so that it doesn't
- * interleave with calls of the earlier leader for the same host. */
+/* A new leader waits this long before its first maintenance call, so that the calls of
+ * two leaders for one host don't alternate. */
 #define FIRST_CALL_DELAY (3200 * KQ_MS)
 /* Delay before a maintenance call is repeated: after a call without an answer, after one
  * that was refused by the rate limit, and after one for a host that wasn't up. */
@@ -38,6 +38,12 @@
 /* How much the clocks of hosts may differ. */
 #define CLOCK_SKEW_MS 5000
 
+bool
+kq_wave_host_may_be_called (const KqWaveHost *h)
+{
+  return h->to_call || h->outstanding || h->phase == KQ_HOST_CALLED;
+}
+
 bool
 kq_wave_host_is_done (const KqWaveHost *h)
 {
@@ -211,7 +217,7 @@
 {
   const KqRunnerState *r = runner_on (s, h->host);
   h->phase = KQ_HOST_DRAINING;
-  h->since = now;
+  h->since = h->drained_since = now;
   if (r != NULL)
     {
       free (h->kind);
@@ -231,15 +237,21 @@
   const KqRunnerState *r = runner_on (s, h->host);
   /* An unanswered call may have been carried out: the runner that is there when it is
    * repeated may be the new one. */
-  h->repeated = h->phase == KQ_HOST_CALLED;
+  h->repeated = h->outstanding || h->phase == KQ_HOST_CALLED;
   if (h->phase != KQ_HOST_CALLED || h->old_runner == NULL)
     {
       free (h->old_runner);
       h->old_runner = r != NULL ? kq_str_dup (kq_str (r->id)) : NULL;
     }
   h->phase = KQ_HOST_CALLED;
+  h->to_call = false;
   h->since = now;
   h->again_at = KQ_TIME_NEVER; /* until the answer */
+  kq_log (KQ_LOG_INFO, PART,
+          "Calling for a host's maintenance. wave=%lld host=%s runner=%s runs=%d "
+          "repeated=%d outstanding=%d",
+          (long long)w->number, h->host, r != NULL ? r->id : "-",
+          r != NULL ? r->n_runs : 0, h->repeated, h->outstanding);
   s->config.maintenance (s->config.arg, kq_str (h->host), w->number);
 }
 
@@ -260,8 +272,8 @@
     case KQ_HOST_BACK:
       return false;
     case KQ_HOST_DRAINING:
-      return true;
     case KQ_HOST_CALLED:
+      return true;
     case KQ_HOST_DOWN:
       break;
     }
@@ -341,6 +353,45 @@
     }
 }
 
+/* Has a drained host taken down, as soon as the stored record names it. */
+static void
+request_call (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
+{
+  if (h->recorded)
+    call_maintenance (s, w, h, now);
+  else if (!h->to_call)
+    h->to_call = s->waves_dirty = true;
+}
+
+/* Has the host wait for its turn again. No call for it may be outstanding. */
+static void
+withdraw_host (KqSched *s, KqWaveHost *h, KqTime again_at)
+{
+  if (kq_wave_host_may_be_called (h))
+    s->waves_dirty = true;
+  h->phase = KQ_HOST_WAITING;
+  h->to_call = false;
+  h->again_at = again_at;
+}
+
+/* Has the host taken down if it is drained; gives the drain up if it can't be completed,
+ * unless a call may be carried out all the same. */
+static void
+take_down (KqSched *s, const KqWave *w, KqWaveHost *h, const KqRunnerState *r,
+           bool drained, KqTime now)
+{
+  if (drained)
+    request_call (s, w, h, now);
+  else if (!h->outstanding && kq_drain_is_blocked (s, r, h->drained_since, now))
+    {
+      kq_log (KQ_LOG_INFO, PART,
+              "Giving up a drain, as a task waits for room. wave=%lld host=%s runs=%d",
+              (long long)w->number, h->host, r->n_runs);
+      withdraw_host (s, h, now);
+      postpone_drains (s, h->host, now + RETRY_BLOCKED);
+    }
+}
+
 static void
 update_host (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
 {
@@ -351,25 +402,20 @@
     case KQ_HOST_BACK:
       break;
     case KQ_HOST_DRAINING:
-      if (r == NULL || kq_drain_host (s, r, h->since, now))
-        call_maintenance (s, w, h, now);
-      else if (kq_drain_is_blocked (s, r, h->since, now))
-        {
-          kq_log (
-              KQ_LOG_INFO, PART,
-              "Giving up a drain, as a task waits for room. wave=%lld host=%s runs=%d",
-              (long long)w->number, h->host, r->n_runs);
-          h->phase = KQ_HOST_WAITING;
-          postpone_drains (s, h->host, now + RETRY_BLOCKED);
-        }
+      take_down (s, w, h, r, r == NULL || kq_drain_host (s, r, h->drained_since, now),
+                 now);
       break;
     case KQ_HOST_CALLED:
       if (now >= h->again_at)
-        call_maintenance (s, w, h, now);
+        take_down (s, w, h, r, r == NULL || kq_drain_is_done (r, h->drained_since, now),
+                   now);
       break;
     case KQ_HOST_DOWN:
-      if (is_back (s, h, r, now))
-        h->phase = KQ_HOST_BACK;
+      if (!is_back (s, h, r, now))
+        break;
+      h->phase = KQ_HOST_BACK;
+      /* With the next write, but there may be none any more. */
+      s->waves_dirty = s->waves_dirty || w->completed;
       break;
     }
 }
@@ -377,11 +423,14 @@
 static void
 update_wave (KqSched *s, KqWave *w, KqTime now)
 {
-  int32_t wanted = needed_at_once (w, now);
+  int32_t wanted;
   for (size_t i = 0; i < w->n_hosts; i++)
     update_host (s, w, &w->hosts[i], now);
-  if (w->completed)
-    return; /* its last hosts have yet to come back */
+  /* Of a completed wave the last hosts have yet to come back. Of one whose request hasn't
+   * been read only the calls of earlier leaders are followed up. */
+  if (w->completed || !w->requested)
+    return;
+  wanted = needed_at_once (w, now);
   for (int32_t n = count_unavailable (s, w); n < wanted; n++)
     {
       KqWaveHost *h = next_host (s, w, now);
@@ -401,14 +450,11 @@
 void
 kq_maintenance_update (KqSched *s, KqTime now)
 {
-  if (s->config.maintenance == NULL || now - s->started_at < FIRST_CALL_DELAY)
+  if (s->config.maintenance == NULL)
     return;
-  for (guint i = 0; i < s->waves->len; i++)
-    {
-      KqWave *w = g_ptr_array_index (s->waves, i);
-      if (w->requested)
-        update_wave (s, w, now);
-    }
+  if (now - s->started_at >= FIRST_CALL_DELAY && !s->waves_unreadable)
+    for (guint i = 0; i < s->waves->len; i++)
+      update_wave (s, g_ptr_array_index (s->waves, i), now);
   update_leaving (s);
 }
 
@@ -439,23 +485,30 @@
     case KQ_MAINTENANCE_OK:
       h->phase = KQ_HOST_DOWN;
       h->since = now;
+      h->outstanding = false;
       s->waves_dirty = true;
       if (started_before_wave (s, w, h))
         kq_runners_note_taken_down (s, kq_str (h->old_runner), now);
       break;
     case KQ_MAINTENANCE_FOREIGN:
       h->phase = KQ_HOST_BACK; /* it has gone for good: nothing to wait for */
+      h->outstanding = false;
       s->waves_dirty = true;
       break;
     case KQ_MAINTENANCE_BUSY:
-      h->phase = KQ_HOST_WAITING;
-      h->again_at = now + RETRY_BUSY;
+      if (h->outstanding)
+        h->again_at = now + RETRY_BUSY;
+      else
+        withdraw_host (s, h, now + RETRY_BUSY);
       break;
     case KQ_MAINTENANCE_LIMITED:
       h->again_at = now + RETRY_LIMITED;
       break;
     case KQ_MAINTENANCE_FENCED:
+      h->again_at = now + RETRY_UNANSWERED;
+      break;
     case KQ_MAINTENANCE_UNKNOWN:
+      h->outstanding = true;
       h->again_at = now + RETRY_UNANSWERED;
       break;
     }
--- a/src/sched/maintenance.h
+++ b/src/sched/maintenance.h
@@ -1,7 +1,13 @@
 #ifndef KQ_SCHED_MAINTENANCE_H
 #define KQ_SCHED_MAINTENANCE_H
 
-/* maintenance: waves of hosts that operators want taken down, each once. */
+/* maintenance: waves of hosts that operators want taken down, each once.
+ *
+ * A fencing token protects one host only: a call of an earlier leader, sent or carried
+ * out late, is refused by hosts that have seen a later token, and accepted by the others.
+ * So each call is recorded before it is made. The record is written on the condition that
+ * the writer still leads, and the next leader reads it: it counts the hosts in it that
+ * were not answered for as down and calls them first, with its own token. */
 
 #include "sched/state.h"
 
@@ -20,8 +26,14 @@
 {
   char *host;
   KqHostPhase phase;
-  KqTime since;     /* start of the phase */
-  KqTime again_at;  /* earliest time of the next attempt */
+  KqTime since;         /* start of the phase */
+  KqTime drained_since; /* start of its last drain */
+  KqTime again_at;      /* earliest time of the next attempt */
+  bool to_call;         /* it is drained: the call may be made once the record names it */
+  bool packed;      /* named in the record that was packed last, as one that is called */
+  bool recorded;    /* named so in the stored record */
+  bool outstanding; /* a call without an answer, of this leader or an earlier one, may
+                       still be carried out */
   bool repeated;    /* the call was made more than once */
   char *old_runner; /* id of the runner there when the call was made; NULL: none */
   char *kind;       /* labels of its runner when the drain began; NULL: not known */
@@ -50,6 +62,8 @@
 bool kq_wave_host_is_done (const KqWaveHost *h);
 /* Drains and takes down hosts of the waves, as many as are due. */
 void kq_maintenance_update (KqSched *s, KqTime now);
+/* Whether the stored record has to name the host as one that may be called. */
+bool kq_wave_host_may_be_called (const KqWaveHost *h);
 /* Whether a wave takes the runner's host down and may still end the runner, which must
  * get no tasks then. */
 bool kq_maintenance_may_end (const KqSched *s, const KqRunnerState *r);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -273,6 +273,8 @@
 bool kq_sched_waves_pending (const KqSched *s);
 /* Appends the progress of the waves in its stored form, for the next leader. */
 void kq_sched_waves_pack (KqSched *s, KqBuf *out);
+/* Notes that what was packed last is stored now. A host is taken down only after that. */
+void kq_sched_waves_written (KqSched *s);
 /* Notes that what was packed last could not be stored: it counts as changed again. */
 void kq_sched_waves_failed (KqSched *s);
 /* Calls `take` for each requested wave, for the status that operators see. */
@@ -280,8 +282,8 @@
                           void (*take) (void *arg, int64_t number, bool completed),
                           void *arg);
 /* Reads what an earlier leader has packed; to be called before any wave is added. False:
- * it can't be read. */
-bool kq_sched_waves_stored (KqSched *s, KqStr stored);
+ * it can't be read, and then nothing is packed that would replace it. */
+bool kq_sched_waves_stored (KqSched *s, KqStr stored, KqTime now);
 
 /* Makes all decisions that are due and returns the time of the next ones; to be called
  * after inputs, and at the time that it returned. wall_ms is Unix time. */
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -345,6 +345,7 @@
                                   aren't applied yet (kq_grantors_apply) */
   GPtrArray *waves;            /* KqWave */
   bool waves_dirty;            /* their progress differs from what was packed last */
+  bool waves_unreadable;       /* their stored record can't be read, nor replaced */
   GPtrArray *batch;            /* KqJob: those in the batch that is being stored */
   KqRefusals *refusals;        /* jobs refused for load */
   uint64_t jobs_added;         /* number of jobs added since `loaded` */
