Waves: a host has a runner until nothing can run there, with or without an entry

Cause: the scheduler asked which runner is on a host of the runners with an entry only. A missing entry was read as an empty host: nothing was drained, and the host counted as one without runs, so it even came first. Entries of live runners are missing for up to two seconds after an outage, for a new leader as for the present one.

Change: kq_hosts_runner answers for all of them, by an index of hosts: the runner that started last of those that are there until proven gone, that none can be there, or that runs may be there which haven't been listed; then the host waits. The stored list of runners names their hosts, so that a new leader knows them without an entry. Of the tasks of a step those on a silent runner count as away.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -325,7 +325,8 @@
   new_sched (d, 20);
   kq_sched_used_runners (d->sched, kq_buf_str (&d->used_runners), d->now);
   kq_sched_used_agents (d->sched, kq_buf_str (&d->used_agents), d->now);
-  add_entries (d);
+  if (!d->entries_missing)
+    add_entries (d);
 }
 
 int
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -61,6 +61,7 @@
 
   /* Of the next leader. */
   int64_t maintenance_ms;
+  bool entries_missing; /* no runner has an entry */
   KqSchedFeatures features;
 } KqSchedFixture;
 
--- a/src/sched/drain.c
+++ b/src/sched/drain.c
@@ -30,8 +30,8 @@
   for (int32_t i = 0; i < p->width; i++)
     {
       const KqRun *other = st->tasks[i].run;
-      bool serving
-          = other != NULL && other->phase == KQ_RUN_RUNNING && other->percent >= 100;
+      bool serving = other != NULL && other->phase == KQ_RUN_RUNNING
+                     && other->percent >= 100 && !other->runner->silent;
       away += i != run->index && !serving;
     }
   return away < p->max_unavailable;
--- a/src/sched/lists.c
+++ b/src/sched/lists.c
@@ -285,7 +285,7 @@
   if (!r->listed && !r->silent)
     kq_window_adapt (&s->list_window, now - r->assigned_at);
   if (!l->more_ended)
-    r->listed = true;
+    r->listed = r->runs_known = true;
   r->silent = false;
   r->unsent_until = 0;
   r->renewed = true;
--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -10,6 +10,7 @@
 #include "sched/maintenance.h"
 
 #include "sched/drain.h"
+#include "sched/hosts.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -136,18 +137,6 @@
           (long long)w->number, w->n_hosts, w->cap, (long long)info->duration_ms);
 }
 
-static KqRunnerState *
-runner_on (const KqSched *s, const char *host)
-{
-  for (guint i = 0; i < s->runner_list->len; i++)
-    {
-      KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
-      if (r->in_store && r->host != NULL && strcmp (r->host, host) == 0)
-        return r;
-    }
-  return NULL;
-}
-
 /* How many hosts of the wave must be drained or down at once for it to end in time. */
 static int32_t
 needed_at_once (const KqWave *w, KqTime now)
@@ -200,10 +189,13 @@
   for (size_t i = 0; i < w->n_hosts; i++)
     {
       KqWaveHost *h = &w->hosts[i];
-      const KqRunnerState *r = runner_on (s, h->host);
-      int n = r != NULL ? r->n_runs : 0;
-      if (h->phase != KQ_HOST_WAITING || now < h->again_at || (best != NULL && n >= least)
-          || in_other_wave (s, w, h->host)
+      KqRunnerState *r;
+      int n;
+      if (h->phase != KQ_HOST_WAITING || now < h->again_at
+          || kq_hosts_runner (s, h->host, now, &r) == KQ_HOST_IS_UNKNOWN)
+        continue;
+      n = r != NULL ? r->n_runs : 0;
+      if ((best != NULL && n >= least) || in_other_wave (s, w, h->host)
           || (r != NULL && kq_drain_takes_last_of_label (s, r)))
         continue;
       best = h;
@@ -215,7 +207,8 @@
 static void
 begin_drain (const KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
 {
-  const KqRunnerState *r = runner_on (s, h->host);
+  KqRunnerState *r;
+  kq_hosts_runner (s, h->host, now, &r);
   h->phase = KQ_HOST_DRAINING;
   h->since = h->drained_since = now;
   if (r != NULL)
@@ -234,7 +227,8 @@
 static void
 call_maintenance (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
 {
-  const KqRunnerState *r = runner_on (s, h->host);
+  KqRunnerState *r;
+  kq_hosts_runner (s, h->host, now, &r);
   /* An unanswered call may have been carried out: the runner that is there when it is
    * repeated may be the new one. */
   h->repeated = h->outstanding || h->phase == KQ_HOST_CALLED;
@@ -395,18 +389,20 @@
 static void
 update_host (KqSched *s, const KqWave *w, KqWaveHost *h, KqTime now)
 {
-  KqRunnerState *r = runner_on (s, h->host);
+  KqRunnerState *r;
+  bool known = kq_hosts_runner (s, h->host, now, &r) != KQ_HOST_IS_UNKNOWN;
   switch (h->phase)
     {
     case KQ_HOST_WAITING:
     case KQ_HOST_BACK:
       break;
     case KQ_HOST_DRAINING:
-      take_down (s, w, h, r, r == NULL || kq_drain_host (s, r, h->drained_since, now),
-                 now);
+      if (known)
+        take_down (s, w, h, r, r == NULL || kq_drain_host (s, r, h->drained_since, now),
+                   now);
       break;
     case KQ_HOST_CALLED:
-      if (now >= h->again_at)
+      if (known && now >= h->again_at)
         take_down (s, w, h, r, r == NULL || kq_drain_is_done (r, h->drained_since, now),
                    now);
       break;
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -4,6 +4,7 @@
 #include "sched/agent_picker.h"
 #include "sched/cordoning.h"
 #include "sched/grantors.h"
+#include "sched/hosts.h"
 #include "sched/maintenance.h"
 #include "sched/reports.h"
 #include "sched/tickets.h"
@@ -192,7 +193,7 @@
   set_string (&r->domain, KQ_STR (""));
   set_string (&r->rack, KQ_STR (""));
   set_string (&r->kind, KQ_STR (""));
-  set_string (&r->host, KQ_STR (""));
+  r->host = kq_str_dup (KQ_STR (""));
   r->agent = -1;
   r->slowness = 1;
   r->counts_at = r->heard_at = now;
@@ -241,7 +242,7 @@
   set_string (&r->domain, e->failure_domain);
   set_string (&r->rack, e->rack);
   set_string (&r->kind, e->kind);
-  set_string (&r->host, e->host);
+  kq_hosts_set (s, r, e->host);
   r->room = e->room;
   r->in_store = true;
   r->entry_unusable = false;
@@ -540,6 +541,7 @@
   kq_log (KQ_LOG_INFO, PART, "Runner removed. runner=%s", r->id);
   unlink_changed (s, r);
   kq_pools_remove_runner (s, r);
+  kq_hosts_remove (s, r);
   g_ptr_array_remove (s->runner_list, r);
   g_hash_table_remove (s->runners, r->id);
   s->used_runners_dirty = true;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -100,6 +100,7 @@
   s->config = *c;
   s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_job);
   s->runners = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_runner);
+  s->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   s->runner_list = g_ptr_array_new ();
   s->pools = kq_pools_new ();
   s->uncounted = g_ptr_array_new ();
@@ -128,6 +129,7 @@
     return;
   g_hash_table_destroy (s->runners);
   g_hash_table_destroy (s->jobs);
+  g_hash_table_destroy (s->hosts);
   g_ptr_array_free (s->runner_list, TRUE);
   g_ptr_array_free (s->pools, TRUE);
   g_ptr_array_free (s->uncounted, TRUE);
@@ -298,6 +300,8 @@
       e.service = kq_read_str (&one);
       e.address = kq_read_str (&one);
       e.failure_domain = kq_read_str (&one);
+      if (one.left > 0) /* an earlier version doesn't write it */
+        e.host = kq_read_str (&one);
       kq_read_array_end (&r, &one);
       if (!r.bad)
         {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -221,9 +221,10 @@
   char *domain;
   char *rack;
   char *kind;
-  char *host;            /* its target host; "": not known */
-  bool host_leaving;     /* the maintenance of its host may still end it; follows from
-                            the phases of the waves' hosts */
+  char *host;               /* its target host; "": not known; set by kq_hosts_set */
+  KqRunnerState *host_next; /* the next runner on the same host */
+  bool host_leaving;        /* the maintenance of its host may still end it; follows from
+                               the phases of the waves' hosts */
   bool host_waits;       /* so it is, but calls to take the host down come to nothing */
   KqRoom room;           /* its whole capacity */
   KqRoom used;           /* what runs that may exist there reserve; filling ones no cpu */
@@ -243,6 +244,8 @@
   KqTime cordon_told_until; /* as cordoned, until then: an agent has refused a start */
   KqTime drain_ends;        /* while draining: it doesn't leave before this time */
   bool listed;          /* it has listed its runs to this leader since it last started */
+  bool runs_known;      /* it has listed its runs to this leader at some time: since then
+                           all that may exist there are in `runs` */
   bool silent;          /* its agent gets no answer from it */
   bool has_unknown_run; /* it lists a run of an unknown job, whose size is unknown */
   KqTime lease_ends;    /* latest end of a lease granted under this leader */
@@ -295,6 +298,7 @@
   KqSchedConfig config;
   GHashTable *jobs;    /* id -> KqJob */
   GHashTable *runners; /* id -> KqRunnerState */
+  GHashTable *hosts;   /* target host -> KqRunnerState, the first of its runners */
   GPtrArray *runner_list;
   GPtrArray *pools;     /* KqPool */
   GPtrArray *uncounted; /* KqRunnerState: those with `uncounted` */
--- a/src/sched/store.c
+++ b/src/sched/store.c
@@ -183,7 +183,7 @@
 row_bytes (const KqRunnerState *r)
 {
   return ROW_OVERHEAD + strlen (r->id) + strlen (r->service) + strlen (r->address)
-         + strlen (r->domain);
+         + strlen (r->domain) + strlen (r->host);
 }
 
 /* Chooses the runners of the list, and returns their number. Those that are in the stored
@@ -230,11 +230,12 @@
       const KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       if (!r->in_sent_list)
         continue;
-      kq_pack_array (&p, 4);
+      kq_pack_array (&p, 5);
       kq_pack_str (&p, kq_str (r->id));
       kq_pack_str (&p, kq_str (r->service));
       kq_pack_str (&p, kq_str (r->address));
       kq_pack_str (&p, kq_str (r->domain));
+      kq_pack_str (&p, kq_str (r->host));
     }
   s->used_runners_dirty = false;
   return true;
