Sched: a lasting task isn't stalled for want of its runner's lists

A lasting task that was at work was stopped as standing still when no list of its runner had arrived for 4 s, also while as many others of its step were away as may be: the time without progress counted up to now instead of up to the last list. The new test failed before.

--- a/src/sched/blame_test.c
+++ b/src/sched/blame_test.c
@@ -89,6 +89,26 @@
   kq_sched_fixture_run (d, 500 * KQ_MS);
 }
 
+/* Guards against a task at work that is stopped as stalled, while another task of its
+ * step may be away: its runner's lists didn't arrive for a while. */
+static void
+test_task_that_was_not_listed_is_not_stalled (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep lasting = kq_sched_fixture_step ();
+  KqRunRow row = { .task = KQ_STR ("aa.0.0.0"), .run = 1, .percent = 50 };
+  lasting.lasting = true;
+  kq_sched_fixture_submit (d, "aa", lasting, false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  kq_sched_fixture_outcome (d, KQ_ORDER_START, d->runner, d->task, d->run, KQ_ORDER_OK);
+  kq_sched_fixture_list_runs (d, d->runner, &row, 1);
+  kq_sched_fixture_run (d, 6 * KQ_SEC);
+  assert_int_equal (d->stop_orders, 0);
+  kq_sched_fixture_list_runs (d, d->runner, &row, 1);
+  kq_sched_fixture_run (d, KQ_SEC);
+  assert_int_equal (d->stop_orders, 1);
+}
+
 /* Guards against jobs that wait beside free room: filling tasks that were slowed to
  * nothing for a serving task were taken for stalled ones, and their runner for faulty. */
 static void
@@ -180,6 +200,7 @@
 {
   const struct CMUnitTest tests[] = {
     FIXTURE_TEST (test_task_that_fails_everywhere_leaves_runners_in_use),
+    FIXTURE_TEST (test_task_that_was_not_listed_is_not_stalled),
     FIXTURE_TEST (test_tasks_slowed_to_nothing_leave_their_runner_in_use),
     FIXTURE_TEST (test_runner_where_alone_a_step_fails_is_avoided),
     FIXTURE_TEST (test_starved_step_behind_one_that_is_not),
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -21,21 +21,21 @@
 #define THROTTLED_PACE_PERCENT 10
 
 static bool
-is_stalled (const KqRun *run, KqTime now)
+is_stalled (const KqRun *run)
 {
   const KqStep *p = kq_run_step (run);
+  /* The time without progress counts up to the last report rather than to now: a late
+   * report says nothing of the task. */
+  KqTime heard_at = run->runner->heard_at;
   KqTime bound = (KqTime)p->estimate_ms * KQ_MS * STALL_PERCENT / 100;
   if (run->phase != KQ_RUN_RUNNING || run->runner->silent || p->gang)
     return false;
   if (p->lasting)
-    return run->percent < 100 && now - run->running_at > LASTING_START_MAX
-           && now - run->last_change_at > LASTING_START_MAX;
+    return run->percent < 100 && heard_at - run->running_at > LASTING_START_MAX
+           && heard_at - run->last_change_at > LASTING_START_MAX;
   if (run->pace < 100 || p->filling)
     bound *= 3;
-  /* The time without progress counts up to the last report rather than to now: a late
-   * report says nothing of the task. */
-  return run->runner->heard_at - run->last_change_at
-         > (bound > STALL_MIN ? bound : STALL_MIN);
+  return heard_at - run->last_change_at > (bound > STALL_MIN ? bound : STALL_MIN);
 }
 
 /* Whether the run must be stopped because its runner leaves. */
@@ -109,7 +109,7 @@
            && !r->silent && r->listed
            && now >= run->retry_at + (run->outcome_unknown ? 0 : STOP_REPEAT_DELAY))
     kq_run_send_stop (s, run, now);
-  else if (is_stalled (run, now))
+  else if (is_stalled (run))
     {
       KqTaskState *t = kq_book_task_state (run);
       if (t != NULL)
