--- a/src/sched/blame_test.c
+++ b/src/sched/blame_test.c
@@ -73,13 +73,15 @@
   assert_int_equal (d->start_orders, 3);
 }
 
-/* Lists r0's serving task with that tail, and two filling tasks without progress. */
+/* Lists r0's serving task with that tail, and two filling tasks that stay at that
+ * percent.
+ */
 static void
-list_filling_beside_serving (KqSchedFixture *d, int tail_ms)
+list_filling_beside_serving (KqSchedFixture *d, int tail_ms, int percent)
 {
   KqRunRow rows[3] = { { .task = KQ_STR ("aa.0.0.0"), .percent = 100, .load = tail_ms },
-                       { .task = KQ_STR ("bb.0.0.0"), .percent = 10, .load = 400 },
-                       { .task = KQ_STR ("bb.0.0.1"), .percent = 10, .load = 400 } };
+                       { .task = KQ_STR ("bb.0.0.0"), .percent = percent, .load = 400 },
+                       { .task = KQ_STR ("bb.0.0.1"), .percent = percent, .load = 400 } };
   for (int i = 0; i < 3; i++)
     {
       rows[i].run = 1;
@@ -130,14 +132,43 @@
   kq_sched_fixture_run (d, 50 * KQ_MS);
   assert_int_equal (d->start_orders, 3);
   kq_sched_fixture_accept_starts (d);
-  list_filling_beside_serving (d, 5);
+  list_filling_beside_serving (d, 5, 10);
   for (int i = 0; i < 16 && d->stop_orders < 2; i++)
-    list_filling_beside_serving (d, 14);
+    list_filling_beside_serving (d, 14, 10);
   assert_int_equal (d->stop_orders, 2);
   assert_true (d->slow_pace_orders > 0);
   expect_start (d, "cc");
 }
 
+/* Guards against more tasks of a step away at once than may be: tasks that are slowed to
+ * nothing are stopped, to be moved, one after the other. */
+static void
+test_slowed_tasks_are_moved_as_their_step_allows (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep serving = kq_sched_fixture_step ();
+  KqStep filling = kq_sched_fixture_step ();
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  serving.lasting = true;
+  serving.target_ms = 10;
+  serving.image = KQ_STR ("serves");
+  kq_sched_fixture_submit (d, "aa", serving, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  filling.filling = filling.lasting = filling.checkpoints = true;
+  filling.width = 2;
+  filling.max_unavailable = 1;
+  filling.image = KQ_STR ("fills");
+  kq_sched_fixture_submit (d, "bb", filling, false);
+  kq_sched_fixture_run (d, 3 * KQ_SEC);
+  assert_int_equal (d->start_orders, 3);
+  kq_sched_fixture_accept_starts (d);
+  list_filling_beside_serving (d, 5, 100);
+  for (int i = 0; i < 16; i++)
+    list_filling_beside_serving (d, 14, 100);
+  assert_true (d->slow_pace_orders > 0);
+  assert_int_equal (d->stop_orders, 1);
+}
+
 /* Passes in a list of r0 with the run of "aa" that is at work, and the failed end. */
 static void
 list_end_beside_run (KqSchedFixture *d, const KqRunRow *at_work, uint64_t number)
@@ -201,6 +232,7 @@
   const struct CMUnitTest tests[] = {
     FIXTURE_TEST (test_task_that_fails_everywhere_leaves_runners_in_use),
     FIXTURE_TEST (test_task_that_was_not_listed_is_not_stalled),
+    FIXTURE_TEST (test_slowed_tasks_are_moved_as_their_step_allows),
     FIXTURE_TEST (test_tasks_slowed_to_nothing_leave_their_runner_in_use),
     FIXTURE_TEST (test_runner_where_alone_a_step_fails_is_avoided),
     FIXTURE_TEST (test_starved_step_behind_one_that_is_not),
--- a/src/sched/drain.c
+++ b/src/sched/drain.c
@@ -16,27 +16,6 @@
 /* A task that is expected to end within this time isn't stopped. */
 #define ENDS_SOON_MS 500
 
-/* Whether the run may be stopped without exceeding max_unavailable, the number of tasks
- * of its step that may be away at once because of the scheduler. */
-static bool
-may_interrupt (const KqRun *run)
-{
-  const KqStep *p = kq_run_step (run);
-  const KqStepState *st;
-  int away = 0;
-  if (p->max_unavailable < 0 || run->occurrence == NULL)
-    return true;
-  st = &run->occurrence->steps[run->step];
-  for (int32_t i = 0; i < p->width; i++)
-    {
-      const KqRun *other = st->tasks[i].run;
-      bool serving = other != NULL && other->phase == KQ_RUN_RUNNING
-                     && other->percent >= 100 && !other->runner->silent;
-      away += i != run->index && !serving;
-    }
-  return away < p->max_unavailable;
-}
-
 bool
 kq_drain_is_done (const KqRunnerState *r, KqTime since, KqTime now)
 {
@@ -45,7 +24,7 @@
   if (now - since < DRAIN_MAX)
     return false;
   for (const KqRun *run = r->runs; run != NULL; run = run->next)
-    if (run->phase == KQ_RUN_RUNNING && !may_interrupt (run))
+    if (run->phase == KQ_RUN_RUNNING && !kq_run_may_interrupt (run))
       return false;
   return true;
 }
@@ -57,7 +36,7 @@
     {
       const KqStep *p = kq_run_step (run);
       int64_t left_ms = (int64_t)p->estimate_ms * (100 - run->percent) / 100;
-      if (run->phase == KQ_RUN_RUNNING && may_interrupt (run)
+      if (run->phase == KQ_RUN_RUNNING && kq_run_may_interrupt (run)
           && (p->lasting || (p->checkpoints && left_ms > ENDS_SOON_MS)))
         kq_run_stop (s, run, "its host goes down for maintenance", now);
     }
@@ -74,7 +53,7 @@
       KqTime since
           = run->occurrence != NULL ? run->occurrence->steps[run->step].waits_since : 0;
       if (run->phase == KQ_RUN_RUNNING && since != 0 && now - since >= DRAIN_BLOCKED_MAX
-          && !may_interrupt (run))
+          && !kq_run_may_interrupt (run))
         return true;
     }
   return false;
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -324,6 +324,25 @@
   send_order (s, run, &o, now);
 }
 
+bool
+kq_run_may_interrupt (const KqRun *run)
+{
+  const KqStep *p = kq_run_step (run);
+  const KqStepState *st;
+  int away = 0;
+  if (p->max_unavailable < 0 || run->occurrence == NULL)
+    return true;
+  st = &run->occurrence->steps[run->step];
+  for (int32_t i = 0; i < p->width; i++)
+    {
+      const KqRun *other = st->tasks[i].run;
+      bool serving = other != NULL && other->phase == KQ_RUN_RUNNING
+                     && other->percent >= 100 && !other->runner->silent;
+      away += i != run->index && !serving;
+    }
+  return away < p->max_unavailable;
+}
+
 void
 kq_run_stop (KqSched *s, KqRun *run, const char *why, KqTime now)
 {
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -455,6 +455,9 @@
 void kq_run_mark_orders_lost (KqSched *s, KqRun *run);
 /* Removes the run's start order from the window, as it has been answered or won't be. */
 void kq_run_leave_window (KqSched *s, KqRun *run);
+/* Whether the run may be stopped without exceeding max_unavailable, the number of tasks
+ * of its step that may be away at once because of the scheduler. */
+bool kq_run_may_interrupt (const KqRun *run);
 /* Sends the first stop order and logs `why`; the room is reserved until kq_run_end. */
 void kq_run_stop (KqSched *s, KqRun *run, const char *why, KqTime now);
 /* Sends the run's stop order, or repeats it; does nothing without an agent. */
--- a/src/sched/watch.c
+++ b/src/sched/watch.c
@@ -128,7 +128,8 @@
       kq_run_stop (s, run, "runner leaves", now);
     }
   else if (kq_run_step (run)->filling && run->pace <= THROTTLED_PACE_PERCENT
-           && now - run->last_change_at > THROTTLED_MAX && kq_run_step (run)->checkpoints)
+           && now - run->last_change_at > THROTTLED_MAX && kq_run_step (run)->checkpoints
+           && kq_run_may_interrupt (run))
     {
       KqTaskState *t = kq_book_task_state (run);
       if (t != NULL)
