Rig: tasks that may not be away, and entries that expire while the store is down

The rig checks at each stop and each maintenance that ends a lasting task at work how many others of its step an order has ended before (AVAIL). With `expired` entries of live runners are missing when the store is back, for up to 2 s.

--- a/bench/sched_day.c
+++ b/bench/sched_day.c
@@ -521,6 +521,8 @@
   d->rig.plays = plays;
   if ((plays & KQ_SCHED_RIG_WAKES) != 0)
     d->has[WAVES] = d->has[LEADERS] = d->has[CONTROL] = true;
+  if ((plays & KQ_SCHED_RIG_EXPIRED) != 0)
+    d->has[WAVES] = d->has[STORE] = d->has[LASTING] = true;
   d->rig.new_ids_after_upkeep = below (d, 2) == 0;
   d->rig.models_load = d->has[SERVING] || below (d, 2) == 0;
   for (int i = 1; d->has[LABELS] && i < d->rig.n_runners; i++)
--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -12,6 +12,8 @@
 #define KEEP_MS 600000
 /* Longest way of a write to a slow store, and of its answer. */
 #define STORE_DELAY_MAX_MS 800
+/* An entry that has expired is back so long after the store at most. */
+#define ENTRY_BACK_MAX_MS 2000
 /* A leader that was replaced wakes so long afterwards at most. */
 #define WAKES_AFTER_MAX_MS 9000
 
@@ -272,6 +274,34 @@
   end_suspended (r);
 }
 
+static void
+expire_entries (KqSchedRig *r)
+{
+  bool down = r->now < r->store_down_until;
+  bool back = r->store_was_down && !down;
+  r->store_was_down = down;
+  if ((r->plays & KQ_SCHED_RIG_EXPIRED) == 0)
+    return;
+  for (int i = 0; i < r->n_runners; i++)
+    {
+      KqSchedRigRunner *g = &r->runners[i];
+      if (back && g->alive && g->in_store && kq_rand_below (&r->extra_rand, 2) == 0)
+        {
+          g->in_store = false;
+          g->entry_back_at
+              = r->now
+                + (KqTime)kq_rand_below (&r->extra_rand, ENTRY_BACK_MAX_MS) * KQ_MS;
+          kq_sched_rig_entry (r, i);
+        }
+      else if (g->entry_back_at != 0 && r->now >= g->entry_back_at)
+        {
+          g->entry_back_at = 0;
+          g->in_store = g->in_store || g->alive;
+          kq_sched_rig_entry (r, i);
+        }
+    }
+}
+
 void
 kq_sched_rig_run (KqSchedRig *r, KqTime span)
 {
@@ -288,6 +318,7 @@
         }
       handle_due_events (r);
       wake_leader (r);
+      expire_entries (r);
       kq_sched_rig_maintenance_tick (r);
       kq_sched_rig_cordon_tick (r);
       kq_sched_run (r->sched, r->now, r->now / KQ_MS + r->clock_offset_ms);
@@ -300,7 +331,7 @@
 void
 kq_sched_rig_entry (KqSchedRig *r, int n)
 {
-  const KqSchedRigRunner *g = &r->runners[n];
+  KqSchedRigRunner *g = &r->runners[n];
   KqRunnerEntry e = { .id = kq_str (g->id),
                       .service = KQ_STR ("desk"),
                       .address = KQ_STR ("127.0.0.1:1"),
@@ -312,6 +343,9 @@
                       .remaining_ms = 2500,
                       .started_ms = g->started_ms,
                       .room = g->room };
+  if (g->draining || g->was_draining)
+    g->drained_at = r->now;
+  g->was_draining = g->draining;
   if (g->in_store)
     kq_sched_entry (r->sched, &e, r->now);
   else
@@ -467,6 +501,7 @@
   r->done = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->last_start_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->resumed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free);
+  r->stopped = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->failures = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->last_failure_ms = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->used_agents = g_byte_array_new ();
@@ -501,6 +536,7 @@
   g_hash_table_destroy (r->done);
   g_hash_table_destroy (r->last_start_ms);
   g_hash_table_destroy (r->resumed);
+  g_hash_table_destroy (r->stopped);
   g_hash_table_destroy (r->failures);
   g_hash_table_destroy (r->last_failure_ms);
   g_byte_array_free (r->used_agents, TRUE);
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -33,6 +33,8 @@
 /* Leaders that were suspended and replaced wake; calls to the control plane are carried
  * out up to 12 s late. */
 #define KQ_SCHED_RIG_WAKES 32u
+/* Entries of live runners have expired when the store is back, and are written again. */
+#define KQ_SCHED_RIG_EXPIRED 64u
 /* How much the time of day of a leader may be off. */
 #define KQ_SCHED_RIG_CLOCK_MAX_MS 2000
 /* As fails_index of a job: each of its tasks always fails. */
@@ -78,6 +80,10 @@
   KqRoom room;
   bool alive;
   bool in_store; /* its entry is in the store */
+  KqTime
+      entry_back_at; /* it writes its expired entry again; 0: the entry hasn't expired */
+  KqTime drained_at; /* when its entry last was, or became, one that drains */
+  bool was_draining; /* its entry before this one drained */
   bool draining;
   KqTime up_again_at;        /* when its host is back from maintenance; 0: it is up */
   KqTime unsent_until;       /* starts and stops for it aren't sent, as unsent_percent */
@@ -251,6 +257,7 @@
   GByteArray *used_runners;
   uint64_t revision;
   KqTime store_down_until;
+  bool store_was_down;
   GByteArray *waves_stored;
   /* Faults of calls to runners. */
   int lost_percent;        /* no answer; half of them don't reach the runner either */
@@ -295,6 +302,7 @@
   GHashTable *last_failure_ms; /* task -> GINT: time of the last of them */
   GHashTable *resumed; /* "STEP/RUN" of a gang -> the checkpoint of its first start */
   int resumed_gangs;   /* runs of gangs that resumed from a checkpoint */
+  GHashTable *stopped; /* lasting tasks that an order has ended, not at work since */
   uint64_t starts;     /* of runs, so far */
 } KqSchedRig;
 
--- a/bench/sched_rig_check.c
+++ b/bench/sched_rig_check.c
@@ -7,6 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* The leader's stops on a runner that drains may still be carried out so long after the
+ * runner has changed its mind. */
+#define DRAIN_FORGOTTEN (20 * KQ_SEC)
 /* Work from one checkpoint to the next. */
 #define SAVE_INTERVAL (300 * KQ_MS)
 
@@ -120,3 +123,41 @@
   snprintf (run->saved, sizeof run->saved, "%s/%u/%d", run->task, run->run,
             ++run->n_saved);
 }
+
+void
+kq_sched_rig_note_at_work (KqSchedRig *r, const KqSchedRigRun *run)
+{
+  if (run->lasting && !run->stalled)
+    g_hash_table_remove (r->stopped, run->task);
+}
+
+/* Whether the task is of the same step as the other one. */
+static bool
+is_of_step (const char *task, const char *other)
+{
+  return step_len (task) == step_len (other)
+         && strncmp (task, other, step_len (task)) == 0;
+}
+
+void
+kq_sched_rig_check_away (KqSchedRig *r, const KqSchedRigRunner *g,
+                         const KqSchedRigRun *run, const char *rule)
+{
+  int32_t step;
+  int32_t index;
+  const KqSchedRigJob *j = kq_sched_rig_job_of (r, run->task, &step, &index);
+  GHashTableIter it;
+  gpointer task;
+  int away = 0;
+  if (j == NULL || !run->lasting || run->stalled || g->draining || j->cancelled
+      || (g->drained_at != 0 && r->now - g->drained_at < DRAIN_FORGOTTEN)
+      || count_runs_of (r, run->task) > 1)
+    return;
+  g_hash_table_iter_init (&it, r->stopped);
+  while (g_hash_table_iter_next (&it, &task, NULL))
+    away += is_of_step (task, run->task) && strcmp (task, run->task) != 0;
+  g_hash_table_add (r->stopped, strdup (run->task));
+  if (j->spec.steps[step].max_unavailable >= 0
+      && away >= j->spec.steps[step].max_unavailable)
+    kq_sched_rig_breach (r, rule, run->task);
+}
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -54,6 +54,14 @@
  * or before it knows the cordons. */
 void kq_sched_rig_check_cordon (KqSchedRig *r, const KqOrder *o);
 
+/* sched_rig_check.c */
+/* Notes that the run of a lasting task, which is at work, begins. */
+void kq_sched_rig_note_at_work (KqSchedRig *r, const KqSchedRigRun *run);
+/* Checks that an order which ends the run leaves enough tasks of its step at work; call
+ * it before the run is removed. */
+void kq_sched_rig_check_away (KqSchedRig *r, const KqSchedRigRunner *g,
+                              const KqSchedRigRun *run, const char *rule);
+
 /* The job of a task by the task's name, and the task's step and index; NULL: none. */
 KqSchedRigJob *kq_sched_rig_job_of (const KqSchedRig *r, const char *task, int32_t *step,
                                     int32_t *index);
--- a/bench/sched_rig_maintenance.c
+++ b/bench/sched_rig_maintenance.c
@@ -142,6 +142,9 @@
     kq_sched_rig_breach (r, "more hosts down than allowed", r->runners[n].host);
   w->begun |= (uint32_t)1 << host;
   r->host_down_for[host] = w->number;
+  for (guint i = 0; i < r->runners[n].runs->len; i++)
+    kq_sched_rig_check_away (r, &r->runners[n], g_ptr_array_index (r->runners[n].runs, i),
+                             "a maintenance while too many are away");
   kq_sched_rig_kill_runner (r, n);
   if (r->now - r->host_down_until[host] < DOWN_SOON)
     r->down_again_at = r->now;
--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -168,6 +168,7 @@
   g_hash_table_insert (r->last_start_ms, strdup (task),
                        GINT_TO_POINTER ((int)(r->now / KQ_MS)));
   kq_sched_rig_check_start (r, g, run, c->checkpoint);
+  kq_sched_rig_note_at_work (r, run);
   return KQ_ORDER_OK;
 }
 
@@ -186,6 +187,7 @@
       const KqSchedRigRun *run = g_ptr_array_index (g->runs, i);
       if (strcmp (run->task, task) == 0 && run->run <= number)
         {
+          kq_sched_rig_check_away (r, g, run, "a stop while too many are away");
           end_run (r, g, i, KQ_END_STOPPED);
           break;
         }
--- a/src/sched/sched_day_test.c
+++ b/src/sched/sched_day_test.c
@@ -65,6 +65,15 @@
   assert_int_equal (count_broken (KQ_SCHED_RIG_WAKES), 0);
 }
 
+/* Guards against more tasks of a step away than may be, as the entries of live runners
+ * have expired while the store was down. */
+static void
+test_expired_entries_of_live_runners (void **state)
+{
+  (void)state;
+  assert_int_equal (count_broken (KQ_SCHED_RIG_EXPIRED), 0);
+}
+
 /* Guards against false breaches of long days: the scheduler has forgotten the first jobs
  * when waits (5002) and the ends of all jobs (5000) are checked. */
 static void
@@ -85,6 +94,7 @@
       = { cmocka_unit_test (test_nothing_waits_beside_free_room),
           cmocka_unit_test (test_nothing_waits_with_all_decisions_on),
           cmocka_unit_test (test_calls_of_earlier_leaders),
+          cmocka_unit_test (test_expired_entries_of_live_runners),
           cmocka_unit_test (test_leaders_with_other_times_of_day),
           cmocka_unit_test (test_long_day_remembers_ended_jobs) };
   return cmocka_run_group_tests (tests, NULL, NULL);
