--- a/bench/sched_rig.c
+++ b/bench/sched_rig.c
@@ -280,25 +280,33 @@
   bool down = r->now < r->store_down_until;
   bool back = r->store_was_down && !down;
   r->store_was_down = down;
-  if ((r->plays & KQ_SCHED_RIG_EXPIRED) == 0)
-    return;
+  for (int i = 0; back && (r->plays & KQ_SCHED_RIG_EXPIRED) != 0 && i < r->n_runners; i++)
+    {
+      KqSchedRigRunner *g = &r->runners[i];
+      if (!g->alive || !g->in_store || kq_rand_below (&r->extra_rand, 2) != 0)
+        continue;
+      g->in_store = false;
+      g->entry_expired = true;
+      g->entry_due_at
+          = r->now + (KqTime)kq_rand_below (&r->extra_rand, ENTRY_BACK_MAX_MS) * KQ_MS;
+      kq_sched_rig_entry (r, i);
+    }
+}
+
+static void
+write_due_entries (KqSchedRig *r)
+{
   for (int i = 0; i < r->n_runners; i++)
     {
       KqSchedRigRunner *g = &r->runners[i];
-      if (back && g->alive && g->in_store && kq_rand_below (&r->extra_rand, 2) == 0)
-        {
-          g->in_store = false;
-          g->entry_back_at
-              = r->now
-                + (KqTime)kq_rand_below (&r->extra_rand, ENTRY_BACK_MAX_MS) * KQ_MS;
-          kq_sched_rig_entry (r, i);
-        }
-      else if (g->entry_back_at != 0 && r->now >= g->entry_back_at)
-        {
-          g->entry_back_at = 0;
-          g->in_store = g->in_store || g->alive;
-          kq_sched_rig_entry (r, i);
-        }
+      if (g->entry_due_at == 0 || r->now < g->entry_due_at
+          || r->now < r->store_down_until)
+        continue;
+      g->in_store = g->in_store || (g->entry_expired && g->alive);
+      g->entry_due_at = 0;
+      g->entry_expired = false;
+      if (g->alive && g->in_store)
+        kq_sched_rig_entry (r, i);
     }
 }
 
@@ -319,6 +327,7 @@
       handle_due_events (r);
       wake_leader (r);
       expire_entries (r);
+      write_due_entries (r);
       kq_sched_rig_maintenance_tick (r);
       kq_sched_rig_cordon_tick (r);
       kq_sched_run (r->sched, r->now, r->now / KQ_MS + r->clock_offset_ms);
--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -79,9 +79,9 @@
   char rack[8];
   KqRoom room;
   bool alive;
-  bool in_store; /* its entry is in the store */
-  KqTime
-      entry_back_at; /* it writes its expired entry again; 0: the entry hasn't expired */
+  bool in_store;       /* its entry is in the store */
+  KqTime entry_due_at; /* it writes its entry then; 0: nothing has changed */
+  bool entry_expired;
   KqTime drained_at; /* when its entry last was, or became, one that drains */
   bool was_draining; /* its entry before this one drained */
   bool draining;
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -13,6 +13,8 @@
 #define KQ_SCHED_RIG_RENEW_WITHOUT_LEADER_MS 4000
 #define KQ_SCHED_RIG_TICK (10 * KQ_MS)
 #define KQ_SCHED_RIG_MAINTENANCE_MS 2000
+/* From a runner's start to its entry in the store. */
+#define KQ_SCHED_RIG_ENTRY_AFTER (300 * KQ_MS)
 /* One way, of calls, answers and messages. */
 #define KQ_SCHED_RIG_LATENCY (5 * KQ_MS)
 
--- a/bench/sched_rig_runner.c
+++ b/bench/sched_rig_runner.c
@@ -517,6 +517,7 @@
   g->lease_end_ms = 0;
   g->process_started_at = r->now;
   g->started_ms = r->now / KQ_MS > g->started_ms ? r->now / KQ_MS : g->started_ms + 1;
+  g->entry_due_at = r->now + KQ_SCHED_RIG_ENTRY_AFTER;
 }
 
 KqStep
--- a/src/sched/entry_test.c
+++ b/src/sched/entry_test.c
@@ -39,6 +39,32 @@
                             d->assignment[runner[1] - '0'], -1, d->now);
 }
 
+/* Guards against a task that starts on a runner of the wrong kind: the runner has
+ * restarted under its id as another kind, and its earlier entry is still there. */
+static void
+test_entry_of_the_process_before_a_restart_names_no_kind (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqRunnerEntry e = { .id = KQ_STR ("r0"),
+                      .service = KQ_STR ("desk"),
+                      .address = KQ_STR ("127.0.0.1:1"),
+                      .kind = KQ_STR ("large"),
+                      .started_ms = 1,
+                      .room = { 4000, 16000, 0 } };
+  KqStep step = kq_sched_fixture_step ();
+  step.label = KQ_STR ("large");
+  kq_sched_entry (d->sched, &e, d->now);
+  d->started_ms = 2;
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_submit (d, "aa", step, false);
+  kq_sched_fixture_run (d, KQ_SEC);
+  assert_int_equal (d->start_orders, 0);
+  e.started_ms = 2;
+  kq_sched_entry (d->sched, &e, d->now);
+  kq_sched_fixture_run (d, 200 * KQ_MS);
+  assert_int_equal (d->start_orders, 1);
+}
+
 /* Guards against a second run of a task whose first one goes on: an entry of another
  * writer gave its runner the address of another one, which answers that it isn't that
  * runner. */
@@ -106,6 +132,7 @@
   const struct CMUnitTest tests[]
       = { FIXTURE_TEST (test_address_that_never_answered_proves_nothing),
           FIXTURE_TEST (test_address_that_answered_proves_that_the_runner_is_gone),
-          FIXTURE_TEST (test_unusable_entry_keeps_new_tasks_away_only) };
+          FIXTURE_TEST (test_unusable_entry_keeps_new_tasks_away_only),
+          FIXTURE_TEST (test_entry_of_the_process_before_a_restart_names_no_kind) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -110,6 +110,16 @@
   return n;
 }
 
+/* Whether the entry was written by the process that lists the runs: a runner that starts
+ * again under its id may be of another kind. */
+static bool
+entry_is_current (const KqRunnerState *r)
+{
+  return r->in_store && !r->entry_unusable
+         && (r->started_ms == 0 || r->entry_started_ms == 0
+             || r->started_ms == r->entry_started_ms);
+}
+
 /* Whether the runner takes tasks at all now. A starved step may use suspect runners: if
  * all are suspect, the tasks that failed there are the likely cause. If it ends by itself
  * it may also use hosts that can't go down for maintenance. */
@@ -117,7 +127,7 @@
 answer_of_runner (const KqRunnerState *r, const KqStep *p, bool starved, KqTime now)
 {
   bool leaving = r->host_leaving && !(r->host_waits && starved && !p->lasting);
-  if (!r->in_store || r->entry_unusable)
+  if (!entry_is_current (r))
     return KQ_PLACE_NO_ENTRY;
   if (!r->in_stored_list)
     return KQ_PLACE_NOT_STORED;
