Strings of specs and saved values may hold NUL characters

test_start_carries_every_byte (all 256 bytes) fails with the text held as a C string, test_checkpoint_keeps_every_byte with the saved value.

--- a/bench/agent_fixture.c
+++ b/bench/agent_fixture.c
@@ -4,6 +4,7 @@
 
 #include <ev.h>
 
+#include <assert.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -48,10 +49,13 @@
   (void)c;
   (void)task;
   (void)run;
-  (void)spec;
+  assert (spec.len <= sizeof kq_agent_fixture.spec);
+  if (spec.len > 0)
+    memcpy (kq_agent_fixture.spec, spec.ptr, spec.len);
+  kq_agent_fixture.spec_len = spec.len;
+  kq_agent_fixture.checkpoint_len = checkpoint.len;
   kq_agent_fixture.starts++;
   kq_agent_fixture.opened_before = a->opened_before;
-  (void)checkpoint;
   (void)ticket;
   note_lease (lease_end_ms);
   kq_agent_fixture.start = cb;
--- a/bench/agent_fixture.h
+++ b/bench/agent_fixture.h
@@ -24,6 +24,9 @@
   bool starting; /* starts are being sent: a list fetched now is a verification */
   int starts;
   KqTime opened_before; /* of the last start */
+  char spec[300];       /* this and the next two: of the last start */
+  size_t spec_len;
+  size_t checkpoint_len;
   KqOrderResult result; /* this and the next one: of the last outcome */
   bool unsent;
   bool leader_renews; /* the leader answers each list by a RENEW order */
--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -70,6 +70,8 @@
   kq_str_copy (o->u.start.ticket, d->ticket, sizeof d->ticket);
   kq_str_copy (o->u.start.checkpoint, d->checkpoint, sizeof d->checkpoint);
   d->run = o->u.start.run;
+  d->text_len = o->u.start.text.len;
+  d->checkpoint_len = o->u.start.checkpoint.len;
   record_start (d);
 }
 
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -33,6 +33,8 @@
   uint32_t run;
   char ticket[32];
   char checkpoint[32];
+  size_t text_len; /* this and the next one: of the same order */
+  size_t checkpoint_len;
   char stopped_runner[16]; /* this and the next one: of the last STOP order */
   char stopped_task[96];
   int pace_orders;         /* PACE orders so far */
--- a/src/agent/agent_runner.c
+++ b/src/agent/agent_runner.c
@@ -11,9 +11,9 @@
   if (st == NULL)
     return;
   free (st->task);
-  free (st->text);
-  free (st->checkpoint);
-  free (st->ticket);
+  kq_str_drop (&st->text);
+  kq_str_drop (&st->checkpoint);
+  kq_str_drop (&st->ticket);
   free (st);
 }
 
--- a/src/agent/agent_test.c
+++ b/src/agent/agent_test.c
@@ -275,6 +275,35 @@
   assert_int_equal (t->result, KQ_ORDER_UNHEALTHY);
 }
 
+/* Guards against a task that gets another text than its client sent: one that is cut off
+ * at a NUL character. */
+static void
+test_start_carries_every_byte (void **state)
+{
+  KqTime now = kq_time_now ();
+  KqOrder o = { .kind = KQ_ORDER_START, .runner = KQ_STR ("r") };
+  char text[256];
+  (void)state;
+  for (size_t i = 0; i < sizeof text; i++)
+    text[i] = (char)i;
+  o.u.start.task = KQ_STR ("j.0.0.0");
+  o.u.start.run = 1;
+  o.u.start.text = kq_str_n (text, sizeof text);
+  o.u.start.checkpoint = kq_str_n ("a\0b", 3);
+  kq_agent_fixture_assign_runner (1);
+  kq_agent_fixture_answer_poll (KQ_ORDER_OK, 1, 1000, now);
+  kq_agent_fixture_run_loop ();
+  kq_agent_fixture_answer_verification (KQ_ORDER_OK, now, now);
+  t->starting = true;
+  kq_agent_order (t->agent, KQ_AGENT_FIXTURE_EPOCH, &o, now);
+  kq_agent_fixture_answer_verification (KQ_ORDER_OK, now, now);
+  t->starting = false;
+  assert_int_equal (t->starts, 1);
+  assert_int_equal (t->spec_len, sizeof text);
+  assert_memory_equal (t->spec, text, sizeof text);
+  assert_int_equal (t->checkpoint_len, 3);
+}
+
 /* Guards against a task that runs twice: a new leader isn't told of a lease that this
  * agent has granted to a runner it has released since. */
 static void
@@ -395,6 +424,8 @@
     cmocka_unit_test_setup_teardown (
         test_queued_starts_are_not_sent_into_a_cordoned_domain, kq_agent_fixture_set_up,
         kq_agent_fixture_tear_down),
+    cmocka_unit_test_setup_teardown (test_start_carries_every_byte,
+                                     kq_agent_fixture_set_up, kq_agent_fixture_tear_down),
     cmocka_unit_test_setup_teardown (test_start_that_cannot_be_sent_is_refused,
                                      kq_agent_fixture_set_up, kq_agent_fixture_tear_down),
   };
--- a/src/agent/run_delta.c
+++ b/src/agent/run_delta.c
@@ -11,7 +11,7 @@
   uint64_t hash; /* of task and run, to compare faster */
   char *task;
   uint32_t run;
-  char *checkpoint;
+  KqStr checkpoint; /* owned */
   int percent;
   int load;
 } Slot;
@@ -47,7 +47,7 @@
 clear_slot (Slot *s)
 {
   free (s->task);
-  free (s->checkpoint);
+  kq_str_drop (&s->checkpoint);
   *s = (Slot){ 0 };
 }
 
@@ -96,8 +96,8 @@
 static void
 set_checkpoint (Slot *s, KqStr checkpoint)
 {
-  free (s->checkpoint);
-  s->checkpoint = kq_str_dup (checkpoint);
+  kq_str_drop (&s->checkpoint);
+  s->checkpoint = kq_str_own (checkpoint);
 }
 
 static void
@@ -107,7 +107,7 @@
   s->hash = hash_of (r);
   s->task = kq_str_dup (r->task);
   s->run = r->run;
-  s->checkpoint = kq_str_dup (r->checkpoint);
+  s->checkpoint = kq_str_own (r->checkpoint);
 }
 
 static void
@@ -124,7 +124,7 @@
   s->listed = true;
   if (out.is_new)
     fill_slot (s, r);
-  else if (!kq_str_eq (kq_str (s->checkpoint), r->checkpoint))
+  else if (!kq_str_eq (s->checkpoint, r->checkpoint))
     {
       set_checkpoint (s, r->checkpoint);
       out.has_checkpoint = true;
@@ -207,8 +207,8 @@
     {
       const Slot *s = slot (t, i);
       if (s->used)
-        rows[n++] = (KqRunRow){ kq_str (s->task), s->run, kq_str (s->checkpoint),
-                                s->percent, s->load };
+        rows[n++]
+            = (KqRunRow){ kq_str (s->task), s->run, s->checkpoint, s->percent, s->load };
     }
   *out = rows;
   return n;
--- a/src/agent/starts.c
+++ b/src/agent/starts.c
@@ -94,9 +94,8 @@
   record_lease_of_start (runner, now);
   c->start = st;
   to.opened_before = runner->conns.verified_at;
-  kq_runner_start (runner->agent->config.calls, &to, kq_str (st->task), st->run,
-                   kq_str (st->text), kq_str (st->checkpoint), kq_str (st->ticket),
-                   end >= 0 ? end : runner->lease.end_ms,
+  kq_runner_start (runner->agent->config.calls, &to, kq_str (st->task), st->run, st->text,
+                   st->checkpoint, st->ticket, end >= 0 ? end : runner->lease.end_ms,
                    (KqRunnerCallback){ kq_agent_runner_on_outcome, c });
 }
 
@@ -184,9 +183,9 @@
   KqStart *st = kq_alloc (sizeof *st);
   st->task = kq_str_dup (o->u.start.task);
   st->run = o->u.start.run;
-  st->text = kq_str_dup (o->u.start.text);
-  st->checkpoint = kq_str_dup (o->u.start.checkpoint);
-  st->ticket = kq_str_dup (o->u.start.ticket);
+  st->text = kq_str_own (o->u.start.text);
+  st->checkpoint = kq_str_own (o->u.start.checkpoint);
+  st->ticket = kq_str_own (o->u.start.ticket);
   st->ordered_at = now;
   g_queue_push_tail (&runner->starts, st);
   kq_starts_send (runner, now);
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -22,9 +22,9 @@
 {
   char *task;
   uint32_t run;
-  char *text; /* the task's description */
-  char *checkpoint;
-  char *ticket;
+  KqStr text; /* the task's description; this and the next two are owned */
+  KqStr checkpoint;
+  KqStr ticket;
   KqTime ordered_at;
 } KqStart;
 
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -178,6 +178,13 @@
   return kq_str_n (kq_str_dup (s), s.len);
 }
 
+void
+kq_str_drop (KqStr *s)
+{
+  free ((char *)s->ptr);
+  *s = (KqStr){ 0 };
+}
+
 uint64_t
 kq_str_hash (KqStr s)
 {
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -56,6 +56,8 @@
 bool kq_str_copy (KqStr s, char *to, size_t size);
 char *kq_str_dup (KqStr s); /* NUL-terminated copy; free it with free () */
 KqStr kq_str_own (KqStr s); /* the same as a KqStr; free its ptr with free () */
+/* Frees a string that kq_str_own has allocated, and sets it to the empty one. */
+void kq_str_drop (KqStr *s);
 uint64_t kq_str_hash (KqStr s);
 uint64_t kq_hash2 (uint64_t a, uint64_t b); /* one hash of two numbers */
 
--- a/src/port/hosts.c
+++ b/src/port/hosts.c
@@ -44,11 +44,12 @@
   to->services = kq_alloc ((n + 1) * sizeof *to->services);
   for (size_t i = 0; i < n; i++)
     {
-      const char *s = json_string_value (json_array_get (list, i));
-      if (s == NULL || !kq_name_valid (kq_str (s)))
+      const json_t *v = json_array_get (list, i);
+      KqStr s = kq_str_n (json_string_value (v), json_string_length (v));
+      if (s.ptr == NULL || !kq_name_valid (s))
         r->bad = true;
       else
-        to->services[to->n_services++] = kq_name (kq_str (s));
+        to->services[to->n_services++] = kq_name (s);
     }
 }
 
--- a/src/port/json_reader.c
+++ b/src/port/json_reader.c
@@ -7,7 +7,8 @@
 json_t *
 kq_json_parse (KqStr text)
 {
-  json_t *j = json_loadb (text.ptr != NULL ? text.ptr : "", text.len, 0, NULL);
+  json_t *j
+      = json_loadb (text.ptr != NULL ? text.ptr : "", text.len, JSON_ALLOW_NUL, NULL);
   if (j != NULL && !json_is_object (j))
     {
       json_decref (j);
--- a/src/port/json_reader.h
+++ b/src/port/json_reader.h
@@ -18,7 +18,9 @@
   bool bad;         /* a field was invalid */
 } KqJsonReader;
 
-/* NULL when the text isn't a JSON object. Freed by json_decref. */
+/* NULL when the text isn't a JSON object. Strings may hold NUL characters. Freed by
+ * json_decref.
+ */
 json_t *kq_json_parse (KqStr text);
 /* Whether the field exists; doesn't set `bad`. */
 bool kq_json_has (const KqJsonReader *r, const char *key);
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -198,11 +198,11 @@
     {
       for (int32_t k = 0; k < o->job->spec.steps[i].width; k++)
         {
-          free (o->steps[i].tasks[k].checkpoint);
+          kq_str_drop (&o->steps[i].tasks[k].checkpoint);
           free (o->steps[i].tasks[k].failed_runs);
         }
       free (o->steps[i].tasks);
-      free (o->steps[i].resumes_from);
+      kq_str_drop (&o->steps[i].resumes_from);
       kq_tickets_free (o->steps[i].tickets);
     }
   free (o->steps);
@@ -358,8 +358,7 @@
     }
   t->phase = KQ_TASK_DONE;
   t->run = NULL;
-  free (t->checkpoint);
-  t->checkpoint = NULL;
+  kq_str_drop (&t->checkpoint);
   p->done++;
   p->failed_on = NULL;
   p->fails_anywhere = false;
--- a/src/sched/gangs.c
+++ b/src/sched/gangs.c
@@ -7,7 +7,7 @@
 static bool
 is_newer (const KqStepState *st, const KqRun *run)
 {
-  if (st->tasks[0].checkpoint == NULL)
+  if (st->tasks[0].checkpoint.len == 0)
     return true;
   if (run->number != st->saved_run)
     return run->number > st->saved_run;
@@ -22,9 +22,9 @@
   KqStepState *st = &run->occurrence->steps[run->step];
   if (!is_newer (st, run))
     return;
-  free (st->tasks[0].checkpoint);
+  kq_str_drop (&st->tasks[0].checkpoint);
   st->tasks[0].checkpoint = run->checkpoint;
-  run->checkpoint = NULL;
+  run->checkpoint = (KqStr){ 0 };
   st->saved_run = run->number;
   st->saved_percent = run->percent;
   st->saved_index = run->index;
@@ -34,9 +34,8 @@
 void
 kq_gangs_begin_run (KqStepState *st)
 {
-  const char *newest = st->tasks[0].checkpoint;
-  free (st->resumes_from);
-  st->resumes_from = newest != NULL ? kq_str_dup (kq_str (newest)) : NULL;
+  kq_str_drop (&st->resumes_from);
+  st->resumes_from = kq_str_own (st->tasks[0].checkpoint);
 }
 
 void
@@ -44,10 +43,10 @@
 {
   for (int32_t i = 1; i < width; i++)
     {
-      if (st->tasks[0].checkpoint == NULL)
+      if (st->tasks[0].checkpoint.len == 0)
         st->tasks[0].checkpoint = st->tasks[i].checkpoint;
       else
-        free (st->tasks[i].checkpoint);
-      st->tasks[i].checkpoint = NULL;
+        kq_str_drop (&st->tasks[i].checkpoint);
+      st->tasks[i].checkpoint = (KqStr){ 0 };
     }
 }
--- a/src/sched/gangs_test.c
+++ b/src/sched/gangs_test.c
@@ -180,6 +180,43 @@
   kq_buf_free (&progress);
 }
 
+/* Guards against a task that resumes from another value than its runner saved: one that
+ * is cut off at a NUL character, also by the next leader. */
+static void
+test_checkpoint_keeps_every_byte (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep step = kq_sched_fixture_step ();
+  KqEndRow end = { .number = 1,
+                   .run = 1,
+                   .reason = KQ_END_FAILED,
+                   .task = KQ_STR ("aa.0.0.0"),
+                   .checkpoint = kq_str_n ("a\0b\0", 4) };
+  KqBuf progress = { 0 };
+  step.checkpoints = true;
+  kq_sched_fixture_submit (d, "aa", step, false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  kq_sched_fixture_accept_starts (d);
+  kq_sched_fixture_list (d, d->runner, &end, 1);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  assert_int_equal (d->start_orders, 2);
+  assert_int_equal (d->checkpoint_len, 4);
+  store_progress (d, &progress);
+  kq_sched_fixture_new_leader (d);
+  kq_sched_fixture_submit (d, "aa", step, false);
+  assert_true (
+      kq_sched_apply_progress (d->sched, KQ_STR ("aa"), kq_buf_str (&progress), d->now));
+  kq_sched_loaded (d->sched, d->now);
+  kq_sched_fixture_store_used_runners (d);
+  kq_sched_fixture_run (d, 400 * KQ_MS);
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0);
+  kq_sched_fixture_run (d, 12 * KQ_SEC);
+  assert_int_equal (d->start_orders, 3);
+  assert_int_equal (d->checkpoint_len, 4);
+  kq_buf_free (&progress);
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -190,6 +227,7 @@
   const struct CMUnitTest tests[]
       = { FIXTURE_TEST (test_members_resume_from_the_same_checkpoint),
           FIXTURE_TEST (test_repeated_start_carries_the_same_checkpoint),
-          FIXTURE_TEST (test_next_leader_resumes_from_the_stored_checkpoint) };
+          FIXTURE_TEST (test_next_leader_resumes_from_the_stored_checkpoint),
+          FIXTURE_TEST (test_checkpoint_keeps_every_byte) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/progress.c
+++ b/src/sched/progress.c
@@ -17,7 +17,7 @@
 static bool
 needs_row (const KqTaskState *t)
 {
-  return t->phase != KQ_TASK_DONE && (t->failures > 0 || t->checkpoint != NULL);
+  return t->phase != KQ_TASK_DONE && (t->failures > 0 || t->checkpoint.len > 0);
 }
 
 static bool
@@ -74,7 +74,7 @@
         kq_pack_array (p, t->failures);
         for (int k = 0; k < t->failures; k++)
           kq_pack_u64 (p, t->failed_runs[k]);
-        kq_pack_str (p, kq_str (t->checkpoint));
+        kq_pack_str (p, t->checkpoint);
       }
   pack_bits (p, st, width, has_run);
 }
@@ -117,7 +117,7 @@
   if (r->bad || i < 0 || i >= width)
     return;
   if (checkpoint.len > 0)
-    st->tasks[i].checkpoint = kq_str_dup (checkpoint);
+    st->tasks[i].checkpoint = kq_str_own (checkpoint);
 }
 
 static void
--- a/src/sched/runners.c
+++ b/src/sched/runners.c
@@ -48,7 +48,7 @@
     {
       KqRun *run = r->runs;
       r->runs = run->next;
-      free (run->checkpoint);
+      kq_str_drop (&run->checkpoint);
       free (run->serving);
       free (run);
     }
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -215,9 +215,9 @@
       kq_gangs_keep_checkpoint (s, run, now);
       return;
     }
-  free (t->checkpoint);
+  kq_str_drop (&t->checkpoint);
   t->checkpoint = run->checkpoint;
-  run->checkpoint = NULL;
+  run->checkpoint = (KqStr){ 0 };
 }
 
 void
@@ -236,7 +236,7 @@
       st->active--;
       if (kq_run_step (run)->lasting && st->lost_since == 0)
         st->lost_since = now;
-      if (run->checkpoint != NULL && kq_run_step (run)->checkpoints)
+      if (run->checkpoint.len > 0 && kq_run_step (run)->checkpoints)
         keep_checkpoint (s, run, t, now);
     }
   update_reservations (run, -1);
@@ -256,7 +256,7 @@
     j->run_list = run->job_next;
   if (run->job_next != NULL)
     run->job_next->job_prev = run->job_prev;
-  free (run->checkpoint);
+  kq_str_drop (&run->checkpoint);
   free (run->serving);
   free (run);
   kq_runners_note_change (s, r);
@@ -271,13 +271,13 @@
   s->config.order (s->config.arg, run->runner->agent, o);
 }
 
-/* From which the run resumes; NULL: it begins anew. */
-static const char *
+/* From which the run resumes; "": it begins anew. */
+static KqStr
 checkpoint_of_start (const KqRun *run)
 {
   const KqTaskState *t = kq_book_task_state (run);
   if (t == NULL)
-    return NULL;
+    return KQ_STR ("");
   return kq_run_step (run)->gang ? run->occurrence->steps[run->step].resumes_from
                                  : t->checkpoint;
 }
@@ -288,7 +288,7 @@
 kq_run_send_start (KqSched *s, KqRun *run, KqTime now)
 {
   char name[96];
-  const char *checkpoint = checkpoint_of_start (run);
+  KqStr checkpoint = checkpoint_of_start (run);
   KqOrder o = { .kind = KQ_ORDER_START };
   if (run->runner->agent < 0)
     return;
@@ -296,9 +296,9 @@
   o.u.start.task = kq_str (name);
   o.u.start.run = run->number;
   o.u.start.text = run->job->spec.text;
-  if (checkpoint != NULL)
+  if (checkpoint.len > 0)
     {
-      o.u.start.checkpoint = kq_str (checkpoint);
+      o.u.start.checkpoint = checkpoint;
       run->untimed = true;
     }
   if (run->occurrence != NULL && run->job->spec.advised)
@@ -396,12 +396,10 @@
 void
 kq_run_set_checkpoint (KqRun *run, KqStr checkpoint)
 {
-  if (checkpoint.len == 0)
+  if (checkpoint.len == 0 || kq_str_eq (run->checkpoint, checkpoint))
     return;
-  if (run->checkpoint != NULL && kq_str_eq (kq_str (run->checkpoint), checkpoint))
-    return;
-  free (run->checkpoint);
-  run->checkpoint = kq_str_dup (checkpoint);
+  kq_str_drop (&run->checkpoint);
+  run->checkpoint = kq_str_own (checkpoint);
 }
 
 void
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -45,7 +45,7 @@
   uint32_t *failed_runs; /* numbers of the failed runs: each counts once, though a new
                             leader hears of them in any order */
   KqRun *run;            /* the current run, while KQ_TASK_ACTIVE; else NULL */
-  char *checkpoint;      /* saved by an earlier run, to go on from; NULL: none */
+  KqStr checkpoint;      /* saved by an earlier run, to go on from; owned; "": none */
   KqRunnerState *avoid;  /* the runner where it failed or stalled last; NULL: none */
 } KqTaskState;
 
@@ -68,7 +68,7 @@
   bool searched_lost; /* the search was for lasting tasks that have run before */
   bool open;          /* the steps that it depends on are done: its tasks may start */
   /* Of a gang: see gangs.h. */
-  char *resumes_from; /* the checkpoint of the present run; NULL: none */
+  KqStr resumes_from; /* the checkpoint of the present run; owned; "": none */
   uint32_t saved_run; /* this and the next two: the run, its progress and the member that
                          saved the checkpoint of tasks[0] */
   int saved_percent;
@@ -200,7 +200,7 @@
   KqTime slowed_at;       /* since when its pace is below 100; 0: it isn't */
   bool in_list;           /* kq_sched_list has found it in the list that it is reading */
   KqServing *serving;     /* of a task with a latency target; else NULL */
-  char *checkpoint;       /* the last that its runner has reported; NULL: none */
+  KqStr checkpoint;       /* the last that its runner has reported; owned; "": none */
   KqRunnerState *runner;
   KqRun *next; /* in the runner's list */
   KqRun *prev;
