--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -111,13 +111,12 @@
 }
 
 /* Whether the entry was written by the process that lists the runs: a runner that starts
- * again under its id may be of another kind. */
+ * again under its id may be of another kind. Its room stays the same. */
 static bool
-entry_is_current (const KqRunnerState *r)
+names_present_kind (const KqRunnerState *r)
 {
-  return r->in_store && !r->entry_unusable
-         && (r->started_ms == 0 || r->entry_started_ms == 0
-             || r->started_ms == r->entry_started_ms);
+  return r->started_ms == 0 || r->entry_started_ms == 0
+         || r->started_ms == r->entry_started_ms;
 }
 
 /* Whether the runner takes tasks at all now. A starved step may use suspect runners: if
@@ -127,7 +126,7 @@
 answer_of_runner (const KqRunnerState *r, const KqStep *p, bool starved, KqTime now)
 {
   bool leaving = r->host_leaving && !(r->host_waits && starved && !p->lasting);
-  if (!entry_is_current (r))
+  if (!r->in_store || r->entry_unusable || (p->label.len > 0 && !names_present_kind (r)))
     return KQ_PLACE_NO_ENTRY;
   if (!r->in_stored_list)
     return KQ_PLACE_NOT_STORED;
