--- a/src/agent/agent_test.c
+++ b/src/agent/agent_test.c
@@ -302,6 +302,7 @@
   assert_int_equal (t->spec_len, sizeof text);
   assert_memory_equal (t->spec, text, sizeof text);
   assert_int_equal (t->checkpoint_len, 3);
+  kq_agent_fixture_answer_start (1006, now, now + 6 * KQ_MS);
 }
 
 /* Guards against a task that runs twice: a new leader isn't told of a lease that this
