Wave record test: the runners have listed their runs before the job comes

test_host_with_an_open_call_gets_no_tasks held without what it guards: its job waited for a runner that hadn't been heard.

--- a/src/sched/wave_record_test.c
+++ b/src/sched/wave_record_test.c
@@ -114,6 +114,7 @@
   kq_sched_fixture_run (d, 100 * KQ_MS);
   kq_sched_fixture_store_used_runners (d);
   kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0); /* all earlier runs are known */
   kq_sched_fixture_submit (d, "aa", lasting, false);
   kq_sched_fixture_run (d, 2 * KQ_SEC);
   assert_int_equal (d->start_orders, 0);
