Tests of waves: set-ups that several files repeated are in the fixture

Waves of one host, the answer to a call, the times that a test waits; two set-ups within blame_test and gangs_test as well. What the tests check is unchanged.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -70,7 +70,6 @@
   kq_str_copy (o->u.start.ticket, d->ticket, sizeof d->ticket);
   kq_str_copy (o->u.start.checkpoint, d->checkpoint, sizeof d->checkpoint);
   d->run = o->u.start.run;
-  d->text_len = o->u.start.text.len;
   d->checkpoint_len = o->u.start.checkpoint.len;
   record_start (d);
 }
@@ -341,6 +340,22 @@
   kq_sched_wave (d->sched, &w, d->now);
 }
 
+void
+kq_sched_fixture_request_wave_of (KqSchedFixture *d, int64_t number, const char *host)
+{
+  KqStr name = kq_str (host);
+  KqWaveInfo w
+      = { .number = number, .hosts = &name, .n_hosts = 1, .duration_ms = 9000, .cap = 1 };
+  kq_sched_wave (d->sched, &w, d->now);
+}
+
+void
+kq_sched_fixture_answer_call (KqSchedFixture *d, const char *host, KqMaintenanceResult r)
+{
+  kq_sched_maintenance_ended (d->sched, 4, kq_str (host), r, d->now);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+}
+
 void
 kq_sched_fixture_add_entry (KqSchedFixture *d, const char *id, const char *host)
 {
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -10,6 +10,11 @@
 
 #include <glib.h>
 
+/* A new leader makes no maintenance call before this time. */
+#define KQ_SCHED_FIXTURE_FIRST_CALL (3500 * KQ_MS)
+/* Long enough for one check of the waves and a placing pass. */
+#define KQ_SCHED_FIXTURE_SETTLE (700 * KQ_MS)
+
 typedef struct
 {
   char runner[16];
@@ -33,8 +38,7 @@
   uint32_t run;
   char ticket[32];
   char checkpoint[32];
-  size_t text_len; /* this and the next one: of the same order */
-  size_t checkpoint_len;
+  size_t checkpoint_len;   /* in the same order */
   char stopped_runner[16]; /* this and the next one: of the last STOP order */
   char stopped_task[96];
   int pace_orders;         /* PACE orders so far */
@@ -79,6 +83,12 @@
 void kq_sched_fixture_new_leader (KqSchedFixture *d);
 /* Requests wave 4 of the first n hosts of h0 and h1. */
 void kq_sched_fixture_request_wave (KqSchedFixture *d, size_t n_hosts, int32_t cap);
+/* Requests a wave of that host alone. */
+void kq_sched_fixture_request_wave_of (KqSchedFixture *d, int64_t number,
+                                       const char *host);
+/* Passes in the result of the call for the host of wave 4, and runs for a while. */
+void kq_sched_fixture_answer_call (KqSchedFixture *d, const char *host,
+                                   KqMaintenanceResult r);
 /* Passes in an entry of a runner on the host. */
 void kq_sched_fixture_add_entry (KqSchedFixture *d, const char *id, const char *host);
 /* Runs the scheduler every 10 ms for the span, and writes the waves' record. Unless mute,
--- a/src/fleet/waves_test.c
+++ b/src/fleet/waves_test.c
@@ -178,10 +178,7 @@
   KqSchedFixture *d = *state;
   KqLoop *loop = kq_loop_new ();
   KqWaves *w = new_waves (loop, d);
-  KqStr host = KQ_STR ("h0");
-  KqWaveInfo wave = { .number = 1, .hosts = &host, .n_hosts = 1, .duration_ms = 20000 };
-  wave.cap = 1;
-  kq_sched_wave (d->sched, &wave, d->now);
+  kq_sched_fixture_request_wave_of (d, 1, "h0");
   kq_waves_write (w, d->now);
   assert_int_equal (store.n_writes, 1);
   answer (&store.writes[0], KQ_KV_UNKNOWN, d->now);
@@ -193,7 +190,7 @@
   carry_out_and_answer (&store.writes[1], d->now);
   kq_sched_fixture_run (d, KQ_SEC);
   assert_int_equal (d->hosts_down, 1);
-  kq_sched_maintenance_ended (d->sched, 1, host, KQ_MAINTENANCE_OK, d->now);
+  kq_sched_maintenance_ended (d->sched, 1, KQ_STR ("h0"), KQ_MAINTENANCE_OK, d->now);
   kq_sched_fixture_run (d, KQ_SEC);
   kq_waves_write (w, d->now);
   assert_int_equal (store.n_writes, 3);
@@ -214,11 +211,8 @@
   KqSchedFixture *d = *state;
   KqLoop *loop = kq_loop_new ();
   KqWaves *w = new_waves (loop, d);
-  KqStr host = KQ_STR ("h0");
-  KqWaveInfo wave = { .number = 1, .hosts = &host, .n_hosts = 1, .duration_ms = 20000 };
-  wave.cap = 1;
   store.record_revision = 50; /* written by an earlier leader */
-  kq_sched_wave (d->sched, &wave, d->now);
+  kq_sched_fixture_request_wave_of (d, 1, "h0");
   kq_waves_write (w, d->now);
   carry_out_and_answer (&store.writes[0], d->now);
   kq_waves_write (w, d->now + PAUSE);
@@ -229,8 +223,7 @@
   assert_int_equal (store.deposed, 0);
 
   store.leader_revision = EPOCH + 1;
-  wave.number = 2;
-  kq_sched_wave (d->sched, &wave, d->now);
+  kq_sched_fixture_request_wave_of (d, 2, "h0");
   kq_waves_write (w, d->now + 2 * PAUSE);
   carry_out_and_answer (&store.writes[store.n_writes - 1], d->now);
   assert_int_equal (store.deposed, 1);
@@ -245,11 +238,8 @@
   KqSchedFixture *d = *state;
   KqLoop *loop = kq_loop_new ();
   KqWaves *w = new_waves (loop, d);
-  KqStr host = KQ_STR ("h0");
-  KqWaveInfo wave = { .number = 1, .hosts = &host, .n_hosts = 1, .duration_ms = 20000 };
-  wave.cap = 1;
   kq_sched_fixture_run (d, 5 * KQ_SEC);
-  kq_sched_wave (d->sched, &wave, d->now);
+  kq_sched_fixture_request_wave_of (d, 1, "h0");
   kq_waves_write (w, d->now);
   carry_out_and_answer (&store.writes[0], d->now);
   store.leader_revision = EPOCH + 1;
--- a/src/sched/blame_test.c
+++ b/src/sched/blame_test.c
@@ -91,6 +91,26 @@
   kq_sched_fixture_run (d, 500 * KQ_MS);
 }
 
+/* Starts a serving task and two filling ones of that step on r0. */
+static void
+start_filling_beside_serving (KqSchedFixture *d, KqStep filling)
+{
+  KqStep serving = kq_sched_fixture_step ();
+  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
+  serving.lasting = true;
+  serving.target_ms = 10;
+  serving.image = KQ_STR ("serves");
+  kq_sched_fixture_submit (d, "aa", serving, false);
+  kq_sched_fixture_run (d, 50 * KQ_MS);
+  filling.filling = true;
+  filling.width = 2;
+  filling.image = KQ_STR ("fills");
+  kq_sched_fixture_submit (d, "bb", filling, false);
+  kq_sched_fixture_run (d, filling.lasting ? 3 * KQ_SEC : 50 * KQ_MS);
+  assert_int_equal (d->start_orders, 3);
+  kq_sched_fixture_accept_starts (d);
+}
+
 /* Guards against a task at work that is stopped as stalled, while another task of its
  * step may be away: its runner's lists didn't arrive for a while. */
 static void
@@ -117,21 +137,8 @@
 test_tasks_slowed_to_nothing_leave_their_runner_in_use (void **state)
 {
   KqSchedFixture *d = *state;
-  KqStep serving = kq_sched_fixture_step ();
   KqStep filling = kq_sched_fixture_step ();
-  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
-  serving.lasting = true;
-  serving.target_ms = 10;
-  serving.image = KQ_STR ("serves");
-  kq_sched_fixture_submit (d, "aa", serving, false);
-  kq_sched_fixture_run (d, 50 * KQ_MS);
-  filling.filling = true;
-  filling.width = 2;
-  filling.image = KQ_STR ("fills");
-  kq_sched_fixture_submit (d, "bb", filling, false);
-  kq_sched_fixture_run (d, 50 * KQ_MS);
-  assert_int_equal (d->start_orders, 3);
-  kq_sched_fixture_accept_starts (d);
+  start_filling_beside_serving (d, filling);
   list_filling_beside_serving (d, 5, 10);
   for (int i = 0; i < 16 && d->stop_orders < 2; i++)
     list_filling_beside_serving (d, 14, 10);
@@ -146,22 +153,10 @@
 test_slowed_tasks_are_moved_as_their_step_allows (void **state)
 {
   KqSchedFixture *d = *state;
-  KqStep serving = kq_sched_fixture_step ();
   KqStep filling = kq_sched_fixture_step ();
-  kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
-  serving.lasting = true;
-  serving.target_ms = 10;
-  serving.image = KQ_STR ("serves");
-  kq_sched_fixture_submit (d, "aa", serving, false);
-  kq_sched_fixture_run (d, 50 * KQ_MS);
-  filling.filling = filling.lasting = filling.checkpoints = true;
-  filling.width = 2;
+  filling.lasting = filling.checkpoints = true;
   filling.max_unavailable = 1;
-  filling.image = KQ_STR ("fills");
-  kq_sched_fixture_submit (d, "bb", filling, false);
-  kq_sched_fixture_run (d, 3 * KQ_SEC);
-  assert_int_equal (d->start_orders, 3);
-  kq_sched_fixture_accept_starts (d);
+  start_filling_beside_serving (d, filling);
   list_filling_beside_serving (d, 5, 100);
   for (int i = 0; i < 16; i++)
     list_filling_beside_serving (d, 14, 100);
--- a/src/sched/drain_test.c
+++ b/src/sched/drain_test.c
@@ -8,9 +8,6 @@
 
 #include <cmocka.h>
 
-/* A new leader makes no call before this time. */
-#define FIRST_CALL (3500 * KQ_MS)
-
 static void
 label_hosts (KqSchedFixture *d)
 {
@@ -26,15 +23,6 @@
     }
 }
 
-static void
-request_wave (KqSchedFixture *d, int64_t number, const char *host)
-{
-  KqStr hosts[] = { kq_str (host) };
-  KqWaveInfo w
-      = { .number = number, .hosts = hosts, .n_hosts = 1, .duration_ms = 9000, .cap = 1 };
-  kq_sched_wave (d->sched, &w, d->now);
-}
-
 /* Guards against a step that waits as long as waves go on: all hosts with the label that
  * it needs are drained or down at the same time. */
 static void
@@ -46,12 +34,12 @@
   labelled.cpu_milli = 3000;
   labelled.width = 4; /* there is room for two */
   label_hosts (d);
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_submit (d, "aa", labelled, false);
   kq_sched_fixture_run (d, 100 * KQ_MS);
   kq_sched_fixture_accept_starts (d);
-  request_wave (d, 4, "h0");
-  request_wave (d, 5, "h1");
+  kq_sched_fixture_request_wave_of (d, 4, "h0");
+  kq_sched_fixture_request_wave_of (d, 5, "h1");
   kq_sched_fixture_run (d, 10 * KQ_SEC);
   assert_int_equal (d->hosts_down, 1);
   kq_sched_maintenance_ended (d->sched, 4, KQ_STR ("h0"), KQ_MAINTENANCE_FOREIGN, d->now);
@@ -87,7 +75,7 @@
   int begun;
   label_hosts (d);
   kq_sched_entry (d->sched, &other, d->now);
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   serving.lasting = true;
   serving.width = 2;
   serving.max_unavailable = 1;
@@ -98,7 +86,7 @@
   kq_sched_fixture_accept_starts (d);
   list_protected (d);
   for (int64_t wave = 4; wave < 8; wave++)
-    request_wave (d, wave, "h0");
+    kq_sched_fixture_request_wave_of (d, wave, "h0");
   kq_sched_fixture_run (d, 500 * KQ_MS);
   kq_sched_fixture_submit (d, "bb", labelled, false);
   begun = d->start_orders;
--- a/src/sched/gangs_test.c
+++ b/src/sched/gangs_test.c
@@ -153,6 +153,21 @@
   kq_sched_stored (d->sched, true, d->now);
 }
 
+/* The next leader reads the job aa with that progress and hears both runners. */
+static void
+change_leader (KqSchedFixture *d, KqStep step, KqStr progress)
+{
+  kq_sched_fixture_new_leader (d);
+  kq_sched_fixture_submit (d, "aa", step, false);
+  assert_true (kq_sched_apply_progress (d->sched, KQ_STR ("aa"), progress, d->now));
+  kq_sched_loaded (d->sched, d->now);
+  kq_sched_fixture_store_used_runners (d);
+  kq_sched_fixture_run (d, 400 * KQ_MS);
+  kq_sched_fixture_list (d, "r0", NULL, 0);
+  kq_sched_fixture_list (d, "r1", NULL, 0);
+  kq_sched_fixture_run (d, 12 * KQ_SEC);
+}
+
 /* Guards against a gang that loses its work, or its agreement, with the leader. */
 static void
 test_next_leader_resumes_from_the_stored_checkpoint (void **state)
@@ -166,16 +181,7 @@
   snprintf (newest, sizeof newest, "%u-2", g.starts[0].run);
   store_progress (d, &progress);
   g_array_set_size (d->starts_pending, 0);
-  kq_sched_fixture_new_leader (d);
-  kq_sched_fixture_submit (d, "aa", gang_step (), false);
-  assert_true (
-      kq_sched_apply_progress (d->sched, KQ_STR ("aa"), kq_buf_str (&progress), d->now));
-  kq_sched_loaded (d->sched, d->now);
-  kq_sched_fixture_store_used_runners (d);
-  kq_sched_fixture_run (d, 400 * KQ_MS);
-  kq_sched_fixture_list (d, "r0", NULL, 0);
-  kq_sched_fixture_list (d, "r1", NULL, 0);
-  kq_sched_fixture_run (d, 12 * KQ_SEC);
+  change_leader (d, gang_step (), kq_buf_str (&progress));
   take_starts (d, &g, newest);
   kq_buf_free (&progress);
 }
@@ -202,16 +208,7 @@
   assert_int_equal (d->start_orders, 2);
   assert_int_equal (d->checkpoint_len, 4);
   store_progress (d, &progress);
-  kq_sched_fixture_new_leader (d);
-  kq_sched_fixture_submit (d, "aa", step, false);
-  assert_true (
-      kq_sched_apply_progress (d->sched, KQ_STR ("aa"), kq_buf_str (&progress), d->now));
-  kq_sched_loaded (d->sched, d->now);
-  kq_sched_fixture_store_used_runners (d);
-  kq_sched_fixture_run (d, 400 * KQ_MS);
-  kq_sched_fixture_list (d, "r0", NULL, 0);
-  kq_sched_fixture_list (d, "r1", NULL, 0);
-  kq_sched_fixture_run (d, 12 * KQ_SEC);
+  change_leader (d, step, kq_buf_str (&progress));
   assert_int_equal (d->start_orders, 3);
   assert_int_equal (d->checkpoint_len, 4);
   kq_buf_free (&progress);
--- a/src/sched/host_runners_test.c
+++ b/src/sched/host_runners_test.c
@@ -8,11 +8,6 @@
 
 #include <cmocka.h>
 
-/* A new leader makes no maintenance call before this time. */
-#define FIRST_CALL (3500 * KQ_MS)
-/* Long enough for one check of the waves and a placing pass. */
-#define SETTLE (700 * KQ_MS)
-
 /* Starts the lasting task of "aa", lists it as at work and returns its runner's host. */
 static const char *
 start_lasting (KqSchedFixture *d)
@@ -20,22 +15,12 @@
   KqStep lasting = kq_sched_fixture_step ();
   lasting.lasting = true;
   kq_sched_fixture_submit (d, "aa", lasting, false);
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_outcome (d, KQ_ORDER_START, d->runner, d->task, d->run, KQ_ORDER_OK);
   kq_sched_fixture_list_serving (d, d->runner, d->task, d->run, 5);
   return d->runner[1] == '0' ? "h0" : "h1";
 }
 
-/* Requests a wave of that host alone. */
-static void
-request_wave_of (KqSchedFixture *d, const char *host)
-{
-  KqStr name = kq_str (host);
-  KqWaveInfo w
-      = { .number = 4, .hosts = &name, .n_hosts = 1, .duration_ms = 9000, .cap = 1 };
-  kq_sched_wave (d->sched, &w, d->now);
-}
-
 /* Guards against a host that goes down with tasks at work: the entry of its runner has
  * expired in an outage of the store, and the runner goes on answering. */
 static void
@@ -46,12 +31,12 @@
   char runner[16];
   memcpy (runner, d->runner, sizeof runner);
   kq_sched_entry_gone (d->sched, kq_str (runner), d->now);
-  request_wave_of (d, host);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_request_wave_of (d, 4, host);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 0);
   assert_int_equal (d->stop_orders, 1);
   kq_sched_fixture_list (d, runner, NULL, 0);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 1);
 }
 
@@ -70,15 +55,15 @@
   kq_sched_fixture_new_leader (d);
   kq_sched_loaded (d->sched, d->now);
   kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
-  request_wave_of (d, host);
-  kq_sched_fixture_run (d, FIRST_CALL + SETTLE);
+  kq_sched_fixture_request_wave_of (d, 4, host);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL + KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 0);
   d->stop_orders = 0;
   kq_sched_fixture_list_serving (d, runner, task, 1, 5);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 0);
   kq_sched_fixture_list (d, runner, NULL, 0);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 1);
 }
 
@@ -90,20 +75,20 @@
   KqSchedFixture *d = *state;
   KqStep lasting = kq_sched_fixture_step ();
   lasting.lasting = true;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_add_entry (d, "r2", "h0");
   kq_sched_fixture_store_used_runners (d);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   kq_sched_fixture_list (d, "r2", NULL, 0);
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
   kq_sched_fixture_unreached (d, d->agent, "r0", 4500);
   kq_sched_fixture_submit (d, "aa", lasting, false);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_string_equal (d->runner, "r2");
   kq_sched_fixture_outcome (d, KQ_ORDER_START, "r2", d->task, d->run, KQ_ORDER_OK);
   kq_sched_fixture_list_serving (d, "r2", d->task, d->run, 5);
-  request_wave_of (d, "h0");
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_request_wave_of (d, 4, "h0");
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 0);
   assert_int_equal (d->stop_orders, 1);
   assert_string_equal (d->stopped_runner, "r2");
@@ -121,7 +106,7 @@
   lasting.max_unavailable = 1;
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
   kq_sched_fixture_submit (d, "aa", lasting, false);
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   assert_int_equal (d->start_orders, 2);
   for (int i = 0; i < 2; i++)
     {
@@ -130,7 +115,7 @@
       kq_sched_fixture_outcome (d, KQ_ORDER_START, "r0", s->task, s->run,
                                 KQ_ORDER_UNKNOWN);
     }
-  request_wave_of (d, "h0");
+  kq_sched_fixture_request_wave_of (d, 4, "h0");
   kq_sched_fixture_unreached (d, d->agent, "r0", 4500);
   kq_sched_fixture_run (d, 4 * KQ_SEC);
   assert_int_equal (d->stop_orders, 0);
--- a/src/sched/maintenance_test.c
+++ b/src/sched/maintenance_test.c
@@ -8,25 +8,13 @@
 
 #include <cmocka.h>
 
-/* A new leader makes no maintenance call before this time. */
-#define FIRST_CALL (3500 * KQ_MS)
-/* Long enough for one check of the waves and a placing pass. */
-#define SETTLE (700 * KQ_MS)
-
-static void
-answer_call (KqSchedFixture *d, const char *host, KqMaintenanceResult r)
-{
-  kq_sched_maintenance_ended (d->sched, 4, kq_str (host), r, d->now);
-  kq_sched_fixture_run (d, SETTLE);
-}
-
 /* Replaces the host's runner by a new one, as a maintenance does. */
 static void
 replace_runner (KqSchedFixture *d, const char *old, const char *id, const char *host)
 {
   kq_sched_entry_gone (d->sched, kq_str (old), d->now);
   kq_sched_fixture_add_entry (d, id, host);
-  kq_sched_fixture_run (d, 2 * KQ_SEC + SETTLE);
+  kq_sched_fixture_run (d, 2 * KQ_SEC + KQ_SCHED_FIXTURE_SETTLE);
 }
 
 static bool completed;
@@ -60,19 +48,19 @@
   size_t n_hosts;
   serving.lasting = true;
   kq_sched_fixture_submit (d, "aa", serving, false);
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   memcpy (runner, d->runner, sizeof runner);
   memcpy (task, d->task, sizeof task);
   n_hosts = strcmp (runner, "r0") == 0 ? 1 : 2;
   kq_sched_fixture_outcome (d, KQ_ORDER_START, runner, task, d->run, KQ_ORDER_OK);
   kq_sched_fixture_request_wave (d, n_hosts, 2);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->stop_orders, 1);
   assert_int_equal (d->hosts_down, (int)n_hosts - 1); /* the host without runs */
   end.task = kq_str (task);
   end.run = d->run;
   kq_sched_fixture_list (d, runner, &end, 1);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, (int)n_hosts);
 }
 
@@ -82,18 +70,18 @@
 test_no_more_hosts_than_allowed (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 2, 1);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 1);
   assert_string_equal (d->last_host_down, "h0");
-  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_OK);
   assert_int_equal (d->hosts_down, 1);
   replace_runner (d, "r0", "r2", "h0");
   assert_int_equal (d->hosts_down, 2);
   assert_string_equal (d->last_host_down, "h1");
   assert_false (is_completed (d));
-  answer_call (d, "h1", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_answer_call (d, "h1", KQ_MAINTENANCE_OK);
   assert_true (is_completed (d));
 }
 
@@ -107,12 +95,12 @@
   KqStr hosts[] = { KQ_STR ("h0"), KQ_STR ("h1") };
   KqWaveInfo next
       = { .number = 5, .hosts = hosts, .n_hosts = 2, .duration_ms = 9000, .cap = 1 };
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 1, 1);
-  kq_sched_fixture_run (d, SETTLE);
-  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_OK);
   kq_sched_wave (d->sched, &next, d->now);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 1); /* h0 is down, and h1 would exceed the cap */
   replace_runner (d, "r0", "r2", "h0");
   assert_int_equal (d->hosts_down, 2);
@@ -128,10 +116,10 @@
 test_unanswered_call_is_repeated (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 2, 1);
-  kq_sched_fixture_run (d, SETTLE);
-  answer_call (d, "h0", KQ_MAINTENANCE_UNKNOWN);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_UNKNOWN);
   assert_int_equal (d->hosts_down, 1);
   kq_sched_fixture_run (d, KQ_SEC);
   assert_int_equal (d->hosts_down, 2);
@@ -148,7 +136,7 @@
   serving.lasting = true;
   serving.max_unavailable = 0;
   kq_sched_fixture_submit (d, "aa", serving, false);
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_outcome (d, KQ_ORDER_START, d->runner, d->task, d->run, KQ_ORDER_OK);
   kq_sched_fixture_request_wave (d, 2, 2);
   for (int i = 0; i < 20; i++)
@@ -168,15 +156,15 @@
   KqSchedFixture *d = *state;
   void *next;
   KqSchedFixture *e;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 2, 2);
-  kq_sched_fixture_run (d, SETTLE);
-  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_OK);
   kq_sched_fixture_set_up (&next);
   e = next;
   assert_true (kq_sched_waves_stored (e->sched, kq_buf_str (&d->waves), e->now));
   kq_sched_fixture_request_wave (e, 2, 2);
-  kq_sched_fixture_run (e, FIRST_CALL);
+  kq_sched_fixture_run (e, KQ_SCHED_FIXTURE_FIRST_CALL);
   assert_int_equal (e->hosts_down, 1);
   assert_string_equal (e->last_host_down, "h1");
   assert_false (kq_sched_waves_stored (e->sched, KQ_STR ("x"), e->now));
@@ -191,11 +179,11 @@
 test_host_that_was_done_before_is_used_again (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 1, 1);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 1);
-  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_OK);
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
   for (int i = 0; i < 8; i++)
     {
@@ -203,7 +191,7 @@
       kq_sched_fixture_run (d, 500 * KQ_MS);
     }
   kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->start_orders, 1);
   assert_string_equal (d->runner, "r0");
 }
@@ -215,11 +203,11 @@
 test_runner_whose_entry_was_missing_is_used_again (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 1, 1);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 1);
-  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_OK);
   kq_sched_entry_gone (d->sched, KQ_STR ("r0"), d->now);
   for (int i = 0; i < 24; i++)
     {
@@ -229,7 +217,7 @@
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
   kq_sched_fixture_add_entry (d, "r0", "h0");
   kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->start_orders, 1);
   assert_string_equal (d->runner, "r0");
 }
@@ -240,20 +228,20 @@
 test_runner_beside_another_on_its_host_is_used_again (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_add_entry (d, "r2", "h1");
   kq_sched_fixture_store_used_runners (d);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   kq_sched_fixture_list (d, "r2", NULL, 0);
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
   kq_sched_fixture_request_wave (d, 2, 2);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 2);
   kq_sched_fixture_add_entry (d, "r1", "h1");
   kq_sched_maintenance_ended (d->sched, 4, KQ_STR ("h1"), KQ_MAINTENANCE_BUSY, d->now);
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
   kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->start_orders, 1);
   assert_string_equal (d->runner, "r2");
 }
@@ -282,20 +270,21 @@
   char runner[16];
   serving.lasting = true;
   kq_sched_fixture_submit (d, "aa", serving, false);
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   memcpy (runner, d->runner, sizeof runner);
   kq_sched_fixture_outcome (d, KQ_ORDER_START, runner, d->task, d->run, KQ_ORDER_OK);
   kq_sched_fixture_list_serving (d, runner, d->task, d->run, 5);
   kq_sched_fixture_request_wave (d, 2, 1);
-  kq_sched_fixture_run (d, SETTLE);
-  answer_call (d, d->last_host_down, KQ_MAINTENANCE_OK); /* the host without runs */
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  kq_sched_fixture_answer_call (d, d->last_host_down,
+                                KQ_MAINTENANCE_OK); /* the host without runs */
   replace_runner (d, strcmp (runner, "r0") == 0 ? "r1" : "r0", "r2", d->last_host_down);
   assert_true (is_in_stored_list (d, "r2"));
   kq_sched_fixture_run (d, 3 * KQ_SEC);
   kq_sched_fixture_list (d, "r2", NULL, 0);
   assert_int_equal (d->hosts_down, 2);
   assert_int_equal (d->start_orders, 1);
-  answer_call (d, d->last_host_down, KQ_MAINTENANCE_OK);
+  kq_sched_fixture_answer_call (d, d->last_host_down, KQ_MAINTENANCE_OK);
   assert_int_equal (d->start_orders, 1); /* the maintenance may have been done before */
   kq_sched_fixture_unreached (d, d->agent, runner, 4500);
   kq_sched_fixture_run (d, 100 * KQ_MS);
@@ -308,11 +297,11 @@
 static void
 take_h0_down (KqSchedFixture *d)
 {
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 1, 1);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 1);
-  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_OK);
 }
 
 /* Guards against a runner that gets no tasks for good. Its host was taken down, and it is
@@ -330,7 +319,7 @@
   take_h0_down (d);
   kq_sched_entry (d->sched, &e, d->now);
   kq_sched_fixture_unreached (d, d->agent, "r0", 4500);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   d->started_ms = 2;
   for (int i = 0; i < 8; i++)
     {
@@ -340,7 +329,7 @@
     }
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
   kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->start_orders, 1);
   assert_string_equal (d->runner, "r0");
 }
@@ -355,10 +344,10 @@
   kq_sched_fixture_run (d, 3 * KQ_SEC);
   d->started_ms = 2;
   kq_sched_fixture_list (d, "r0", NULL, 0);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
   kq_sched_fixture_submit (d, "aa", kq_sched_fixture_step (), false);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->start_orders, 1);
   assert_string_equal (d->runner, "r0");
   kq_sched_fixture_outcome (d, KQ_ORDER_START, "r0", d->task, d->run, KQ_ORDER_OK);
@@ -411,7 +400,7 @@
   kq_sched_fixture_accept_starts (d);
   list_tasks (d, on);
   kq_sched_fixture_request_wave (d, 2, 2);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->stop_orders, 1);
   memcpy (stopped.task, d->stopped_task, sizeof stopped.task);
   on[stopped.task[strlen (stopped.task) - 1] - '0'] = -1;
@@ -447,7 +436,7 @@
   KqSchedFixture *d = *state;
   KqRunnerEntry e = draining_entry ();
   kq_sched_entry (d->sched, &e, d->now);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_true (kq_sched_used_runners_pending (d->sched));
   assert_false (is_in_stored_list (d, "r0"));
   e.draining = false; /* it stays: it must be in the list again before any start */
@@ -468,7 +457,7 @@
       = { .number = 1, .task = KQ_STR ("zz.0.0.0"), .run = 1, .reason = KQ_END_DONE };
   kq_sched_fixture_list (d, "r0", &end, 1);
   kq_sched_entry (d->sched, &e, d->now);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_false (kq_sched_used_runners_pending (d->sched)); /* it is in the list */
 }
 
--- a/src/sched/wave_record_test.c
+++ b/src/sched/wave_record_test.c
@@ -8,31 +8,19 @@
 
 #include <cmocka.h>
 
-/* A new leader makes no maintenance call before this time. */
-#define FIRST_CALL (3500 * KQ_MS)
-/* Long enough for one check of the waves and a placing pass. */
-#define SETTLE (700 * KQ_MS)
-
-static void
-answer_call (KqSchedFixture *d, const char *host, KqMaintenanceResult r)
-{
-  kq_sched_maintenance_ended (d->sched, 4, kq_str (host), r, d->now);
-  kq_sched_fixture_run (d, SETTLE);
-}
-
 /* Guards against a host taken down by a leader that has lost its lease: while its record
  * can't be written no host is called for. */
 static void
 test_host_is_recorded_before_its_call (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 2, 2);
   d->store_down = true;
   kq_sched_fixture_run (d, 5 * KQ_SEC);
   assert_int_equal (d->hosts_down, 0);
   d->store_down = false;
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 2);
 }
 
@@ -65,12 +53,12 @@
 test_next_leader_follows_up_open_calls (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 2, 1);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_string_equal (d->last_host_down, "h0");
   change_leader (d);
-  run_listing (d, FIRST_CALL); /* the request hasn't been read yet */
+  run_listing (d, KQ_SCHED_FIXTURE_FIRST_CALL); /* the request hasn't been read yet */
   assert_int_equal (d->hosts_down, 1);
   assert_string_equal (d->last_host_down, "h0");
   kq_sched_fixture_request_wave (d, 2, 1);
@@ -88,11 +76,11 @@
 test_busy_host_with_an_open_call_counts_as_down (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 2, 1);
-  kq_sched_fixture_run (d, SETTLE);
-  answer_call (d, "h0", KQ_MAINTENANCE_UNKNOWN);
-  answer_call (d, "h0", KQ_MAINTENANCE_BUSY);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_UNKNOWN);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_BUSY);
   kq_sched_fixture_run (d, 5 * KQ_SEC);
   assert_string_equal (d->last_host_down, "h0");
 }
@@ -105,9 +93,9 @@
   KqSchedFixture *d = *state;
   KqStep lasting = kq_sched_fixture_step ();
   lasting.lasting = true;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 2, 1);
-  kq_sched_fixture_run (d, SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
   assert_string_equal (d->last_host_down, "h0");
   change_leader (d);
   kq_sched_entry_gone (d->sched, KQ_STR ("r1"), d->now);
@@ -126,10 +114,10 @@
 test_host_taken_down_by_an_earlier_leader_counts_as_down (void **state)
 {
   KqSchedFixture *d = *state;
-  kq_sched_fixture_run (d, FIRST_CALL);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
   kq_sched_fixture_request_wave (d, 2, 1);
-  kq_sched_fixture_run (d, SETTLE);
-  answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_OK);
   d->maintenance_ms = 8000;
   change_leader (d);
   kq_sched_fixture_request_wave (d, 2, 1);
@@ -147,7 +135,7 @@
   KqSchedFixture *d = *state;
   assert_false (kq_sched_waves_stored (d->sched, KQ_STR ("\x91\x63"), d->now));
   kq_sched_fixture_request_wave (d, 2, 2);
-  kq_sched_fixture_run (d, FIRST_CALL + SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL + KQ_SCHED_FIXTURE_SETTLE);
   assert_false (kq_sched_waves_pending (d->sched));
   assert_int_equal (d->hosts_down, 0);
 }
@@ -161,7 +149,7 @@
   KqStr record = KQ_STR ("\x92\x01\x94\x04\x00\xc2\xa2h0");
   assert_true (kq_sched_waves_stored (d->sched, record, d->now));
   kq_sched_fixture_request_wave (d, 2, 2);
-  kq_sched_fixture_run (d, FIRST_CALL + SETTLE);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL + KQ_SCHED_FIXTURE_SETTLE);
   assert_int_equal (d->hosts_down, 1);
   assert_string_equal (d->last_host_down, "h1");
 }
