Sched: a task on a host with an unanswered call counts as away

A lasting task that begins on a host after the call for it, by a start that came late or was repeated, was listed as at work there. A drain of another host then stopped the next task of its step, though the call may be carried out at any time and end the first one: two away of a step that may miss one. Seen in reading. KqRunnerState.host_called says so of such hosts, also for calls of earlier leaders. test_task_on_a_called_host_counts_as_away fails without it.

kq_run_may_interrupt and the drain counted the tasks away each for itself; one function does.

--- a/src/sched/drain.c
+++ b/src/sched/drain.c
@@ -16,25 +16,6 @@
 /* A task that is expected to end within this time isn't stopped. */
 #define ENDS_SOON_MS 500
 
-/* Whether all runs of the run's step on its runner may end at once. Those whose start or
- * stop wasn't answered may be at work. */
-static bool
-may_end_step_there (const KqRun *run)
-{
-  const KqStep *p = kq_run_step (run);
-  const KqStepState *st;
-  int away = 0;
-  if (p->max_unavailable < 0 || run->occurrence == NULL)
-    return true;
-  st = &run->occurrence->steps[run->step];
-  for (int32_t i = 0; i < p->width; i++)
-    {
-      const KqRun *other = st->tasks[i].run;
-      away += other == NULL || other->runner == run->runner || !kq_run_is_at_work (other);
-    }
-  return away <= p->max_unavailable;
-}
-
 bool
 kq_drain_is_done (const KqRunnerState *r, KqTime since, KqTime now)
 {
@@ -43,7 +24,7 @@
   if (now - since < DRAIN_MAX)
     return false;
   for (const KqRun *run = r->runs; run != NULL; run = run->next)
-    if (!may_end_step_there (run))
+    if (!kq_run_may_end_with_runner (run))
       return false;
   return true;
 }
--- a/src/sched/host_runners_test.c
+++ b/src/sched/host_runners_test.c
@@ -124,6 +124,35 @@
   assert_int_equal (d->hosts_down, 1);
 }
 
+/* Guards against more tasks of a step away than may be: one is at work on a host for
+ * which a call is unanswered, as its start came late, and ends when the call is carried
+ * out. */
+static void
+test_task_on_a_called_host_counts_as_away (void **state)
+{
+  KqSchedFixture *d = *state;
+  KqStep lasting = kq_sched_fixture_step ();
+  lasting.lasting = true;
+  lasting.width = 2;
+  lasting.max_unavailable = 1;
+  lasting.per_runner_max = 1;
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
+  kq_sched_fixture_request_wave_of (d, 4, "h0");
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_UNKNOWN);
+  kq_sched_fixture_submit (d, "aa", lasting, false);
+  kq_sched_fixture_run (d, 100 * KQ_MS);
+  assert_int_equal (d->start_orders, 1);
+  assert_string_equal (d->runner, "r1");
+  kq_sched_fixture_accept_starts (d);
+  kq_sched_fixture_list_serving (d, "r1", d->task, 1, 5);
+  kq_sched_fixture_list_serving (
+      d, "r0", strcmp (d->task, "aa.0.0.0") == 0 ? "aa.0.0.1" : "aa.0.0.0", 1, 5);
+  kq_sched_fixture_request_wave_of (d, 5, "h1");
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  assert_int_equal (d->stop_orders, 0);
+}
+
 #define FIXTURE_TEST(test)                                                               \
   cmocka_unit_test_setup_teardown (test, kq_sched_fixture_set_up,                        \
                                    kq_sched_fixture_tear_down)
@@ -136,6 +165,7 @@
     FIXTURE_TEST (test_next_leader_drains_a_host_whose_entry_is_missing),
     FIXTURE_TEST (test_host_is_drained_of_its_present_runner),
     FIXTURE_TEST (test_runs_without_an_answer_may_be_at_work),
+    FIXTURE_TEST (test_task_on_a_called_host_counts_as_away),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/sched/maintenance.c
+++ b/src/sched/maintenance.c
@@ -287,22 +287,23 @@
   return false;
 }
 
-/* Whether a call to take the runner's host down is being repeated. */
-static bool
-host_waits (const KqSched *s, const KqRunnerState *r)
+/* The runner's host, if a call to take it down may be carried out at any time; or NULL.
+ */
+static const KqWaveHost *
+called_host (const KqSched *s, const KqRunnerState *r)
 {
   for (guint i = 0; i < s->waves->len; i++)
     {
       const KqWaveHost *h = find_host (g_ptr_array_index (s->waves, i), kq_str (r->host));
-      if (h != NULL && h->phase == KQ_HOST_CALLED && h->repeated)
-        return true;
+      if (h != NULL && (h->phase == KQ_HOST_CALLED || h->outstanding))
+        return h;
     }
-  return false;
+  return NULL;
 }
 
-/* Sets host_leaving and host_waits of all runners by the phases of their hosts. An entry
- * may be missing or new at any change of phase, so no single change could set and clear
- * it. */
+/* Sets host_leaving, host_called and host_waits of all runners by the phases of their
+ * hosts. An entry may be missing or new at any change of phase, so no single change could
+ * set and clear them. */
 static void
 update_leaving (KqSched *s)
 {
@@ -310,8 +311,11 @@
     {
       KqRunnerState *r = g_ptr_array_index (s->runner_list, i);
       bool before = r->host_leaving;
+      const KqWaveHost *h;
       r->host_leaving = kq_maintenance_may_end (s, r);
-      r->host_waits = r->host_leaving && host_waits (s, r);
+      h = r->host_leaving ? called_host (s, r) : NULL;
+      r->host_called = h != NULL;
+      r->host_waits = h != NULL && h->phase == KQ_HOST_CALLED && h->repeated;
       if (before && !r->host_leaving)
         kq_runners_note_change (s, r);
       else if (before != r->host_leaving)
@@ -357,7 +361,7 @@
     h->to_call = s->waves_dirty = true;
 }
 
-/* Has the host wait for its turn again. No call for it may be outstanding. */
+/* Has the host wait for its turn again. Not for a host with an unanswered call. */
 static void
 withdraw_host (KqSched *s, KqWaveHost *h, KqTime again_at)
 {
--- a/src/sched/runs.c
+++ b/src/sched/runs.c
@@ -324,14 +324,19 @@
   send_order (s, run, &o, now);
 }
 
-bool
-kq_run_is_at_work (const KqRun *run)
+/* Whether the run of a lasting task is certainly at work, and goes on unless it is
+ * stopped. */
+static bool
+is_at_work (const KqRun *run)
 {
-  return run->phase == KQ_RUN_RUNNING && run->percent >= 100 && !run->runner->silent;
+  return run->phase == KQ_RUN_RUNNING && run->percent >= 100 && !run->runner->silent
+         && !run->runner->host_called;
 }
 
-bool
-kq_run_may_interrupt (const KqRun *run)
+/* Whether the run's task may be away, and with `whole_runner` all tasks of its step on
+ * its runner. */
+static bool
+may_be_away (const KqRun *run, bool whole_runner)
 {
   const KqStep *p = kq_run_step (run);
   const KqStepState *st;
@@ -342,9 +347,22 @@
   for (int32_t i = 0; i < p->width; i++)
     {
       const KqRun *other = st->tasks[i].run;
-      away += i != run->index && (other == NULL || !kq_run_is_at_work (other));
+      away += other == NULL || other == run || !is_at_work (other)
+              || (whole_runner && other->runner == run->runner);
     }
-  return away < p->max_unavailable;
+  return away <= p->max_unavailable;
+}
+
+bool
+kq_run_may_interrupt (const KqRun *run)
+{
+  return may_be_away (run, false);
+}
+
+bool
+kq_run_may_end_with_runner (const KqRun *run)
+{
+  return may_be_away (run, true);
 }
 
 void
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -225,6 +225,7 @@
   KqRunnerState *host_next; /* the next runner on the same host */
   bool host_leaving;        /* the maintenance of its host may still end it; follows from
                                the phases of the waves' hosts */
+  bool host_called;      /* a call to take its host down may be carried out at any time */
   bool host_waits;       /* so it is, but calls to take the host down come to nothing */
   KqRoom room;           /* its whole capacity */
   KqRoom used;           /* what runs that may exist there reserve; filling ones no cpu */
@@ -455,11 +456,12 @@
 void kq_run_mark_orders_lost (KqSched *s, KqRun *run);
 /* Removes the run's start order from the window, as it has been answered or won't be. */
 void kq_run_leave_window (KqSched *s, KqRun *run);
-/* Whether the lasting run is certainly at work. */
-bool kq_run_is_at_work (const KqRun *run);
 /* Whether the run may be stopped without exceeding max_unavailable, the number of tasks
  * of its step that may be away at once because of the scheduler. */
 bool kq_run_may_interrupt (const KqRun *run);
+/* As above, of all runs of the step on its runner at once. Those whose start or stop has
+ * no answer may be at work, so they count as ended by it. */
+bool kq_run_may_end_with_runner (const KqRun *run);
 /* Sends the first stop order and logs `why`; the room is reserved until kq_run_end. */
 void kq_run_stop (KqSched *s, KqRun *run, const char *why, KqTime now);
 /* Sends the run's stop order, or repeats it; does nothing without an agent. */
