Waves: the record of a completed wave names no hosts

The record holds all waves for good, in one value of the store. Since a host is called for only when the record names it, a record that had outgrown the value would have stopped all waves. Of a completed wave only hosts that aren't back are named now. The new test fails without it.

--- a/src/sched/wave_record.c
+++ b/src/sched/wave_record.c
@@ -19,13 +19,15 @@
   RECORD_NONE = 4    /* it isn't named */
 } RecordState;
 
+/* Of a completed wave only the hosts that aren't back are named: the record holds all
+ * waves for good. */
 static RecordState
-state_of (const KqWaveHost *h)
+state_of (const KqWave *w, const KqWaveHost *h)
 {
   if (h->phase == KQ_HOST_DOWN)
     return RECORD_DOWN;
   if (h->phase == KQ_HOST_BACK)
-    return RECORD_BACK;
+    return w->completed ? RECORD_NONE : RECORD_BACK;
   return kq_wave_host_may_be_called (h) ? RECORD_CALLED : RECORD_NONE;
 }
 
@@ -40,7 +42,7 @@
 {
   size_t n = 0;
   for (size_t i = 0; i < w->n_hosts; i++)
-    n += state_of (&w->hosts[i]) != RECORD_NONE;
+    n += state_of (w, &w->hosts[i]) != RECORD_NONE;
   kq_pack_array (p, 3 + n);
   kq_pack_i64 (p, w->number);
   kq_pack_i64 (p, w->ends_wall_ms);
@@ -48,7 +50,7 @@
   for (size_t i = 0; i < w->n_hosts; i++)
     {
       KqWaveHost *h = &w->hosts[i];
-      RecordState state = state_of (h);
+      RecordState state = state_of (w, h);
       h->packed = state == RECORD_CALLED;
       /* This record may replace one that names the host even if no answer comes. */
       h->recorded = h->recorded && h->packed;
--- a/src/sched/wave_record_test.c
+++ b/src/sched/wave_record_test.c
@@ -127,6 +127,27 @@
   assert_string_equal (d->last_host_down, "h1");
 }
 
+/* Guards against a record that outgrows the store, so that no host can be taken down any
+ * more: of a completed wave its hosts are left out, and they aren't taken down again. */
+static void
+test_record_of_a_completed_wave_names_no_hosts (void **state)
+{
+  KqSchedFixture *d = *state;
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_FIRST_CALL);
+  kq_sched_fixture_request_wave (d, 2, 2);
+  kq_sched_fixture_run (d, KQ_SCHED_FIXTURE_SETTLE);
+  kq_sched_fixture_answer_call (d, "h0", KQ_MAINTENANCE_OK);
+  kq_sched_fixture_answer_call (d, "h1", KQ_MAINTENANCE_OK);
+  assert_non_null (memmem (d->waves.ptr, d->waves.len, "h0", 2));
+  kq_sched_fixture_run (d, 12 * KQ_SEC);
+  assert_null (memmem (d->waves.ptr, d->waves.len, "h0", 2));
+  assert_null (memmem (d->waves.ptr, d->waves.len, "h1", 2));
+  change_leader (d);
+  kq_sched_fixture_request_wave (d, 2, 2);
+  run_listing (d, 6 * KQ_SEC);
+  assert_int_equal (d->hosts_down, 0);
+}
+
 /* Guards against a record that is lost: a leader that can't read it doesn't replace it,
  * and makes no call that it might be needed for. */
 static void
@@ -167,6 +188,7 @@
     FIXTURE_TEST (test_busy_host_with_an_open_call_counts_as_down),
     FIXTURE_TEST (test_host_with_an_open_call_gets_no_tasks),
     FIXTURE_TEST (test_host_taken_down_by_an_earlier_leader_counts_as_down),
+    FIXTURE_TEST (test_record_of_a_completed_wave_names_no_hosts),
     FIXTURE_TEST (test_unreadable_record_is_kept),
     FIXTURE_TEST (test_record_of_version_1_is_read),
   };
