--- a/bench/sched_rig.h
+++ b/bench/sched_rig.h
@@ -81,9 +81,9 @@
   bool alive;
   bool in_store;       /* its entry is in the store */
   KqTime entry_due_at; /* it writes its entry then; 0: nothing has changed */
-  bool entry_expired;
-  KqTime drained_at; /* when its entry last was, or became, one that drains */
-  bool was_draining; /* its entry before this one drained */
+  bool entry_expired;  /* it has no entry until then */
+  KqTime drained_at;   /* when its entry last was, or became, one that drains */
+  bool was_draining;   /* its entry before this one drained */
   bool draining;
   KqTime up_again_at;        /* when its host is back from maintenance; 0: it is up */
   KqTime unsent_until;       /* starts and stops for it aren't sent, as unsent_percent */
--- a/bench/sched_rig_impl.h
+++ b/bench/sched_rig_impl.h
@@ -13,8 +13,8 @@
 #define KQ_SCHED_RIG_RENEW_WITHOUT_LEADER_MS 4000
 #define KQ_SCHED_RIG_TICK (10 * KQ_MS)
 #define KQ_SCHED_RIG_MAINTENANCE_MS 2000
-/* From a runner's start to its entry in the store. */
-#define KQ_SCHED_RIG_ENTRY_AFTER (300 * KQ_MS)
+/* Longest time from a runner's restart to its entry in the store: a heartbeat. */
+#define KQ_SCHED_RIG_ENTRY_AFTER (1500 * KQ_MS)
 /* One way, of calls, answers and messages. */
 #define KQ_SCHED_RIG_LATENCY (5 * KQ_MS)
 
@@ -56,6 +56,19 @@
  * or before it knows the cordons. */
 void kq_sched_rig_check_cordon (KqSchedRig *r, const KqOrder *o);
 
+/* sched_rig_late.c */
+/* Frees the present leader, or suspends it (KQ_SCHED_RIG_WAKES). */
+void kq_sched_rig_retire_leader (KqSchedRig *r);
+/* Lets a suspended leader whose time has come make its decisions once; then it learns
+ * that it was replaced. */
+void kq_sched_rig_wake_leader (KqSchedRig *r);
+/* Frees the suspended leader, if there is one. */
+void kq_sched_rig_end_suspended (KqSchedRig *r);
+/* Removes entries of live runners as the store is back (KQ_SCHED_RIG_EXPIRED). */
+void kq_sched_rig_expire_entries (KqSchedRig *r);
+/* Writes the entries of runners that are due. */
+void kq_sched_rig_write_due_entries (KqSchedRig *r);
+
 /* sched_rig_check.c */
 /* Notes that the run of a lasting task, which is at work, begins. */
 void kq_sched_rig_note_at_work (KqSchedRig *r, const KqSchedRigRun *run);
--- a/bench/sched_soak_main.c
+++ b/bench/sched_soak_main.c
@@ -1,8 +1,8 @@
 /* sched_soak [SEED [STEPS [SEEDS [day] [cordons] [slow_store] [own_agent] [switches]
  * [clocks] [wakes] [expired]]]]: random faults on the scheduler (sched_soak.h). With
- * `day`: random days of STEPS rounds
- * (sched_day.h). The other words: KQ_SCHED_RIG_CORDONS and following. The exit status is
- * not 0 if an invariant was breached. KQ_SOAK_LOG in the environment: debug logs. */
+ * `day`: random days of STEPS rounds (sched_day.h). The other words:
+ * KQ_SCHED_RIG_CORDONS and following. The exit status is not 0 if an invariant was
+ * breached. KQ_SOAK_LOG in the environment: debug logs. */
 
 #include "base/log.h"
 #include "sched_day.h"
