Late writes test: 480 jobs in place of 240

The play asks that more than 5 jobs were accepted after their cancellation and had 5 in one of nine runs; it goes by real time.

--- a/src/fleet/late_writes_test.c
+++ b/src/fleet/late_writes_test.c
@@ -22,7 +22,7 @@
  * cancelled. */
 
 #define NODES 3
-#define JOBS 240
+#define JOBS 480
 #define TICK_S 0.004
 /* A client is done with its job after this time; each job begins at its own. */
 #define CLIENT_TIME (700 * KQ_MS)
