Crowd tests: clients that don't behave; settings of memory and descriptors

What callers saw: in the users' trial clients that send many large bodies of legal size, most of which stop just short of their end, ended a process by its memory. Nothing in this repository plays such clients.

Change: the settings' section [limits] takes the memory and the descriptors that the machine gives to the process, and the time that a client has for its request. They are read and checked; nothing uses them yet. deploy/node.toml fills them from the platform's limits. bench/crowd opens many connections that send a part of their bytes and stay, and samples the process: resident memory with the bytes that it hasn't read, and open descriptors. Three programs attack each port of a node of a fleet and of an entry host. The bounds are the settings' own figures.

They aren't built with the sanitizers, which multiply the memory.

The stand-in's pages of a range end at 1 MB, as the platform's do. With 200 jobs of 256 KB a page was longer than the 8 MB that a node takes, and the leader never finished loading.

--- a/bench/procs.h
+++ b/bench/procs.h
@@ -35,6 +35,7 @@
   int port;           /* store, workers, relay */
   int callers_port;   /* port for callers, of a node */
   int operators_port; /* port for operators, of a node */
+  int mesh_port;      /* port for other nodes, of a node */
   int restarts;
 } ProcsProcess;
 
@@ -55,6 +56,8 @@
   int worker_lease_ms;
   int stop_ms;
   int calls_per_second;
+  int memory_mb; /* 0: the default */
+  int max_fds;   /* 0: the default */
 } Procs;
 
 /* The answer to a request. */
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -15,6 +15,18 @@
   int shards;  /* number of shards of the region */
 } KqRegionSetting;
 
+/* Section [limits]: what the machine gives to this process. From it follows what
+ * connections of clients may hold (base/client_limits.h). */
+typedef struct
+{
+  int64_t memory_mb;
+  int64_t max_fds;    /* open descriptors, files included */
+  int64_t request_ms; /* see KqClientLimitsConfig */
+} KqLimitSettings;
+
+#define KQ_LIMIT_MEMORY_MB_MIN 32
+#define KQ_LIMIT_MAX_FDS_MIN 256
+
 #define KQ_REGIONS_MAX 32
 #define KQ_DEPOTS_MAX 16
 
@@ -43,6 +55,7 @@
   KqName depots[KQ_DEPOTS_MAX];
   int n_depots;
 
+  KqLimitSettings limits;
   int log_level;             /* KqLogLevel */
   int64_t store_calls_per_s; /* this node's budget of store calls; 10 by default */
   int64_t link_bytes_per_s;  /* this node's share of the link between regions */
