Client limits: what clients' connections hold is bounded as a sum

What callers saw: a node that ran out of memory and ended, when many clients sent bodies of legal size that stopped short of their end, heads that never ended, or requests whose answers they didn't read.

Cause: each connection was bounded by itself (a body by the configuration's limit, a head by the server's 32 KB), their number only by 20,000. Nothing knew the sum.

Change: base/client_limits keeps an entry for each connection of a client, over the front, ready and metrics ports, with the memory held for it: the HTTP server's own, received bytes, the body as far as it has come, the answer until it is read. The sum may be a quarter of the memory that the settings give. Above that connections are closed, first the one with the largest product of its memory and the time since its phase began; one whose request is complete and waits for its answer isn't.

Why it works: a client that stops short keeps its memory, so its product grows with time; one that sends its request and reads its answer has a small one, whoever else is connected.

--- /dev/null
+++ b/src/base/client_limits.c
@@ -0,0 +1,176 @@
+#include "base/client_limits.h"
+
+#include "base/log.h"
+
+#include <stdlib.h>
+
+#define PART "clients"
+#define MEMORY_PARTS 4
+#define LOG_PERIOD KQ_SEC
+
+struct KqClientLimits
+{
+  KqClientConn *first;
+  size_t n;     /* entries that aren't closing */
+  size_t bytes; /* of those */
+  size_t bytes_max;
+  KqTime logged_at;
+  uint64_t *closed_memory;
+  uint64_t *connections;
+  uint64_t *held;
+};
+
+KqClientLimits *
+kq_client_limits_new (int64_t memory_mb, KqCounters *counters)
+{
+  KqClientLimits *l = kq_alloc (sizeof *l);
+  l->bytes_max = (size_t)memory_mb * 1024 * 1024 / MEMORY_PARTS;
+  l->closed_memory = kq_counter (counters, "kq_clients_closed_total", "limit=\"memory\"",
+                                 "Connections of clients that were closed by a limit.");
+  l->connections
+      = kq_counter (counters, "kq_clients_open", "", "Connections of clients.");
+  l->held = kq_counter (counters, "kq_clients_held_bytes", "",
+                        "Memory held for connections of clients.");
+  return l;
+}
+
+void
+kq_client_limits_free (KqClientLimits *l)
+{
+  free (l);
+}
+
+static void
+update_gauges (KqClientLimits *l)
+{
+  *l->connections = l->n;
+  *l->held = l->bytes;
+}
+
+/* Takes the entry out of the sums. */
+static void
+discount (KqClientLimits *l, KqClientConn *c)
+{
+  c->closing = true;
+  l->n--;
+  l->bytes -= c->bytes;
+  update_gauges (l);
+}
+
+static const char *
+phase_name (KqClientPhase p)
+{
+  static const char *const names[] = { "idle", "receiving", "handled", "sending" };
+  return names[p];
+}
+
+static void
+close_conn (KqClientLimits *l, KqClientConn *c, const char *limit, uint64_t *counter,
+            KqTime now)
+{
+  discount (l, c);
+  ++*counter;
+  if (l->logged_at == 0 || now - l->logged_at >= LOG_PERIOD)
+    {
+      l->logged_at = now;
+      kq_log (KQ_LOG_WARN, PART,
+              "Closing a client's connection. limit=%s phase=%s bytes=%zu since_ms=%lld "
+              "open=%zu held=%zu closed=%llu",
+              limit, phase_name (c->phase), c->bytes,
+              (long long)((now - c->since) / KQ_MS), l->n, l->bytes,
+              (unsigned long long)*counter);
+    }
+  c->close (c->arg);
+}
+
+/* Memory times the time for which it has been held. */
+static double
+cost_of (const KqClientConn *c, KqTime now)
+{
+  return (double)c->bytes * (double)(now - c->since + KQ_MS);
+}
+
+static KqClientConn *
+find_costliest (const KqClientLimits *l, KqTime now)
+{
+  KqClientConn *worst = NULL;
+  for (KqClientConn *c = l->first; c != NULL; c = c->next)
+    if (!c->closing && c->phase != KQ_CLIENT_HANDLED
+        && (worst == NULL || cost_of (c, now) > cost_of (worst, now)))
+      worst = c;
+  return worst;
+}
+
+static void
+enforce (KqClientLimits *l, KqTime now)
+{
+  while (l->bytes > l->bytes_max)
+    {
+      KqClientConn *c = find_costliest (l, now);
+      if (c == NULL)
+        break;
+      close_conn (l, c, "memory", l->closed_memory, now);
+    }
+}
+
+void
+kq_client_limits_add (KqClientLimits *l, KqClientConn *c, size_t bytes, KqTime now)
+{
+  c->phase = KQ_CLIENT_IDLE;
+  c->since = now;
+  c->bytes = bytes;
+  c->closing = false;
+  c->prev = NULL;
+  c->next = l->first;
+  if (l->first != NULL)
+    l->first->prev = c;
+  l->first = c;
+  l->n++;
+  l->bytes += bytes;
+  update_gauges (l);
+  enforce (l, now);
+}
+
+void
+kq_client_limits_remove (KqClientLimits *l, KqClientConn *c)
+{
+  if (!c->closing)
+    discount (l, c);
+  if (c->prev != NULL)
+    c->prev->next = c->next;
+  else
+    l->first = c->next;
+  if (c->next != NULL)
+    c->next->prev = c->prev;
+}
+
+void
+kq_client_limits_hold (KqClientLimits *l, KqClientConn *c, size_t bytes, KqTime now)
+{
+  if (!c->closing)
+    l->bytes = l->bytes - c->bytes + bytes;
+  c->bytes = bytes;
+  update_gauges (l);
+  enforce (l, now);
+}
+
+void
+kq_client_limits_enter (KqClientLimits *l, KqClientConn *c, KqClientPhase phase,
+                        KqTime now)
+{
+  (void)l;
+  c->phase = phase;
+  c->since = now;
+}
+
+size_t
+kq_client_limits_count (const KqClientLimits *l)
+{
+  return l->n;
+}
+
+size_t
+kq_client_limits_bytes (const KqClientLimits *l)
+{
+  return l->bytes;
+}
--- /dev/null
+++ b/src/base/client_limits.h
@@ -0,0 +1,65 @@
+#ifndef KQ_BASE_CLIENT_LIMITS_H
+#define KQ_BASE_CLIENT_LIMITS_H
+
+/* client_limits: bounds what the connections of clients hold in this process, as a sum
+ * over all of them and over all ports.
+ *
+ * Clients are those that haven't proved to be nodes of this fleet; nothing is assumed
+ * about what they send or read. Each connection has an entry here, with the memory that
+ * is held for it. While the sum is too large, connections are closed: first the one with
+ * the largest product of its memory and the time for which it has held it without
+ * finishing what it began. A client that sends its request and reads its answer without
+ * delay has a small product, however many others are connected. */
+
+#include "base/counter.h"
+#include "base/time.h"
+
+/* Memory of a connection without a request: what the HTTP server allocates for it, and
+ * received bytes that aren't read yet. */
+#define KQ_CLIENT_CONN_BYTES (72 * 1024)
+
+typedef struct KqClientLimits KqClientLimits;
+typedef struct KqClientConn KqClientConn;
+
+typedef enum
+{
+  KQ_CLIENT_IDLE,      /* no request, or its head isn't complete */
+  KQ_CLIENT_RECEIVING, /* the request's body is being received */
+  KQ_CLIENT_HANDLED,   /* the request is complete and waits for its answer; the connection
+                          isn't closed */
+  KQ_CLIENT_SENDING    /* the answer is being sent */
+} KqClientPhase;
+
+/* An entry; it is part of its owner's connection. Only client_limits.c changes it. */
+struct KqClientConn
+{
+  KqClientConn *prev;
+  KqClientConn *next;
+  KqClientPhase phase;
+  KqTime since; /* when the phase began */
+  size_t bytes;
+  bool closing;
+  /* Closes the connection, at once or later. The owner then calls
+   * kq_client_limits_remove; it may do so within this call. */
+  void (*close) (void *arg);
+  void *arg;
+};
+
+/* memory_mb: what the process may use; clients may hold a quarter of it. */
+KqClientLimits *kq_client_limits_new (int64_t memory_mb, KqCounters *counters);
+/* There must be no entries left. */
+void kq_client_limits_free (KqClientLimits *l);
+
+/* Adds a connection in phase IDLE; close and arg are set. */
+void kq_client_limits_add (KqClientLimits *l, KqClientConn *c, size_t bytes, KqTime now);
+void kq_client_limits_remove (KqClientLimits *l, KqClientConn *c);
+/* Notes what is held for the connection now. May close connections, also this one. */
+void kq_client_limits_hold (KqClientLimits *l, KqClientConn *c, size_t bytes, KqTime now);
+void kq_client_limits_enter (KqClientLimits *l, KqClientConn *c, KqClientPhase phase,
+                             KqTime now);
+
+/* Connections that aren't being closed, and the memory held for them. */
+size_t kq_client_limits_count (const KqClientLimits *l);
+size_t kq_client_limits_bytes (const KqClientLimits *l);
+
+#endif
--- /dev/null
+++ b/src/base/client_limits_test.c
@@ -0,0 +1,142 @@
+#include "base/client_limits.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#define MB ((size_t)1024 * 1024)
+#define CLIENTS 8
+
+static KqCounters *counters;
+static KqClientLimits *limits;
+static KqClientConn conns[CLIENTS];
+static int closed[CLIENTS];
+
+static void
+on_close (void *arg)
+{
+  closed[(KqClientConn *)arg - conns]++;
+}
+
+static int
+set_up (void **state)
+{
+  (void)state;
+  counters = kq_counters_new ();
+  limits = kq_client_limits_new (64, counters); /* 16 MB for clients */
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      conns[i] = (KqClientConn){ .close = on_close, .arg = &conns[i] };
+      closed[i] = 0;
+    }
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  (void)state;
+  kq_client_limits_free (limits);
+  kq_counters_free (counters);
+  return 0;
+}
+
+static void
+add (int i, size_t bytes, KqTime now)
+{
+  kq_client_limits_add (limits, &conns[i], bytes, now);
+}
+
+static int
+count_closed (void)
+{
+  int n = 0;
+  for (int i = 0; i < CLIENTS; i++)
+    n += closed[i];
+  return n;
+}
+
+/* Guards against a limit that closes the client that happens to exceed it. */
+static void
+test_client_that_holds_most_for_longest_is_closed (void **state)
+{
+  (void)state;
+  add (0, 8 * MB, 1 * KQ_SEC);
+  add (1, 7 * MB, 1 * KQ_SEC);
+  add (2, 1 * MB, 10 * KQ_SEC);
+  assert_int_equal (count_closed (), 0);
+  kq_client_limits_hold (limits, &conns[2], 2 * MB, 11 * KQ_SEC);
+  assert_int_equal (closed[0], 1);
+  assert_int_equal (count_closed (), 1);
+  assert_int_equal (kq_client_limits_count (limits), 2);
+  assert_int_equal (kq_client_limits_bytes (limits), 9 * MB);
+}
+
+/* Guards against clients that begin anew all the time and so push out one that has waited
+ * longer but holds little. */
+static void
+test_small_client_outlasts_many_large_ones (void **state)
+{
+  (void)state;
+  add (0, MB / 16, 1 * KQ_SEC);
+  for (int round = 0; round < 20; round++)
+    for (int i = 1; i < CLIENTS; i++)
+      {
+        KqTime now = 2 * KQ_SEC + (round * CLIENTS + i) * 100 * KQ_MS;
+        if (round > 0)
+          kq_client_limits_remove (limits, &conns[i]);
+        add (i, 4 * MB, now);
+      }
+  assert_int_equal (closed[0], 0);
+  assert_true (kq_client_limits_bytes (limits) <= 16 * MB);
+}
+
+/* Guards against the loss of an answer whose request has been carried out. */
+static void
+test_handled_request_is_not_cut (void **state)
+{
+  (void)state;
+  add (0, 15 * MB, 1 * KQ_SEC);
+  kq_client_limits_enter (limits, &conns[0], KQ_CLIENT_HANDLED, 1 * KQ_SEC);
+  add (1, 2 * MB, 20 * KQ_SEC);
+  assert_int_equal (closed[0], 0);
+  assert_int_equal (closed[1], 1);
+  kq_client_limits_enter (limits, &conns[0], KQ_CLIENT_SENDING, 21 * KQ_SEC);
+  add (2, 2 * MB, 22 * KQ_SEC);
+  assert_int_equal (closed[0], 1);
+  assert_int_equal (closed[2], 0);
+}
+
+/* Guards against sums that drift: what has been removed or is being closed holds nothing
+ * more. */
+static void
+test_sums_return_to_zero (void **state)
+{
+  (void)state;
+  for (int i = 0; i < CLIENTS; i++)
+    add (i, 4 * MB, (1 + i) * KQ_SEC);
+  assert_int_equal (count_closed (), 4);
+  for (int i = 0; i < CLIENTS; i++)
+    kq_client_limits_hold (limits, &conns[i], 3 * MB, 10 * KQ_SEC);
+  for (int i = 0; i < CLIENTS; i++)
+    kq_client_limits_remove (limits, &conns[i]);
+  assert_int_equal (kq_client_limits_count (limits), 0);
+  assert_int_equal (kq_client_limits_bytes (limits), 0);
+}
+
+#define TEST(f) cmocka_unit_test_setup_teardown (f, set_up, tear_down)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    TEST (test_client_that_holds_most_for_longest_is_closed),
+    TEST (test_small_client_outlasts_many_large_ones),
+    TEST (test_handled_request_is_not_cut),
+    TEST (test_sums_return_to_zero),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -353,12 +353,13 @@
           queue_table,    store_state, store_reached_by_leader, query_leader,
           send_to_leader, on_answered, on_store_failed,         s->scheduling.admission,
           leader_epoch };
-  KqFrontCallbacks owner = { f, on_request, ready, stopping, body_max };
+  KqFrontCallbacks owner = { f, on_request, ready, stopping, body_max, f->limits };
   KqAcceptsOwner accepts = { f, on_accepted, on_answered };
   KqOperatorPortConfig operators = { .loop = loop,
                                      .ip = s->ip,
                                      .port = (int)s->metrics_port,
                                      .counters = f->config.counters,
+                                     .limits = f->limits,
                                      .arg = f,
                                      .print_metrics = print_metrics,
                                      .query_leader = query_leader };
@@ -402,6 +403,7 @@
   KqStoreCallbacks store = { f, on_store_alive };
   f->config = *c;
   f->cordons = kq_cordons_new ();
+  f->limits = kq_client_limits_new (c->settings->limits.memory_mb, c->counters);
   kq_leader_lease_init (&f->leader_lease, (int)c->settings->cpu_share_milli);
   f->self = (KqAgentInfo){ .name = c->settings->node,
                            .failure_domain = c->settings->failure_domain,
@@ -459,6 +461,7 @@
   kq_maintenance_free (f->maintenance);
   kq_store_free (f->kv);
   kq_cordons_free (f->cordons);
+  kq_client_limits_free (f->limits);
   free (f);
 }
 
--- a/src/fleet/fleet_impl.h
+++ b/src/fleet/fleet_impl.h
@@ -37,6 +37,7 @@
   KqQueueKeys *queues;
   KqKeyFeed *keys; /* NULL until the queues are followed */
   KqCordons *cordons;
+  KqClientLimits *limits;
   KqAgentInfo self;
   KqReach store;
   KqLeaderLease leader_lease; /* used while this node leads */
--- a/src/fleet/metrics.c
+++ b/src/fleet/metrics.c
@@ -63,10 +63,13 @@
   m->loop = loop;
   m->owner = *owner;
   m->server = kq_http_server_new (loop, ip, port, &h);
-  if (m->server != NULL)
-    return m;
-  free (m);
-  return NULL;
+  if (m->server == NULL)
+    {
+      free (m);
+      return NULL;
+    }
+  kq_http_server_set_limits (m->server, owner->limits);
+  return m;
 }
 
 int
--- a/src/fleet/metrics.h
+++ b/src/fleet/metrics.h
@@ -17,6 +17,7 @@
   void (*ask) (void *arg, KqHttpExchange *x, KqTime now);
   /* The exchange has ended, replied to or not. */
   void (*gone) (void *arg, KqHttpExchange *x);
+  KqClientLimits *limits; /* of what clients hold; NULL: none */
 } KqMetricsOwner;
 
 /* NULL: the address can't be bound. */
--- a/src/fleet/operator_port.c
+++ b/src/fleet/operator_port.c
@@ -52,7 +52,7 @@
 {
   KqOperatorPort *o = kq_alloc (sizeof *o);
   KqFleetOperatorConfig questions = { c->loop, c->counters, o, query_leader, reply };
-  KqMetricsOwner metrics = { o, print_metrics, on_question, on_question_gone };
+  KqMetricsOwner metrics = { o, print_metrics, on_question, on_question_gone, c->limits };
   o->config = *c;
   o->questions = kq_fleet_operator_new (&questions);
   o->metrics = kq_metrics_new (c->loop, c->ip, c->port, &metrics);
--- a/src/fleet/operator_port.h
+++ b/src/fleet/operator_port.h
@@ -5,6 +5,7 @@
  * takes operators' questions to the leader (operator.h). */
 
 #include "agent/frame.h"
+#include "base/client_limits.h"
 #include "base/counter.h"
 #include "base/task.h"
 
@@ -16,6 +17,7 @@
   const char *ip;
   int port; /* 0: the kernel chooses */
   KqCounters *counters;
+  KqClientLimits *limits; /* of what clients hold; NULL: none */
   void *arg;
   /* Appends the text of the metrics to out. */
   void (*print_metrics) (void *arg, KqBuf *out);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,11 +1,9 @@
-#include "http/server.h"
+#include "http/server_impl.h"
 
 #include "base/listen.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <ev.h>
-#include <microhttpd.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,55 +21,6 @@
 /* The most that one call of read_content copies. */
 #define READER_BLOCK_BYTES (32 * 1024)
 
-struct KqHttpServer
-{
-  KqLoop *loop;
-  KqHttpHandler handler;
-  struct MHD_Daemon *mhd;
-  int port;
-  bool run_scheduled;
-  bool closing; /* it is being freed: no request is begun or continued */
-  ev_io ready;
-  ev_timer timeout;
-  ev_prepare before_poll;
-  ev_idle run; /* never started; only passed to ev_feed_event */
-  KqHttpExchange *first;
-};
-
-typedef enum
-{
-  REPLY_NONE,
-  REPLY_BUFFERED,
-  REPLY_STREAMED
-} ReplyKind;
-
-struct KqHttpExchange
-{
-  KqHttpServer *server;
-  KqHttpExchange *next;
-  KqHttpExchange *prev;
-  struct MHD_Connection *conn;
-  char *uri;
-  KqStr method; /* a copy */
-  KqHeader *headers;
-  size_t n_headers;
-  bool begin_called;
-  bool body_ended;
-  bool upload_paused;
-  bool suspended;
-  bool aborted;
-  bool queued; /* the response was passed to MHD_queue_response */
-  ReplyKind reply;
-  struct MHD_Response *response;
-  int status;
-  KqBuf out;       /* bytes of a streamed response */
-  size_t n_copied; /* bytes of out that MHD has copied */
-  int64_t length;  /* Content-Length of a streamed response; -1: unknown */
-  bool reply_ended;
-  ev_io close_watch; /* active while suspended; detects that the client closes */
-  void *data;
-};
-
 static void
 schedule_run (KqHttpServer *s)
 {
@@ -134,6 +83,7 @@
   if (s->first != NULL)
     s->first->prev = x;
   s->first = x;
+  kq_http_client_attach (x);
   return x;
 }
 
@@ -141,6 +91,7 @@
 free_exchange (KqHttpExchange *x)
 {
   KqHttpServer *s = x->server;
+  kq_http_client_detach (x);
   if (x->prev != NULL)
     x->prev->next = x->next;
   else
@@ -190,6 +141,7 @@
 queue_response (KqHttpExchange *x)
 {
   x->queued = true;
+  kq_http_client_enter (x, KQ_CLIENT_SENDING);
   return MHD_queue_response (x->conn, (unsigned)x->status, x->response);
 }
 
@@ -202,6 +154,7 @@
   x->method = kq_str (method);
   x->method.ptr = kq_str_dup (x->method);
   MHD_get_connection_values (x->conn, MHD_HEADER_KIND, add_header, x);
+  kq_http_client_enter (x, KQ_CLIENT_RECEIVING);
   s->handler.begin (s->handler.arg, x);
   if (x->aborted)
     return MHD_NO;
@@ -245,7 +198,10 @@
     {
       x->body_ended = true;
       if (x->response == NULL)
-        s->handler.end (s->handler.arg, x);
+        {
+          kq_http_client_enter (x, KQ_CLIENT_HANDLED);
+          s->handler.end (s->handler.arg, x);
+        }
     }
   if (x->aborted)
     return MHD_NO;
@@ -362,8 +318,9 @@
   s->mhd = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, s,
       MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
-      MHD_OPTION_URI_LOG_CALLBACK, new_exchange, s, MHD_OPTION_UNESCAPE_CALLBACK,
-      keep_url_escapes, s, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
+      MHD_OPTION_NOTIFY_CONNECTION, kq_http_client_notify, s, MHD_OPTION_URI_LOG_CALLBACK,
+      new_exchange, s, MHD_OPTION_UNESCAPE_CALLBACK, keep_url_escapes, s,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX, MHD_OPTION_END);
   if (s->mhd == NULL)
     {
@@ -508,7 +465,9 @@
   if (x->reply != REPLY_NONE || x->aborted)
     return;
   r = MHD_create_response_from_buffer (body.len, (void *)body.ptr, MHD_RESPMEM_MUST_COPY);
+  x->reply_bytes = body.len;
   set_response (x, REPLY_BUFFERED, status, r, headers, n_headers);
+  kq_http_client_recount (x);
 }
 
 void
@@ -535,6 +494,7 @@
       x->n_copied = 0;
     }
   kq_buf_add_str (&x->out, bytes);
+  kq_http_client_recount (x);
   resume (x);
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,7 @@
  * response that can't be completed is aborted, which closes the connection, so that the
  * client doesn't take the partial body for a complete one. */
 
+#include "base/client_limits.h"
 #include "base/result.h"
 #include "base/str.h"
 #include "base/task.h"
@@ -35,6 +36,9 @@
 /* address: numeric IPv4; port 0: chosen by the kernel. NULL if it can't be bound. */
 KqHttpServer *kq_http_server_new (KqLoop *loop, const char *address, int port,
                                   const KqHttpHandler *handler);
+/* Counts the connections in `limits`, which must outlive the server and may close them.
+ * To be called before the loop runs. */
+void kq_http_server_set_limits (KqHttpServer *s, KqClientLimits *limits);
 /* Aborts open exchanges. */
 void kq_http_server_free (KqHttpServer *s);
 int kq_http_server_port (const KqHttpServer *s);
@@ -50,6 +54,9 @@
 void kq_http_set_data (KqHttpExchange *x, void *data);
 void *kq_http_data (const KqHttpExchange *x);
 
+/* Tells the server how much memory the handler holds for the exchange. The exchange may
+ * be aborted, now or by a later call for any exchange; `finished` is called as always. */
+void kq_http_hold (KqHttpExchange *x, size_t bytes);
 /* Stop and resume the delivery of the request's body. */
 void kq_http_pause_upload (KqHttpExchange *x);
 void kq_http_resume_upload (KqHttpExchange *x);
--- a/src/port/front.h
+++ b/src/port/front.h
@@ -4,6 +4,7 @@
 /* front: the port to client accounts: receives their requests about jobs (which consist
  * of steps) and sends the answers. */
 
+#include "base/client_limits.h"
 #include "base/task.h"
 #include "steps/spec.h"
 
@@ -62,6 +63,7 @@
   bool (*ready) (void *arg, KqTime now); /* whether the readiness check succeeds */
   bool (*leaving) (void *arg);     /* whether to close each connection after its answer */
   int64_t (*body_max) (void *arg); /* longest accepted request body, in bytes */
+  KqClientLimits *limits;          /* of what clients hold; NULL: none */
 } KqFrontCallbacks;
 
 typedef struct KqFront KqFront;
