Client limits: the number of clients' connections leaves descriptors free

What callers saw: with 300 descriptors and 400 idle clients the node held 436, or, with the limit in force, none for the store, its peers and runners: an ordinary request got no answer for 60 s (a trial with the descriptors limited to 300).

Cause: only the server's own limit of 20,000 connections for each port.

Change: clients may have one half of the descriptors that the settings give, without the 200 that are for files. Above that connections are closed as for memory: first who holds most for longest.

--- a/src/base/client_limits.c
+++ b/src/base/client_limits.c
@@ -2,10 +2,15 @@
 
 #include "base/log.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #define PART "clients"
 #define MEMORY_PARTS 4
+/* Of the descriptors, so many are kept for files. The others are sockets, of which
+ * clients may have one half. */
+#define FILES_FDS 200
+#define FDS_PARTS 2
 #define LOG_PERIOD KQ_SEC
 
 struct KqClientLimits
@@ -14,19 +19,31 @@
   size_t n;     /* entries that aren't closing */
   size_t bytes; /* of those */
   size_t bytes_max;
+  size_t n_max;
   KqTime logged_at;
   uint64_t *closed_memory;
+  uint64_t *closed_descriptors;
   uint64_t *connections;
   uint64_t *held;
 };
 
+static uint64_t *
+closed_counter (KqCounters *counters, const char *limit)
+{
+  char labels[40];
+  snprintf (labels, sizeof labels, "limit=\"%s\"", limit);
+  return kq_counter (counters, "kq_clients_closed_total", labels,
+                     "Connections of clients that were closed by a limit.");
+}
+
 KqClientLimits *
-kq_client_limits_new (int64_t memory_mb, KqCounters *counters)
+kq_client_limits_new (int64_t memory_mb, int64_t max_fds, KqCounters *counters)
 {
   KqClientLimits *l = kq_alloc (sizeof *l);
   l->bytes_max = (size_t)memory_mb * 1024 * 1024 / MEMORY_PARTS;
-  l->closed_memory = kq_counter (counters, "kq_clients_closed_total", "limit=\"memory\"",
-                                 "Connections of clients that were closed by a limit.");
+  l->n_max = (size_t)(max_fds - FILES_FDS) / FDS_PARTS;
+  l->closed_memory = closed_counter (counters, "memory");
+  l->closed_descriptors = closed_counter (counters, "descriptors");
   l->connections
       = kq_counter (counters, "kq_clients_open", "", "Connections of clients.");
   l->held = kq_counter (counters, "kq_clients_held_bytes", "",
@@ -104,12 +121,15 @@
 static void
 enforce (KqClientLimits *l, KqTime now)
 {
-  while (l->bytes > l->bytes_max)
+  while (l->n > l->n_max || l->bytes > l->bytes_max)
     {
       KqClientConn *c = find_costliest (l, now);
       if (c == NULL)
         break;
-      close_conn (l, c, "memory", l->closed_memory, now);
+      if (l->n > l->n_max)
+        close_conn (l, c, "descriptors", l->closed_descriptors, now);
+      else
+        close_conn (l, c, "memory", l->closed_memory, now);
     }
 }
 
--- a/src/base/client_limits.h
+++ b/src/base/client_limits.h
@@ -6,10 +6,11 @@
  *
  * Clients are those that haven't proved to be nodes of this fleet; nothing is assumed
  * about what they send or read. Each connection has an entry here, with the memory that
- * is held for it. While the sum is too large, connections are closed: first the one with
- * the largest product of its memory and the time for which it has held it without
- * finishing what it began. A client that sends its request and reads its answer without
- * delay has a small product, however many others are connected. */
+ * is held for it. While their number or the sum of the memory is too large, connections
+ * are closed: first the one with the largest product of its memory and the time for which
+ * it has held it without finishing what it began. A client that sends its request and
+ * reads its answer without delay has a small product, however many others are connected.
+ */
 
 #include "base/counter.h"
 #include "base/time.h"
@@ -45,8 +46,10 @@
   void *arg;
 };
 
-/* memory_mb: what the process may use; clients may hold a quarter of it. */
-KqClientLimits *kq_client_limits_new (int64_t memory_mb, KqCounters *counters);
+/* memory_mb, max_fds: what the process may use (KqLimitSettings). Clients may hold a
+ * quarter of the memory, and one half of the descriptors that aren't for files. */
+KqClientLimits *kq_client_limits_new (int64_t memory_mb, int64_t max_fds,
+                                      KqCounters *counters);
 /* There must be no entries left. */
 void kq_client_limits_free (KqClientLimits *l);
 
--- a/src/base/client_limits_test.c
+++ b/src/base/client_limits_test.c
@@ -9,6 +9,7 @@
 
 #define MB ((size_t)1024 * 1024)
 #define CLIENTS 8
+#define FDS 212 /* six of them for clients */
 
 static KqCounters *counters;
 static KqClientLimits *limits;
@@ -26,7 +27,7 @@
 {
   (void)state;
   counters = kq_counters_new ();
-  limits = kq_client_limits_new (64, counters); /* 16 MB for clients */
+  limits = kq_client_limits_new (64, FDS, counters); /* 16 MB for clients */
   for (int i = 0; i < CLIENTS; i++)
     {
       conns[i] = (KqClientConn){ .close = on_close, .arg = &conns[i] };
@@ -110,6 +111,17 @@
   assert_int_equal (closed[2], 0);
 }
 
+/* Guards against clients that hold nothing but their descriptors. */
+static void
+test_number_of_connections_is_bounded (void **state)
+{
+  (void)state;
+  for (int i = 0; i < CLIENTS; i++)
+    add (i, 1000, (1 + i) * KQ_SEC);
+  assert_int_equal (count_closed (), 2);
+  assert_int_equal (closed[0] + closed[1], 2);
+}
+
 /* Guards against sums that drift: what has been removed or is being closed holds nothing
  * more. */
 static void
@@ -136,6 +148,7 @@
     TEST (test_client_that_holds_most_for_longest_is_closed),
     TEST (test_small_client_outlasts_many_large_ones),
     TEST (test_handled_request_is_not_cut),
+    TEST (test_number_of_connections_is_bounded),
     TEST (test_sums_return_to_zero),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -403,7 +403,8 @@
   KqStoreCallbacks store = { f, on_store_alive };
   f->config = *c;
   f->cordons = kq_cordons_new ();
-  f->limits = kq_client_limits_new (c->settings->limits.memory_mb, c->counters);
+  f->limits = kq_client_limits_new (c->settings->limits.memory_mb,
+                                    c->settings->limits.max_fds, c->counters);
   kq_leader_lease_init (&f->leader_lease, (int)c->settings->cpu_share_milli);
   f->self = (KqAgentInfo){ .name = c->settings->node,
                            .failure_domain = c->settings->failure_domain,
--- a/tests/ports_crowd_test.c
+++ b/tests/ports_crowd_test.c
@@ -43,15 +43,21 @@
 /* Guards against a node that has no descriptor left for the store, its peers and runners,
  * because clients of one of its ports hold all. */
 static void
-check_descriptors (const int *port, KqStr head)
+check_descriptors_with_memory (const int *port, KqStr head, int memory_mb)
 {
   CrowdPlan p
       = { .clients = FEW_FDS + 100, .head = head, .total = head.len, .reopens = FEW_FDS };
-  start (FEW_FDS);
+  crowd_node_start (&node, KQ_BUILD_DIR, memory_mb, FEW_FDS, "");
   p.port = *port;
   attack_and_check (&p);
 }
 
+static void
+check_descriptors (const int *port, KqStr head)
+{
+  check_descriptors_with_memory (port, head, MEMORY_MB);
+}
+
 static void
 test_descriptors_at_the_front_port (void **state)
 {
@@ -80,6 +86,14 @@
   check_descriptors (&node.peer_port, (KqStr){ "\x00\x00\xff\xff", 4 });
 }
 
+/* The same on a machine on which the memory would bear all of these clients. */
+static void
+test_descriptors_where_memory_is_plenty (void **state)
+{
+  (void)state;
+  check_descriptors_with_memory (&node.front_port, KQ_STR ("GET / HTTP/1.1\r\n"), 1024);
+}
+
 /* Guards against answers that fill the memory because their clients don't read them. */
 static void
 test_unread_answers (void **state)
@@ -159,6 +173,7 @@
     TEST (test_descriptors_at_the_ready_port),
     TEST (test_descriptors_at_the_metrics_port),
     TEST (test_descriptors_at_the_peer_port),
+    TEST (test_descriptors_where_memory_is_plenty),
     TEST (test_unread_answers),
     TEST (test_bodies_at_the_ready_port),
     TEST (test_frames_that_stop_short),
