Client limits: a request that comes byte by byte ends

What callers saw: a client that sends a byte now and then keeps its connection, and what is held for it, for ever.

Cause: the server's only limit of time is on silence, 75 s, and each byte begins it anew.

Time in which this process waits or has stopped the transfer doesn't count.

--- a/src/base/client_limits.c
+++ b/src/base/client_limits.c
@@ -21,8 +21,10 @@
   size_t bytes_max;
   size_t n_max;
   KqTime logged_at;
+  KqTime request_time;
   uint64_t *closed_memory;
   uint64_t *closed_descriptors;
+  uint64_t *closed_time;
   uint64_t *connections;
   uint64_t *held;
 };
@@ -37,13 +39,15 @@
 }
 
 KqClientLimits *
-kq_client_limits_new (int64_t memory_mb, int64_t max_fds, KqCounters *counters)
+kq_client_limits_new (const KqClientLimitsConfig *c, KqCounters *counters)
 {
   KqClientLimits *l = kq_alloc (sizeof *l);
-  l->bytes_max = (size_t)memory_mb * 1024 * 1024 / MEMORY_PARTS;
-  l->n_max = (size_t)(max_fds - FILES_FDS) / FDS_PARTS;
+  l->bytes_max = (size_t)c->memory_mb * 1024 * 1024 / MEMORY_PARTS;
+  l->n_max = (size_t)(c->max_fds - FILES_FDS) / FDS_PARTS;
+  l->request_time = c->request_ms * KQ_MS;
   l->closed_memory = closed_counter (counters, "memory");
   l->closed_descriptors = closed_counter (counters, "descriptors");
+  l->closed_time = closed_counter (counters, "time");
   l->connections
       = kq_counter (counters, "kq_clients_open", "", "Connections of clients.");
   l->held = kq_counter (counters, "kq_clients_held_bytes", "",
@@ -136,8 +140,7 @@
 void
 kq_client_limits_add (KqClientLimits *l, KqClientConn *c, size_t bytes, KqTime now)
 {
-  c->phase = KQ_CLIENT_IDLE;
-  c->since = now;
+  kq_client_limits_enter (l, c, KQ_CLIENT_IDLE, now);
   c->bytes = bytes;
   c->closing = false;
   c->prev = NULL;
@@ -181,6 +184,49 @@
   (void)l;
   c->phase = phase;
   c->since = now;
+  c->moved = 0;
+  c->paused_at = 0;
+}
+
+void
+kq_client_limits_moved (KqClientConn *c, size_t bytes)
+{
+  c->moved += bytes;
+}
+
+void
+kq_client_limits_pause (KqClientConn *c, KqTime now)
+{
+  if (c->paused_at == 0)
+    c->paused_at = now;
+}
+
+void
+kq_client_limits_resume (KqClientConn *c, KqTime now)
+{
+  if (c->paused_at != 0)
+    c->since += now - c->paused_at;
+  c->paused_at = 0;
+}
+
+static bool
+is_late (const KqClientLimits *l, const KqClientConn *c, KqTime now)
+{
+  KqTime allowed = l->request_time + (KqTime)(c->moved * KQ_SEC / KQ_CLIENT_BYTES_PER_S);
+  return !c->closing && c->phase != KQ_CLIENT_HANDLED && c->paused_at == 0
+         && now - c->since > allowed;
+}
+
+void
+kq_client_limits_expire (KqClientLimits *l, KqTime now)
+{
+  KqClientConn *next;
+  for (KqClientConn *c = l->first; c != NULL; c = next)
+    {
+      next = c->next;
+      if (is_late (l, c, now))
+        close_conn (l, c, "time", l->closed_time, now);
+    }
 }
 
 size_t
--- a/src/base/client_limits.h
+++ b/src/base/client_limits.h
@@ -15,6 +15,19 @@
 #include "base/counter.h"
 #include "base/time.h"
 
+/* Section [limits] of the settings. Clients may hold a quarter of the memory, and one
+ * half of the descriptors that aren't for files. */
+typedef struct
+{
+  int64_t memory_mb; /* what the process may use */
+  int64_t max_fds;   /* descriptors that it may open, files included */
+  /* How long a connection may have no whole head, or take to send a body or to accept an
+   * answer. A body or an answer gets one second more for each KQ_CLIENT_BYTES_PER_S. */
+  int64_t request_ms;
+} KqClientLimitsConfig;
+
+#define KQ_CLIENT_BYTES_PER_S 4096
+
 /* Memory of a connection without a request: what the HTTP server allocates for it, and
  * received bytes that aren't read yet. */
 #define KQ_CLIENT_CONN_BYTES (72 * 1024)
@@ -37,8 +50,10 @@
   KqClientConn *prev;
   KqClientConn *next;
   KqClientPhase phase;
-  KqTime since; /* when the phase began */
+  KqTime since; /* when the phase began; pauses are left out */
   size_t bytes;
+  uint64_t moved;   /* bytes received or sent in this phase */
+  KqTime paused_at; /* 0: it isn't paused */
   bool closing;
   /* Closes the connection, at once or later. The owner then calls
    * kq_client_limits_remove; it may do so within this call. */
@@ -46,9 +61,7 @@
   void *arg;
 };
 
-/* memory_mb, max_fds: what the process may use (KqLimitSettings). Clients may hold a
- * quarter of the memory, and one half of the descriptors that aren't for files. */
-KqClientLimits *kq_client_limits_new (int64_t memory_mb, int64_t max_fds,
+KqClientLimits *kq_client_limits_new (const KqClientLimitsConfig *c,
                                       KqCounters *counters);
 /* There must be no entries left. */
 void kq_client_limits_free (KqClientLimits *l);
@@ -61,6 +74,15 @@
 void kq_client_limits_enter (KqClientLimits *l, KqClientConn *c, KqClientPhase phase,
                              KqTime now);
 
+/* Bytes have been received or sent. */
+void kq_client_limits_moved (KqClientConn *c, size_t bytes);
+/* This process stops and resumes receiving or sending; the client isn't to blame for the
+ * time between. */
+void kq_client_limits_pause (KqClientConn *c, KqTime now);
+void kq_client_limits_resume (KqClientConn *c, KqTime now);
+/* Closes the connections that have taken too long. To be called a few times a second. */
+void kq_client_limits_expire (KqClientLimits *l, KqTime now);
+
 /* Connections that aren't being closed, and the memory held for them. */
 size_t kq_client_limits_count (const KqClientLimits *l);
 size_t kq_client_limits_bytes (const KqClientLimits *l);
--- a/src/base/client_limits_test.c
+++ b/src/base/client_limits_test.c
@@ -26,8 +26,10 @@
 set_up (void **state)
 {
   (void)state;
+  KqClientLimitsConfig config
+      = { .memory_mb = 64, .max_fds = FDS, .request_ms = 10000 }; /* 16 MB for clients */
   counters = kq_counters_new ();
-  limits = kq_client_limits_new (64, FDS, counters); /* 16 MB for clients */
+  limits = kq_client_limits_new (&config, counters);
   for (int i = 0; i < CLIENTS; i++)
     {
       conns[i] = (KqClientConn){ .close = on_close, .arg = &conns[i] };
@@ -122,6 +124,46 @@
   assert_int_equal (closed[0] + closed[1], 2);
 }
 
+/* Guards against a client that keeps its connection for ever, by sending a byte now and
+ * then. */
+static void
+test_slow_request_ends (void **state)
+{
+  (void)state;
+  add (0, MB, 1 * KQ_SEC);
+  add (1, MB, 1 * KQ_SEC);
+  kq_client_limits_enter (limits, &conns[1], KQ_CLIENT_RECEIVING, 1 * KQ_SEC);
+  kq_client_limits_moved (&conns[1], 100);
+  kq_client_limits_expire (limits, 11 * KQ_SEC);
+  assert_int_equal (count_closed (), 0);
+  kq_client_limits_expire (limits, 12 * KQ_SEC);
+  assert_int_equal (closed[0], 1);
+  assert_int_equal (closed[1], 1);
+}
+
+/* Guards against a limit that cuts what only takes long: a body that arrives steadily, a
+ * request that waits for its answer, a transfer that this process has stopped. */
+static void
+test_steady_handled_and_paused_are_not_late (void **state)
+{
+  (void)state;
+  for (int i = 0; i < 3; i++)
+    add (i, MB, 1 * KQ_SEC);
+  kq_client_limits_enter (limits, &conns[0], KQ_CLIENT_RECEIVING, 1 * KQ_SEC);
+  kq_client_limits_moved (&conns[0], (size_t)60 * KQ_CLIENT_BYTES_PER_S);
+  kq_client_limits_enter (limits, &conns[1], KQ_CLIENT_HANDLED, 1 * KQ_SEC);
+  kq_client_limits_enter (limits, &conns[2], KQ_CLIENT_SENDING, 1 * KQ_SEC);
+  kq_client_limits_pause (&conns[2], 2 * KQ_SEC);
+  kq_client_limits_expire (limits, 60 * KQ_SEC);
+  assert_int_equal (count_closed (), 0);
+  kq_client_limits_resume (&conns[2], 60 * KQ_SEC);
+  kq_client_limits_expire (limits, 68 * KQ_SEC);
+  assert_int_equal (count_closed (), 0);
+  kq_client_limits_expire (limits, 70 * KQ_SEC);
+  assert_int_equal (closed[2], 1);
+  assert_int_equal (count_closed (), 1);
+}
+
 /* Guards against sums that drift: what has been removed or is being closed holds nothing
  * more. */
 static void
@@ -149,6 +191,8 @@
     TEST (test_small_client_outlasts_many_large_ones),
     TEST (test_handled_request_is_not_cut),
     TEST (test_number_of_connections_is_bounded),
+    TEST (test_slow_request_ends),
+    TEST (test_steady_handled_and_paused_are_not_late),
     TEST (test_sums_return_to_zero),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -306,6 +306,7 @@
       kq_log (KQ_LOG_WARN, PART, "The store is unreachable. since_ms=%lld",
               (long long)((now - f->store.answered_at) / KQ_MS));
     }
+  kq_client_limits_expire (f->limits, now);
   check_leadership (f, now);
   kq_key_feed_check (f->keys, kq_election_record (f->election)->epoch, now);
   if (f->stopping)
@@ -403,8 +404,7 @@
   KqStoreCallbacks store = { f, on_store_alive };
   f->config = *c;
   f->cordons = kq_cordons_new ();
-  f->limits = kq_client_limits_new (c->settings->limits.memory_mb,
-                                    c->settings->limits.max_fds, c->counters);
+  f->limits = kq_client_limits_new (&c->settings->limits, c->counters);
   kq_leader_lease_init (&f->leader_lease, (int)c->settings->cpu_share_milli);
   f->self = (KqAgentInfo){ .name = c->settings->node,
                            .failure_domain = c->settings->failure_domain,
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -53,6 +53,7 @@
   if (x->suspended)
     return;
   x->suspended = true;
+  kq_http_client_pause (x);
   MHD_suspend_connection (x->conn);
   info = MHD_get_connection_info (x->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
   ev_io_init (&x->close_watch, on_client_close, info->connect_fd, EV_READ);
@@ -67,6 +68,7 @@
     return;
   ev_io_stop (kq_loop_ev (x->server->loop), &x->close_watch);
   x->suspended = false;
+  kq_http_client_resume (x);
   MHD_resume_connection (x->conn);
   schedule_run (x->server);
 }
@@ -173,6 +175,7 @@
       suspend (x);
       return MHD_YES;
     }
+  kq_http_client_moved (x, *size);
   if (x->response == NULL)
     s->handler.body (s->handler.arg, x, kq_str_n (bytes, *size));
   *size = 0;
@@ -230,6 +233,7 @@
   n = n < max ? n : max;
   memcpy (to, x->out.ptr + x->n_copied, n);
   x->n_copied += n;
+  kq_http_client_moved (x, n);
   if (x->n_copied == x->out.len)
     {
       kq_buf_clear (&x->out);
--- a/src/http/server_clients.c
+++ b/src/http/server_clients.c
@@ -75,6 +75,27 @@
   kq_http_client_recount (x);
 }
 
+void
+kq_http_client_moved (KqHttpExchange *x, size_t bytes)
+{
+  if (x->client != NULL)
+    kq_client_limits_moved (&x->client->limited, bytes);
+}
+
+void
+kq_http_client_pause (KqHttpExchange *x)
+{
+  if (x->client != NULL)
+    kq_client_limits_pause (&x->client->limited, kq_loop_now (x->server->loop));
+}
+
+void
+kq_http_client_resume (KqHttpExchange *x)
+{
+  if (x->client != NULL)
+    kq_client_limits_resume (&x->client->limited, kq_loop_now (x->server->loop));
+}
+
 void
 kq_http_client_recount (KqHttpExchange *x)
 {
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -81,6 +81,11 @@
 void kq_http_client_attach (KqHttpExchange *x);
 void kq_http_client_detach (KqHttpExchange *x);
 void kq_http_client_enter (KqHttpExchange *x, KqClientPhase phase);
+/* Of the client's bytes, so many were received or sent. */
+void kq_http_client_moved (KqHttpExchange *x, size_t bytes);
+/* The connection is suspended, or resumed. */
+void kq_http_client_pause (KqHttpExchange *x);
+void kq_http_client_resume (KqHttpExchange *x);
 /* Counts what the exchange holds now. */
 void kq_http_client_recount (KqHttpExchange *x);
 
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -37,7 +37,7 @@
   int64_t grace_ms; /* time between SIGTERM and SIGKILL */
   int64_t keep_ms;  /* how long the state of a finished job is kept; KQ_KEEP_MIN_MS or
                        more */
-  KqLimitSettings limits;
+  KqClientLimitsConfig limits;
   int log_level;
   KqSchedFeatures scheduling; /* section [scheduling] */
 } KqFleetSettings;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -6,6 +6,7 @@
  * toml_shim.cc wraps the parser, toml++. This module checks keys, types, ranges and
  * combinations of values. All faults are reported, not only the first. */
 
+#include "base/client_limits.h"
 #include "base/result.h"
 #include "base/str.h"
 
@@ -15,15 +16,6 @@
   int shards;  /* number of shards of the region */
 } KqRegionSetting;
 
-/* Section [limits]: what the machine gives to this process. From it follows what
- * connections of clients may hold (base/client_limits.h). */
-typedef struct
-{
-  int64_t memory_mb;
-  int64_t max_fds;    /* open descriptors, files included */
-  int64_t request_ms; /* see KqClientLimitsConfig */
-} KqLimitSettings;
-
 #define KQ_LIMIT_MEMORY_MB_MIN 32
 #define KQ_LIMIT_MAX_FDS_MIN 256
 
@@ -55,7 +47,7 @@
   KqName depots[KQ_DEPOTS_MAX];
   int n_depots;
 
-  KqLimitSettings limits;
+  KqClientLimitsConfig limits;
   int log_level;             /* KqLogLevel */
   int64_t store_calls_per_s; /* this node's budget of store calls; 10 by default */
   int64_t link_bytes_per_s;  /* this node's share of the link between regions */
