Link, mesh: what connections hold before their hello counts as clients'

What callers saw: 60 clients of the port for other nodes whose frames of legal size stop short made the node hold 265,368 KB; 400 idle ones took 427 descriptors of 300.

Cause: a frame of up to 4 MB is collected from anyone who connects, and neither the frames nor the connections were counted. A silent connection ends after 1.4 s, but others take its place.

Change: until a peer has sent its HELLO (in the mesh: until the handshake is complete) its connection has an entry in the client limits, with the size of its buffers. Nodes aren't counted once they are known. A leader's last connections to nodes that it turned away were freed together, 300 ms after the last one; they are now freed one by one, as a steady stream of hellos kept them all.

The stream of hellos was found by reading; no test shows it.

The mesh's copies of its strings moved to hello.c.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -348,7 +348,8 @@
                         .ip = s->ip,
                         .port = (int)s->peer_port,
                         .self = f->self,
-                        .owner = kq_fleet_link_owner (f) };
+                        .owner = kq_fleet_link_owner (f),
+                        .limits = f->limits };
   KqFrontHandlerConfig handler
       = { loop,           f->kv,       f->config.counters,      f,
           queue_table,    store_state, store_reached_by_leader, query_leader,
--- a/src/fleet/link.c
+++ b/src/fleet/link.c
@@ -87,7 +87,10 @@
 static void
 open_leader_conn (KqLink *l, KqTime now)
 {
-  KqConnCallback cb = { l, on_leader_connected, on_leader_message, on_leader_closed };
+  KqConnCallback cb = { .arg = l,
+                        .connected = on_leader_connected,
+                        .message = on_leader_message,
+                        .closed = on_leader_closed };
   if (l->leader_conn != NULL || l->leader.len == 0 || l->own_epoch != 0 || l->leaving)
     return;
   l->connect_tried_at = now;
--- a/src/fleet/link.h
+++ b/src/fleet/link.h
@@ -9,6 +9,7 @@
  * connection on which it has received nothing for a while; the node then reconnects. */
 
 #include "agent/frame.h"
+#include "base/client_limits.h"
 
 typedef struct KqLink KqLink;
 typedef struct KqPeer KqPeer; /* on the leader: a connected node */
@@ -46,6 +47,8 @@
   int port; /* 0: the kernel chooses */
   KqAgentInfo self;
   KqLinkOwner owner;
+  /* Of what connections hold that haven't sent HELLO; NULL: none. */
+  KqClientLimits *limits;
 } KqLinkConfig;
 
 /* NULL: the address can't be bound. */
--- a/src/fleet/link_impl.h
+++ b/src/fleet/link_impl.h
@@ -28,8 +28,8 @@
   GPtrArray *peers;
   KqConn *announcing; /* to the last leader; NULL: none */
   KqTime announced_at;
-  GPtrArray *ending;      /* KqConn, of closed peers whose last item is on its way */
-  KqTime ended_at;        /* when the last one was added */
+  GQueue ending; /* EndingConn (link_peers.c), of closed peers whose last item is on its
+                    way; the first is the oldest */
   uint64_t own_epoch;     /* of this node's leadership; 0: it isn't leader */
   KqTime exclusive_until; /* no other node can be leader until then */
   bool nodes_lost;        /* some node has disconnected unplanned and isn't back */
--- a/src/fleet/link_peers.c
+++ b/src/fleet/link_peers.c
@@ -17,15 +17,25 @@
 #define END_LEASE_NODES 3
 /* How long a closed peer's connection is kept, so that what was sent last arrives. */
 #define END_INTERVAL (300 * KQ_MS)
+/* So many are kept; more than the nodes of a fleet that lose their leader at once. */
+#define ENDING_MAX 512
 /* How long a new leader tries to reach the last one. */
 #define ANNOUNCE_TIMEOUT (2 * KQ_SEC)
 
+typedef struct
+{
+  KqConn *conn;
+  KqTime ended_at;
+} EndingConn;
+
 struct KqPeer
 {
   KqLink *link;
   KqConn *conn;
   int agent;
-  bool joined;  /* has sent HELLO, and no LEAVE since */
+  bool joined;    /* has sent HELLO, and no LEAVE since */
+  bool is_client; /* counted in the limits of clients, until it sends HELLO */
+  KqClientConn limited;
   bool damaged; /* has sent invalid data: it has to reconnect */
   bool unknown_logged;
   bool asked_to_end_lease;
@@ -42,6 +52,46 @@
   KqBuf out;
 };
 
+/* Takes the peer out of the limits of clients. */
+static void
+end_client (KqPeer *p)
+{
+  if (!p->is_client)
+    return;
+  p->is_client = false;
+  kq_conn_ignore_buffered (p->conn);
+  kq_client_limits_remove (p->link->config.limits, &p->limited);
+}
+
+static void
+free_oldest_ending (KqLink *l)
+{
+  EndingConn *e = g_queue_pop_head (&l->ending);
+  kq_conn_free (e->conn);
+  free (e);
+}
+
+/* Keeps the connection until what was sent last has arrived. */
+static void
+add_ending (KqLink *l, KqConn *c, KqTime now)
+{
+  EndingConn *e = kq_alloc (sizeof *e);
+  *e = (EndingConn){ c, now };
+  kq_conn_finish (c);
+  g_queue_push_tail (&l->ending, e);
+  if (g_queue_get_length (&l->ending) > ENDING_MAX)
+    free_oldest_ending (l);
+}
+
+static void
+free_ended (KqLink *l, KqTime now)
+{
+  const EndingConn *e;
+  while ((e = g_queue_peek_head (&l->ending)) != NULL
+         && now - e->ended_at >= END_INTERVAL)
+    free_oldest_ending (l);
+}
+
 static void
 free_peer (KqPeer *p)
 {
@@ -59,14 +109,11 @@
   kq_log (p->turned_away ? KQ_LOG_DEBUG : KQ_LOG_INFO, PART,
           "Node disconnected. agent=%d why=%s heard_ms_ago=%lld", p->agent, why,
           (long long)((now - kq_conn_heard_at (p->conn)) / KQ_MS));
+  end_client (p);
   if (p->joined)
     l->config.owner.left (l->config.owner.arg, p, false, now);
   if (p->lingers)
-    {
-      l->ended_at = now;
-      kq_conn_finish (p->conn);
-      g_ptr_array_add (l->ending, p->conn);
-    }
+    add_ending (l, p->conn, now);
   else
     kq_conn_free (p->conn);
   p->closed = true;
@@ -101,6 +148,7 @@
   answer.u.welcome.version = KQ_AGENT_PROTOCOL_VERSION;
   if (i->u.hello.version > 1)
     kq_link_send_peer (p, &answer);
+  end_client (p);
   p->joined = true;
   l->config.owner.joined (l->config.owner.arg, p, &i->u.hello.info, now);
 }
@@ -213,12 +261,30 @@
   close_peer (p, kq_result_name (why), now);
 }
 
+static void
+close_client (void *arg)
+{
+  KqPeer *p = arg;
+  g_ptr_array_remove_fast (p->link->peers, p);
+  close_peer (p, "a client's limit", kq_loop_now (p->link->config.loop));
+}
+
+static void
+on_peer_buffered (void *arg, KqConn *c, size_t bytes)
+{
+  KqPeer *p = arg;
+  (void)c;
+  kq_client_limits_hold (p->link->config.limits, &p->limited,
+                         KQ_CLIENT_CONN_BYTES + bytes,
+                         kq_loop_now (p->link->config.loop));
+}
+
 void
 kq_link_peers_accept (struct ev_loop *ev, ev_io *w, int events)
 {
   KqLink *l = w->data;
   KqPeer *p;
-  KqConnCallback cb = { NULL, NULL, on_peer_message, on_peer_closed };
+  KqConnCallback cb = { .message = on_peer_message, .closed = on_peer_closed };
   int fd = accept4 (l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   (void)ev;
   (void)events;
@@ -229,8 +295,14 @@
   p->agent = -1;
   p->reports = kq_peer_reports_new ();
   cb.arg = p;
+  p->is_client = l->config.limits != NULL;
+  cb.buffered = p->is_client ? on_peer_buffered : NULL;
   p->conn = kq_conn_accept (l->config.loop, fd, &cb);
   g_ptr_array_add (l->peers, p);
+  p->limited = (KqClientConn){ .close = close_client, .arg = p };
+  if (p->is_client) /* may close it */
+    kq_client_limits_add (l->config.limits, &p->limited, KQ_CLIENT_CONN_BYTES,
+                          kq_loop_now (l->config.loop));
 }
 
 void
@@ -291,8 +363,10 @@
 void
 kq_link_announce (KqLink *l, KqStr address)
 {
-  KqConnCallback cb
-      = { l, on_announce_connected, on_announce_message, on_announce_closed };
+  KqConnCallback cb = { .arg = l,
+                        .connected = on_announce_connected,
+                        .message = on_announce_message,
+                        .closed = on_announce_closed };
   end_announcing (l);
   if (address.len == 0)
     return;
@@ -300,14 +374,6 @@
   l->announcing = kq_conn_open (l->config.loop, address, &cb);
 }
 
-static void
-free_ended (KqLink *l)
-{
-  for (guint i = 0; i < l->ending->len; i++)
-    kq_conn_free (g_ptr_array_index (l->ending, i));
-  g_ptr_array_set_size (l->ending, 0);
-}
-
 /* Returns the send time up to which the next ping acknowledges heartbeats. A node renews
  * runner leases for a while after the last acknowledged heartbeat, so a leader that may
  * have been replaced must not acknowledge newer ones. A leader that still hears all
@@ -348,8 +414,7 @@
       g_ptr_array_steal_index_fast (l->peers, n);
       close_peer (p, "silent", now);
     }
-  if (now - l->ended_at >= END_INTERVAL)
-    free_ended (l);
+  free_ended (l, now);
   if (now - l->announced_at >= ANNOUNCE_TIMEOUT)
     end_announcing (l);
 }
@@ -366,7 +431,6 @@
 {
   KqAgentItem i = { .kind = KQ_AGENT_ITEM_END_LEASE };
   i.u.end_lease.lease = lease;
-  l->ended_at = kq_loop_now (l->config.loop);
   for (int n = 0; n < END_LEASE_NODES; n++)
     {
       KqPeer *best = NULL;
@@ -442,7 +506,7 @@
 kq_link_peers_init (KqLink *l)
 {
   l->peers = g_ptr_array_new ();
-  l->ending = g_ptr_array_new ();
+  g_queue_init (&l->ending);
 }
 
 void
@@ -451,11 +515,12 @@
   for (guint i = 0; i < l->peers->len; i++)
     {
       KqPeer *p = g_ptr_array_index (l->peers, i);
+      end_client (p);
       kq_conn_free (p->conn);
       free_peer (p);
     }
   g_ptr_array_free (l->peers, TRUE);
   end_announcing (l);
-  free_ended (l);
-  g_ptr_array_free (l->ending, TRUE);
+  while (!g_queue_is_empty (&l->ending))
+    free_oldest_ending (l);
 }
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -144,6 +144,8 @@
     fail (c, frame_result);
   else if (!c->freed && read_result != KQ_OK)
     fail (c, read_result);
+  else if (!c->freed && c->cb.buffered != NULL)
+    c->cb.buffered (c->cb.arg, c, c->in.capacity + c->out.capacity);
   c->in_event = false;
   if (c->freed)
     destroy (c);
@@ -196,7 +198,7 @@
 void
 kq_conn_finish (KqConn *c)
 {
-  c->cb = (KqConnCallback){ NULL, NULL, ignore_message, ignore_closed };
+  c->cb = (KqConnCallback){ .message = ignore_message, .closed = ignore_closed };
   if (!c->connecting)
     flush (c);
 }
@@ -314,6 +316,12 @@
     ev_io_start (kq_loop_ev (c->loop), &c->writable);
 }
 
+void
+kq_conn_ignore_buffered (KqConn *c)
+{
+  c->cb.buffered = NULL;
+}
+
 KqTime
 kq_conn_heard_at (const KqConn *c)
 {
--- a/src/wire/conn.h
+++ b/src/wire/conn.h
@@ -22,6 +22,9 @@
   /* The connection failed or was closed by the peer. It must then be freed, within this
    * callback or later. */
   void (*closed) (void *arg, KqConn *c, KqResult why);
+  /* Something was read, and the connection's buffers have that size now. May free the
+   * connection. NULL: not wanted. */
+  void (*buffered) (void *arg, KqConn *c, size_t bytes);
 } KqConnCallback;
 
 /* Starts connecting to "ip:port"; NULL if the address is invalid, the socket can't be
@@ -37,6 +40,8 @@
 void kq_conn_ping (KqConn *c);
 KqTime kq_conn_heard_at (const KqConn *c); /* when bytes last arrived */
 KqTime kq_conn_sent_at (const KqConn *c);  /* last kq_conn_send or kq_conn_ping */
+/* `buffered` isn't called any more. */
+void kq_conn_ignore_buffered (KqConn *c);
 void kq_conn_set_data (KqConn *c, void *data);
 void *kq_conn_data (const KqConn *c);
 uint64_t kq_conn_bytes_in (const KqConn *c);
--- a/src/wire/hello.c
+++ b/src/wire/hello.c
@@ -36,6 +36,27 @@
   g_hmac_unref (mac);
 }
 
+void
+kq_hello_self_copy (KqHelloSelf *to, const KqHelloSelf *from)
+{
+  *to = *from;
+  to->cluster = kq_str_own (from->cluster);
+  to->node = kq_str_own (from->node);
+  to->region = kq_str_own (from->region);
+  to->depot = kq_str_own (from->depot);
+  to->secret = kq_str_own (from->secret);
+}
+
+void
+kq_hello_self_clear (KqHelloSelf *s)
+{
+  kq_str_drop (&s->cluster);
+  kq_str_drop (&s->node);
+  kq_str_drop (&s->region);
+  kq_str_drop (&s->depot);
+  kq_str_drop (&s->secret);
+}
+
 void
 kq_hello_make (const KqHelloSelf *self, uint64_t nonce, uint64_t peer_nonce,
                char digest[KQ_HELLO_DIGEST_LEN + 1], KqMsgHello *out)
--- a/src/wire/hello.h
+++ b/src/wire/hello.h
@@ -22,6 +22,11 @@
   KqStr secret;
 } KqHelloSelf;
 
+/* Copies *from with its strings. */
+void kq_hello_self_copy (KqHelloSelf *to, const KqHelloSelf *from);
+/* Frees the strings of a copy. */
+void kq_hello_self_clear (KqHelloSelf *s);
+
 /* Length of a digest in hex, without the NUL. */
 #define KQ_HELLO_DIGEST_LEN 64
 
--- a/src/wire/mesh.c
+++ b/src/wire/mesh.c
@@ -53,6 +53,8 @@
   uint64_t nonce;
   uint64_t peer_nonce;
   KqTime started_at;
+  bool is_client; /* counted in the limits of clients */
+  KqClientConn limited;
 } Handshake;
 
 struct KqMesh
@@ -60,7 +62,6 @@
   KqLoop *loop;
   KqTask task;
   KqMeshConfig config;
-  char *strings[5];
   KqHelloSelf self;
   KqRand rand;
   int fd;
@@ -165,9 +166,25 @@
   while (*at != hs)
     at = &(*at)->next;
   *at = hs->next;
+  if (hs->is_client)
+    {
+      kq_conn_ignore_buffered (hs->conn);
+      kq_client_limits_remove (m->config.limits, &hs->limited);
+    }
   free (hs);
 }
 
+static Handshake *
+find_handshake (KqMesh *m, const KqConn *c)
+{
+  for (Handshake *hs = m->handshakes; hs != NULL; hs = hs->next)
+    {
+      if (hs->conn == c)
+        return hs;
+    }
+  return NULL;
+}
+
 /* Closes a connection whose handshake failed. */
 static void
 handshake_failed (KqMesh *m, Handshake *hs, KqResult why)
@@ -233,14 +250,9 @@
   if (p->conn != NULL && p->conn != c)
     {
       /* A handshake that this node began with the same peer ends as well. */
-      for (Handshake *o = m->handshakes; o != NULL; o = o->next)
-        {
-          if (o->conn == p->conn)
-            {
-              remove_handshake (m, o);
-              break;
-            }
-        }
+      Handshake *other = find_handshake (m, p->conn);
+      if (other != NULL)
+        remove_handshake (m, other);
       close_conn (m, p);
       if (p->up)
         report_down (m, p->id, p->incarnation, true, KQ_ERR_PEER_LOST);
@@ -280,17 +292,6 @@
   handshake_done (m, hs, h);
 }
 
-static Handshake *
-find_handshake (KqMesh *m, const KqConn *c)
-{
-  for (Handshake *hs = m->handshakes; hs != NULL; hs = hs->next)
-    {
-      if (hs->conn == c)
-        return hs;
-    }
-  return NULL;
-}
-
 static void
 on_connected (void *arg, KqConn *c)
 {
@@ -350,7 +351,9 @@
 static void
 connect_peer (KqMesh *m, Peer *p, KqTime now)
 {
-  KqConnCallback cb = { m, on_connected, on_message, on_closed };
+  KqConnCallback cb = {
+    .arg = m, .connected = on_connected, .message = on_message, .closed = on_closed
+  };
   KqConn *c = kq_conn_open (m->loop, kq_str (p->address), &cb);
   Handshake *hs;
   if (c == NULL)
@@ -363,17 +366,41 @@
   p->conn = c;
 }
 
+static void
+close_client (void *arg)
+{
+  Handshake *hs = arg;
+  handshake_failed (hs->mesh, hs, KQ_ERR_PEER_LOST);
+}
+
+static void
+on_buffered (void *arg, KqConn *c, size_t bytes)
+{
+  KqMesh *m = arg;
+  Handshake *hs = find_handshake (m, c);
+  if (hs != NULL && hs->is_client)
+    kq_client_limits_hold (m->config.limits, &hs->limited, KQ_CLIENT_CONN_BYTES + bytes,
+                           kq_time_now ());
+}
+
 static void
 on_accept (struct ev_loop *ev, ev_io *w, int events)
 {
   KqMesh *m = w->data;
-  KqConnCallback cb = { m, on_connected, on_message, on_closed };
+  KqConnCallback cb = { m, on_connected, on_message, on_closed, on_buffered };
+  Handshake *hs;
   int fd = accept4 (m->fd, NULL, NULL, SOCK_CLOEXEC);
   (void)ev;
   (void)events;
   if (fd < 0)
     return;
-  add_handshake (m, false, 0)->conn = kq_conn_accept (m->loop, fd, &cb);
+  hs = add_handshake (m, false, 0);
+  hs->conn = kq_conn_accept (m->loop, fd, &cb);
+  hs->limited = (KqClientConn){ .close = close_client, .arg = hs };
+  hs->is_client = m->config.limits != NULL;
+  if (hs->is_client) /* may close it */
+    kq_client_limits_add (m->config.limits, &hs->limited, KQ_CLIENT_CONN_BYTES,
+                          kq_time_now ());
 }
 
 static bool
@@ -474,28 +501,13 @@
   kq_mail_free (mail);
 }
 
-/* The caller owns the strings of the configuration; the mesh needs copies of its own. */
-static void
-copy_strings (KqMesh *m)
-{
-  const KqMeshConfig *c = &m->config;
-  KqStr from[5] = { c->cluster, c->node, c->region, c->depot, c->secret };
-  KqStr *to[5] = { &m->self.cluster, &m->self.node, &m->self.region, &m->self.depot,
-                   &m->self.secret };
-  for (int i = 0; i < 5; i++)
-    {
-      m->strings[i] = kq_str_dup (from[i]);
-      *to[i] = kq_str_n (m->strings[i], from[i].len);
-    }
-  m->self.node_id = c->id;
-  m->self.incarnation = c->incarnation;
-}
-
 KqMesh *
 kq_mesh_new (KqLoop *loop, const KqMeshConfig *c)
 {
   int port;
   int fd = kq_listen (c->ip, c->port, &port);
+  KqHelloSelf self
+      = { c->cluster, c->node, c->id, c->incarnation, c->region, c->depot, c->secret };
   KqMesh *m;
   if (fd < 0)
     return NULL;
@@ -505,7 +517,7 @@
   m->fd = fd;
   m->port = port;
   m->rand = kq_rand (c->incarnation);
-  copy_strings (m);
+  kq_hello_self_copy (&m->self, &self);
   kq_mesh_counters_init (&m->counters, c->counters);
   kq_task_init (&m->task, loop, "mesh", m, on_mail);
   ev_io_init (&m->accept_watcher, on_accept, fd, EV_READ);
@@ -528,6 +540,8 @@
     {
       Peer *p = hs->initiator ? find_peer (m, hs->expected_peer) : NULL;
       next = hs->next;
+      if (hs->is_client)
+        kq_client_limits_remove (m->config.limits, &hs->limited);
       if (p == NULL || p->conn != hs->conn)
         kq_conn_free (hs->conn);
       free (hs);
@@ -540,8 +554,7 @@
       free (p->address);
       free (p);
     }
-  for (int i = 0; i < 5; i++)
-    free (m->strings[i]);
+  kq_hello_self_clear (&m->self);
   kq_task_close (&m->task);
   free (m);
 }
--- a/src/wire/mesh.h
+++ b/src/wire/mesh.h
@@ -16,6 +16,7 @@
  * reports the peer as down; a sender that needs an answer acts on that or on a timeout of
  * its own. */
 
+#include "base/client_limits.h"
 #include "base/counter.h"
 #include "base/task.h"
 #include "wire/msg.h"
@@ -33,7 +34,9 @@
   int port;       /* 0: chosen by the kernel */
   KqTime silence; /* silence limit, at least 300 ms */
   KqCounters *counters;
-  KqTask *receiver; /* gets KQ_MAIL_MSG and KQ_MAIL_PEER */
+  KqTask *receiver;       /* gets KQ_MAIL_MSG and KQ_MAIL_PEER */
+  KqClientLimits *limits; /* of what accepted connections hold until their handshake is
+                             complete; NULL: none */
 } KqMeshConfig;
 
 typedef struct KqMesh KqMesh;
