HTTP server: the kernel's buffer of unread bytes has the size that is counted

What callers saw: 1,500 clients that send on behind an open request made the node hold 143,306 KB of 65,536; received bytes that aren't read count as its memory.

Cause: while a request waits for its answer its connection isn't read, and the kernel enlarges the buffer with what has been read before, to several MB.

Change: servers whose clients are counted receive into 32 KB.

--- a/src/http/server_clients.c
+++ b/src/http/server_clients.c
@@ -6,6 +6,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/* The kernel reserves twice as much, one half for its own data. */
+#define RECEIVE_BUFFER_BYTES (32 * 1024)
+
 /* MHD closes the connection when it next reads from the socket or writes to it, and the
  * exchange's handler is then told that the exchange has finished. */
 static void
@@ -113,8 +116,21 @@
   kq_http_client_recount (x);
 }
 
+/* Received bytes that aren't read count as the process's memory as well. Connections take
+ * the size over from the socket that listens. */
+static void
+limit_receive_buffers (KqHttpServer *s)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (s->mhd, MHD_DAEMON_INFO_LISTEN_FD);
+  int size = RECEIVE_BUFFER_BYTES;
+  setsockopt (info->listen_fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+}
+
 void
 kq_http_server_set_limits (KqHttpServer *s, KqClientLimits *limits)
 {
   s->limits = limits;
+  if (limits != NULL)
+    limit_receive_buffers (s);
 }
--- a/tests/front_crowd_test.c
+++ b/tests/front_crowd_test.c
@@ -173,6 +173,26 @@
   crowd_close (c);
 }
 
+/* The same behind bodies that made the kernel enlarge its buffers. */
+static void
+test_unread_requests_behind_large_jobs (void **state)
+{
+  CrowdPlan p = { .clients = 200,
+                  .head = large_job (),
+                  .id_at = ID_AT,
+                  .fill = KQ_STR ("POST /plans/ HTTP/1.1\r\n") };
+  Crowd *c;
+  (void)state;
+  start ("");
+  p.port = node.front_port;
+  p.total = p.head.len + ((size_t)8 << 20);
+  crowd_node_hang_store (&node, true);
+  c = crowd_node_attack (&node, &p);
+  crowd_node_hang_store (&node, false);
+  crowd_node_check (&node);
+  crowd_close (c);
+}
+
 /* Guards against heads of requests that never end and fill the memory. */
 static void
 test_heads_that_stop_short (void **state)
@@ -279,6 +299,7 @@
     TEST (test_large_jobs_that_are_accepted),
     TEST (test_jobs_of_many_tasks_that_are_accepted),
     TEST (test_unread_requests_behind_open_ones),
+    TEST (test_unread_requests_behind_large_jobs),
     TEST (test_heads_that_stop_short),
     TEST (test_bodies_of_many_values),
     TEST (test_head_byte_by_byte_ends),
