Intake, accepts: requests that are being handled have a limit of their own

What callers saw: 600 clients that submit jobs of legal size while the store doesn't answer made the node hold 256,501 KB of 65,536; the ordinary job wasn't done 60 s later.

Cause: a request keeps its body until it is answered, the job in its stored form, and the store's call with it in base64, twice. None of that was bounded as a sum, and it stays when the client leaves. The leader's writes for other nodes were bounded by number only, 500 of any size.

--- a/bench/crowd.c
+++ b/bench/crowd.c
@@ -233,6 +233,8 @@
         progress = true;
       if (k->fd >= 0 && send_client (c, k, now))
         progress = true;
+      if (k->fd >= 0 && c->plan.leaves && k->sent == c->plan.total)
+        close_client (k);
       if (k->fd >= 0 && c->plan.pause > 0 && k->sent < c->plan.total)
         progress = true;
     }
--- a/bench/crowd.h
+++ b/bench/crowd.h
@@ -25,6 +25,7 @@
   int reopens;  /* how many connections are opened again after they were closed, in all */
   int receive_buffer; /* of its sockets; 0: the kernel's default */
   bool reads;         /* it reads answers, and drops them */
+  bool leaves;        /* it closes its connection once it has sent all */
 } CrowdPlan;
 
 typedef struct Crowd Crowd;
--- a/src/base/client_limits.c
+++ b/src/base/client_limits.c
@@ -7,6 +7,7 @@
 
 #define PART "clients"
 #define MEMORY_PARTS 4
+#define WORK_PARTS 8
 /* Of the descriptors, so many are kept for files. The others are sockets, of which
  * clients may have one half. */
 #define FILES_FDS 200
@@ -20,11 +21,15 @@
   size_t bytes; /* of those */
   size_t bytes_max;
   size_t n_max;
+  size_t work; /* bytes held by requests that are being handled */
+  size_t work_max;
   KqTime logged_at;
+  KqTime refusal_logged_at;
   KqTime request_time;
   uint64_t *closed_memory;
   uint64_t *closed_descriptors;
   uint64_t *closed_time;
+  uint64_t *refused;
   uint64_t *connections;
   uint64_t *held;
 };
@@ -43,11 +48,14 @@
 {
   KqClientLimits *l = kq_alloc (sizeof *l);
   l->bytes_max = (size_t)c->memory_mb * 1024 * 1024 / MEMORY_PARTS;
+  l->work_max = (size_t)c->memory_mb * 1024 * 1024 / WORK_PARTS;
   l->n_max = (size_t)(c->max_fds - FILES_FDS) / FDS_PARTS;
   l->request_time = c->request_ms * KQ_MS;
   l->closed_memory = closed_counter (counters, "memory");
   l->closed_descriptors = closed_counter (counters, "descriptors");
   l->closed_time = closed_counter (counters, "time");
+  l->refused = kq_counter (counters, "kq_clients_refused_total", "",
+                           "Requests refused as too many were being handled.");
   l->connections
       = kq_counter (counters, "kq_clients_open", "", "Connections of clients.");
   l->held = kq_counter (counters, "kq_clients_held_bytes", "",
@@ -229,6 +237,35 @@
     }
 }
 
+bool
+kq_client_limits_begin_work (KqClientLimits *l, size_t bytes, KqTime now)
+{
+  if (l == NULL)
+    return true;
+  if (l->work + bytes <= l->work_max)
+    {
+      l->work += bytes;
+      return true;
+    }
+  ++*l->refused;
+  if (l->refusal_logged_at == 0 || now - l->refusal_logged_at >= LOG_PERIOD)
+    {
+      l->refusal_logged_at = now;
+      kq_log (KQ_LOG_WARN, PART,
+              "Refusing a request: too much is being handled. bytes=%zu handled=%zu "
+              "refused=%llu",
+              bytes, l->work, (unsigned long long)*l->refused);
+    }
+  return false;
+}
+
+void
+kq_client_limits_end_work (KqClientLimits *l, size_t bytes)
+{
+  if (l != NULL)
+    l->work -= bytes;
+}
+
 size_t
 kq_client_limits_count (const KqClientLimits *l)
 {
--- a/src/base/client_limits.h
+++ b/src/base/client_limits.h
@@ -10,13 +10,16 @@
  * are closed: first the one with the largest product of its memory and the time for which
  * it has held it without finishing what it began. A client that sends its request and
  * reads its answer without delay has a small product, however many others are connected.
- */
+ *
+ * Requests that are being handled hold memory as well, also when their clients have left.
+ * Their sum has a limit of its own, above which further requests are to be refused. */
 
 #include "base/counter.h"
 #include "base/time.h"
 
-/* Section [limits] of the settings. Clients may hold a quarter of the memory, and one
- * half of the descriptors that aren't for files. */
+/* Section [limits] of the settings. Connections of clients may hold a quarter of the
+ * memory, requests that are being handled an eighth; connections may have one half of the
+ * descriptors that aren't for files. */
 typedef struct
 {
   int64_t memory_mb; /* what the process may use */
@@ -83,6 +86,12 @@
 /* Closes the connections that have taken too long. To be called a few times a second. */
 void kq_client_limits_expire (KqClientLimits *l, KqTime now);
 
+/* A request that holds so many bytes is about to be handled. False: it has to be refused,
+ * as too much is being handled. NULL for l: nothing is limited. */
+bool kq_client_limits_begin_work (KqClientLimits *l, size_t bytes, KqTime now);
+/* It has been answered. */
+void kq_client_limits_end_work (KqClientLimits *l, size_t bytes);
+
 /* Connections that aren't being closed, and the memory held for them. */
 size_t kq_client_limits_count (const KqClientLimits *l);
 size_t kq_client_limits_bytes (const KqClientLimits *l);
--- a/src/base/client_limits_test.c
+++ b/src/base/client_limits_test.c
@@ -164,6 +164,21 @@
   assert_int_equal (count_closed (), 1);
 }
 
+/* Guards against requests whose clients have left and which hold memory all the same. */
+static void
+test_work_is_refused_above_its_limit (void **state)
+{
+  (void)state;
+  assert_true (kq_client_limits_begin_work (limits, 5 * MB, KQ_SEC));
+  assert_true (kq_client_limits_begin_work (limits, 3 * MB, KQ_SEC));
+  assert_false (kq_client_limits_begin_work (limits, 1, KQ_SEC));
+  kq_client_limits_end_work (limits, 3 * MB);
+  assert_true (kq_client_limits_begin_work (limits, 1 * MB, KQ_SEC));
+  kq_client_limits_end_work (limits, 5 * MB);
+  kq_client_limits_end_work (limits, 1 * MB);
+  assert_true (kq_client_limits_begin_work (limits, 8 * MB, KQ_SEC));
+}
+
 /* Guards against sums that drift: what has been removed or is being closed holds nothing
  * more. */
 static void
@@ -193,6 +208,7 @@
     TEST (test_number_of_connections_is_bounded),
     TEST (test_slow_request_ends),
     TEST (test_steady_handled_and_paused_are_not_late),
+    TEST (test_work_is_refused_above_its_limit),
     TEST (test_sums_return_to_zero),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/fleet/accepts.c
+++ b/src/fleet/accepts.c
@@ -22,6 +22,9 @@
 #define PAUSE_AFTER_UNKNOWN (700 * KQ_MS)
 /* Maximum number of outstanding writes; each holds a copy of its job. */
 #define WRITES_MAX 500
+/* Of a job: the call's copy, and the store's call with the job in base64, twice. */
+#define WORK_BYTES 4096
+#define WORK_COPIES 4
 
 typedef struct
 {
@@ -32,6 +35,8 @@
   KqBuf stored;             /* the job in its stored form */
   uint64_t cancel_revision; /* of the cancellation stored before it; 0: none is known */
   KqTime begun_at;
+  KqClientLimits *limits;
+  size_t work; /* counted in the limits */
 } Call;
 
 struct KqAccepts
@@ -107,6 +112,7 @@
   if (c->peer != NULL)
     answer (c->peer, c->call, result);
 out:
+  kq_client_limits_end_work (c->limits, c->work);
   kq_buf_free (&c->stored);
   free (c->id);
   free (c);
@@ -176,10 +182,13 @@
 kq_accepts_write (KqAccepts *a, KqPeer *p, uint64_t call, KqStr stored, KqTime now)
 {
   bool paused = a->unknown_at != 0 && now - a->unknown_at < PAUSE_AFTER_UNKNOWN;
-  KqSpec spec;
+  size_t work = WORK_BYTES + WORK_COPIES * stored.len;
+  KqSpec spec = { 0 };
   Call *c;
-  if (paused || a->calls->len >= WRITES_MAX || !kq_spec_unpack (stored, &spec))
+  if (paused || a->calls->len >= WRITES_MAX || !kq_spec_unpack (stored, &spec)
+      || !kq_client_limits_begin_work (a->owner.limits, work, now))
     {
+      kq_spec_clear (&spec);
       kq_log (KQ_LOG_INFO, PART,
               "Refusing to write a job for a node. doubt=%d under_way=%u bytes=%zu",
               paused, a->calls->len, stored.len);
@@ -194,6 +203,8 @@
   c->call = call;
   c->id = kq_str_dup (spec.id);
   c->begun_at = now;
+  c->limits = a->owner.limits;
+  c->work = work;
   kq_buf_add_str (&c->stored, stored);
   g_ptr_array_add (a->calls, c);
   write_job (c);
--- a/src/fleet/accepts.h
+++ b/src/fleet/accepts.h
@@ -32,14 +32,15 @@
   void (*accepted) (void *arg, KqStr stored, uint64_t revision, KqTime now);
   /* The store has answered a call that was sent at sent_at. */
   void (*answered) (void *arg, KqTime sent_at, KqTime now);
+  KqClientLimits *limits; /* of what requests hold that are being handled; NULL: none */
 } KqAcceptsOwner;
 
 KqAccepts *kq_accepts_new (KqKv *kv, const KqAcceptsOwner *owner);
 /* To be called before kv is freed; the results of outstanding writes are ignored. */
 void kq_accepts_free (KqAccepts *a);
-/* Writes a job in its stored form, unless it cannot be decoded, too many writes are
- * outstanding or a write got no answer a moment ago. The peer gets the result as the
- * KQ_AGENT_ITEM_ANSWER to `call`. */
+/* Writes a job in its stored form, unless it cannot be decoded, too many or too large
+ * writes are outstanding or a write got no answer a moment ago. The peer gets the result
+ * as the KQ_AGENT_ITEM_ANSWER to `call`. */
 void kq_accepts_write (KqAccepts *a, KqPeer *p, uint64_t call, KqStr stored, KqTime now);
 /* Records that the peer has disconnected: it gets no more answers. */
 void kq_accepts_peer_left (KqAccepts *a, const KqPeer *p);
--- a/src/fleet/accepts_test.c
+++ b/src/fleet/accepts_test.c
@@ -103,7 +103,7 @@
 static KqAccepts *
 begin (void)
 {
-  KqAcceptsOwner owner = { NULL, on_accepted, on_answered };
+  KqAcceptsOwner owner = { NULL, on_accepted, on_answered, NULL };
   KqAccepts *a = kq_accepts_new (NULL, &owner);
   memset (&fake, 0, sizeof fake);
   kq_log_set_level (KQ_LOG_ERROR);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -356,7 +356,7 @@
           send_to_leader, on_answered, on_store_failed,         s->scheduling.admission,
           leader_epoch };
   KqFrontCallbacks owner = { f, on_request, ready, stopping, body_max, f->limits };
-  KqAcceptsOwner accepts = { f, on_accepted, on_answered };
+  KqAcceptsOwner accepts = { f, on_accepted, on_answered, f->limits };
   KqOperatorPortConfig operators = { .loop = loop,
                                      .ip = s->ip,
                                      .port = (int)s->metrics_port,
--- a/src/fleet/late_writes_test.c
+++ b/src/fleet/late_writes_test.c
@@ -345,7 +345,7 @@
 static void
 set_up_nodes (void)
 {
-  KqAcceptsOwner accepts = { NULL, on_accepted, on_answered };
+  KqAcceptsOwner accepts = { NULL, on_accepted, on_answered, NULL };
   for (int i = 0; i < NODES; i++)
     {
       KqFrontHandlerConfig c = { .loop = sim.loop,
--- a/tests/front_crowd_test.c
+++ b/tests/front_crowd_test.c
@@ -116,6 +116,25 @@
   crowd_close (c);
 }
 
+/* The same with clients that leave at once, so that no connection counts. */
+static void
+test_large_jobs_of_clients_that_leave (void **state)
+{
+  CrowdPlan p = {
+    .clients = 200, .head = large_job (), .id_at = ID_AT, .reopens = 2000, .leaves = true
+  };
+  Crowd *c;
+  (void)state;
+  start ("");
+  p.port = node.front_port;
+  p.total = p.head.len;
+  crowd_node_hang_store (&node, true);
+  c = crowd_node_attack (&node, &p);
+  crowd_node_hang_store (&node, false);
+  crowd_node_check (&node);
+  crowd_close (c);
+}
+
 /* Guards against a leader that runs out of memory by the jobs that are accepted. */
 static void
 test_large_jobs_that_are_accepted (void **state)
@@ -296,6 +315,7 @@
     TEST (test_bodies_that_stop_short),
     TEST (test_chunked_bodies_that_stop_short),
     TEST (test_large_jobs_while_the_store_hangs),
+    TEST (test_large_jobs_of_clients_that_leave),
     TEST (test_large_jobs_that_are_accepted),
     TEST (test_jobs_of_many_tasks_that_are_accepted),
     TEST (test_unread_requests_behind_open_ones),
