Gateway: a body that grows while another try is due stays whole

What callers saw: an entry host that ended while streamed requests were refused by the owner of their runners: "Assertion kq_flight_can_resend (f) failed".

Cause: a streamed body of up to 64 KB is kept, so that the request can be sent once more. A refused request waits some 20 ms for its next try, and the body that arrives meanwhile made it one that isn't kept, though none of it had been dropped. The next try then met the assertion.

--- a/src/request/gateway.c
+++ b/src/request/gateway.c
@@ -229,8 +229,9 @@
   kq_buf_add_str (&f->body, chunk);
   if (f->state == KQ_FLIGHT_COLLECTING)
     return;
-  /* A streamed body that exceeds the limit isn't kept for another try any more. */
-  if (f->body_kept && f->body.len > KQ_RESEND_BODY_MAX_BYTES)
+  /* A longer streamed body isn't kept for another try, unless one is due. */
+  if (f->body_kept && f->state != KQ_FLIGHT_BACKOFF
+      && f->body.len > KQ_RESEND_BODY_MAX_BYTES)
     f->body_kept = false;
   kq_entry_send_body (g, f);
   if (f->body.len >= KQ_CREDIT_WINDOW_BYTES)
