Entry host: what callers hold is bounded as a sum

What callers saw: an entry host that held, of 64 MB, 232,326 KB for bodies of requests with a key that stop short, 249,930 KB for streamed ones, 141,180 KB for submissions of jobs and 295,572 KB for frames at the port for other nodes, and 430 descriptors of 300 for idle clients of each port.

Change: its three ports count in client limits, with what the gateway and the operators' interface have collected. A whole request counts as being handled, at the entry and at the owner, and is refused above the limit with QUEUE_FULL, as not run. A streamed body's buffer is freed once it has been sent on.

--- a/src/api/operator.c
+++ b/src/api/operator.c
@@ -298,6 +298,7 @@
   if (r == NULL)
     return;
   r->too_large = r->too_large || !kq_buf_add_bounded (&r->body, chunk, BODY_MAX_BYTES);
+  kq_http_hold (x, r->body.capacity);
 }
 
 static void
@@ -363,6 +364,7 @@
       free (o);
       return NULL;
     }
+  kq_http_server_set_limits (o->http, c->limits);
   o->calls = kq_calls_new (KQ_CALLS_OPERATOR, c->self, c->mesh, c->counters);
   kq_task_init (&o->task, loop, "operator", o, on_mail);
   ev_timer_init (&o->tick, on_tick, TICK_S, TICK_S);
--- a/src/api/operator.h
+++ b/src/api/operator.h
@@ -18,6 +18,7 @@
   KqNodeId self;
   KqCounters *counters;
   KqTask *mesh;
+  KqClientLimits *limits; /* of what clients hold; NULL: none */
   /* Whether the node accepts work, for /readyz; if not, *why receives the reason. */
   bool (*ready) (void *arg, KqTime now, const char **why);
   void *arg;
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -29,6 +29,9 @@
 /* A mesh connection is replaced if nothing arrived for this many heartbeat periods. */
 #define MESH_SILENCE_HEARTBEATS 6
 
+/* Period of checks for clients that take too long. */
+#define LIMITS_PERIOD_S 0.5
+
 /* Period of checks for a changed settings file, so that a change needs no SIGHUP. */
 #define SETTINGS_POLL_PERIOD_S 2.0
 
@@ -46,6 +49,8 @@
   KqSettings settings;
   KqLoop *loop;
   KqCounters *counters;
+  KqClientLimits *limits;
+  ev_timer limits_timer;
   KqMesh *mesh;
   KqStorePort *store;
   KqWorkerPort *workers;
@@ -163,7 +168,8 @@
                      .port = s->mesh_port,
                      .silence = MESH_SILENCE_HEARTBEATS * s->heartbeat_ms * KQ_MS,
                      .counters = d->counters,
-                     .receiver = kq_node_task_get_task (d->node) };
+                     .receiver = kq_node_task_get_task (d->node),
+                     .limits = d->limits };
   d->mesh = kq_mesh_new (d->loop, &c);
   return d->mesh != NULL;
 }
@@ -190,16 +196,19 @@
                         .incarnation = incarnation,
                         .counters = d->counters,
                         .mesh = kq_mesh_task (d->mesh),
-                        .node = kq_node_task_get_task (d->node) };
+                        .node = kq_node_task_get_task (d->node),
+                        .limits = d->limits };
   KqRunnerTaskConfig r = { .self = self,
                            .incarnation = incarnation,
                            .counters = d->counters,
                            .mesh = kq_mesh_task (d->mesh),
-                           .node = kq_node_task_get_task (d->node) };
+                           .node = kq_node_task_get_task (d->node),
+                           .limits = d->limits };
   KqOperatorConfig o = { .settings = &d->settings,
                          .self = self,
                          .counters = d->counters,
                          .mesh = kq_mesh_task (d->mesh),
+                         .limits = d->limits,
                          .ready = is_ready,
                          .arg = d->node };
   d->runners = kq_runner_task_new (d->loop, &r);
@@ -232,6 +241,23 @@
           operators);
 }
 
+static void
+on_limits_timer (struct ev_loop *ev, ev_timer *w, int events)
+{
+  Daemon *d = w->data;
+  (void)ev;
+  (void)events;
+  kq_client_limits_expire (d->limits, kq_time_now ());
+}
+
+static void
+start_limits_timer (Daemon *d)
+{
+  ev_timer_init (&d->limits_timer, on_limits_timer, LIMITS_PERIOD_S, LIMITS_PERIOD_S);
+  d->limits_timer.data = d;
+  ev_timer_start (kq_loop_ev (d->loop), &d->limits_timer);
+}
+
 static int
 run (Daemon *d)
 {
@@ -241,6 +267,7 @@
   kq_log_set_level ((KqLogLevel)d->settings.log_level);
   d->loop = kq_loop_new ();
   d->counters = kq_counters_new ();
+  d->limits = kq_client_limits_new (&d->settings.limits, d->counters);
   nc.counters = d->counters;
   d->node = kq_node_task_new (d->loop, &nc);
   make_platform_clients (d);
@@ -248,6 +275,7 @@
     {
       start_node (d, incarnation);
       start_signals (d);
+      start_limits_timer (d);
       kq_loop_run (d->loop);
     }
   else
@@ -262,6 +290,7 @@
   kq_store_http_free (d->store);
   kq_mesh_free (d->mesh);
   kq_node_task_free (d->node);
+  kq_client_limits_free (d->limits);
   kq_counters_free (d->counters);
   kq_loop_free (d->loop);
   curl_global_cleanup ();
--- a/src/request/flight.c
+++ b/src/request/flight.c
@@ -33,6 +33,7 @@
 {
   if (f == NULL)
     return;
+  kq_client_limits_end_work (f->limits, f->work);
   kq_buf_free (&f->text);
   kq_buf_free (&f->body);
   kq_buf_free (&f->answer);
@@ -42,6 +43,26 @@
   free (f);
 }
 
+bool
+kq_flight_begin_work (KqFlight *f, KqClientLimits *limits, KqTime now)
+{
+  size_t work = sizeof *f + f->text.capacity + f->body.capacity;
+  if (!kq_client_limits_begin_work (limits, work, now))
+    return false;
+  f->limits = limits;
+  f->work = work;
+  return true;
+}
+
+void
+kq_flight_hold_body (KqFlight *f)
+{
+  if (f->body.len == 0)
+    kq_buf_free (&f->body);
+  if (f->exchange != NULL)
+    kq_http_hold (f->exchange, f->work > 0 ? 0 : f->body.capacity + f->text.capacity);
+}
+
 bool
 kq_header_is_hop_by_hop (KqStr name)
 {
--- a/src/request/flight.h
+++ b/src/request/flight.h
@@ -89,12 +89,19 @@
   bool answer_kept;         /* false: the body was too long to store, and was dropped */
   KqHeader *answer_headers;
   size_t n_answer_headers;
-  KqBuf answer_text; /* holds the strings of answer_headers */
+  KqBuf answer_text;      /* holds the strings of answer_headers */
+  KqClientLimits *limits; /* in which `work` bytes are counted; NULL: none are */
+  size_t work;
 } KqFlight;
 
 KqFlight *kq_flight_new (KqNodeId node, uint64_t incarnation, uint64_t number,
                          KqTime now);
 void kq_flight_free (KqFlight *f);
+/* Counts what is kept for the request in the limits, until the flight is freed. False: it
+ * has to be refused. */
+bool kq_flight_begin_work (KqFlight *f, KqClientLimits *limits, KqTime now);
+/* Tells the server how much of the body is in memory. */
+void kq_flight_hold_body (KqFlight *f);
 /* The id of the current try, by which its owner knows it. */
 KqFlightId kq_flight_try_id (const KqFlight *f);
 /* Copies path, key and the headers that are forwarded to the runner. */
--- a/src/request/gateway.c
+++ b/src/request/gateway.c
@@ -172,7 +172,6 @@
   const KqRow *row = NULL;
   KqFlight *f;
   KqResult r;
-
   if (g->table != NULL)
     row = kq_table_find (g->table, KQ_ROW_SERVICE, service);
   if (g->draining || row == NULL)
@@ -227,6 +226,7 @@
       return;
     }
   kq_buf_add_str (&f->body, chunk);
+  kq_flight_hold_body (f);
   if (f->state == KQ_FLIGHT_COLLECTING)
     return;
   /* A longer streamed body isn't kept for another try, unless one is due. */
@@ -234,6 +234,7 @@
       && f->body.len > KQ_RESEND_BODY_MAX_BYTES)
     f->body_kept = false;
   kq_entry_send_body (g, f);
+  kq_flight_hold_body (f);
   if (f->body.len >= KQ_CREDIT_WINDOW_BYTES)
     kq_http_pause_upload (f->exchange);
 }
@@ -249,6 +250,7 @@
       JobExchange *j = (JobExchange *)tag;
       j->too_large
           = j->too_large || !kq_buf_add_bounded (&j->body, chunk, KQ_JOB_BODY_MAX);
+      kq_http_hold (x, j->body.capacity);
     }
 }
 
@@ -257,13 +259,16 @@
 {
   KqTime now = kq_loop_now (g->loop);
   f->body_end = true;
-  if (f->state == KQ_FLIGHT_COLLECTING)
+  if (f->state != KQ_FLIGHT_COLLECTING)
+    kq_entry_send_body (g, f);
+  else if (!kq_flight_begin_work (f, g->config.limits, now))
+    kq_entry_fail (g, f, KQ_ERR_QUEUE_FULL, KQ_RAN_NO, KQ_SEC, now);
+  else
     {
       f->body_length = (int64_t)f->body.len;
+      kq_flight_hold_body (f);
       kq_entry_start (g, f, now);
     }
-  else
-    kq_entry_send_body (g, f);
 }
 
 static void
@@ -539,6 +544,7 @@
       free (g);
       return NULL;
     }
+  kq_http_server_set_limits (g->http, c->limits);
   g->route = kq_route_new (&self, s->link_bytes_per_s, c->incarnation);
   g->request_counts = kq_request_counts_new ();
   g->claim_ends = kq_claim_ends_new ();
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -26,8 +26,9 @@
   KqNodeId self;
   uint64_t incarnation; /* identifies this process of the node */
   KqCounters *counters;
-  KqTask *mesh; /* sends messages to other nodes */
-  KqTask *node; /* this node's own task */
+  KqTask *mesh;           /* sends messages to other nodes */
+  KqTask *node;           /* this node's own task */
+  KqClientLimits *limits; /* of what callers hold; NULL: none */
 } KqGatewayConfig;
 
 typedef struct KqGateway KqGateway;
--- a/src/request/runner_flight.c
+++ b/src/request/runner_flight.c
@@ -15,6 +15,7 @@
   KqRunnerFlight *f = p;
   if (f->call != NULL)
     kq_http_call_cancel (f->call);
+  kq_client_limits_end_work (f->task->config.limits, f->work);
   kq_buf_free (&f->text);
   kq_buf_free (&f->body);
   free (f->headers);
@@ -270,6 +271,16 @@
     }
 }
 
+/* The entry node sends no more of the body than it has credit for. */
+size_t
+kq_runner_flight_work (const KqMsgReqOpen *o)
+{
+  size_t body = KQ_CREDIT_WINDOW_BYTES;
+  if (o->body_length >= 0 && o->body_length < KQ_CREDIT_WINDOW_BYTES)
+    body = (size_t)o->body_length;
+  return sizeof (KqRunnerFlight) + o->path.len + body;
+}
+
 KqRunnerFlight *
 kq_runner_flight_new (KqRunnerTask *t, KqNodeId from, const KqMsgReqOpen *o, KqTime now)
 {
--- a/src/request/runner_flight.h
+++ b/src/request/runner_flight.h
@@ -53,6 +53,7 @@
   int status;
   uint64_t answer_offset;  /* bytes of the answer sent to the entry node */
   uint64_t answer_allowed; /* credit: total bytes that may be sent */
+  size_t work;             /* counted in the limits */
 } KqRunnerFlight;
 
 struct KqRunnerTask
@@ -77,6 +78,8 @@
  * to t->flights. */
 KqRunnerFlight *kq_runner_flight_new (KqRunnerTask *t, KqNodeId from,
                                       const KqMsgReqOpen *o, KqTime now);
+/* What a flight from that message holds, at most. */
+size_t kq_runner_flight_work (const KqMsgReqOpen *o);
 /* Frees a flight and cancels its call; tells nothing to the entry node or dispatcher. */
 void kq_runner_flight_free (void *flight);
 /* Tells an entry node that a try failed (RESP_FAIL), and counts the code. */
--- a/src/request/runner_task.c
+++ b/src/request/runner_task.c
@@ -50,6 +50,7 @@
   KqTime retry = 0;
   KqRunnerFlight *f;
   KqResult r;
+  size_t work;
   if (g_hash_table_contains (t->flights, &o->flight))
     return; /* a duplicate */
   if (t->table != NULL)
@@ -59,6 +60,12 @@
       kq_runner_send_fail (t, from, o->flight, KQ_ERR_NO_SERVICE, KQ_RAN_NO, 0);
       return;
     }
+  work = kq_runner_flight_work (o);
+  if (!kq_client_limits_begin_work (t->config.limits, work, now))
+    {
+      kq_runner_send_fail (t, from, o->flight, KQ_ERR_QUEUE_FULL, KQ_RAN_NO, KQ_SEC);
+      return;
+    }
   q.flight = o->flight;
   q.service = o->service;
   q.caller = o->caller;
@@ -70,10 +77,12 @@
   r = kq_runner_refusal_code (t, r, now);
   if (r != KQ_OK)
     {
+      kq_client_limits_end_work (t->config.limits, work);
       kq_runner_send_fail (t, from, o->flight, r, KQ_RAN_NO, retry);
       return;
     }
   f = kq_runner_flight_new (t, from, o, now);
+  f->work = work;
   f->silent_ms = row->u.service.silent_ms;
   g_hash_table_insert (t->flights, &f->id, f);
   kq_runner_run_queue (t, now);
--- a/src/request/runner_task.h
+++ b/src/request/runner_task.h
@@ -10,6 +10,7 @@
  * _PEER (an entry node that is down), _TABLE and _DRAIN. Sends KQ_MAIL_SERVICES and
  * KQ_MAIL_DRAINED to the node's task. */
 
+#include "base/client_limits.h"
 #include "base/counter.h"
 #include "base/task.h"
 #include "wire/msg.h"
@@ -21,6 +22,7 @@
   KqCounters *counters;
   KqTask *mesh;
   KqTask *node;
+  KqClientLimits *limits; /* of what requests hold that are being handled; NULL: none */
 } KqRunnerTaskConfig;
 
 typedef struct KqRunnerTask KqRunnerTask;
--- a/tests/entry_crowd_test.c
+++ b/tests/entry_crowd_test.c
@@ -115,6 +115,26 @@
   attack_and_check (&p);
 }
 
+/* Guards against a process that ends when a streamed body grows while its request waits
+ * for another try. */
+static void
+test_streamed_bodies_that_are_refused (void **state)
+{
+  CrowdPlan p = { .clients = 400,
+                  .head = KQ_STR ("POST /s/seal/x?ms=500 HTTP/1.1\r\nHost: n0\r\n"
+                                  "Content-Length: 10000000\r\n\r\n"),
+                  .fill = KQ_STR ("a"),
+                  .total = 200000,
+                  .piece = 8000,
+                  .pause = 5 * KQ_MS,
+                  .reopens = 2000,
+                  .leaves = true };
+  (void)state;
+  start (FDS);
+  p.port = rig.node->callers_port;
+  attack_and_check (&p);
+}
+
 /* The same with submissions of jobs. */
 static void
 test_jobs_that_stop_short (void **state)
@@ -190,6 +210,7 @@
   const struct CMUnitTest tests[] = {
     TEST (test_keyed_bodies_that_stop_short),
     TEST (test_streamed_bodies_that_stop_short),
+    TEST (test_streamed_bodies_that_are_refused),
     TEST (test_jobs_that_stop_short),
     TEST (test_frames_that_stop_short),
     TEST (test_descriptors_at_the_callers_port),
