Sched: due times of timed jobs wait for memory

What callers saw: a leader that held 855,076 KB of 65,536 after 400 short submissions of jobs with 100,000 times that have all come, and didn't answer an ordinary request within 60 s. One such job takes 100 MB or so.

Cause: an occurrence is created for each time that has come, at once, however many are under way.

Change: sched/job_bytes counts what jobs take: the stored form, steps, and the tasks of each occurrence. The leader's settings give all jobs a quarter of its memory. Further times of a job aren't begun while its own occurrences take more than a sixteenth of that, or all jobs one half, unless none of its occurrences is under way; they are begun, late, when earlier ones end. None is lost: how many were created is known as before.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -272,6 +272,7 @@
                       .lease_ms = 5000,
                       .renew_without_leader_ms = 4000,
                       .keep_ms = 60000,
+                      .job_bytes_max = d->job_bytes_max,
                       .features = d->features,
                       .cordons = d->cordons,
                       .counters = d->counters,
--- a/bench/sched_fixture.h
+++ b/bench/sched_fixture.h
@@ -56,6 +56,7 @@
   uint64_t assignment[3];  /* number in the last TAKE order of r0 to r2 */
   KqBuf used_agents;       /* the stored list of agents, packed */
   int taken_by[3];         /* the agent that got that order */
+  size_t job_bytes_max;    /* of the next leader; 0: not limited */
   bool mute;               /* the agents say nothing while the scheduler runs */
   KqTime reported_at;      /* when they last said something */
   KqBuf used_runners;      /* the stored list of runners in use, packed */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -22,6 +22,8 @@
  * length of the old leader's lease plus this time. */
 #define ELECTION_MS 2500
 #define CHECK_PERIOD_S 0.2
+/* The part of the memory that the jobs of a leader may take. */
+#define JOB_MEMORY_PARTS 4
 /* Shortest time between a planned stop and the end: the platform routes new connections
  * here until it has seen two failed probes, a second apart. */
 #define STOP_MIN (3200 * KQ_MS)
@@ -100,6 +102,12 @@
   return most < RUNNER_LEASE_MS ? most : RUNNER_LEASE_MS;
 }
 
+size_t
+kq_fleet_job_bytes_max (const KqFleet *f)
+{
+  return (size_t)f->config.settings->limits.memory_mb * 1024 * 1024 / JOB_MEMORY_PARTS;
+}
+
 static const KqQueueTable *
 queue_table (void *arg)
 {
@@ -145,6 +153,7 @@
                        .renew_without_leader_ms = leader_lease_ms (f) + ELECTION_MS,
                        .keep_ms = s->keep_ms,
                        .maintenance_ms = s->maintenance_ms,
+                       .job_bytes_max = kq_fleet_job_bytes_max (f),
                        .features = s->scheduling,
                        .cordons = f->cordons,
                        .counters = f->config.counters,
--- a/src/fleet/fleet_impl.h
+++ b/src/fleet/fleet_impl.h
@@ -50,6 +50,8 @@
 
 /* fleet_peers.c */
 KqLinkOwner kq_fleet_link_owner (KqFleet *f);
+/* Memory that all jobs may take while this node leads. */
+size_t kq_fleet_job_bytes_max (const KqFleet *f);
 /* What is needed to put a question to the leader, or to answer it. */
 KqQueries kq_fleet_queries (const KqFleet *f);
 
--- a/src/fleet/leader.c
+++ b/src/fleet/leader.c
@@ -215,6 +215,7 @@
           .renew_without_leader_ms = c->renew_without_leader_ms,
           .keep_ms = c->keep_ms,
           .maintenance_ms = c->maintenance_ms,
+          .job_bytes_max = c->job_bytes_max,
           .features = c->features,
           .cordons = c->cordons,
           .counters = c->counters,
--- a/src/fleet/leader.h
+++ b/src/fleet/leader.h
@@ -23,7 +23,8 @@
       renew_without_leader_ms; /* how long nodes renew runners' leases without a leader */
   int64_t keep_ms;             /* how long ended jobs are kept */
   int64_t maintenance_ms;      /* how long a host is down for maintenance */
-  KqSchedFeatures features;    /* as in KqSchedConfig */
+  size_t job_bytes_max;        /* as in KqSchedConfig */
+  KqSchedFeatures features;    /* likewise */
   const KqCordons *cordons;    /* likewise */
   KqCounters *counters;
   KqAgentInfo self;
--- a/src/sched/book.c
+++ b/src/sched/book.c
@@ -2,6 +2,7 @@
  * when runs end or fail. An occurrence is one execution of all steps of a job; a timed
  * job has several. */
 
+#include "sched/job_bytes.h"
 #include "sched/load_pass.h"
 #include "sched/tickets.h"
 
@@ -187,6 +188,7 @@
         = kq_alloc ((size_t)j->spec.steps[i].width * sizeof *o->steps[i].tasks);
   o->next = j->occurrences;
   j->occurrences = o;
+  kq_job_bytes_add_occurrence (j);
   kq_book_open_steps (o);
   return o;
 }
@@ -194,6 +196,7 @@
 static void
 free_occurrence (KqOccurrence *o)
 {
+  kq_job_bytes_drop_occurrence (o->job);
   for (int32_t i = 0; i < o->job->spec.n_steps; i++)
     {
       for (int32_t k = 0; k < o->job->spec.steps[i].width; k++)
@@ -236,6 +239,7 @@
       j->occurrences = o->next;
       free_occurrence (o);
     }
+  kq_job_bytes_drop_job (j);
   kq_spec_clear (&j->spec);
   kq_buf_free (&j->stored);
   kq_buf_free (&j->batch);
@@ -460,6 +464,8 @@
             return;
           at = now - (wall - due) * KQ_MS;
         }
+      if (!kq_job_bytes_has_room (s, j))
+        return;
       create_occurrence (s, j, at);
     }
 }
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -1,5 +1,6 @@
 #include "sched/cordoning.h"
 #include "sched/grantors.h"
+#include "sched/job_bytes.h"
 #include "sched/job_load.h"
 #include "sched/load_pass.h"
 #include "sched/maintenance.h"
@@ -230,6 +231,7 @@
       kq_book_job_free (j);
       return true;
     }
+  kq_job_bytes_add_job (s, j);
   j->revision = revision;
   j->learned_at = now;
   j->pool = kq_pools_get (s, j->spec.service);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -168,6 +168,7 @@
                                       leader */
   int64_t maintenance_ms;          /* how long a host is down for maintenance */
   int64_t keep_ms;                 /* for so long a finished job's state is kept */
+  size_t job_bytes_max;            /* memory that jobs may take; 0: not limited */
   KqSchedFeatures features;
   const KqCordons *cordons; /* nothing is started in these domains, or anywhere before the
                                set is complete; NULL: none are cordoned */
@@ -179,6 +180,9 @@
   void *arg;
 } KqSchedConfig;
 
+/* Memory that further jobs may take; -1: not limited. See job_bytes.h. */
+int64_t kq_sched_job_bytes_free (const KqSched *s);
+
 KqSched *kq_sched_new (const KqSchedConfig *c, KqTime now);
 void kq_sched_free (KqSched *s);
 
--- a/src/sched/state.h
+++ b/src/sched/state.h
@@ -133,6 +133,8 @@
   uint64_t estimates_version;   /* of the results that it was judged by last */
   int64_t *step_ms;             /* expected time of each step; NULL: as declared */
   int64_t objective_ms;         /* see kq_book_objective_ms */
+  size_t bytes;                 /* that it takes (job_bytes.h); counted in *all_bytes */
+  size_t *all_bytes;            /* KqSched.job_bytes; NULL: not counted */
 };
 
 typedef enum
@@ -298,6 +300,7 @@
 {
   KqSchedConfig config;
   GHashTable *jobs;    /* id -> KqJob */
+  size_t job_bytes;    /* that they take (job_bytes.h) */
   GHashTable *runners; /* id -> KqRunnerState */
   GHashTable *hosts;   /* target host -> KqRunnerState, the first of its runners */
   GPtrArray *runner_list;
--- a/tests/front_crowd_test.c
+++ b/tests/front_crowd_test.c
@@ -147,16 +147,13 @@
   attack_and_check (&p);
 }
 
-/* The same with short submissions whose jobs have many tasks. */
+/* Guards against short submissions whose jobs take much memory once they are accepted. */
 static void
-test_jobs_of_many_tasks_that_are_accepted (void **state)
+check_accepted_jobs (const char *job)
 {
-  const char *job = "{\"spec\":\"x\",\"steps\":[{\"count\":20000,\"cpu\":100,"
-                    "\"mem_mb\":16,\"needs\":\"none\"}]}";
   char text[512];
   char framing[64];
   CrowdPlan p = { .clients = 100, .id_at = ID_AT, .reopens = 300 };
-  (void)state;
   start ("");
   snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", strlen (job));
   head (text, sizeof text, "POST", framing);
@@ -167,6 +164,25 @@
   attack_and_check (&p);
 }
 
+/* Of one occurrence with many tasks. */
+static void
+test_jobs_of_many_tasks_that_are_accepted (void **state)
+{
+  (void)state;
+  check_accepted_jobs ("{\"spec\":\"x\",\"steps\":[{\"count\":20000,\"cpu\":100,"
+                       "\"mem_mb\":16,\"needs\":\"none\"}]}");
+}
+
+/* The same with timed jobs whose times have all come. */
+static void
+test_jobs_of_many_times_that_are_accepted (void **state)
+{
+  (void)state;
+  check_accepted_jobs ("{\"spec\":\"x\",\"start_time_ms\":1,\"interval_ms\":1,"
+                       "\"times\":100000,\"steps\":[{\"count\":1,\"cpu\":100,"
+                       "\"mem_mb\":16,\"needs\":\"none\"}]}");
+}
+
 /* Guards against received bytes that pile up unread behind requests whose answers the
  * store holds back. */
 static void
@@ -318,6 +334,7 @@
     TEST (test_large_jobs_of_clients_that_leave),
     TEST (test_large_jobs_that_are_accepted),
     TEST (test_jobs_of_many_tasks_that_are_accepted),
+    TEST (test_jobs_of_many_times_that_are_accepted),
     TEST (test_unread_requests_behind_open_ones),
     TEST (test_unread_requests_behind_large_jobs),
     TEST (test_heads_that_stop_short),
