Front: jobs that the leader's memory has no room for are refused, the largest first

Cause: each accepted job is kept by the leader, in full, until some time after its end, and nothing bounds how many come.

Change: the leader's pings tell how much memory further jobs may take there. The job's key is read first: one that is stored already is accepted as before, and if the store doesn't answer, the outcome is told as unknown. While no leader is heard a node counts with its own memory.

Open: a job that the leader writes for a node that doesn't reach the store isn't refused for memory; nodes that accept at the same moment may exceed the limit by what they accept between two pings, 0.3 s; a smaller machine that takes over the lead loads all jobs.

--- a/bench/front_fixture.h
+++ b/bench/front_fixture.h
@@ -34,7 +34,9 @@
   bool has_leader;           /* there is a leader */
   uint64_t leader_call;      /* the last job that the leader is to write; 0: none */
   uint64_t state_call;       /* the last question for a job's state; 0: none */
-  int jobs_told;             /* to the leader */
+  int64_t jobs_free;         /* at the leader; -1: not limited */
+  KqTime jobs_free_as_of;
+  int jobs_told; /* to the leader */
   int cancels_told;
   int replies;
   KqFrontReply reply; /* the last one */
@@ -150,6 +152,15 @@
   (void)sent_at;
 }
 
+static int64_t
+jobs_free (void *arg, KqTime now, KqTime *as_of)
+{
+  (void)arg;
+  (void)now;
+  *as_of = kq_front_fake.jobs_free_as_of;
+  return kq_front_fake.jobs_free;
+}
+
 /* For cmocka_unit_test_setup_teardown; *state is a KqFrontFixture. */
 static int
 kq_front_fixture_set_up (void **state)
@@ -161,8 +172,10 @@
                              .query_leader = query_leader,
                              .notify_leader = notify_leader,
                              .answered = answered,
-                             .failed = failed };
+                             .failed = failed,
+                             .jobs_free = jobs_free };
   memset (&kq_front_fake, 0, sizeof kq_front_fake);
+  kq_front_fake.jobs_free = -1;
   kq_log_set_level (KQ_LOG_ERROR);
   t->loop = c.loop = kq_loop_new ();
   t->counters = c.counters = kq_counters_new ();
--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -228,6 +228,7 @@
       kq_pack_i64 (p, i->u.ping.store_age_ms);
       kq_pack_u64 (p, i->u.ping.keys_revision);
       kq_pack_i64 (p, i->u.ping.keys_age_ms);
+      kq_pack_i64 (p, i->u.ping.jobs_free);
       break;
     case KQ_AGENT_ITEM_FOLLOW:
       kq_pack_u64 (p, i->u.follow.revision);
@@ -256,6 +257,7 @@
   i->u.ping.store_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
   i->u.ping.keys_revision = r->left > 0 ? kq_read_u64 (r) : 0;
   i->u.ping.keys_age_ms = r->left > 0 ? kq_read_i64 (r) : -1;
+  i->u.ping.jobs_free = r->left > 0 ? kq_read_i64 (r) : -1;
 }
 
 static void
@@ -357,7 +359,7 @@
 {
   /* By KqAgentItemKind, and for orders by KqOrderKind. */
   static const uint8_t of_kind[]
-      = { 0, 0, 3, 4, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2, 1, 5, 1, 3 };
+      = { 0, 0, 3, 5, 4, 2, 8, 9, 3, 0, 3, 2, 1, 4, 1, 10, 0, 2, 5, 2, 1, 5, 1, 3 };
   static const uint8_t of_order[] = { 5, 2, 7, 4, 5, 5, 4, 3 };
   if (i->kind == KQ_AGENT_ITEM_ORDER)
     return of_order[i->u.order.kind];
--- a/src/agent/frame.h
+++ b/src/agent/frame.h
@@ -117,6 +117,8 @@
                                  relayed on this connection */
       int64_t keys_age_ms;    /* since the leader was last told that there are no others;
                                  -1: changes aren't relayed to this node */
+      int64_t jobs_free; /* memory that further jobs may take at the leader, in bytes; -1:
+                            not limited */
     } ping;
     struct
     {
--- a/src/agent/frame_test.c
+++ b/src/agent/frame_test.c
@@ -84,7 +84,9 @@
   i = (KqAgentItem){ .kind = KQ_AGENT_ITEM_PING };
   i.u.ping.keys_revision = 13;
   i.u.ping.keys_age_ms = 250;
+  i.u.ping.jobs_free = 7000;
   o = round_trip (&i, &b);
+  assert_int_equal (o.u.ping.jobs_free, 7000);
   assert_int_equal (o.u.ping.keys_revision, 13);
   assert_int_equal (o.u.ping.keys_age_ms, 250);
   kq_buf_free (&b);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -124,6 +124,12 @@
              : 0;
 }
 
+static int64_t
+jobs_free (void *arg, KqTime now, KqTime *as_of)
+{
+  return kq_fleet_jobs_free (arg, now, as_of);
+}
+
 /* Callbacks of the election. */
 
 static void
@@ -363,7 +369,7 @@
       = { loop,           f->kv,       f->config.counters,      f,
           queue_table,    store_state, store_reached_by_leader, query_leader,
           send_to_leader, on_answered, on_store_failed,         s->scheduling.admission,
-          leader_epoch };
+          leader_epoch,   jobs_free };
   KqFrontCallbacks owner = { f, on_request, ready, stopping, body_max, f->limits };
   KqAcceptsOwner accepts = { f, on_accepted, on_answered, f->limits };
   KqOperatorPortConfig operators = { .loop = loop,
--- a/src/fleet/fleet_impl.h
+++ b/src/fleet/fleet_impl.h
@@ -41,7 +41,9 @@
   KqAgentInfo self;
   KqReach store;
   KqLeaderLease leader_lease; /* used while this node leads */
-  bool store_down;            /* the store's present outage has been logged */
+  int64_t jobs_free;   /* memory that further jobs may take, by the leader's last ping */
+  KqTime jobs_free_at; /* when that came; 0: never */
+  bool store_down;     /* the store's present outage has been logged */
   bool stopping;
   bool stopped;
   KqTime stopping_at;
@@ -50,6 +52,9 @@
 
 /* fleet_peers.c */
 KqLinkOwner kq_fleet_link_owner (KqFleet *f);
+/* Memory that further jobs may take at the leader, as it was at *as_of. While the leader
+ * isn't heard, what they might take at this node. */
+int64_t kq_fleet_jobs_free (const KqFleet *f, KqTime now, KqTime *as_of);
 /* Memory that all jobs may take while this node leads. */
 size_t kq_fleet_job_bytes_max (const KqFleet *f);
 /* What is needed to put a question to the leader, or to answer it. */
--- a/src/fleet/fleet_peers.c
+++ b/src/fleet/fleet_peers.c
@@ -3,6 +3,9 @@
 #include "agent/agent.h"
 #include "fleet/fleet_impl.h"
 
+/* The leader's word on its memory counts for so long. */
+#define JOBS_FREE_AGE_MAX (2 * KQ_SEC)
+
 static void
 on_joined (void *arg, KqPeer *p, const KqAgentInfo *info, KqTime now)
 {
@@ -57,6 +60,25 @@
   kq_agent_leader_confirmed (f->agent, epoch, i->u.ping.heartbeat_sent_at);
   if (i->u.ping.store_age_ms >= 0)
     kq_reach_leader_answered (&f->store, now - i->u.ping.store_age_ms * KQ_MS);
+  f->jobs_free = i->u.ping.jobs_free;
+  f->jobs_free_at = now;
+}
+
+static int64_t
+jobs_free_here (void *arg)
+{
+  const KqFleet *f = arg;
+  return f->leader != NULL ? kq_sched_job_bytes_free (kq_leader_sched (f->leader)) : -1;
+}
+
+int64_t
+kq_fleet_jobs_free (const KqFleet *f, KqTime now, KqTime *as_of)
+{
+  bool heard = f->jobs_free_at != 0 && now - f->jobs_free_at < JOBS_FREE_AGE_MAX;
+  *as_of = f->leader != NULL ? now : f->jobs_free_at;
+  if (f->leader != NULL)
+    return kq_sched_job_bytes_free (kq_leader_sched (f->leader));
+  return heard && f->jobs_free >= 0 ? f->jobs_free : (int64_t)kq_fleet_job_bytes_max (f);
 }
 
 KqQueries
@@ -143,6 +165,7 @@
                         on_from_leader,
                         store_age_ms,
                         on_ping_keys,
+                        jobs_free_here,
                         on_heard_leader,
                         fill_leader };
 }
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -32,10 +32,10 @@
 #define SWEEP_PERIOD_S 0.04
 
 static const char *const step_names[]
-    = { "submit",         "submit_check",  "submit_read", "ask_admission",
-        "admission_read", "submit_leader", "ask_leader",  "read_progress",
-        "read_job",       "read_cancel",   "cancel_read", "cancel_write",
-        "count_waiting" };
+    = { "submit",        "submit_check",   "room_read",     "submit_read",
+        "ask_admission", "admission_read", "submit_leader", "ask_leader",
+        "read_progress", "read_job",       "read_cancel",   "cancel_read",
+        "cancel_write",  "count_waiting" };
 
 static void
 start_sweep (KqFrontHandler *h)
@@ -58,6 +58,9 @@
             (long long)((now - q->received_at) / KQ_MS), q->write_unknown,
             r->why != NULL ? r->why : "-");
   kq_front_exchange_reply (q->exchange, r);
+  h->room_open -= q->room;
+  if (r->kind == KQ_REPLY_DONE)
+    h->room_accepted += q->room;
   if (q->call != 0)
     g_hash_table_remove (h->queries, &q->call);
   free ((char *)q->id.ptr);
@@ -128,7 +131,7 @@
 retry (KqFrontPending *q, KqTime now)
 {
   if (!kq_front_pending_may_retry (q, now)
-      && (q->step <= KQ_FRONT_SUBMIT_CHECK || q->step == KQ_FRONT_CANCEL_READ))
+      && (q->step <= KQ_FRONT_ROOM_READ || q->step == KQ_FRONT_CANCEL_READ))
     kq_front_pending_reply_kind (q, KQ_REPLY_UNKNOWN, now);
   else if (!kq_front_pending_may_retry (q, now))
     kq_front_pending_refuse (q, "the store can't be read", KQ_FRONT_RETRY_STORE_MS,
@@ -198,6 +201,11 @@
       kq_front_submit_read (q, r->result, now);
       return;
     }
+  if (q->step == KQ_FRONT_ROOM_READ)
+    {
+      kq_front_submit_room_read (q, r->result, now);
+      return;
+    }
   if (r->result != KQ_KV_OK && r->result != KQ_KV_NOT_FOUND)
     {
       if (q->step == KQ_FRONT_CANCEL_READ)
@@ -247,6 +255,7 @@
     case KQ_FRONT_SUBMIT_WRITE:
     case KQ_FRONT_ADMIT_ASK:
     case KQ_FRONT_ADMIT_READ:
+    case KQ_FRONT_ROOM_READ:
     case KQ_FRONT_SUBMIT_LEADER:
     case KQ_FRONT_STATE_LEADER:
     case KQ_FRONT_CANCEL_WRITE:
--- a/src/fleet/front.h
+++ b/src/fleet/front.h
@@ -43,6 +43,9 @@
   bool admission;
   /* The epoch of the leader that can be reached now; 0: none. Only with `admission`. */
   uint64_t (*leader_epoch) (void *arg);
+  /* Memory that further jobs may take at the leader, as it was at *as_of; -1: not
+   * limited. NULL: never limited. */
+  int64_t (*jobs_free) (void *arg, KqTime now, KqTime *as_of);
 } KqFrontHandlerConfig;
 
 KqFrontHandler *kq_front_handler_new (const KqFrontHandlerConfig *c);
--- a/src/fleet/front_counts.c
+++ b/src/fleet/front_counts.c
@@ -36,6 +36,7 @@
   f->refused_store = refusals (c, "store");
   f->refused_start = refusals (c, "no_configuration");
   f->refused_leader = refusals (c, "no_leader");
+  f->refused_room = refusals (c, "leader_memory");
   f->refused_overload = refusals (c, "overload");
   f->retried = kq_counter (c, "kq_front_retries_total", "",
                            "Calls to the store repeated for a request.");
--- a/src/fleet/front_counts.h
+++ b/src/fleet/front_counts.h
@@ -15,6 +15,7 @@
   uint64_t *refused_store;           /* refusals because of the store */
   uint64_t *refused_start;           /* refusals before the first configuration */
   uint64_t *refused_leader;          /* refusals because there was no leader */
+  uint64_t *refused_room;            /* refusals for the leader's memory */
   uint64_t *refused_overload;        /* refusals for load */
   uint64_t *retried;                 /* calls to the store that were repeated */
   uint64_t *from_store;              /* reads of the store */
--- a/src/fleet/front_pending.h
+++ b/src/fleet/front_pending.h
@@ -20,12 +20,15 @@
   1000 /* store unreachable or refused; outages last seconds */
 #define KQ_FRONT_RETRY_LEADER_MS                                                         \
   1000 /* there is no leader, or it didn't answer the query */
+#define KQ_FRONT_RETRY_ROOM_MS 5000  /* the leader's memory is taken until jobs end */
 #define KQ_FRONT_RETRY_START_MS 1000 /* this node has no configuration yet */
 
 typedef enum
 {
   KQ_FRONT_SUBMIT_WRITE,
   KQ_FRONT_SUBMIT_CHECK,  /* reads the job's key after a write without an answer */
+  KQ_FRONT_ROOM_READ,     /* reads the job's key: one that is there isn't refused for the
+                             leader's memory */
   KQ_FRONT_SUBMIT_PROBE,  /* reads the job's key to see whether the store answers */
   KQ_FRONT_ADMIT_ASK,     /* waits for the leader's answer whether to refuse the job */
   KQ_FRONT_ADMIT_READ,    /* reads the job's key: one that is there isn't refused */
@@ -55,6 +58,7 @@
   uint64_t revision;        /* of the job's key; 0: the job isn't stored */
   uint64_t cancel_revision; /* of a submission: of the cancellation stored before it; 0:
                                none is known */
+  size_t room;              /* of a submission: what the job will take at the leader */
   bool write_unknown;       /* a write of this request got no answer */
   KqFrontDoubt doubt;       /* in the ADMIT_ steps: why the leader is asked */
   int64_t refused_ms;       /* in ADMIT_READ: the Retry-After by the leader's answer */
@@ -65,7 +69,12 @@
   KqFrontHandlerConfig config;
   GHashTable *queries; /* call -> KqFrontPending, for outstanding queries to the leader */
   GPtrArray *retries;  /* KqFrontPending, to be retried at its retry_at */
-  uint64_t last_call;  /* number of the last query */
+  /* What submissions will take that are under way here, and what those have taken that
+   * were accepted here since the leader's word on its memory. */
+  size_t room_open;
+  size_t room_accepted;
+  KqTime room_as_of;
+  uint64_t last_call; /* number of the last query */
   ev_timer sweep;
   KqFrontCounts counts;
   KqFrontAdmit *admit;
@@ -103,6 +112,8 @@
 void kq_front_submit_written_by_leader (KqFrontPending *q, int64_t result, KqTime now);
 /* The leader's answer in step ADMIT_ASK; below 1: the job is accepted. */
 void kq_front_submit_judged (KqFrontPending *q, int64_t retry_ms, KqTime now);
+/* The result of the read in step ROOM_READ. */
+void kq_front_submit_room_read (KqFrontPending *q, KqKvResult result, KqTime now);
 /* The result of the read in step ADMIT_READ. */
 void kq_front_submit_read (KqFrontPending *q, KqKvResult result, KqTime now);
 
--- a/src/fleet/front_submit.c
+++ b/src/fleet/front_submit.c
@@ -4,6 +4,7 @@
 #include "fleet/accepts.h"
 #include "fleet/front_pending.h"
 #include "fleet/job_writes.h"
+#include "sched/job_bytes.h"
 
 #define PART "front"
 /* Timeout of a job that the leader writes: a round trip between regions and its call. */
@@ -251,6 +252,58 @@
     }
 }
 
+/* Memory that further jobs may take at the leader, less that of the jobs of which it
+ * can't have told yet; -1: not limited. */
+static int64_t
+room_left (KqFrontHandler *h, KqTime now)
+{
+  KqTime as_of;
+  int64_t left = h->config.jobs_free (h->config.arg, now, &as_of);
+  if (as_of > h->room_as_of)
+    h->room_accepted = 0;
+  h->room_as_of = as_of;
+  if (left < 0)
+    return -1;
+  left -= (int64_t)(h->room_open + h->room_accepted);
+  return left > 0 ? left : 0;
+}
+
+/* Whether the leader's memory has no room for the job. One that is stored already is
+ * accepted all the same, which has to be read first. */
+static bool
+lacks_room (KqFrontPending *q, const KqSpec *spec, KqTime now)
+{
+  KqFrontHandler *h = q->handler;
+  size_t bytes = kq_job_bytes (spec, q->stored.len);
+  int64_t left;
+  if (h->config.jobs_free == NULL
+      || h->config.store_state (h->config.arg, now) == KQ_REACH_DOWN)
+    return false;
+  left = room_left (h, now);
+  if (!kq_job_bytes_refuse (bytes, left))
+    {
+      q->room = bytes;
+      h->room_open += bytes;
+      return false;
+    }
+  kq_log (KQ_LOG_INFO, PART,
+          "The leader's memory has no room. job=%.*s bytes=%zu free=%lld",
+          KQ_STR_ARG (q->id), bytes, (long long)left);
+  return true;
+}
+
+void
+kq_front_submit_room_read (KqFrontPending *q, KqKvResult result, KqTime now)
+{
+  if (result == KQ_KV_OK)
+    kq_front_pending_reply_kind (q, KQ_REPLY_DONE, now);
+  else if (result == KQ_KV_NOT_FOUND)
+    kq_front_pending_refuse (q, "too many jobs", KQ_FRONT_RETRY_ROOM_MS,
+                             q->handler->counts.refused_room, now);
+  else
+    kq_front_pending_schedule_retry (q, KQ_FRONT_ROOM_READ, now);
+}
+
 void
 kq_front_submit_begin (KqFrontPending *q, const KqFrontRequest *r, const KqQueue *queue,
                        KqTime now)
@@ -265,6 +318,8 @@
       return;
     }
   kq_spec_pack (r->spec, &q->stored);
-  if (!ask_leader (q, r->spec, now))
+  if (lacks_room (q, r->spec, now))
+    kq_front_pending_read (q, KQ_FRONT_ROOM_READ);
+  else if (!ask_leader (q, r->spec, now))
     accept_job (q, now);
 }
--- a/src/fleet/front_test.c
+++ b/src/fleet/front_test.c
@@ -305,6 +305,52 @@
   cmocka_unit_test_setup_teardown (test, kq_front_fixture_set_up,                        \
                                    kq_front_fixture_tear_down)
 
+/* Guards against a refusal of a job that has been accepted before: while the leader's
+ * memory is taken the job's key is read first. */
+static void
+test_job_without_room_is_refused_unless_stored (void **state)
+{
+  KqFrontFixture *t = *state;
+  kq_front_fake.jobs_free = 1000;
+  kq_front_fixture_submit (t, KQ_REACH_UP, 3000);
+  assert_int_equal (kq_front_fake.call, KQ_FAKE_GET);
+  kq_front_fixture_answer (KQ_KV_NOT_FOUND);
+  assert_int_equal (kq_front_fake.reply.kind, KQ_REPLY_REFUSED);
+  kq_front_fixture_submit (t, KQ_REACH_UP, 3000);
+  kq_front_fixture_answer (KQ_KV_OK);
+  assert_int_equal (kq_front_fake.reply.kind, KQ_REPLY_DONE);
+  kq_front_fixture_submit (t, KQ_REACH_UP, 400);
+  kq_front_fixture_run_for (t, 0.2);
+  kq_front_fixture_answer (KQ_KV_UNKNOWN);
+  kq_front_fixture_run_for (t, 0.2);
+  assert_int_equal (kq_front_fake.replies, 3);
+  assert_int_equal (kq_front_fake.reply.kind, KQ_REPLY_UNKNOWN);
+}
+
+/* Guards against many jobs that are accepted by the same word of the leader on its
+ * memory, before it has heard of any of them. */
+static void
+test_jobs_accepted_since_the_leaders_word_count (void **state)
+{
+  KqFrontFixture *t = *state;
+  int accepted = 0;
+  kq_front_fake.jobs_free = 20000;
+  kq_front_fake.jobs_free_as_of = 1;
+  for (int i = 0; i < 50; i++)
+    {
+      kq_front_fixture_submit (t, KQ_REACH_UP, 3000);
+      if (kq_front_fake.call == KQ_FAKE_TXN)
+        accepted++;
+      kq_front_fixture_answer (kq_front_fake.call == KQ_FAKE_TXN ? KQ_KV_OK
+                                                                 : KQ_KV_NOT_FOUND);
+    }
+  assert_in_range (accepted, 1, 20);
+  kq_front_fake.jobs_free_as_of = 2;
+  kq_front_fixture_submit (t, KQ_REACH_UP, 3000);
+  assert_int_equal (kq_front_fake.call, KQ_FAKE_TXN);
+  kq_front_fixture_answer (KQ_KV_OK);
+}
+
 int
 main (void)
 {
@@ -323,6 +369,8 @@
           FIXTURE_TEST (test_write_without_an_answer_is_read_back),
           FIXTURE_TEST (test_leader_repeats_a_write_without_an_answer),
           FIXTURE_TEST (test_late_read_back_leaves_the_outcome_unknown),
+          FIXTURE_TEST (test_job_without_room_is_refused_unless_stored),
+          FIXTURE_TEST (test_jobs_accepted_since_the_leaders_word_count),
           FIXTURE_TEST (test_job_that_no_leader_knows_is_read),
           FIXTURE_TEST (test_refused_read_is_repeated_after_a_pause) };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/fleet/link.h
+++ b/src/fleet/link.h
@@ -33,6 +33,8 @@
   int64_t (*store_age_ms) (void *arg, KqTime now);
   /* On the leader: what pings say of the operators' keys (KqAgentItem). May be NULL. */
   void (*keys) (void *arg, uint64_t *revision, int64_t *age_ms, KqTime now);
+  /* On the leader: memory that further jobs may take; -1: not limited. May be NULL. */
+  int64_t (*jobs_free) (void *arg);
   /* Another node has said who leads. May be NULL. */
   void (*heard_leader) (void *arg, const KqAgentItem *i, KqTime now);
   /* Fills in a LEADER item with the leader that this node knows; false: it knows none.
--- a/src/fleet/link_peers.c
+++ b/src/fleet/link_peers.c
@@ -397,6 +397,9 @@
   uint64_t keys_revision = 0;
   int64_t keys_age_ms = -1;
   i.u.ping.store_age_ms = l->config.owner.store_age_ms (l->config.owner.arg, now);
+  i.u.ping.jobs_free = l->config.owner.jobs_free != NULL
+                           ? l->config.owner.jobs_free (l->config.owner.arg)
+                           : -1;
   if (l->config.owner.keys != NULL)
     l->config.owner.keys (l->config.owner.arg, &keys_revision, &keys_age_ms, now);
   while (n < l->peers->len)
