Follow: changes that are too long for one answer are listed

What callers saw: nothing yet. A watch's answer that is longer than 8 MB was taken for a store that doesn't answer, and asked for again until the store's history ended, 20 s later; some 25 jobs of 256 KB, accepted while the leader's watch was away, are enough.

Cause: a follower couldn't tell an answer that is too long from a call that failed.

Change: such an answer says so, and the follower lists its keys, whose pages have 1 MB at most. The longest answer follows from the memory, as it is there up to three times, as text, parsed and decoded: a sixteenth, at most 8 MB as before.

Evidence: by reading; follow_test (a store that is asked for the same watch for ever, and counted as failing, on the code before).

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -29,6 +29,9 @@
 #define STOP_MIN (3200 * KQ_MS)
 /* The process ends this long before the platform would kill it. */
 #define STOP_MARGIN (500 * KQ_MS)
+/* The longest response of the store: a part of the memory, but for no more than this. */
+#define RESPONSE_PARTS 16
+#define RESPONSE_MAX ((size_t)8 << 20)
 /* Delay before a node with a cpu share of 0 stands for election. A larger share shortens
  * the delay, so that stronger nodes win; nodes near the store have shorter calls. */
 #define CANDIDACY_DELAY_MS 200
@@ -45,6 +48,14 @@
   kq_reach_answered (&f->store, now);
 }
 
+/* A response is in memory up to three times, as text, parsed and decoded. */
+static size_t
+store_response_max (const KqFleetSettings *s)
+{
+  size_t part = (size_t)s->limits.memory_mb * 1024 * 1024 / RESPONSE_PARTS;
+  return part < RESPONSE_MAX ? part : RESPONSE_MAX;
+}
+
 static void
 on_store_alive (void *arg, KqTime now)
 {
@@ -417,7 +428,7 @@
   KqFleet *f = kq_alloc (sizeof *f);
   KqQueueKeysOwner queues
       = { f, on_answered, on_store_failed, on_key_changed, on_cordons_changed };
-  KqStoreCallbacks store = { f, on_store_alive };
+  KqStoreCallbacks store = { f, on_store_alive, store_response_max (c->settings) };
   f->config = *c;
   f->cordons = kq_cordons_new ();
   f->limits = kq_client_limits_new (&c->settings->limits, c->counters);
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -215,6 +215,15 @@
       start_listing (f);
       break;
     default:
+      if (r->too_long && !f->listing)
+        {
+          kq_log (
+              KQ_LOG_WARN, PART,
+              "The changes don't fit into one answer; listing again. prefix=%s from=%llu",
+              f->prefix, (unsigned long long)f->seen_revision);
+          start_listing (f);
+          break;
+        }
       if (f->owner.failed != NULL)
         f->owner.failed (f->owner.arg, r->called_at);
       if (f->failures++ == 0 || r->partial)
--- a/src/fleet/follow_test.c
+++ b/src/fleet/follow_test.c
@@ -234,6 +234,34 @@
   kq_loop_free (loop);
 }
 
+/* Guards against a follower that asks for ever for changes that are longer than an answer
+ * may be. */
+static void
+test_changes_that_are_too_long_are_listed (void **state)
+{
+  KqLoop *loop = kq_loop_new ();
+  KqFollowOwner owner = { .item = on_item,
+                          .gone = on_gone,
+                          .synced = on_synced,
+                          .answered = on_answered,
+                          .failed = on_failed };
+  KqKvReply too_long = { .result = KQ_KV_UNKNOWN, .too_long = true };
+  KqFollow *f;
+  (void)state;
+  memset (&store, 0, sizeof store);
+  kq_log_set_level (KQ_LOG_ERROR);
+  f = kq_follow_new (loop, NULL, KQ_STR ("p/"), WAIT_MS, 0, &owner);
+  answer (KQ_KV_OK);
+  assert_int_equal (store.watches, 1);
+  store.cb.done (store.cb.arg, &too_long, kq_time_now ());
+  assert_int_equal (store.lists, 2);
+  assert_int_equal (store.failed, 0);
+  answer (KQ_KV_OK);
+  assert_int_equal (store.watches, 2);
+  kq_follow_free (f);
+  kq_loop_free (loop);
+}
+
 int
 main (void)
 {
@@ -241,6 +269,7 @@
       = { cmocka_unit_test (test_cut_answers_are_retried_apart),
           cmocka_unit_test (test_silent_store_is_retried_often),
           cmocka_unit_test (test_return_of_the_store_is_noticed_at_once),
-          cmocka_unit_test (test_lost_page_and_lost_history_are_made_up_for) };
+          cmocka_unit_test (test_lost_page_and_lost_history_are_made_up_for),
+          cmocka_unit_test (test_changes_that_are_too_long_are_listed) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/port/kv.h
+++ b/src/port/kv.h
@@ -38,8 +38,10 @@
   KqKvResult result;
   const KqKvItem *items;
   size_t n_items;
-  bool more;    /* range: there are more keys after the last item's key */
-  bool partial; /* KQ_KV_UNKNOWN: part of the answer arrived before the call failed */
+  bool more;     /* range: there are more keys after the last item's key */
+  bool too_long; /* KQ_KV_UNKNOWN: the answer is longer than what is taken; to be asked
+                    for in parts */
+  bool partial;  /* KQ_KV_UNKNOWN: part of the answer arrived before the call failed */
   uint64_t revision; /* the store's revision; of a txn: the revision of its write */
   uint64_t lease;    /* of a grant: the lease's id */
   int64_t ttl_ms;    /* of a grant or a renewal */
