--- a/src/agent/frame.c
+++ b/src/agent/frame.c
@@ -154,6 +154,16 @@
   o->cordoned = r->left > 0 && kq_read_bool (r);
 }
 
+static void
+pack_ping (KqPacker *p, const KqAgentItem *i)
+{
+  kq_pack_i64 (p, i->u.ping.heartbeat_sent_at);
+  kq_pack_i64 (p, i->u.ping.store_age_ms);
+  kq_pack_u64 (p, i->u.ping.keys_revision);
+  kq_pack_i64 (p, i->u.ping.keys_age_ms);
+  kq_pack_i64 (p, i->u.ping.jobs_free);
+}
+
 static void
 pack_fields (KqPacker *p, const KqAgentItem *i)
 {
@@ -224,11 +234,7 @@
       kq_pack_bool (p, i->u.writing.over);
       break;
     case KQ_AGENT_ITEM_PING:
-      kq_pack_i64 (p, i->u.ping.heartbeat_sent_at);
-      kq_pack_i64 (p, i->u.ping.store_age_ms);
-      kq_pack_u64 (p, i->u.ping.keys_revision);
-      kq_pack_i64 (p, i->u.ping.keys_age_ms);
-      kq_pack_i64 (p, i->u.ping.jobs_free);
+      pack_ping (p, i);
       break;
     case KQ_AGENT_ITEM_FOLLOW:
       kq_pack_u64 (p, i->u.follow.revision);
--- a/src/fleet/front.c
+++ b/src/fleet/front.c
@@ -365,7 +365,7 @@
     kq_front_pending_reply_kind (q, KQ_REPLY_NO_QUEUE, now);
   else if (r->kind == KQ_FRONT_SUBMIT)
     kq_front_submit_begin (q, r, queue, now);
-  else if (r->kind == KQ_FRONT_CANCEL && !kq_spec_id_is_valid (id))
+  else if (!kq_spec_id_is_valid (id) && (id.len > 0 || r->kind == KQ_FRONT_CANCEL))
     kq_front_pending_reply_kind (q, KQ_REPLY_NO_JOB, now);
   else if (r->kind == KQ_FRONT_CANCEL
            && h->config.store_state (h->config.arg, now) == KQ_REACH_DOWN)
--- a/tests/front_crowd_test.c
+++ b/tests/front_crowd_test.c
@@ -17,14 +17,40 @@
 #define BODY_BYTES 262144 /* the longest that the stand-in's configuration allows */
 
 static CrowdNode node;
+static KqBuf request; /* the head of a crowd's plan, as far as a test builds one */
 
 static KqStr
-head (char *to, size_t size, const char *method, const char *framing)
+add_head (const char *method, const char *framing)
 {
-  snprintf (to, size,
-            "%s /plans/0123456789abcdef HTTP/1.1\r\nHost: desk.example\r\n%s\r\n", method,
-            framing);
-  return kq_str (to);
+  kq_buf_printf (&request,
+                 "%s /plans/0123456789abcdef HTTP/1.1\r\nHost: desk.example\r\n%s\r\n",
+                 method, framing);
+  return kq_buf_str (&request);
+}
+
+/* Appends a body of BODY_BYTES that is filled up between begin and end. */
+static KqStr
+add_large_body (const char *begin, const char *fill, const char *end)
+{
+  size_t most = request.len + BODY_BYTES - strlen (end);
+  kq_buf_printf (&request, "%s", begin);
+  while (request.len + strlen (fill) <= most)
+    kq_buf_printf (&request, "%s", fill);
+  while (request.len < most)
+    kq_buf_printf (&request, " ");
+  kq_buf_printf (&request, "%s", end);
+  return kq_buf_str (&request);
+}
+
+/* Appends a whole submission of the job. */
+static KqStr
+add_job (const char *job)
+{
+  char framing[64];
+  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", strlen (job));
+  add_head ("POST", framing);
+  kq_buf_printf (&request, "%s", job);
+  return kq_buf_str (&request);
 }
 
 static int
@@ -32,6 +58,7 @@
 {
   (void)state;
   crowd_node_stop (&node);
+  kq_buf_free (&request);
   return 0;
 }
 
@@ -54,12 +81,11 @@
 static void
 test_bodies_that_stop_short (void **state)
 {
-  char text[256];
   CrowdPlan p = { .clients = 600, .fill = KQ_STR ("a"), .reopens = 600 };
   (void)state;
   start ("");
   p.port = node.front_port;
-  p.head = head (text, sizeof text, "POST", "Content-Length: 262144\r\n");
+  p.head = add_head ("POST", "Content-Length: 262144\r\n");
   p.total = p.head.len + BODY_BYTES - 1;
   attack_and_check (&p);
 }
@@ -68,17 +94,14 @@
 static void
 test_chunked_bodies_that_stop_short (void **state)
 {
-  char text[256];
   char chunk[1024 + 8];
   CrowdPlan p = { .clients = 600, .piece = 1000, .reopens = 600 };
   (void)state;
   start ("");
-  memset (chunk, 'a', sizeof chunk);
-  memcpy (chunk, "400\r\n", 5);
-  memcpy (chunk + 5 + 1024, "\r\n", 2);
+  snprintf (chunk, sizeof chunk, "400\r\n%01024d\r\n", 0);
   p.port = node.front_port;
   p.fill = kq_str_n (chunk, 1024 + 7);
-  p.head = head (text, sizeof text, "POST", "Transfer-Encoding: chunked\r\n");
+  p.head = add_head ("POST", "Transfer-Encoding: chunked\r\n");
   p.total = p.head.len + BODY_BYTES / 1024 * p.fill.len - 1;
   attack_and_check (&p);
 }
@@ -87,15 +110,10 @@
 static KqStr
 large_job (void)
 {
-  static char request[BODY_BYTES + 512];
-  const char *begin = "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":100,"
-                      "\"mem_mb\":16,\"est_ms\":50,\"image\":\"";
-  const char *end = "\"}]}";
-  size_t n = head (request, sizeof request, "POST", "Content-Length: 262144\r\n").len;
-  memset (request + n, 'a', BODY_BYTES);
-  memcpy (request + n, begin, strlen (begin));
-  memcpy (request + n + BODY_BYTES - strlen (end), end, strlen (end));
-  return kq_str_n (request, n + BODY_BYTES);
+  add_head ("POST", "Content-Length: 262144\r\n");
+  return add_large_body ("{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":100,"
+                         "\"mem_mb\":16,\"est_ms\":50,\"image\":\"",
+                         "a", "\"}]}");
 }
 
 /* Guards against a node that runs out of memory by what it keeps of whole requests while
@@ -135,6 +153,27 @@
   crowd_close (c);
 }
 
+/* Guards against requests that hold more than their bodies: ids that fill a head, of
+ * clients that leave at once. */
+static void
+test_long_ids (void **state)
+{
+  CrowdPlan p = { .clients = 200, .reopens = 6000, .leaves = true };
+  Crowd *c;
+  (void)state;
+  start ("");
+  kq_buf_printf (&request, "GET /plans/%029900d HTTP/1.1\r\nHost: desk.example\r\n\r\n",
+                 0);
+  p.port = node.front_port;
+  p.head = kq_buf_str (&request);
+  p.total = p.head.len;
+  crowd_node_hang_store (&node, true);
+  c = crowd_node_attack (&node, &p);
+  crowd_node_hang_store (&node, false);
+  crowd_node_check (&node);
+  crowd_close (c);
+}
+
 /* Guards against a leader that runs out of memory by the jobs that are accepted. */
 static void
 test_large_jobs_that_are_accepted (void **state)
@@ -151,15 +190,10 @@
 static void
 check_accepted_jobs (const char *job)
 {
-  char text[512];
-  char framing[64];
   CrowdPlan p = { .clients = 100, .id_at = ID_AT, .reopens = 300 };
   start ("");
-  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", strlen (job));
-  head (text, sizeof text, "POST", framing);
-  strcat (text, job);
   p.port = node.front_port;
-  p.head = kq_str (text);
+  p.head = add_job (job);
   p.total = p.head.len;
   attack_and_check (&p);
 }
@@ -188,18 +222,12 @@
 static void
 test_unread_requests_behind_open_ones (void **state)
 {
-  char text[512];
-  const char *job = "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1}]}";
-  char framing[64];
   CrowdPlan p = { .clients = 1500, .fill = KQ_STR ("POST /plans/ HTTP/1.1\r\n") };
   Crowd *c;
   (void)state;
   start ("");
-  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", strlen (job));
-  head (text, sizeof text, "POST", framing);
-  strcat (text, job);
   p.port = node.front_port;
-  p.head = kq_str (text);
+  p.head = add_job ("{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1}]}");
   p.total = (size_t)1 << 20;
   crowd_node_hang_store (&node, true);
   c = crowd_node_attack (&node, &p);
@@ -247,21 +275,12 @@
 static void
 test_bodies_of_many_values (void **state)
 {
-  static char request[BODY_BYTES + 512];
-  char framing[64];
-  size_t n;
   CrowdPlan p = { .clients = 20 };
   (void)state;
   crowd_node_start (&node, KQ_BUILD_DIR, 32, FDS, "");
-  snprintf (framing, sizeof framing, "Content-Length: %d\r\n", BODY_BYTES);
-  n = head (request, sizeof request, "POST", framing).len;
-  memset (request + n, ' ', BODY_BYTES);
-  request[n] = '[';
-  for (size_t i = 1; i + 3 < BODY_BYTES; i += 3)
-    memcpy (request + n + i, "{},", 3);
-  memcpy (request + n + BODY_BYTES - 4, "{} ]", 4);
+  add_head ("POST", "Content-Length: 262144\r\n");
   p.port = node.front_port;
-  p.head = kq_str_n (request, n + BODY_BYTES);
+  p.head = add_large_body ("[", "{},", "{}]");
   p.total = p.head.len;
   attack_and_check (&p);
 }
@@ -297,10 +316,9 @@
 static void
 test_body_byte_by_byte_ends (void **state)
 {
-  char text[256];
   CrowdPlan p = { .fill = KQ_STR ("a"), .total = BODY_BYTES };
   (void)state;
-  p.head = head (text, sizeof text, "POST", "Content-Length: 262144\r\n");
+  p.head = add_head ("POST", "Content-Length: 262144\r\n");
   check_slow_clients_end (&p);
 }
 
@@ -308,16 +326,13 @@
 static void
 test_single_large_body_is_served (void **state)
 {
-  static char body[BODY_BYTES];
-  const char *begin = "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":16,"
-                      "\"est_ms\":50}],\"padding\":\"";
   (void)state;
   start ("");
-  memset (body, 'a', sizeof body);
-  memcpy (body, begin, strlen (begin));
-  memcpy (body + sizeof body - 2, "\"}", 2);
-  assert_int_equal (
-      crowd_node_submit (&node, "feedfeedfeedfeed", kq_str_n (body, sizeof body)), 200);
+  add_large_body ("{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":16,"
+                  "\"est_ms\":50}],\"padding\":\"",
+                  "a", "\"}");
+  assert_int_equal (crowd_node_submit (&node, "feedfeedfeedfeed", kq_buf_str (&request)),
+                    200);
   crowd_node_check (&node);
 }
 
@@ -331,6 +346,7 @@
     TEST (test_bodies_that_stop_short),
     TEST (test_chunked_bodies_that_stop_short),
     TEST (test_large_jobs_while_the_store_hangs),
+    TEST (test_long_ids),
     TEST (test_large_jobs_of_clients_that_leave),
     TEST (test_large_jobs_that_are_accepted),
     TEST (test_jobs_of_many_tasks_that_are_accepted),
