Client limits: connections and requests share one sum; freed buffers return

Cause: connections had a quarter of the memory and requests an eighth beside it, and a leader's jobs another quarter; with the process's own 13 MB that is most of 64. And freed bodies stayed with the process: the C library raises the size from which it returns buffers, up to 32 MB, with the first that is freed. A request's path was counted once, and is there twice.

Change: clients may hold a sixth in all, requests one half of that, and a request that is begun closes connections if need be. Buffers of 128 KB and more stay out of the heap.

--- a/src/base/client_limits.c
+++ b/src/base/client_limits.c
@@ -6,8 +6,8 @@
 #include <stdlib.h>
 
 #define PART "clients"
-#define MEMORY_PARTS 4
-#define WORK_PARTS 8
+#define MEMORY_PARTS 6
+#define WORK_PARTS (2 * MEMORY_PARTS)
 /* Of the descriptors, so many are kept for files. The others are sockets, of which
  * clients may have one half. */
 #define FILES_FDS 200
@@ -133,7 +133,7 @@
 static void
 enforce (KqClientLimits *l, KqTime now)
 {
-  while (l->n > l->n_max || l->bytes > l->bytes_max)
+  while (l->n > l->n_max || l->bytes + l->work > l->bytes_max)
     {
       KqClientConn *c = find_costliest (l, now);
       if (c == NULL)
@@ -245,6 +245,7 @@
   if (l->work + bytes <= l->work_max)
     {
       l->work += bytes;
+      enforce (l, now);
       return true;
     }
   ++*l->refused;
--- a/src/base/client_limits.h
+++ b/src/base/client_limits.h
@@ -12,13 +12,14 @@
  * reads its answer without delay has a small product, however many others are connected.
  *
  * Requests that are being handled hold memory as well, also when their clients have left.
- * Their sum has a limit of its own, above which further requests are to be refused. */
+ * It counts in the same sum, but no connection is closed for it whose request is handled:
+ * above one half of the sum further requests are to be refused. */
 
 #include "base/counter.h"
 #include "base/time.h"
 
-/* Section [limits] of the settings. Connections of clients may hold a quarter of the
- * memory, requests that are being handled an eighth; connections may have one half of the
+/* Section [limits] of the settings. Clients may hold a sixth of the memory, of which
+ * requests that are being handled one half, and connections may have one half of the
  * descriptors that aren't for files. */
 typedef struct
 {
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -18,6 +18,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -29,6 +30,8 @@
 /* A mesh connection is replaced if nothing arrived for this many heartbeat periods. */
 #define MESH_SILENCE_HEARTBEATS 6
 
+#define LARGE_BUFFER_BYTES (128 * 1024)
+
 /* Period of checks for clients that take too long. */
 #define LIMITS_PERIOD_S 0.5
 
@@ -505,6 +508,15 @@
   return n == 0;
 }
 
+/* Keeps large buffers out of the heap, so that they are returned to the system when they
+ * are freed. By default the C library raises the threshold with the first one. */
+static void
+set_up_allocator (void)
+{
+  mallopt (M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
+  mallopt (M_TRIM_THRESHOLD, LARGE_BUFFER_BYTES);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -524,6 +536,7 @@
   GError *error = NULL;
   int code = EXIT_SETTINGS;
 
+  set_up_allocator ();
   g_option_context_add_main_entries (options, entries, NULL);
   if (!g_option_context_parse (options, &argc, &argv, &error))
     fprintf (stderr, "kumquatd: %s\n", error->message);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -81,6 +81,7 @@
   x->server = s;
   x->conn = conn;
   x->uri = kq_str_dup (kq_str (uri));
+  x->uri_len = strlen (uri);
   x->next = s->first;
   if (s->first != NULL)
     s->first->prev = x;
--- a/src/http/server_clients.c
+++ b/src/http/server_clients.c
@@ -51,8 +51,10 @@
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (x->conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
   x->client = info != NULL ? info->socket_context : NULL;
-  if (x->client != NULL)
-    x->client->exchange = x;
+  if (x->client == NULL)
+    return;
+  x->client->exchange = x;
+  kq_http_client_recount (x);
 }
 
 void
@@ -103,7 +105,7 @@
 kq_http_client_recount (KqHttpExchange *x)
 {
   size_t bytes = KQ_CLIENT_CONN_BYTES + x->held + x->reply_bytes + x->out.capacity
-                 + x->n_headers * sizeof *x->headers;
+                 + x->uri_len + x->n_headers * sizeof *x->headers;
   if (x->client != NULL)
     kq_client_limits_hold (x->server->limits, &x->client->limited, bytes,
                            kq_loop_now (x->server->loop));
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -49,6 +49,7 @@
   KqHttpExchange *prev;
   struct MHD_Connection *conn;
   char *uri;
+  size_t uri_len;
   KqStr method; /* a copy */
   KqHeader *headers;
   size_t n_headers;
