HTTP server: connections that wait to be accepted have a part of the memory

What callers saw: 52,119 to 52,504 KB of 65,536 in test_long_ids, where connections and requests may hold 11 MB beside the process's 13.

Cause: up to 1,024 connections at each port wait to be accepted, each with what it has received; received bytes that aren't read count as memory.

Change: a thirty-second of the memory for those of one port, 64 connections at least: 160 of 32 KB with 160 MB.

--- a/src/base/client_limits.c
+++ b/src/base/client_limits.c
@@ -12,6 +12,11 @@
  * clients may have one half. */
 #define FILES_FDS 200
 #define FDS_PARTS 2
+/* The part of the memory that connections may hold which wait to be accepted at one port.
+ */
+#define BACKLOG_PARTS 32
+#define BACKLOG_MIN 64
+#define BACKLOG_MAX 1024
 #define LOG_PERIOD KQ_SEC
 
 struct KqClientLimits
@@ -267,6 +272,13 @@
     l->work -= bytes;
 }
 
+int
+kq_client_limits_backlog (const KqClientLimits *l, size_t received)
+{
+  size_t n = l->bytes_max * MEMORY_PARTS / BACKLOG_PARTS / received;
+  return n < BACKLOG_MIN ? BACKLOG_MIN : n > BACKLOG_MAX ? BACKLOG_MAX : (int)n;
+}
+
 size_t
 kq_client_limits_count (const KqClientLimits *l)
 {
--- a/src/base/client_limits.h
+++ b/src/base/client_limits.h
@@ -93,6 +93,9 @@
 /* It has been answered. */
 void kq_client_limits_end_work (KqClientLimits *l, size_t bytes);
 
+/* How many connections may wait to be accepted at a port, where each may have received so
+ * many bytes. */
+int kq_client_limits_backlog (const KqClientLimits *l, size_t received);
 /* Connections that aren't being closed, and the memory held for them. */
 size_t kq_client_limits_count (const KqClientLimits *l);
 size_t kq_client_limits_bytes (const KqClientLimits *l);
--- a/src/http/server_clients.c
+++ b/src/http/server_clients.c
@@ -118,15 +118,17 @@
   kq_http_client_recount (x);
 }
 
-/* Received bytes that aren't read count as the process's memory as well. Connections take
- * the size over from the socket that listens. */
+/* Received bytes that aren't read count as the process's memory as well, also those of
+ * connections that wait to be accepted. Connections take the size of the buffer over from
+ * the socket that listens. */
 static void
-limit_receive_buffers (KqHttpServer *s)
+limit_unread (KqHttpServer *s)
 {
   const union MHD_DaemonInfo *info
       = MHD_get_daemon_info (s->mhd, MHD_DAEMON_INFO_LISTEN_FD);
   int size = RECEIVE_BUFFER_BYTES;
   setsockopt (info->listen_fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  listen (info->listen_fd, kq_client_limits_backlog (s->limits, RECEIVE_BUFFER_BYTES));
 }
 
 void
@@ -134,5 +136,5 @@
 {
   s->limits = limits;
   if (limits != NULL)
-    limit_receive_buffers (s);
+    limit_unread (s);
 }
