--- a/bench/crowd_node.c
+++ b/bench/crowd_node.c
@@ -167,13 +167,11 @@
 }
 
 void
-crowd_node_hang_store (CrowdNode *n, bool hang)
+crowd_node_set_fault (CrowdNode *n, const char *fault)
 {
   char url[96];
-  ProcsRequest q = { .method = "POST", .url = url };
+  ProcsRequest q = { .method = "POST", .url = url, .body = kq_str (fault) };
   ProcsAnswer a;
-  q.body = hang ? KQ_STR ("{\"method\":\"POST\",\"path\":\"/kv-txn\",\"hang\":true}")
-                : KQ_STR ("{\"clear\":true}");
   snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/fault", n->store_port);
   procs_call (&n->procs, &q, &a);
   assert_int_equal (a.status, 200);
--- a/bench/crowd_node.h
+++ b/bench/crowd_node.h
@@ -33,8 +33,8 @@
 /* Fails the test unless the process lives, has stayed within its limits, and accepts an
  * ordinary job, which is done afterwards. */
 void crowd_node_check (CrowdNode *n);
-/* Makes the store hang or answer again. */
-void crowd_node_hang_store (CrowdNode *n, bool hang);
+/* Sets a fault at the stand-in's store, as JSON (standin/web.c). */
+void crowd_node_set_fault (CrowdNode *n, const char *fault);
 /* Submits a job by an ordinary client; returns the status, 0: no answer. */
 int crowd_node_submit (CrowdNode *n, const char *id, KqStr body);
 
--- a/tests/front_crowd_test.c
+++ b/tests/front_crowd_test.c
@@ -68,6 +68,15 @@
   crowd_node_start (&node, KQ_BUILD_DIR, MEMORY_MB, FDS, limits);
 }
 
+/* Makes the store hang on writes, or answer again. */
+static void
+hang_store (bool hang)
+{
+  crowd_node_set_fault (&node,
+                        hang ? "{\"method\":\"POST\",\"path\":\"/kv-txn\",\"hang\":true}"
+                             : "{\"clear\":true}");
+}
+
 static void
 attack_and_check (const CrowdPlan *plan)
 {
@@ -127,9 +136,9 @@
   start ("");
   p.port = node.front_port;
   p.total = p.head.len;
-  crowd_node_hang_store (&node, true);
+  hang_store (true);
   c = crowd_node_attack (&node, &p);
-  crowd_node_hang_store (&node, false);
+  hang_store (false);
   crowd_node_check (&node);
   crowd_close (c);
 }
@@ -146,9 +155,9 @@
   start ("");
   p.port = node.front_port;
   p.total = p.head.len;
-  crowd_node_hang_store (&node, true);
+  hang_store (true);
   c = crowd_node_attack (&node, &p);
-  crowd_node_hang_store (&node, false);
+  hang_store (false);
   crowd_node_check (&node);
   crowd_close (c);
 }
@@ -167,9 +176,9 @@
   p.port = node.front_port;
   p.head = kq_buf_str (&request);
   p.total = p.head.len;
-  crowd_node_hang_store (&node, true);
+  hang_store (true);
   c = crowd_node_attack (&node, &p);
-  crowd_node_hang_store (&node, false);
+  hang_store (false);
   crowd_node_check (&node);
   crowd_close (c);
 }
@@ -229,9 +238,9 @@
   p.port = node.front_port;
   p.head = add_job ("{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1}]}");
   p.total = (size_t)1 << 20;
-  crowd_node_hang_store (&node, true);
+  hang_store (true);
   c = crowd_node_attack (&node, &p);
-  crowd_node_hang_store (&node, false);
+  hang_store (false);
   crowd_node_check (&node);
   crowd_close (c);
 }
@@ -249,9 +258,9 @@
   start ("");
   p.port = node.front_port;
   p.total = p.head.len + ((size_t)8 << 20);
-  crowd_node_hang_store (&node, true);
+  hang_store (true);
   c = crowd_node_attack (&node, &p);
-  crowd_node_hang_store (&node, false);
+  hang_store (false);
   crowd_node_check (&node);
   crowd_close (c);
 }
