HTTP server: a client that leaves in the middle of a body is noticed

What callers saw: after 2,400 clients that left in the middle of streamed bodies an ordinary request was answered with 502 for over 40 s, as the runner (the stand-in, with the same server) had all its places taken.

Cause: 58 of 58 connections that were left stood in CLOSE_WAIT with nothing unread. libmicrohttpd polls edges and takes a short read for an empty buffer: if the end of the connection arrives together with the last bytes, no further event comes, and the connection is kept for the 75 s that silent ones are.

Change: when a part of a body of known length has been delivered, the server looks whether the connection has ended. A head that ends so still waits for 75 s; it counts in the limits of clients.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -167,6 +167,18 @@
   return MHD_YES;
 }
 
+/* Whether the client has closed its connection, and all that it sent has been read. MHD
+ * doesn't notice if the end arrives together with the last bytes: it polls edges, and
+ * takes a short read for an empty buffer. */
+static bool
+has_client_left (const KqHttpExchange *x)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (x->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char c;
+  return recv (info->connect_fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static enum MHD_Result
 deliver_body (KqHttpExchange *x, const char *bytes, size_t *size)
 {
@@ -179,7 +191,11 @@
   kq_http_client_moved (x, *size);
   if (x->response == NULL)
     s->handler.body (s->handler.arg, x, kq_str_n (bytes, *size));
+  x->n_received += (int64_t)*size;
   *size = 0;
+  /* The end of a body without a length may be among what MHD has read already. */
+  if (x->n_received < kq_http_body_length (x) && has_client_left (x))
+    return MHD_NO;
   return MHD_YES;
 }
 
--- a/src/http/server_clients_test.c
+++ b/src/http/server_clients_test.c
@@ -144,6 +144,34 @@
   assert_true (send_zeros ((size_t)32 << 20) <= KQ_CLIENT_CONN_BYTES);
 }
 
+/* Guards against a connection that is kept for as long as silent ones are, because its
+ * client left in the middle of a body and the end came together with the last bytes. */
+static void
+test_client_that_leaves_with_its_last_bytes_is_noticed (void **state)
+{
+  (void)state;
+  send_text ("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n");
+  send_zeros (1000);
+  assert_int_equal (f.finished, 0);
+  send_text ("last bytes");
+  shutdown (f.fd, SHUT_WR);
+  send_zeros (0);
+  assert_int_equal (f.finished, 1);
+  assert_int_equal (f.received, 1010);
+}
+
+/* Guards against a whole request whose client closes its side behind it, as it may. */
+static void
+test_whole_request_of_a_half_closed_client_is_handled (void **state)
+{
+  (void)state;
+  send_text ("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n1234");
+  shutdown (f.fd, SHUT_WR);
+  ev_run (kq_loop_ev (f.loop), EVRUN_NOWAIT);
+  ev_run (kq_loop_ev (f.loop), EVRUN_NOWAIT);
+  assert_int_equal (f.ended, 1);
+}
+
 /* Guards against a connection that is counted after it was closed, or whose handler isn't
  * told: a body that exceeds the limit of all clients. */
 static void
@@ -164,6 +192,8 @@
 {
   const struct CMUnitTest tests[] = {
     TEST (test_unread_bytes_are_bounded),
+    TEST (test_client_that_leaves_with_its_last_bytes_is_noticed),
+    TEST (test_whole_request_of_a_half_closed_client_is_handled),
     TEST (test_closed_exchange_is_finished),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -55,6 +55,7 @@
   size_t n_headers;
   bool begin_called;
   bool body_ended;
+  int64_t n_received; /* bytes of the body */
   bool upload_paused;
   bool suspended;
   bool aborted;
