--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -517,6 +517,27 @@
   mallopt (M_TRIM_THRESHOLD, LARGE_BUFFER_BYTES);
 }
 
+/* From the command line; 0: as in the settings. */
+static gint64 option_memory_mb;
+static gint64 option_max_fds;
+
+/* Puts the options in the place of the settings. False: one is out of its range. */
+static bool
+apply_limit_options (KqClientLimitsConfig *c)
+{
+  if (option_memory_mb != 0)
+    c->memory_mb = option_memory_mb;
+  if (option_max_fds != 0)
+    c->max_fds = option_max_fds;
+  if (c->memory_mb >= KQ_LIMIT_MEMORY_MB_MIN && c->memory_mb <= KQ_LIMIT_MAX
+      && c->max_fds >= KQ_LIMIT_MAX_FDS_MIN && c->max_fds <= KQ_LIMIT_MAX)
+    return true;
+  fprintf (stderr, "kumquatd: --memory-mb: %d to %d, --max-fds: %d to %d (%d %s)\n",
+           KQ_LIMIT_MEMORY_MB_MIN, KQ_LIMIT_MAX, KQ_LIMIT_MAX_FDS_MIN, KQ_LIMIT_MAX,
+           KQ_ERR_SETTINGS_RANGE, kq_result_name (KQ_ERR_SETTINGS_RANGE));
+  return false;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -530,6 +551,10 @@
             "FILE" },
           { "check-settings", 0, 0, G_OPTION_ARG_FILENAME, &check,
             "Check a settings file, print every fault, and exit", "FILE" },
+          { "memory-mb", 0, 0, G_OPTION_ARG_INT64, &option_memory_mb,
+            "In place of limits.memory_mb in the settings", "N" },
+          { "max-fds", 0, 0, G_OPTION_ARG_INT64, &option_max_fds,
+            "In place of limits.max_fds in the settings", "N" },
           { "version", 'V', 0, G_OPTION_ARG_NONE, &version, "Print the version", NULL },
           { NULL, 0, 0, 0, NULL, NULL, NULL } };
   GOptionContext *options = g_option_context_new ("- entry host of kumquatfield");
@@ -559,10 +584,11 @@
     fprintf (stderr, "kumquatd: --settings FILE is needed; see --help\n");
   else if (is_fleet (settings))
     {
-      if (load_fleet_settings (settings, &fleet))
+      if (load_fleet_settings (settings, &fleet) && apply_limit_options (&fleet.limits))
         code = run_fleet (settings, &fleet);
     }
-  else if (load_settings (settings, &d.settings))
+  else if (load_settings (settings, &d.settings)
+           && apply_limit_options (&d.settings.limits))
     code = run (&d);
   g_clear_error (&error);
   g_option_context_free (options);
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -34,7 +34,6 @@
 #define SIZE(field) sizeof (((KqFleetSettings *)0)->field)
 #define PORT_MAX 65535
 #define HOUR_MS 3600000
-#define LIMIT_MAX (1024 * 1024)
 
 static const Key keys[] = {
   { "fleet", "node", NAME, AT (node), 0, 0, 0, -1 },
@@ -58,9 +57,9 @@
   { "bounds", "grace_s", MILLI, AT (grace_ms), 0, 0, HOUR_MS, 6000 },
   { "bounds", "keep_s", MILLI, AT (keep_ms), 0, 0, 24 * (int64_t)HOUR_MS, 120000 },
   { "limits", "memory_mb", NUMBER, AT (limits.memory_mb), 0, KQ_LIMIT_MEMORY_MB_MIN,
-    LIMIT_MAX, 160 },
-  { "limits", "max_fds", NUMBER, AT (limits.max_fds), 0, KQ_LIMIT_MAX_FDS_MIN, LIMIT_MAX,
-    4096 },
+    KQ_LIMIT_MAX, 160 },
+  { "limits", "max_fds", NUMBER, AT (limits.max_fds), 0, KQ_LIMIT_MAX_FDS_MIN,
+    KQ_LIMIT_MAX, 4096 },
   { "limits", "request_s", MILLI, AT (limits.request_ms), 0, 100, HOUR_MS, 75000 },
 };
 #define N_KEYS ((int)(sizeof keys / sizeof keys[0]))
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -18,6 +18,7 @@
 
 #define KQ_LIMIT_MEMORY_MB_MIN 32
 #define KQ_LIMIT_MAX_FDS_MIN 256
+#define KQ_LIMIT_MAX (1024 * 1024) /* of both */
 
 #define KQ_REGIONS_MAX 32
 #define KQ_DEPOTS_MAX 16
--- a/src/settings/settings_keys.c
+++ b/src/settings/settings_keys.c
@@ -45,9 +45,10 @@
   { "host_lists", "depots", KQ_SETTING_NAMES, 0, 0, 0, "",
     "Depots of this region whose host lists this node reads; none: its own depot." },
   { "limits", "memory_mb", KQ_SETTING_INT, AT (limits.memory_mb), KQ_LIMIT_MEMORY_MB_MIN,
-    1048576, "256", "Memory that this process may use. Clients may hold a part of it." },
+    KQ_LIMIT_MAX, "256",
+    "Memory that this process may use. Clients may hold a part of it." },
   { "limits", "max_fds", KQ_SETTING_INT, AT (limits.max_fds), KQ_LIMIT_MAX_FDS_MIN,
-    1048576, "4096", "Descriptors that this process may open, files included." },
+    KQ_LIMIT_MAX, "4096", "Descriptors that this process may open, files included." },
   { "limits", "request_ms", KQ_SETTING_INT, AT (limits.request_ms), 100, DAY_MS, "75000",
     "Time for a client to send a request, or to take its answer, besides a second for "
     "each 4 KB." },
--- a/tests/settings_live_test.c
+++ b/tests/settings_live_test.c
@@ -52,10 +52,35 @@
   procs_free (&p, false);
 }
 
+/* Guards against a limit from the command line that is out of its range and yet taken. */
+static void
+test_limit_options_are_checked (void **state)
+{
+  Procs p;
+  char path[128];
+  char options[200];
+  char rest[256];
+  int node;
+  (void)state;
+  assert_true (procs_init (&p, KQ_BUILD_DIR));
+  snprintf (path, sizeof path, "%s/node.toml", p.dir);
+  write_settings (path, "info");
+  snprintf (options, sizeof options, "--settings %s --memory-mb 5", path);
+  node = procs_start_program (&p, PROCS_FLEET_NODE, "kumquatd", options);
+  assert_int_equal (procs_wait_exit (&p, node, 10 * KQ_SEC), 2);
+  assert_true (procs_wait_text (&p, node, "log", "(105 SETTINGS_RANGE)", rest));
+  snprintf (options, sizeof options, "--settings %s --memory-mb 64 --max-fds 300", path);
+  node = procs_start_program (&p, PROCS_FLEET_NODE, "kumquatd", options);
+  assert_true (procs_wait_text (&p, node, "out", "Started. front=", rest));
+  remove (path);
+  procs_free (&p, false);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_file_that_changes_without_a_signal) };
+      = { cmocka_unit_test (test_file_that_changes_without_a_signal),
+          cmocka_unit_test (test_limit_options_are_checked) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
