Link: connections without a HELLO don't count as connected nodes

A leader whose lease has expired asks how many nodes are connected to it; anyone who connects to the port for other nodes was counted. Found by reading, no test shows a decision that it changed.

--- a/src/fleet/link_peers.c
+++ b/src/fleet/link_peers.c
@@ -502,7 +502,10 @@
 size_t
 kq_link_peer_count (const KqLink *l)
 {
-  return l->peers->len;
+  size_t n = 0;
+  for (guint i = 0; i < l->peers->len; i++)
+    n += !((const KqPeer *)g_ptr_array_index (l->peers, i))->is_client;
+  return n;
 }
 
 void
