--- a/src/base/client_limits.h
+++ b/src/base/client_limits.h
@@ -12,8 +12,8 @@
  * reads its answer without delay has a small product, however many others are connected.
  *
  * Requests that are being handled hold memory as well, also when their clients have left.
- * It counts in the same sum, but no connection is closed for it whose request is handled:
- * above one half of the sum further requests are to be refused. */
+ * It counts in the same sum. A connection whose request is being handled isn't closed;
+ * instead, further requests are refused while such requests hold one half of the sum. */
 
 #include "base/counter.h"
 #include "base/time.h"
