Review: case 9, a burst on a queue that needs advice

Each node makes two calls for advice at a time, and the service handles them in turn. With calls of over half the timeout the second one always ends before its answer, and its time is lost for the next, so that no call is answered while two steps wait on a node.

The case: 30 jobs within 1.5 s beside one every 2 s, 1.3 s a call, six nodes. The cases of the fixed request and of tickets that count as expired are now 10 and 11; the stand-in serves all three, with six nodes.

--- a/review/advice_test.c
+++ b/review/advice_test.c
@@ -1,11 +1,11 @@
 /* advice_test: a platform whose queues need advice, its runners, an operator and clients
- * in one process, and nodes of a fleet as child processes; see review/9/claim.txt and
- * review/10/claim.txt.
+ * in one process, and nodes of a fleet as child processes; see claim.txt in review/9, 10
+ * and 11.
  *
- *   target/review-advice QUEUE RECORD TROUBLE
+ *   target/review-advice CASE RECORD TROUBLE
  *
- * QUEUE names the queue that the second configuration adds. TROUBLE 0: there is none, and
- * all jobs go to the first queue.
+ * CASE is `burst`, or the queue that a second configuration adds. TROUBLE 0: the same
+ * without the burst, or without that queue: all jobs then go to the first one.
  *
  * Exits with 0 if the rule held, with 1 if it was broken, with 2 if the case couldn't be
  * run. The store is the project's stand-in (standin/platform_kv.c). */
@@ -29,7 +29,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define NODES 3
+#define NODES 6
 #define RUNNERS 48
 #define RUNS_MAX 64
 #define ENDS_MAX 256
@@ -52,6 +52,8 @@
 } Queue;
 
 static const Queue first_queue = { "plans", "/plans/", 100, 20, 3000 };
+/* The only one of the case `burst`: 1.3 s for 30 runners. */
+static const Queue burst_queue = { "orders", "/orders/", 100, 40, 3000 };
 static const Queue added_queues[]
     = { { "reports", "/reports/", 200, 80, 3000 }, /* 2.6 s for 30 runners */
         { "checks", "/checks/", 200, 40, 1000 } }; /* 1.4 s for 30 runners */
@@ -66,7 +68,7 @@
   char state[16];  /* as last answered */
 } Job;
 
-#define JOBS_MAX 16
+#define JOBS_MAX 96
 
 typedef struct
 {
@@ -331,13 +333,13 @@
 
 /* added: NULL: only the first queue. */
 static void
-put_config (int version, const Queue *added)
+put_config (int version, const Queue *first, const Queue *added)
 {
   json_t *routes = json_array ();
-  json_array_append_new (routes, route_of (&first_queue));
+  json_array_append_new (routes, route_of (first));
   if (added != NULL)
     json_array_append_new (routes, route_of (added));
-  note ("configuration %d, queues: %s %s", version, first_queue.name,
+  note ("configuration %d, queues: %s %s", version, first->name,
         added != NULL ? added->name : "");
   put_json ("op/config",
             json_pack ("{s:i, s:o, s:[{s:s, s:b}], s:{s:i}}", "version", version,
@@ -1019,14 +1021,37 @@
 }
 
 static void
-run_case (const Queue *added)
+set_up (const Queue *first)
 {
-  put_config (7, NULL);
+  put_config (7, first, NULL);
   for (n_machines = 0; n_machines < RUNNERS; n_machines++)
     add_machine (n_machines);
   add_nodes (NODES);
   wait_for_fleet ();
   wait_ms (1000);
+}
+
+/* A job every 2 s for 12 s, and, from the fourth second on, 30 more within 1.5 s. */
+static void
+case_burst (void)
+{
+  int number = 0;
+  set_up (&burst_queue);
+  for (int tenth = 0; tenth < 120; tenth++)
+    {
+      if (tenth % 20 == 0)
+        submit (&burst_queue, number++);
+      for (int i = 0; i < 2 && trouble && tenth >= 40 && tenth < 55; i++)
+        submit (&burst_queue, number++);
+      wait_ms (100);
+    }
+  check_jobs ();
+}
+
+static void
+case_added (const Queue *added)
+{
+  set_up (&first_queue);
   for (int i = 0; i < 3; i++)
     submit (&first_queue, i);
   for (int i = 0; i < 40 && !all_have ("completed"); i++)
@@ -1035,7 +1060,7 @@
     cannot_run ("the first jobs don't complete");
   /* The disruption: a configuration that adds a queue. */
   if (trouble)
-    put_config (8, added);
+    put_config (8, &first_queue, added);
   wait_ms (4000);
   for (int i = 3; i < 6; i++)
     submit (trouble ? added : &first_queue, i);
@@ -1046,14 +1071,15 @@
 main (int argc, char **argv)
 {
   char template[] = "/tmp/review-advice-XXXXXX";
+  bool burst = argc == 4 && strcmp (argv[1], "burst") == 0;
   const Queue *added = NULL;
   for (size_t i = 0; argc == 4 && i < sizeof added_queues / sizeof added_queues[0]; i++)
     if (strcmp (argv[1], added_queues[i].name) == 0)
       added = &added_queues[i];
-  record = added != NULL ? fopen (argv[2], "w") : NULL;
+  record = burst || added != NULL ? fopen (argv[2], "w") : NULL;
   if (record == NULL || mkdtemp (template) == NULL)
     {
-      fprintf (stderr, "usage: review-advice QUEUE RECORD TROUBLE\n");
+      fprintf (stderr, "usage: review-advice CASE RECORD TROUBLE\n");
       return 2;
     }
   snprintf (temp_dir, sizeof temp_dir, "%s", template);
@@ -1063,7 +1089,10 @@
   loop = kq_loop_new ();
   http = kq_http_client_new (loop, 8, 15000);
   start_store ();
-  run_case (added);
+  if (burst)
+    case_burst ();
+  else
+    case_added (added);
   note ("rule broken %d times", broken);
   printf ("%s: broken %d times\n", argv[1], broken);
   finish (broken > 0 ? 1 : 0);
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# build-3.sh: builds the stand-in of case 9, target/review-advice, after the build of the
-# deploy file.
+# build-3.sh: builds the stand-in of the cases 9 to 11, target/review-advice, after the build
+# of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 make -j8 BUILD=target target/kumquatd target/libkq.a
